--- /dev/null
+++ b/limpet/main.go
@@ -0,0 +1,4 @@
+// Command limpet is the operators' command line of limpetlb.
+package main
+
+func main() {}
--- /dev/null
+++ b/limpetd/main.go
@@ -0,0 +1,4 @@
+// Command limpetd is the daemon of limpetlb, the same on every entry VM.
+package main
+
+func main() {}
--- /dev/null
+++ b/limpetlab/main.go
@@ -0,0 +1,4 @@
+// Command limpetlab runs stand-ins, demonstrations, loads and benches.
+package main
+
+func main() {}
