envdoc: Decode documents strictly and report all faults at once

A document is applied by operators whom the vendor cannot reach, so one refusal has to name everything that is wrong. The JSON Schema is made from the same types, committed, and a rapid test breaks lines of an example and compares the verdicts of schema and decoder.

--- a/limpetd/envdoc/document.go
+++ b/limpetd/envdoc/document.go
@@ -26,6 +26,9 @@
 	Callers    []Caller   `yaml:"callers" json:"callers"`
 	Services   []Service  `yaml:"services,omitempty" json:"services,omitempty"`
 	Budgets    Budgets    `yaml:"budgets" json:"budgets"`
+
+	// index finds models and adapters by name; nil unless decoded.
+	index map[string]place
 }
 
 // Weights state what placement prefers where attainment and moves conflict.
--- /dev/null
+++ b/limpetd/envdoc/schema_test.go
@@ -0,0 +1,101 @@
+package envdoc
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/invopop/jsonschema"
+	validator "github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/stretchr/testify/require"
+	"gopkg.in/yaml.v3"
+	"pgregory.net/rapid"
+)
+
+//go:generate go test . -run TestSchemaIsCommitted -update
+
+var update = flag.Bool("update", false, "write schema.json")
+
+// schemaFile is the committed schema.
+const schemaFile = "schema.json"
+
+// makeSchema returns the JSON Schema of the document's types.
+func makeSchema(t testing.TB) []byte {
+	r := jsonschema.Reflector{FieldNameTag: "yaml", ExpandedStruct: true}
+	r.Mapper = func(v reflect.Type) *jsonschema.Schema {
+		if v == reflect.TypeOf(Duration(0)) {
+			return &jsonschema.Schema{Type: "string", Description: "A time span such as 1500ms or 8h."}
+		}
+		return nil
+	}
+	require.NoError(t, r.AddGoComments("github.com/limpetlb/limpetlb/limpetd/envdoc", "."))
+	schema, err := json.MarshalIndent(r.Reflect(&Document{}), "", "  ")
+	require.NoError(t, err)
+	return append(schema, '\n')
+}
+
+func TestSchemaIsCommitted(t *testing.T) {
+	schema := makeSchema(t)
+	if *update {
+		require.NoError(t, os.WriteFile(schemaFile, schema, 0o644))
+	}
+	committed, err := os.ReadFile(schemaFile)
+	require.NoError(t, err)
+	require.Equal(t, string(schema), string(committed), "run go generate")
+}
+
+// accepts tells whether the committed schema accepts a YAML body.
+func accepts(t require.TestingT, s *validator.Schema, body []byte) bool {
+	var plain any
+	require.NoError(t, yaml.Unmarshal(body, &plain))
+	text, err := json.Marshal(plain)
+	require.NoError(t, err)
+	value, err := validator.UnmarshalJSON(bytes.NewReader(text))
+	require.NoError(t, err)
+	return s.Validate(value) == nil
+}
+
+// TestSchemaAgreesWithDecoder breaks a line of an example and requires the
+// schema to accept whatever the decoder accepts, and both to refuse a field
+// that is unknown, missing or of another type.
+func TestSchemaAgreesWithDecoder(t *testing.T) {
+	schema, err := validator.NewCompiler().Compile(schemaFile)
+	require.NoError(t, err)
+	lines := strings.Split(string(example(t, "andesoft.yaml")), "\n")
+	require.True(t, accepts(t, schema, example(t, "andesoft.yaml")))
+	require.True(t, accepts(t, schema, example(t, "ibeji.yaml")))
+	refused := 0
+	rapid.Check(t, func(t *rapid.T) {
+		at := rapid.IntRange(3, len(lines)-2).Draw(t, "line")
+		key, value, ok := strings.Cut(lines[at], ": ")
+		if !ok || strings.Contains(key, "{") {
+			t.Skip("not a field")
+		}
+		change := rapid.SampledFrom([]string{"unknown", "missing", "type", "value"}).Draw(t, "change")
+		line := map[string]string{
+			"unknown": key + "s_x: " + value,
+			"missing": strings.Repeat(" ", len(key)-len(strings.TrimLeft(key, " -"))) + "x_y: 1",
+			"type":    key + ": {x_y: 1}",
+			"value":   key + ": " + rapid.SampledFrom([]string{"1", "a", "1.5", "true", "[]"}).Draw(t, "value"),
+		}[change]
+		changed := append([]string(nil), lines...)
+		changed[at] = line
+		body := []byte(strings.Join(changed, "\n"))
+		if yaml.Unmarshal(body, new(any)) != nil {
+			t.Skip("not YAML")
+		}
+		_, err := Decode("a.yaml", body)
+		accepted := accepts(t, schema, body)
+		require.False(t, err == nil && !accepted, "the decoder accepts what the schema refuses: %s", line)
+		if change != "value" {
+			require.Error(t, err, line)
+			require.False(t, accepted, "the schema accepts %q for %q", line, lines[at])
+			refused++
+		}
+	})
+	require.Positive(t, refused)
+}
