--- /dev/null
+++ b/limpetd/admin/client.go
@@ -0,0 +1,156 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+)
+
+// DefaultTimeout bounds a call of the client.
+const DefaultTimeout = 15 * time.Second
+
+// ClientOption changes a Client.
+type ClientOption func(*Client)
+
+// WithTLS sets the TLS configuration of the client.
+func WithTLS(c *tls.Config) ClientOption {
+	return func(k *Client) { k.http.Transport = &http.Transport{TLSClientConfig: c} }
+}
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) ClientOption {
+	return func(k *Client) { k.http.Timeout = d }
+}
+
+// Client calls the operators' interface of a daemon. Errors carry the code
+// that the daemon answered with, or PeerDown when it did not answer.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client of the daemon at base, such as
+// "https://10.0.0.7:8082".
+func NewClient(base, token string, opts ...ClientOption) *Client {
+	k := &Client{
+		base:  strings.TrimSuffix(base, "/"),
+		token: token,
+		http:  &http.Client{Timeout: DefaultTimeout},
+	}
+	for _, o := range opts {
+		o(k)
+	}
+	return k
+}
+
+// Apply submits a document. A repeated call with the same id is harmless.
+func (k *Client) Apply(ctx context.Context, s Submission) (Accepted, error) {
+	var a Accepted
+	return a, k.post(ctx, "documents", s, &a)
+}
+
+// Promote puts a tried document into production.
+func (k *Client) Promote(ctx context.Context, p Promotion) (Accepted, error) {
+	var a Accepted
+	return a, k.post(ctx, "promotions", p, &a)
+}
+
+// Status returns the state of the environment as the daemon sees it.
+func (k *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	return s, k.get(ctx, "status", nil, &s)
+}
+
+// Plan returns what placement would do next in the daemon's data centre.
+func (k *Client) Plan(ctx context.Context) (Plan, error) {
+	var p Plan
+	return p, k.get(ctx, "plan", nil, &p)
+}
+
+// Events returns the time line.
+func (k *Client) Events(ctx context.Context, f event.Filter, local bool) (Events, error) {
+	q := url.Values{}
+	set := func(name, value string) {
+		if value != "" {
+			q.Set(name, value)
+		}
+	}
+	set("request", f.Request)
+	set("model", f.Model)
+	set("vm", f.VM)
+	if !f.Since.IsZero() {
+		set("since", f.Since.Format(time.RFC3339Nano))
+	}
+	if !f.Until.IsZero() {
+		set("until", f.Until.Format(time.RFC3339Nano))
+	}
+	if f.Limit > 0 {
+		set("limit", strconv.Itoa(f.Limit))
+	}
+	if local {
+		set("local", "true")
+	}
+	var e Events
+	return e, k.get(ctx, "events", q, &e)
+}
+
+// Drain makes the daemon on a VM leave.
+func (k *Client) Drain(ctx context.Context, vm string) error {
+	return k.post(ctx, "drain", Drain{VM: vm}, &Drain{})
+}
+
+func (k *Client) post(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return code.Errorf(code.Internal, "encode %s: %w", path, err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, k.base+"/operator/v1/"+path, bytes.NewReader(body))
+	if err != nil {
+		return code.Errorf(code.BadParameter, "daemon address %q: %w", k.base, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return k.do(r, out)
+}
+
+func (k *Client) get(ctx context.Context, path string, q url.Values, out any) error {
+	address := k.base + "/operator/v1/" + path
+	if len(q) > 0 {
+		address += "?" + q.Encode()
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return code.Errorf(code.BadParameter, "daemon address %q: %w", k.base, err)
+	}
+	return k.do(r, out)
+}
+
+func (k *Client) do(r *http.Request, out any) error {
+	r.Header.Set("Authorization", "Bearer "+k.token)
+	resp, err := k.http.Do(r)
+	if err != nil {
+		return code.Errorf(code.PeerDown, "daemon %s: %w", k.base, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	d := json.NewDecoder(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		var f Fault
+		if err := d.Decode(&f); err != nil {
+			return code.Errorf(code.PeerDown, "daemon %s answered %s", k.base, resp.Status)
+		}
+		return code.Errorf(code.Code(f.Code), "%s", f.Message)
+	}
+	if err := d.Decode(out); err != nil {
+		return code.Errorf(code.PeerDown, "daemon %s: %w", k.base, err)
+	}
+	return nil
+}
