--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 # protoc-gen-go v1.36 and protoc-gen-go-grpc v1.6.
 generate:
 	go generate ./limpetd/...
+	go test ./limpetd/code ./limpetd/conf -run TestPage -update
 
 # mutants shows that each checker fails when the rule it checks is removed.
 mutants:
--- /dev/null
+++ b/limpet/cmds/show.go
@@ -0,0 +1,201 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+)
+
+// table writes aligned columns.
+func (d *Deps) table(header string, rows func(w io.Writer)) error {
+	w := tabwriter.NewWriter(d.streams.Out, 2, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, header)
+	rows(w)
+	return w.Flush()
+}
+
+// statusCommand shows the state of the environment.
+type statusCommand struct{}
+
+// Run shows the state.
+func (c *statusCommand) Run(d *Deps) error {
+	client, err := d.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Status(d.ctx)
+	if err != nil {
+		return err
+	}
+	if d.json {
+		return d.printJSON(s)
+	}
+	_, _ = fmt.Fprintf(d.streams.Out, "environment %s, stage %s, revision %d\nasked %s in %s; placement by %s, fence %d; %d requests in flight\n\n",
+		s.Environment, s.Stage, s.Revision, s.Daemon, s.DataCentre, orNone(s.LeaseHolder), s.Fence, s.Inflight)
+	err = d.table("DAEMON\tDATA CENTRE\tREVISION\tLEVEL\tSTATE\tREASONS", func(w io.Writer) {
+		for _, m := range s.Daemons {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%v\n", m.VM, m.DataCentre, m.Revision, m.Level, daemonState(m.Ready, m.Leaving), m.Reasons)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(d.streams.Out)
+	return d.table("ENGINE\tSTATE\tMEMORY MB\tCOMMITTED MB\tSLOTS\tUNRESOLVED\tSET ASIDE", func(w io.Writer) {
+		for _, e := range s.Engines {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", e.VM, e.State, e.MemoryMB, e.CommittedMB, e.Slots, e.Unresolved, e.SetAside)
+		}
+	})
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func daemonState(ready, leaving bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case ready:
+		return "ready"
+	default:
+		return "unready"
+	}
+}
+
+// planCommand shows the next moves.
+type planCommand struct{}
+
+// Run shows the plan.
+func (c *planCommand) Run(d *Deps) error {
+	client, err := d.client()
+	if err != nil {
+		return err
+	}
+	p, err := client.Plan(d.ctx)
+	if err != nil {
+		return err
+	}
+	if d.json {
+		return d.printJSON(p)
+	}
+	_, _ = fmt.Fprintf(d.streams.Out, "data centre %s: %d moves\n", p.DataCentre, len(p.Moves))
+	err = d.table("MOVE\tENGINE\tSLOT\tGAIN\tCOST\tRULE", func(w io.Writer) {
+		for _, m := range p.Moves {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.3g\t%.3g\t%s\n", m.Kind, m.Engine, m.Slot, m.Gain, m.Cost, m.Rule)
+		}
+	})
+	for _, n := range p.Notes {
+		_, _ = fmt.Fprintln(d.streams.Out, n)
+	}
+	return err
+}
+
+// eventsCommand shows the time line.
+type eventsCommand struct {
+	Request string        `help:"Only events of this request id."`
+	Model   string        `help:"Only events of this model or adapter."`
+	VM      string        `help:"Only events of or about this VM."`
+	Since   time.Duration `help:"Only events of the last span." default:"1h"`
+	Limit   int           `help:"Largest number of events, the newest." default:"200"`
+	Local   bool          `help:"Only events of the daemon asked."`
+}
+
+// Run shows the events.
+func (c *eventsCommand) Run(d *Deps) error {
+	client, err := d.client()
+	if err != nil {
+		return err
+	}
+	f := event.Filter{Request: c.Request, Model: c.Model, VM: c.VM, Limit: c.Limit}
+	if c.Since > 0 {
+		f.Since = time.Now().Add(-c.Since)
+	}
+	events, err := client.Events(d.ctx, f, c.Local)
+	if err != nil {
+		return err
+	}
+	if d.json {
+		return d.printJSON(events)
+	}
+	err = d.table("TIME\tPROCESS\tEVENT\tREQUEST\tMODEL\tVM\tCODE\tTEXT", func(w io.Writer) {
+		for _, e := range events.Events {
+			at := time.Unix(0, e.At.Wall).UTC().Format("15:04:05.000")
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", at, e.Process, e.Kind, e.Request, e.Model, e.VM, codeName(e.Code), e.Text)
+		}
+	})
+	for _, m := range events.Missing {
+		d.progress("no events from %s: it did not answer", m)
+	}
+	return err
+}
+
+func codeName(c int) string {
+	if c == 0 {
+		return ""
+	}
+	return code.Code(c).String()
+}
+
+// drainCommand makes a daemon leave.
+type drainCommand struct {
+	VM string `arg:"" help:"VM of the daemon."`
+}
+
+// drained is the result of a drain call.
+type drained struct {
+	VM      string `json:"vm"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Run asks the daemon to leave.
+func (c *drainCommand) Run(d *Deps) error {
+	client, err := d.client()
+	if err != nil {
+		return err
+	}
+	if err := client.Drain(d.ctx, c.VM); err != nil {
+		return err
+	}
+	if d.json {
+		return d.printJSON(drained{VM: c.VM, Leaving: true})
+	}
+	_, err = fmt.Fprintf(d.streams.Out, "%s is leaving\n", c.VM)
+	return err
+}
+
+// codesCommand lists the result codes.
+type codesCommand struct{}
+
+// listedCode is a result code as JSON.
+type listedCode struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Status  int    `json:"status"`
+	Run     string `json:"run"`
+	Meaning string `json:"meaning"`
+	Remedy  string `json:"remedy"`
+}
+
+// Run lists the codes.
+func (c *codesCommand) Run(d *Deps) error {
+	if d.json {
+		var list []listedCode
+		for _, i := range code.Table() {
+			list = append(list, listedCode{int(i.Code), i.Name, i.Status, string(i.Run), i.Meaning, i.Remedy})
+		}
+		return d.printJSON(list)
+	}
+	return d.table("CODE\tNAME\tHTTP\tRUN\tMEANING\tREMEDY", func(w io.Writer) {
+		for _, i := range code.Table() {
+			_, _ = fmt.Fprintf(w, "%d\t%s\t%d\t%s\t%s\t%s\n", i.Code, i.Name, i.Status, i.Run, i.Meaning, i.Remedy)
+		}
+	})
+}
--- a/limpetd/admin/client.go
+++ b/limpetd/admin/client.go
@@ -56,25 +56,29 @@
 // Apply submits a document. A repeated call with the same id is harmless.
 func (k *Client) Apply(ctx context.Context, s Submission) (Accepted, error) {
 	var a Accepted
-	return a, k.post(ctx, "documents", s, &a)
+	err := k.post(ctx, "documents", s, &a)
+	return a, err
 }
 
 // Promote puts a tried document into production.
 func (k *Client) Promote(ctx context.Context, p Promotion) (Accepted, error) {
 	var a Accepted
-	return a, k.post(ctx, "promotions", p, &a)
+	err := k.post(ctx, "promotions", p, &a)
+	return a, err
 }
 
 // Status returns the state of the environment as the daemon sees it.
 func (k *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
-	return s, k.get(ctx, "status", nil, &s)
+	err := k.get(ctx, "status", nil, &s)
+	return s, err
 }
 
 // Plan returns what placement would do next in the daemon's data centre.
 func (k *Client) Plan(ctx context.Context) (Plan, error) {
 	var p Plan
-	return p, k.get(ctx, "plan", nil, &p)
+	err := k.get(ctx, "plan", nil, &p)
+	return p, err
 }
 
 // Events returns the time line.
@@ -101,7 +105,8 @@
 		set("local", "true")
 	}
 	var e Events
-	return e, k.get(ctx, "events", q, &e)
+	err := k.get(ctx, "events", q, &e)
+	return e, err
 }
 
 // Drain makes the daemon on a VM leave.
--- a/limpetd/code/code.go
+++ b/limpetd/code/code.go
@@ -114,3 +114,11 @@
 func (c Code) String() string {
 	return fmt.Sprintf("%s(%d)", c.Info().Name, int(c))
 }
+
+// Message returns the text of err without the name of its error type.
+func Message(err error) string {
+	if e := errorx.Cast(err); e != nil && e.Message() != "" {
+		return e.Message()
+	}
+	return err.Error()
+}
