--- a/limpet/cmds/cmds.go
+++ b/limpet/cmds/cmds.go
@@ -161,7 +161,7 @@
 		_ = d.printJSON(admin.Fault{Code: int(c), Name: info.Name, Message: err.Error()})
 		return
 	}
-	_, _ = fmt.Fprintf(d.streams.Err, "limpet: %s\n%s\n%s\n", c, code.Message(err), info.Remedy)
+	_, _ = fmt.Fprintf(d.streams.Err, "limpet: %s\n%s\n%s\n", c, err, info.Remedy)
 }
 
 // progress writes a line about a long wait.
