--- /dev/null
+++ b/limpetd/node/observe.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jsternberg/zap-logfmt"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// metricsPeriod is the time between reports of the metrics.
+const metricsPeriod = time.Second
+
+// NewLogger returns a logger that writes one line of key=value pairs an event.
+// An unknown level counts as info.
+func NewLogger(w io.Writer, level string) *zap.Logger {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		parsed = zapcore.InfoLevel
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.MessageKey = "event"
+	c.TimeKey = "at"
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(c), zapcore.Lock(zapcore.AddSync(w)), parsed))
+}
+
+// metrics are the metrics of a daemon and the handler that serves them.
+type metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// newMetrics returns the metrics of a daemon.
+func newMetrics(vm string) metrics {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "limpetd",
+		Tags:           map[string]string{"vm": vm},
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, metricsPeriod)
+	return metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
