docs: Accept, promote and keep the environment document in force

A document is accepted by one conditional write of the head, its submission id and a change row. A lost answer is found again by the submission id; while the head stands still the same conditional transaction is tried again, so it takes effect at most once. A promotion also requires the head of the trial stage, so no digest but the one in force there reaches production.

--- /dev/null
+++ b/limpetd/docs/apply_test.go
@@ -0,0 +1,215 @@
+package docs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/member"
+)
+
+// start starts a duty of a stage on a table.
+func start(ctx context.Context, t *table, stage Stage, name string, opts ...Option) *Duty {
+	return startWith(ctx, Deps{Table: t, Objects: objects{t}}, stage, name, opts...)
+}
+
+// startWith starts a duty with other dependencies.
+func startWith(ctx context.Context, deps Deps, stage Stage, name string, opts ...Option) *Duty {
+	deps.Events = event.New(name)
+	config := Config{Environment: "andesoft", Stage: stage, VM: name, Instance: name}
+	return New(ctx, config, deps, append([]Option{WithSeed(7)}, opts...)...)
+}
+
+// submission returns a submission of a small document.
+func submission(id string, revision int64) Submission {
+	return Submission{ID: id, File: "d.yaml", Body: document(revision, id), Operator: "ana"}
+}
+
+func TestApplyIsIdempotentAndConditional(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := newTable()
+		u := start(ctx, platform, Trial, "a")
+		require.Equal(t, code.NoDocument, code.Of(u.Unready()))
+		first, err := u.Apply(ctx, submission("one", 1))
+		require.NoError(t, err)
+		require.NoError(t, u.Unready())
+		again, err := u.Apply(ctx, submission("one", 1))
+		require.NoError(t, err)
+		require.True(t, again.Repeated)
+		require.Equal(t, first.Digest, again.Digest)
+		_, err = u.Apply(ctx, submission("two", 1))
+		require.Equal(t, code.DocumentConflict, code.Of(err))
+		require.ErrorContains(t, err, "revision 1 (digest")
+		require.ErrorContains(t, err, "give it revision 2")
+		_, err = u.Apply(ctx, Submission{ID: "one", Body: document(2, "x"), Operator: "ana"})
+		require.Equal(t, code.DocumentConflict, code.Of(err))
+		require.Len(t, platform.heads, 1)
+		events := u.deps.Events.Select(event.Filter{})
+		require.Contains(t, events[0].Text, "by ana")
+	})
+}
+
+// TestRacingOperators lets operators at two daemons hand in revision 2 at once:
+// one is accepted, the others are told which.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := newTable()
+		a, b := start(ctx, platform, Trial, "a"), start(ctx, platform, Trial, "b")
+		_, err := a.Apply(ctx, submission("one", 1))
+		require.NoError(t, err)
+		platform.set(func(t *table) { t.delay = 50 * time.Millisecond })
+		errs := make(chan error, 8)
+		for i := range 8 {
+			u := []*Duty{a, b}[i%2]
+			go func() {
+				_, err := u.Apply(ctx, submission(fmt.Sprintf("race-%d", i), 2))
+				errs <- err
+			}()
+		}
+		accepted := 0
+		for range 8 {
+			if err := <-errs; err == nil {
+				accepted++
+			} else {
+				require.Equal(t, code.DocumentConflict, code.Of(err))
+				require.ErrorContains(t, err, "revision 2 (digest")
+			}
+		}
+		require.Equal(t, 1, accepted)
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		lose, refuse int
+		want         code.Code
+	}{
+		{"lost after the effect", 1, 0, code.OK},
+		{"unanswered without effect", 0, 1, code.OK},
+		{"both", 1, 1, code.OK},
+		{"never answered", 0, maxAttempts, code.DocumentStoreDown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx := t.Context()
+				platform := newTable()
+				u := start(ctx, platform, Trial, "a")
+				synctest.Wait()
+				platform.set(func(t *table) { t.lose, t.refuse = c.lose, c.refuse })
+				_, err := u.Apply(ctx, submission("one", 1))
+				require.Equal(t, c.want, code.Of(err))
+				if err != nil {
+					require.Equal(t, code.RunUnknown, code.RunOf(err))
+				}
+				accepted, err := u.Apply(ctx, submission("one", 1))
+				require.NoError(t, err)
+				require.Equal(t, c.want == code.OK, accepted.Repeated)
+				require.Len(t, platform.heads, 1)
+			})
+		})
+	}
+}
+
+// TestAnswerUnknownThenStoreDown keeps an unknown outcome unknown: a later
+// refusal says nothing about the first attempt.
+func TestAnswerUnknownThenStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := newTable()
+		u := start(ctx, platform, Trial, "a")
+		platform.set(func(t *table) { t.lose, t.delay = 1, 100*time.Millisecond })
+		go func() {
+			time.Sleep(250 * time.Millisecond)
+			platform.set(func(t *table) { t.down = true })
+		}()
+		_, err := u.Apply(ctx, submission("one", 1))
+		require.Equal(t, code.DocumentStoreDown, code.Of(err))
+		require.Equal(t, code.RunUnknown, code.RunOf(err))
+		_, err = u.Apply(ctx, submission("two", 1))
+		require.Equal(t, code.RunNo, code.RunOf(err))
+	})
+}
+
+func TestPromoteTakesTheDigestTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := newTable()
+		trial, production := start(ctx, platform, Trial, "t"), start(ctx, platform, Production, "p")
+		one, err := trial.Apply(ctx, submission("one", 1))
+		require.NoError(t, err)
+		_, err = production.Apply(ctx, submission("x", 1))
+		require.Equal(t, code.DocumentNotTried, code.Of(err))
+		promotion := Promotion{ID: "up", Digest: one.Digest, Operator: "ana"}
+		_, err = production.Promote(ctx, promotion)
+		require.NoError(t, err)
+		again, err := production.Promote(ctx, promotion)
+		require.NoError(t, err)
+		require.True(t, again.Repeated)
+		_, digest, ok := production.InForce()
+		require.True(t, ok)
+		require.Equal(t, one.Digest, digest)
+		two, err := trial.Apply(ctx, submission("two", 2))
+		require.NoError(t, err)
+		_, err = production.Promote(ctx, Promotion{ID: "old", Digest: one.Digest, Operator: "ana"})
+		require.Equal(t, code.DocumentNotTried, code.Of(err))
+		require.ErrorContains(t, err, two.Digest[:12])
+		_, err = production.Promote(ctx, Promotion{ID: "none", Digest: envdoc.Digest(nil), Operator: "ana"})
+		require.Equal(t, code.DocumentUnknown, code.Of(err))
+	})
+}
+
+// TestPromoteLosesToATrial applies a newer document to trial while the
+// promotion of the older one is under way.
+func TestPromoteLosesToATrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := newTable()
+		trial, production := start(ctx, platform, Trial, "t"), start(ctx, platform, Production, "p")
+		one, err := trial.Apply(ctx, submission("one", 1))
+		require.NoError(t, err)
+		platform.set(func(t *table) { t.delay = 100 * time.Millisecond })
+		errs := make(chan error, 1)
+		go func() {
+			time.Sleep(150 * time.Millisecond)
+			_, err := production.Promote(ctx, Promotion{ID: "up", Digest: one.Digest, Operator: "ana"})
+			errs <- err
+		}()
+		_, err = trial.Apply(ctx, submission("two", 2))
+		require.NoError(t, err)
+		require.Equal(t, code.DocumentNotTried, code.Of(<-errs))
+		require.Len(t, platform.heads, 2)
+	})
+}
+
+func TestApplyRefusesWhatDaemonsOrEnginesCannotHonour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := newTable()
+		peers := newFriends()
+		peers.peers = []member.Peer{{VM: "old-vm", Level: 1}, {VM: "new-vm", Level: 2}}
+		unfit := func(*envdoc.Document) error { return code.Errorf(code.DocumentUnfit, "m1 does not fit") }
+		deps := Deps{Table: platform, Objects: objects{platform}, Peers: peers, Fit: unfit}
+		u := startWith(ctx, deps, Trial, "a", withDecoder(2, newer))
+		s := submission("one", 1)
+		s.Body = withFeature(s.Body)
+		_, err := u.Apply(ctx, s)
+		require.Equal(t, code.DocumentLevel, code.Of(err))
+		require.ErrorContains(t, err, "old-vm (level 1)")
+		require.NotContains(t, err.Error(), "new-vm")
+		_, err = u.Apply(ctx, submission("two", 1))
+		require.Equal(t, code.DocumentUnfit, code.Of(err))
+		require.Empty(t, platform.heads)
+		_, err = u.Apply(ctx, Submission{ID: "a/b", Body: s.Body, Operator: "ana"})
+		require.Equal(t, code.BadParameter, code.Of(err))
+	})
+}
