--- /dev/null
+++ b/limpetlab/engsim/handler.go
@@ -0,0 +1,106 @@
+package engsim
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetlab/serve"
+)
+
+// Handler serves the engine's HTTP interface and its books.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/orders", func(w http.ResponseWriter, r *http.Request) {
+		var o engine.Order
+		if !serve.Read(w, r, &o) {
+			return
+		}
+		answer, err := e.Order(r.Context(), o)
+		if err != nil {
+			serve.Abort()
+		}
+		serve.JSON(w, answer)
+	})
+	mux.HandleFunc("POST /v1/generate", func(w http.ResponseWriter, r *http.Request) {
+		var request engine.Request
+		if !serve.Read(w, r, &request) {
+			return
+		}
+		frames, err := e.Generate(r.Context(), request)
+		send(w, frames, err)
+	})
+	mux.HandleFunc("GET /v1/generate/{attempt}", func(w http.ResponseWriter, r *http.Request) {
+		offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+		if err != nil {
+			http.Error(w, "offset: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		frames, err := e.Resume(r.Context(), r.PathValue("attempt"), offset)
+		send(w, frames, err)
+	})
+	mux.HandleFunc("DELETE /v1/generate/{attempt}", func(w http.ResponseWriter, r *http.Request) {
+		if err := e.Cancel(r.Context(), r.PathValue("attempt")); err != nil {
+			serve.Abort()
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, r *http.Request) {
+		report, err := e.Report(r.Context())
+		if err != nil {
+			serve.Abort()
+		}
+		serve.JSON(w, report)
+	})
+	mux.HandleFunc("GET /v1/cache", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		events, err := e.CacheEvents(r.Context(), after)
+		if err != nil {
+			serve.Abort()
+		}
+		serve.JSON(w, events)
+	})
+	mux.HandleFunc("GET /books", func(w http.ResponseWriter, _ *http.Request) {
+		serve.JSON(w, e.Books())
+	})
+	return mux
+}
+
+// send writes frames as lines of JSON. A refusal has a status; any other fault
+// breaks the connection.
+func send(w http.ResponseWriter, frames engine.Frames, err error) {
+	if err != nil {
+		if code.RunOf(err) == code.RunNo && code.Of(err) == code.BackendFailed {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		serve.Abort()
+	}
+	defer func() { _ = frames.Close() }()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(w)
+	control := http.NewResponseController(w)
+	for {
+		f, err := frames.Next()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			serve.Abort()
+		}
+		if encoder.Encode(f) != nil {
+			return
+		}
+		if !f.Done {
+			_ = control.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/limpetlab/table/handler.go
@@ -0,0 +1,71 @@
+package table
+
+import (
+	"net/http"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+	"github.com/limpetlb/limpetlb/limpetlab/serve"
+)
+
+// keysBody asks for rows by key.
+type keysBody struct {
+	Keys []string `json:"keys"`
+}
+
+// scanBody asks for rows by prefix.
+type scanBody struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// rowsBody answers with rows.
+type rowsBody struct {
+	Rows []store.Row `json:"rows"`
+}
+
+// Handler serves the table at /v1/table/.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/table/get", func(w http.ResponseWriter, r *http.Request) {
+		var body keysBody
+		if !serve.Read(w, r, &body) {
+			return
+		}
+		rows, err := t.Get(r.Context(), body.Keys...)
+		answer(w, rowsBody{Rows: rows}, err)
+	})
+	mux.HandleFunc("POST /v1/table/scan", func(w http.ResponseWriter, r *http.Request) {
+		var body scanBody
+		if !serve.Read(w, r, &body) {
+			return
+		}
+		rows, err := t.Scan(r.Context(), body.Prefix, body.After, body.Limit)
+		answer(w, rowsBody{Rows: rows}, err)
+	})
+	mux.HandleFunc("POST /v1/table/apply", func(w http.ResponseWriter, r *http.Request) {
+		var tx store.Tx
+		if !serve.Read(w, r, &tx) {
+			return
+		}
+		answer(w, struct{}{}, t.Apply(r.Context(), tx))
+	})
+	return mux
+}
+
+// answer writes the outcome of a call in the platform's HTTP form.
+func answer(w http.ResponseWriter, body any, err error) {
+	switch code.Of(err) {
+	case code.OK:
+		serve.JSON(w, body)
+	case code.StoreConflict:
+		http.Error(w, err.Error(), http.StatusConflict)
+	case code.StoreLimited:
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	case code.StoreDown:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		serve.Abort()
+	}
+}
