route,admit,watch: Choose engines and admit calls

Calls need an engine with room, in the order of their priorities, chosen from reports that lag. The choice and the state are pure, so that they can be tested and benchmarked without a daemon.

--- /dev/null
+++ b/limpetd/admit/backend.go
@@ -0,0 +1,186 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/route"
+)
+
+const (
+	// defaultWindow is the window of an engine that has not told its batch
+	// limit.
+	defaultWindow = 16
+	// minWindowPart and maxWindowPart bound a window as parts of the batch
+	// limit.
+	minWindowPart = 0.25
+	maxWindowPart = 1.25
+	// windowShrink and windowGrow change a window, once a windowPeriod.
+	windowShrink = 0.85
+	windowGrow   = 0.05
+	windowPeriod = time.Second
+	// latePart is the part of the expectation that a first token may take on the
+	// engine before it counts as late.
+	latePart = 0.75
+	// sampleWeight is the weight of a new sample in the means of a backend.
+	sampleWeight = 0.1
+	// maxSlowness bounds the slowness that is believed.
+	maxSlowness = 8
+	// keepEnded is how long an ended call is kept when no report comes.
+	keepEnded = 10 * time.Second
+)
+
+// part says how far a class may fill an engine: window is the part of the window
+// that it may fill, undivided the part below which room is not divided among
+// daemons.
+type part struct {
+	window, undivided float64
+}
+
+// parts are those of the classes.
+var parts = [classes]part{
+	route.ClassUrgent:   {window: 1, undivided: 0.8},
+	route.ClassNormal:   {window: 0.9, undivided: 0.45},
+	route.ClassDeferred: {window: 0.6, undivided: 0.3},
+}
+
+// backend is what this daemon knows of an engine from its own calls.
+type backend struct {
+	vm       string
+	number   int
+	salt     uint64
+	outlier  outlier
+	instance string
+	// window is the number of requests that the engine should have at most.
+	window   float64
+	windowAt time.Time
+	limited  bool
+	// calls are those in flight, and those that ended after the report.
+	calls    []*Call
+	active   int
+	slowness mean
+	hold     mean
+}
+
+// limit returns the batch limit of an engine.
+func limit(e *route.Engine) float64 {
+	if e.Report.BatchLimit > 0 {
+		return float64(e.Report.BatchLimit)
+	}
+	return defaultWindow
+}
+
+// begin keeps the window within the bounds of the engine.
+func (b *backend) begin(e *route.Engine) {
+	batch := limit(e)
+	if b.window == 0 || b.instance != e.Report.Instance {
+		b.instance = e.Report.Instance
+		b.window = batch
+	}
+	b.window = min(max(b.window, batch*minWindowPart, 1), batch*maxWindowPart)
+}
+
+// adapt changes the window after a first token that needed took of the time
+// expected for it.
+func (b *backend) adapt(now time.Time, took, expected time.Duration, e *route.Engine) {
+	if expected <= 0 || now.Sub(b.windowAt) < windowPeriod {
+		return
+	}
+	switch {
+	case took > time.Duration(latePart*float64(expected)):
+		b.window *= windowShrink
+	case b.limited && took < expected/2:
+		b.window += windowGrow * limit(e)
+	default:
+		return
+	}
+	b.windowAt, b.limited = now, false
+	b.begin(e)
+}
+
+// forget drops the ended calls that the report counts, and old ones.
+func (b *backend) forget(now, at time.Time) {
+	kept := b.calls[:0]
+	for _, c := range b.calls {
+		if c.status == statusEnded && (!c.ended.After(at) || now.Sub(c.ended) > keepEnded) {
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(b.calls[len(kept):])
+	b.calls = kept
+}
+
+// own returns what the choice needs to know of the backend.
+func (b *backend) own(now time.Time, e *route.Engine, daemons int) route.Own {
+	o := route.Own{Ejected: b.outlier.ejected(now)}
+	before := 0
+	for _, c := range b.calls {
+		after := !c.sent.Before(e.At)
+		ended := c.status == statusEnded
+		switch {
+		case after:
+			o.Sent++
+		case !ended || c.ended.After(e.At):
+			before++
+		}
+		if after && !ended && !c.first {
+			o.SentTokens += c.Request.Route.PromptTokens - c.Choice.CachedTokens
+		}
+		if ended && c.ended.After(e.At) {
+			o.Ended++
+		}
+	}
+	o.Slowness = b.slowness.value
+	o.Hold = time.Duration(b.hold.value * float64(time.Second))
+	if b.outlier.times > 0 && b.active > 0 {
+		// After an ejection one call at a time tries the engine.
+		return o
+	}
+	o.Room = b.room(&o, e, before, daemons)
+	return o
+}
+
+// room returns the number of classes that the engine has room for. Other daemons
+// send too, which this one learns only from the next report: what is free in the
+// report is divided among the daemons, by their part of the engine's load, and a
+// daemon may replace its own calls that ended.
+func (b *backend) room(o *route.Own, e *route.Engine, before, daemons int) int {
+	load := float64(e.Report.Running + e.Report.Waiting)
+	share := 1 / float64(max(daemons, 1))
+	if load > 0 {
+		share = max(share, min(float64(before)/load, 1))
+	}
+	change := float64(o.Sent - o.Ended)
+	for class := range classes {
+		p := parts[class]
+		if load+change < p.undivided*b.window {
+			continue
+		}
+		free := p.window*b.window - load
+		if divide(free*share, b.fraction(e)) <= change {
+			return class
+		}
+	}
+	return classes
+}
+
+// divide returns a share as a whole number. Its fraction is rounded by a number
+// that differs between daemons, so that the shares of many daemons add up to what
+// is free.
+func divide(share, fraction float64) float64 {
+	whole := math.Floor(share)
+	if fraction < share-whole {
+		whole++
+	}
+	return whole
+}
+
+// fraction returns a number between 0 and 1 that depends on the daemon and the
+// report of an engine.
+func (b *backend) fraction(e *route.Engine) float64 {
+	x := b.salt ^ uint64(e.Report.Sequence)*0x9e3779b97f4a7c15
+	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
+	x ^= x >> 32
+	return float64(x>>11) / (1 << 53)
+}
--- /dev/null
+++ b/limpetd/admit/queue.go
@@ -0,0 +1,286 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/route"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// DocumentProvider gives the environment document in force.
+type DocumentProvider interface {
+	Document() (*envdoc.Document, bool)
+}
+
+// ViewProvider gives the newest view of the engines.
+type ViewProvider interface {
+	View() *route.View
+}
+
+// PeerCounter counts the live daemons, this one included.
+type PeerCounter interface {
+	Daemons() int
+}
+
+// VMProvider gives the VMs that are known.
+type VMProvider interface {
+	VMs() []store.VM
+}
+
+// Config says which daemon admits.
+type Config struct {
+	// VM and DataCentre are those of this daemon.
+	VM         string
+	DataCentre string
+}
+
+// Deps are what a Queue needs. Log, Events and Scope may be nil.
+type Deps struct {
+	Documents DocumentProvider
+	Views     ViewProvider
+	Peers     PeerCounter
+	VMs       VMProvider
+	Log       *zap.Logger
+	Events    *event.Line
+	Scope     tally.Scope
+}
+
+// Option changes a Queue.
+type Option func(*Queue)
+
+// WithRandom sets the random source, for tests.
+func WithRandom(r *rand.Rand) Option {
+	return func(q *Queue) { q.random = r }
+}
+
+const (
+	// stepPeriod is the time between two steps while calls wait.
+	stepPeriod = 20 * time.Millisecond
+	// idlePeriod is the same while none waits.
+	idlePeriod = 250 * time.Millisecond
+)
+
+// Queue admits the calls of a daemon. It is safe for concurrent use.
+type Queue struct {
+	config Config
+	deps   Deps
+	random *rand.Rand
+	tomb   *tomb.Tomb
+	// wake tells the stepping goroutine that calls wait; one token is enough,
+	// further ones are dropped.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	state    *State
+	services *services
+	document *envdoc.Document
+	view     *route.View
+	// waiters are closed when their call is decided.
+	waiters map[*Call]chan struct{}
+}
+
+// New starts admitting until ctx ends.
+func New(ctx context.Context, c Config, d Deps, opts ...Option) *Queue {
+	q := &Queue{
+		config:  c,
+		deps:    d,
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:    make(chan struct{}, 1),
+		waiters: make(map[*Call]chan struct{}),
+	}
+	for _, o := range opts {
+		o(q)
+	}
+	if q.deps.Log == nil {
+		q.deps.Log = zap.NewNop()
+	}
+	if q.deps.Scope == nil {
+		q.deps.Scope = tally.NoopScope
+	}
+	q.state = NewState(c.VM, q.random)
+	q.services = newServices(c.DataCentre, q.random)
+	q.tomb, ctx = tomb.WithContext(ctx)
+	q.tomb.Go(func() error { return q.run(ctx) })
+	return q
+}
+
+// Wait returns when the goroutines have ended.
+func (q *Queue) Wait() error {
+	err := q.tomb.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// run decides waiting calls as time passes.
+func (q *Queue) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-q.wake:
+		case <-timer.C:
+		}
+		period := idlePeriod
+		if q.step() > 0 {
+			period = stepPeriod
+		}
+		timer.Reset(period)
+	}
+}
+
+// step decides waiting calls and returns the number of those left.
+func (q *Queue) step() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.refresh(now)
+	q.decide(now)
+	waiting := q.state.Waiting()
+	q.deps.Scope.Gauge("admit_waiting").Update(float64(waiting))
+	return waiting
+}
+
+// refresh takes the document, the number of daemons and the view.
+func (q *Queue) refresh(now time.Time) {
+	if doc, ok := q.deps.Documents.Document(); ok && doc != q.document {
+		q.document = doc
+		q.state.SetDocument(doc)
+	}
+	if v := q.deps.Views.View(); v != nil && v != q.view {
+		q.view = v
+		q.state.SetDaemons(q.deps.Peers.Daemons())
+		q.state.SetView(now, v)
+	}
+}
+
+// decide lets the state decide and tells the waiters.
+func (q *Queue) decide(now time.Time) {
+	for _, c := range q.state.Step(now) {
+		if w := q.waiters[c]; w != nil {
+			delete(q.waiters, c)
+			close(w)
+		}
+	}
+}
+
+// Admit blocks until an engine has room for the call. It returns an error with a
+// code and a retry-after when the call is refused: CallerLimit, QueueFull,
+// ShedDeadline, NoEngine, RetryBudget; Stopping when the daemon stops and
+// CallerGone when ctx ends.
+func (q *Queue) Admit(ctx context.Context, r Request) (Ticket, error) {
+	c, wait := q.offer(r)
+	if wait != nil {
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return q.giveUp(c, code.CallerGone)
+		case <-q.tomb.Dying():
+			return q.giveUp(c, code.Stopping)
+		}
+	}
+	if c.Err != nil {
+		q.refused(r.ID, r.Route.Model, c.Err)
+		return nil, c.Err
+	}
+	return &ticket{queue: q, call: c}, nil
+}
+
+// offer offers a call and returns a channel to wait on, or nil when the call is
+// decided.
+func (q *Queue) offer(r Request) (*Call, chan struct{}) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.refresh(now)
+	c := q.state.Offer(now, r)
+	if c.status != statusWaiting {
+		return c, nil
+	}
+	w := make(chan struct{})
+	q.waiters[c] = w
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	return c, w
+}
+
+// giveUp takes a call back; if it was decided meanwhile its room is given back.
+func (q *Queue) giveUp(c *Call, k code.Code) (Ticket, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiters, c)
+	if c.status == statusGranted {
+		now := time.Now()
+		q.state.Release(now, c, OutcomeGone)
+		q.decide(now)
+	} else {
+		q.state.Cancel(c)
+	}
+	return nil, code.Errorf(k, "the call was not sent")
+}
+
+// refused notes a refusal.
+func (q *Queue) refused(id, model string, err error) {
+	k := code.Of(err)
+	q.deps.Scope.Tagged(map[string]string{"code": k.Info().Name}).Counter("admit_refused").Inc(1)
+	if q.deps.Events != nil {
+		q.deps.Events.Add(event.Event{Kind: event.RequestShed, Request: id, Model: model, Code: int(k)})
+	}
+}
+
+// Demand returns the demand at this daemon.
+func (q *Queue) Demand() []member.ModelDemand {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.Demand(time.Now())
+}
+
+// DataCentreDemand returns the demand at this daemon and at the peers of its data
+// centre, as far as they told it lately.
+func (q *Queue) DataCentreDemand() []member.ModelDemand {
+	here := make(map[string]bool)
+	for _, vm := range q.deps.VMs.VMs() {
+		if vm.Kind == store.KindEntry && vm.DataCentre == q.config.DataCentre && vm.ID != q.config.VM {
+			here[vm.ID] = true
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	own := q.state.Demand(now)
+	return q.state.demand.sum(now, own, func(daemon string) bool { return here[daemon] })
+}
+
+// Use returns the recent use of callers with a limit at this daemon.
+func (q *Queue) Use() []member.CallerUse {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.limits.used(time.Now())
+}
+
+// Receive takes what a peer told.
+func (q *Queue) Receive(daemon string, demand []member.ModelDemand, use []member.CallerUse) {
+	if daemon == q.config.VM {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.state.Receive(time.Now(), daemon, demand, use)
+}
--- a/limpetd/admit/request.go
+++ b/limpetd/admit/request.go
@@ -1,6 +1,3 @@
-// Package admit holds calls back until a backend server has room for them, in
-// the order of their priorities, and sheds those that cannot meet their
-// expectation.
 package admit
 
 import (
@@ -22,7 +19,9 @@
 	// Attempt counts the sends before this one; above 0 the admission takes
 	// from the retry budget.
 	Attempt int
-	Route   route.Request
+	// MaxTokens is the number of generated tokens asked for, for the demand.
+	MaxTokens int
+	Route     route.Request
 }
 
 // ServiceRequest asks for the admission of a call to a plain service.
--- /dev/null
+++ b/limpetd/admit/state.go
@@ -0,0 +1,349 @@
+package admit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/route"
+)
+
+const (
+	// maxWaiting is the number of waiting calls of a class in a daemon.
+	maxWaiting = 2000
+	// noEngineWait is how long a call waits for an engine to hold its slot.
+	noEngineWait = 500 * time.Millisecond
+	// minWait is the time that a call may wait even when its expectation is too
+	// short for its prompt.
+	minWait = 250 * time.Millisecond
+	// defaultFirstToken is the expectation of a call that has none.
+	defaultFirstToken = 30 * time.Second
+	// minAhead is the number of calls ahead from which an arriving call is
+	// refused by the expected wait.
+	minAhead = 4
+)
+
+// State decides which calls are sent where, and which are refused. It is pure:
+// it holds what it was told, starts nothing and asks no clock. It is not safe for
+// concurrent use.
+type State struct {
+	random  *rand.Rand
+	salt    uint64
+	daemons int
+
+	deferred map[string]time.Duration
+	limits   *limits
+	demand   *demand
+	budget   retryBudget
+	sends    meter
+
+	view     *route.View
+	own      []route.Own
+	numbered []*backend
+	backends map[string]*backend
+	hints    *route.Hints
+
+	lines   map[target]*line
+	waiting [classes]int
+	delayed []*Call
+	order   int
+}
+
+// NewState returns the state of a daemon. The daemon's name and the random
+// source spread the choices of many daemons.
+func NewState(daemon string, random *rand.Rand) *State {
+	return &State{
+		random:   random,
+		salt:     xxhash.Sum64String(daemon),
+		daemons:  1,
+		deferred: make(map[string]time.Duration),
+		limits:   newLimits(),
+		demand:   newDemand(),
+		backends: make(map[string]*backend),
+		hints:    route.NewHints(),
+		lines:    make(map[target]*line),
+	}
+}
+
+// SetDocument takes the priorities and limits of a document.
+func (s *State) SetDocument(doc *envdoc.Document) {
+	clear(s.deferred)
+	for _, p := range doc.Priorities {
+		if p.Deferred {
+			s.deferred[p.Name] = time.Duration(p.Deadline)
+		}
+	}
+	s.limits.set(doc.Callers)
+}
+
+// SetDaemons takes the number of live daemons, this one included.
+func (s *State) SetDaemons(n int) {
+	s.daemons = max(n, 1)
+}
+
+// SetView takes a new view.
+func (s *State) SetView(now time.Time, v *route.View) {
+	same := v.SameEngines(s.view)
+	s.view = v
+	if !same {
+		s.renumber(v)
+	}
+	for i, b := range s.numbered {
+		e := &v.Engines[i]
+		if b.instance != "" && b.instance != e.Report.Instance {
+			s.hints.Drop(i)
+		}
+		b.begin(e)
+		b.forget(now, e.At)
+		s.renew(now, i)
+	}
+}
+
+// renumber puts the backends in the order of the view's engines, and forgets
+// those that are not in it.
+func (s *State) renumber(v *route.View) {
+	s.own = make([]route.Own, len(v.Engines))
+	s.numbered = make([]*backend, len(v.Engines))
+	old := s.backends
+	s.backends = make(map[string]*backend, len(v.Engines))
+	for i := range v.Engines {
+		vm := v.Engines[i].VM
+		b := old[vm]
+		if b == nil {
+			b = &backend{vm: vm, salt: s.salt ^ xxhash.Sum64String(vm)}
+		}
+		b.number = i
+		s.backends[vm] = b
+		s.numbered[i] = b
+		delete(old, vm)
+	}
+	for _, b := range old {
+		b.number = -1
+	}
+	s.hints.Reset()
+}
+
+// renew computes what the choice needs to know of an engine.
+func (s *State) renew(now time.Time, number int) {
+	if number >= 0 {
+		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons)
+	}
+}
+
+// Offer takes a call. The call returned is granted, refused or waits; a waiting
+// one is decided by a later Step.
+func (s *State) Offer(now time.Time, r Request) *Call {
+	c := &Call{Request: r, arrived: now, order: s.order}
+	s.order++
+	if r.Attempt > 0 {
+		s.offerRetry(now, c)
+		return c
+	}
+	t := target{r.Route.Model, r.Route.Adapter}
+	s.demand.add(now, t, r.MaxTokens)
+	if err := s.allow(now, r.Caller); err != nil {
+		c.status, c.Err = statusRefused, err
+		return c
+	}
+	s.enter(now, c)
+	return c
+}
+
+// allow applies the caller's limit.
+func (s *State) allow(now time.Time, caller string) error {
+	ok, after := s.limits.allow(now, caller, s.daemons)
+	if ok {
+		return nil
+	}
+	return refuse(code.CallerLimit, after, "caller %q is over its limit", caller)
+}
+
+// retry takes a retry out of the budget.
+func (s *State) retry(now time.Time, attempt int) error {
+	if s.budget.take() {
+		return nil
+	}
+	return refuse(code.RetryBudget, s.budget.wait(s.sends.perSecond(now)), "attempt %d is over the retry budget", attempt)
+}
+
+// earn counts a first send.
+func (s *State) earn(now time.Time) {
+	s.budget.earn()
+	s.sends.add(now, 1)
+}
+
+// offerRetry takes a call that was sent before.
+func (s *State) offerRetry(now time.Time, c *Call) {
+	if err := s.retry(now, c.Request.Attempt); err != nil {
+		c.status, c.Err = statusRefused, err
+		return
+	}
+	c.notBefore = now.Add(retryWait(c.Request.Attempt, s.random))
+	s.classify(c)
+	s.waiting[c.class]++
+	s.delayed = append(s.delayed, c)
+}
+
+// classify sets the class of a call and its times.
+func (s *State) classify(c *Call) {
+	r := &c.Request.Route
+	span, deferred := s.deferred[c.Request.Priority]
+	switch {
+	case deferred:
+		c.class = route.ClassDeferred
+		end := c.Request.Deadline
+		if end.IsZero() {
+			end = c.arrived.Add(span)
+		}
+		c.due, c.latest = end.Add(-riseTime(end.Sub(c.arrived))), end
+		return
+	case r.Rank == 0:
+		c.class = route.ClassUrgent
+	default:
+		c.class = route.ClassNormal
+	}
+	c.due = r.Expected
+	if c.due.IsZero() {
+		c.due = c.arrived.Add(defaultFirstToken)
+	}
+	c.latest = c.due.Add(-s.shortest(r))
+	if least := c.arrived.Add(minWait); c.latest.Before(least) {
+		c.latest = least
+	}
+}
+
+const (
+	// risePart is the part of a deferred call's time before its deadline in
+	// which it may use the room of normal calls; maxRise bounds it.
+	risePart = 0.25
+	maxRise  = 30 * time.Minute
+	// pressPart is the part in which it goes before normal calls; maxPress
+	// bounds it.
+	pressPart = 0.05
+	maxPress  = 5 * time.Minute
+)
+
+// riseTime returns how long before its deadline a deferred call rises.
+func riseTime(span time.Duration) time.Duration {
+	return min(max(time.Duration(risePart*float64(span)), 0), maxRise)
+}
+
+// pressTime returns how long before its deadline a deferred call presses.
+func pressTime(span time.Duration) time.Duration {
+	return min(max(time.Duration(pressPart*float64(span)), 0), maxPress)
+}
+
+// shortest returns the time to the first token on an idle engine.
+func (s *State) shortest(r *route.Request) time.Duration {
+	if s.view == nil {
+		return 0
+	}
+	return s.view.Shortest(r)
+}
+
+// enter lets a call wait, or decides it at once when it can.
+func (s *State) enter(now time.Time, c *Call) {
+	s.classify(c)
+	if s.waiting[c.class] >= maxWaiting {
+		s.refuse(c, code.QueueFull, s.expectedWait(now, c), "%d calls wait", s.waiting[c.class])
+		return
+	}
+	l := s.line(c)
+	ahead := l.ahead(c.class)
+	if ahead == 0 && s.try(now, c) {
+		return
+	}
+	if wait := s.expectedWait(now, c); ahead >= minAhead && c.class != route.ClassDeferred && now.Add(wait).After(c.latest) {
+		s.refuse(c, code.ShedDeadline, wait, "the expected wait of %s is too long", wait)
+		return
+	}
+	s.wait(now, l, c)
+}
+
+// line returns the line of a call.
+func (s *State) line(c *Call) *line {
+	t := target{c.Request.Route.Model, c.Request.Route.Adapter}
+	l := s.lines[t]
+	if l == nil {
+		l = &line{target: t}
+		s.lines[t] = l
+	}
+	return l
+}
+
+// wait adds a call to its line.
+func (s *State) wait(now time.Time, l *line, c *Call) {
+	if l.len() == 0 {
+		l.fullSince, l.granted = now, 0
+	}
+	heap.Push(&l.waiting[c.class], c)
+	s.waiting[c.class]++
+}
+
+// expectedWait returns the expected wait of a call behind those in its line.
+func (s *State) expectedWait(now time.Time, c *Call) time.Duration {
+	l := s.line(c)
+	perSecond, ok := l.rate(now)
+	if !ok {
+		return 0
+	}
+	return seconds(float64(l.ahead(c.class)) / perSecond)
+}
+
+// refuse ends a call with an error.
+func (s *State) refuse(c *Call, k code.Code, after time.Duration, format string, args ...any) {
+	c.status = statusRefused
+	c.Err = refuse(k, after, format, args...)
+}
+
+// try grants a call if an engine has room, and tells whether the call is
+// decided.
+func (s *State) try(now time.Time, c *Call) bool {
+	if s.view == nil {
+		return false
+	}
+	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, s.allowed(now, c), now, s.random)
+	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait {
+		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
+		return true
+	}
+	if verdict != route.VerdictChosen {
+		return false
+	}
+	s.grant(now, c, choice)
+	return true
+}
+
+// allowed returns the class as which a call may enter an engine now.
+func (s *State) allowed(now time.Time, c *Call) route.Class {
+	if c.class == route.ClassDeferred && !now.Before(c.due) {
+		return route.ClassNormal
+	}
+	return c.class
+}
+
+// grant notes that a call is sent.
+func (s *State) grant(now time.Time, c *Call, choice route.Choice) {
+	b := s.backends[choice.VM]
+	c.Choice, c.status, c.sent, c.backend = choice, statusGranted, now, b
+	c.slowness = max(b.slowness.value, 1)
+	b.calls = append(b.calls, c)
+	b.active++
+	s.hints.Sent(c.Request.Route.Prefixes, b.number)
+	if c.Request.Attempt == 0 {
+		s.earn(now)
+	}
+	s.line(c).grant(now)
+	s.renew(now, b.number)
+}
+
+// Receive takes what a peer told.
+func (s *State) Receive(now time.Time, daemon string, demand []member.ModelDemand, use []member.CallerUse) {
+	s.demand.receive(now, daemon, demand)
+	s.limits.receive(now, daemon, use)
+}
--- /dev/null
+++ b/limpetd/admit/step.go
@@ -0,0 +1,239 @@
+package admit
+
+import (
+	"container/heap"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/route"
+)
+
+const (
+	// stallTime is the time without a first token after which an urgent call
+	// counts as a failure of its engine, if that is also stallFactor times the
+	// estimate.
+	stallTime   = 3 * time.Second
+	stallFactor = 4
+	// estimateError is the error of estimates that does not count as slowness.
+	estimateError = 50 * time.Millisecond
+)
+
+// Step decides waiting calls and returns those decided. It is called when room
+// was given back, the view changed, or some time has passed.
+func (s *State) Step(now time.Time) []*Call {
+	s.findStalled(now)
+	decided := s.release(now)
+	decided = s.shed(now, decided)
+	decided = s.stepClass(now, route.ClassUrgent, decided, always)
+	decided = s.stepClass(now, route.ClassDeferred, decided, pressing)
+	decided = s.stepClass(now, route.ClassNormal, decided, always)
+	decided = s.stepClass(now, route.ClassDeferred, decided, always)
+	for t, l := range s.lines {
+		if l.len() == 0 {
+			delete(s.lines, t)
+		}
+	}
+	return decided
+}
+
+// release lets retries go whose wait is over, and returns those decided at once.
+func (s *State) release(now time.Time) []*Call {
+	var decided []*Call
+	kept := s.delayed[:0]
+	for _, c := range s.delayed {
+		if now.Before(c.notBefore) {
+			kept = append(kept, c)
+			continue
+		}
+		s.waiting[c.class]--
+		c.notBefore = time.Time{}
+		s.enter(now, c)
+		if c.status != statusWaiting {
+			decided = append(decided, c)
+		}
+	}
+	clear(s.delayed[len(kept):])
+	s.delayed = kept
+	return decided
+}
+
+// shed refuses the calls that cannot meet their expectation any more. The first
+// of a line are those with the earliest expectation.
+func (s *State) shed(now time.Time, decided []*Call) []*Call {
+	for _, l := range s.lines {
+		for class := range l.waiting {
+			h := &l.waiting[class]
+			for len(*h) > 0 && now.After((*h)[0].latest) {
+				c := heap.Pop(h).(*Call)
+				s.waiting[class]--
+				s.refuse(c, code.ShedDeadline, s.expectedWait(now, c), "the expectation cannot be met")
+				decided = append(decided, c)
+			}
+		}
+	}
+	return decided
+}
+
+// always passes each call.
+func always(time.Time, *Call) bool { return true }
+
+// pressing passes the deferred calls that go before normal ones, lest they miss
+// their deadline.
+func pressing(now time.Time, c *Call) bool {
+	return now.After(c.latest.Add(-pressTime(c.latest.Sub(c.arrived))))
+}
+
+// stepClass tries the waiting calls of a class that pass, those that go first
+// before others. A line whose first call does not pass or finds no room is left.
+func (s *State) stepClass(now time.Time, class route.Class, decided []*Call, passes func(time.Time, *Call) bool) []*Call {
+	if s.waiting[class] == 0 {
+		return decided
+	}
+	var heads []*Call
+	for _, l := range s.lines {
+		if len(l.waiting[class]) > 0 {
+			heads = append(heads, l.waiting[class][0])
+		}
+	}
+	sort.Slice(heads, func(i, j int) bool { return heads[i].before(heads[j]) })
+	for len(heads) > 0 {
+		c := heads[0]
+		heads = heads[1:]
+		if !passes(now, c) || !s.try(now, c) {
+			continue
+		}
+		h := &s.line(c).waiting[class]
+		heap.Remove(h, c.place)
+		s.waiting[class]--
+		decided = append(decided, c)
+		if len(*h) > 0 {
+			heads = insert(heads, (*h)[0])
+		}
+	}
+	return decided
+}
+
+// insert puts a call into its place in a sorted list.
+func insert(heads []*Call, c *Call) []*Call {
+	i := sort.Search(len(heads), func(i int) bool { return c.before(heads[i]) })
+	return slices.Insert(heads, i, c)
+}
+
+// Cancel takes a waiting call back.
+func (s *State) Cancel(c *Call) {
+	if c.status != statusWaiting {
+		return
+	}
+	c.status = statusEnded
+	s.waiting[c.class]--
+	if !c.notBefore.IsZero() {
+		for i, d := range s.delayed {
+			if d == c {
+				s.delayed = append(s.delayed[:i], s.delayed[i+1:]...)
+				return
+			}
+		}
+	}
+	heap.Remove(&s.line(c).waiting[c.class], c.place)
+}
+
+// FirstToken notes that the first token of a granted call came.
+func (s *State) FirstToken(now time.Time, c *Call) {
+	if c.status != statusGranted || c.first {
+		return
+	}
+	c.first = true
+	b := c.backend
+	b.outlier.answered()
+	if b.number < 0 {
+		return
+	}
+	took := now.Sub(c.sent)
+	e := &s.view.Engines[b.number]
+	ratio := took.Seconds() / (c.Choice.Estimate + estimateError).Seconds()
+	b.slowness.add(min(max(ratio*c.slowness, 1), maxSlowness), sampleWeight)
+	if c.class != route.ClassDeferred {
+		b.adapt(now, took, c.Request.Route.Expected.Sub(c.arrived), e)
+	}
+	s.renew(now, b.number)
+}
+
+// Release notes that a granted call ended.
+func (s *State) Release(now time.Time, c *Call, o Outcome) {
+	if c.status != statusGranted {
+		return
+	}
+	c.status, c.ended = statusEnded, now
+	b := c.backend
+	b.active--
+	switch o {
+	case OutcomeAnswered:
+		b.outlier.answered()
+		b.hold.add(now.Sub(c.sent).Seconds(), sampleWeight)
+	case OutcomeFailed:
+		s.failed(now, b)
+	}
+	s.renew(now, b.number)
+}
+
+// failed notes a failure of an engine and ejects it, unless too many of its data
+// centre are ejected.
+func (s *State) failed(now time.Time, b *backend) {
+	if !b.outlier.failed(now) || b.number < 0 {
+		return
+	}
+	group, ejected := 0, 0
+	for i, other := range s.numbered {
+		if s.view.Engines[i].DataCentre != s.view.Engines[b.number].DataCentre {
+			continue
+		}
+		group++
+		if other.outlier.ejected(now) {
+			ejected++
+		}
+	}
+	if mayEject(ejected, group) {
+		b.outlier.eject(now)
+	}
+}
+
+// findStalled counts urgent calls without a first token as failures of their
+// engines, and lets engines back whose ejection is over.
+func (s *State) findStalled(now time.Time) {
+	for i, b := range s.numbered {
+		for _, c := range b.calls {
+			if c.stalled || c.first || c.status != statusGranted || c.class != route.ClassUrgent {
+				continue
+			}
+			wait := now.Sub(c.sent)
+			if wait > stallTime && wait > stallFactor*c.Choice.Estimate {
+				c.stalled = true
+				s.failed(now, b)
+			}
+		}
+		if s.own[i].Ejected != b.outlier.ejected(now) {
+			s.renew(now, i)
+		}
+	}
+}
+
+// Waiting returns the number of calls that wait.
+func (s *State) Waiting() int {
+	n := 0
+	for _, w := range s.waiting {
+		n += w
+	}
+	return n
+}
+
+// Demand returns the demand at this daemon.
+func (s *State) Demand(now time.Time) []member.ModelDemand {
+	queued := make(map[target]int, len(s.lines))
+	for t, l := range s.lines {
+		queued[t] = l.len()
+	}
+	return s.demand.list(now, queued)
+}
