admit: Count calls of the report's own moment as after it

A call sent or ended in the very moment of a report was counted as part of the report, so that an engine looked fuller or emptier than it was. Count it as after the report on both sides.

--- a/limpetd/admit/backend.go
+++ b/limpetd/admit/backend.go
@@ -102,7 +102,7 @@
 func (b *backend) forget(now, at time.Time) {
 	kept := b.calls[:0]
 	for _, c := range b.calls {
-		if c.status == statusEnded && (!c.ended.After(at) || now.Sub(c.ended) > keepEnded) {
+		if c.status == statusEnded && (c.ended.Before(at) || now.Sub(c.ended) > keepEnded) {
 			continue
 		}
 		kept = append(kept, c)
@@ -121,13 +121,13 @@
 		switch {
 		case after:
 			o.Sent++
-		case !ended || c.ended.After(e.At):
+		case !ended || !c.ended.Before(e.At):
 			before++
 		}
 		if after && !ended && !c.first {
 			o.SentTokens += c.Request.Route.PromptTokens - c.Choice.CachedTokens
 		}
-		if ended && c.ended.After(e.At) {
+		if ended && !c.ended.Before(e.At) {
 			o.Ended++
 		}
 	}
