--- /dev/null
+++ b/limpetd/claim/commit.go
@@ -0,0 +1,193 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/google/uuid"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// result is how a write ended.
+type result int
+
+const (
+	// notWritten: the write has not taken effect and never will.
+	notWritten result = iota
+	// uncertain: the write may have taken effect, or may do so later.
+	uncertain
+	// conflict: the row had another version, given in found.
+	conflict
+	// written: the write has taken effect.
+	written
+	// crowded: the group held another write of the row; try again.
+	crowded
+)
+
+// write is a conditional write of one row, committed in a group with others.
+type write struct {
+	key     string
+	version int64
+	value   []byte
+	result  result
+	// found is the row that was met instead; Version 0 for none.
+	found store.Row
+	err   error
+	done  chan struct{}
+}
+
+// end completes the write.
+func (w *write) end(r result, found store.Row, err error) {
+	w.result = r
+	w.found = found
+	w.err = err
+	close(w.done)
+}
+
+// write writes a record if the row has a version, and waits for the result.
+func (s *Claims) write(ctx context.Context, key string, version int64, r Record) *write {
+	w := &write{key: key, version: version, done: make(chan struct{})}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return &write{err: err}
+	}
+	w.value = value
+	select {
+	case s.writes <- w:
+	default:
+		return &write{err: code.Errorf(code.StoreLimited, "too many claims wait for the table")}
+	}
+	select {
+	case <-w.done:
+		return w
+	case <-ctx.Done():
+	case <-s.tomb.Dying():
+	}
+	return &write{result: uncertain, err: code.Errorf(code.StoreUnknown, "the table has not answered in time")}
+}
+
+// commitLoop commits the writes that wait, many at once.
+func (s *Claims) commitLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-s.tomb.Dying():
+			return nil
+		case first := <-s.writes:
+			s.commit(ctx, s.group(first))
+		}
+	}
+}
+
+// group takes further writes that wait already. A second write of one row ends
+// as crowded, so that its call tries again.
+func (s *Claims) group(first *write) []*write {
+	group := []*write{first}
+	keys := map[string]bool{first.key: true}
+	for len(group) < groupSize {
+		select {
+		case w := <-s.writes:
+			if keys[w.key] {
+				w.end(crowded, store.Row{}, nil)
+				continue
+			}
+			keys[w.key] = true
+			group = append(group, w)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// commit writes a group in one transaction. Rows that are in conflict leave the
+// group and the others are tried again.
+func (s *Claims) commit(ctx context.Context, group []*write) {
+	for len(group) > 0 {
+		tx := store.Tx{ID: uuid.NewString()}
+		for _, w := range group {
+			tx.Require(w.key, w.version)
+			tx.Put(w.key, w.value)
+		}
+		s.groups.Inc(1)
+		err := s.apply(ctx, tx)
+		switch code.Of(err) {
+		case code.OK:
+			s.rows.Inc(int64(len(group)))
+			endAll(group, written, nil)
+			return
+		case code.StoreConflict, code.StoreUnknown:
+			group = s.reread(ctx, group, tx.ID, err)
+		default:
+			endAll(group, notWritten, err)
+			return
+		}
+	}
+}
+
+// reread finds out about each write of a group that was refused or not
+// answered. It returns those that are to be tried again.
+func (s *Claims) reread(ctx context.Context, group []*write, tx string, cause error) []*write {
+	keys := make([]string, len(group))
+	for i, w := range group {
+		keys[i] = w.key
+	}
+	rows, err := s.get(ctx, keys...)
+	if err != nil {
+		endAll(group, uncertainAfter(cause), err)
+		return nil
+	}
+	found := make(map[string]store.Row, len(rows))
+	for _, row := range rows {
+		found[row.Key] = row
+	}
+	var again []*write
+	for _, w := range group {
+		row := found[w.key]
+		switch {
+		case row.Writer == tx:
+			w.end(written, row, nil)
+		case row.Version != w.version:
+			w.end(conflict, row, nil)
+		case code.Of(cause) == code.StoreConflict:
+			again = append(again, w)
+		default:
+			w.end(uncertain, row, cause)
+		}
+	}
+	if len(again) == len(group) && len(group) > 0 {
+		// All conditions hold again: another writer came and went.
+		endAll(again, notWritten, cause)
+		return nil
+	}
+	return again
+}
+
+// apply bounds one transaction in time.
+func (s *Claims) apply(ctx context.Context, tx store.Tx) error {
+	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
+	defer cancel()
+	return s.deps.Table.Apply(ctx, tx)
+}
+
+// get bounds one read in time.
+func (s *Claims) get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
+	defer cancel()
+	return s.deps.Table.Get(ctx, keys...)
+}
+
+// uncertainAfter is the result of a write whose state could not be read.
+func uncertainAfter(cause error) result {
+	if code.Of(cause) == code.StoreConflict {
+		return notWritten
+	}
+	return uncertain
+}
+
+func endAll(group []*write, r result, err error) {
+	for _, w := range group {
+		w.end(r, store.Row{}, err)
+	}
+}
--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -76,6 +76,10 @@
 	ClaimUnknown    Code = 1402
 	ClaimMismatch   Code = 1403
 	KeyTooLong      Code = 1404
+	// ClaimNoAnswer means that the call ran and its answer was not kept.
+	ClaimNoAnswer Code = 1405
+	// KeyRequired means that the path takes only calls with a key.
+	KeyRequired Code = 1406
 )
 
 // Codes of batches.
@@ -168,6 +172,8 @@
 	{ClaimUnknown, "claim_unknown", http.StatusConflict, RunUnknown, "The outcome of the first call with this key is not known; it will not be run again.", "Check with the service whether it took effect."},
 	{ClaimMismatch, "claim_mismatch", http.StatusUnprocessableEntity, RunNo, "The key was used for a different call.", "Use a new key for each call."},
 	{KeyTooLong, "key_too_long", http.StatusBadRequest, RunNo, "The idempotency key is too long.", "Use a key of at most 128 bytes."},
+	{ClaimNoAnswer, "claim_no_answer", http.StatusConflict, RunYes, "The first call with this key ran; its answer was too long to be kept.", "Read the outcome from the service."},
+	{KeyRequired, "key_required", http.StatusBadRequest, RunNo, "The path takes only calls with an idempotency key.", "Send an Idempotency-Key header."},
 
 	{BatchStoreDown, "batch_store_down", http.StatusServiceUnavailable, RunNo, "The batch could not be stored.", "Send it again after Retry-After."},
 	{BatchNotFound, "batch_not_found", http.StatusNotFound, RunNo, "The caller has no batch with this id.", "List the batches with `GET /v1/batches`."},
--- /dev/null
+++ b/limpetd/relay/catalog.go
@@ -0,0 +1,256 @@
+package relay
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"path"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/admit"
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/route"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
+)
+
+// bytesPerToken is the estimate of the length of a token in a prompt.
+const bytesPerToken = 4
+
+// Catalog finds callers, priorities and models of one document.
+type Catalog struct {
+	doc        *envdoc.Document
+	models     map[string]envdoc.Slot
+	priorities map[string]*envdoc.Priority
+	callers    map[string]*envdoc.Caller
+	digests    [][]byte
+}
+
+// NewCatalog returns the catalog of doc.
+func NewCatalog(doc *envdoc.Document) *Catalog {
+	t := &Catalog{
+		doc:        doc,
+		models:     make(map[string]envdoc.Slot),
+		priorities: make(map[string]*envdoc.Priority),
+		callers:    make(map[string]*envdoc.Caller),
+	}
+	for i := range doc.Models {
+		m := &doc.Models[i]
+		t.models[m.Name] = envdoc.Slot{Model: m.Name, Version: m.Version}
+		for _, a := range m.Adapters {
+			t.models[a.Name] = envdoc.Slot{Model: m.Name, Adapter: a.Name, Version: a.Version}
+		}
+	}
+	for i := range doc.Priorities {
+		t.priorities[doc.Priorities[i].Name] = &doc.Priorities[i]
+	}
+	for i := range doc.Callers {
+		c := &doc.Callers[i]
+		t.callers[c.Name] = c
+		digest, _ := hex.DecodeString(c.KeySHA256)
+		t.digests = append(t.digests, digest)
+	}
+	return t
+}
+
+// Document returns the document.
+func (t *Catalog) Document() *envdoc.Document {
+	return t.doc
+}
+
+// CallerByKey returns the caller with a key. It compares digests in constant
+// time and looks at all of them.
+func (t *Catalog) CallerByKey(key string) (*envdoc.Caller, bool) {
+	digest := sha256.Sum256([]byte(key))
+	found := -1
+	for i, d := range t.digests {
+		if subtle.ConstantTimeCompare(digest[:], d) == 1 {
+			found = i
+		}
+	}
+	if found < 0 {
+		return nil, false
+	}
+	return &t.doc.Callers[found], true
+}
+
+// Caller returns the caller with a name.
+func (t *Catalog) Caller(name string) (*envdoc.Caller, bool) {
+	c, ok := t.callers[name]
+	return c, ok
+}
+
+// Priority returns the priority that c asks for by name; the caller's default
+// for an empty name. An error has code UnknownPriority or Forbidden.
+func (t *Catalog) Priority(c *envdoc.Caller, name string) (*envdoc.Priority, error) {
+	if name == "" && len(c.Priorities) > 0 {
+		name = c.Priorities[0]
+	}
+	p, ok := t.priorities[name]
+	if !ok {
+		return nil, code.Errorf(code.UnknownPriority, "priority %q is not declared", name)
+	}
+	if !slices.Contains(c.Priorities, name) {
+		return nil, code.Errorf(code.Forbidden, "caller %q may not ask for priority %q", c.Name, name)
+	}
+	return p, nil
+}
+
+// Deferred returns the least urgent deferred priority of c.
+func (t *Catalog) Deferred(c *envdoc.Caller) (*envdoc.Priority, bool) {
+	var chosen *envdoc.Priority
+	for _, name := range c.Priorities {
+		p := t.priorities[name]
+		if p == nil || !p.Deferred {
+			continue
+		}
+		if chosen == nil || p.Rank > chosen.Rank {
+			chosen = p
+		}
+	}
+	return chosen, chosen != nil
+}
+
+// Allowed tells whether c may use a model or adapter.
+func Allowed(c *envdoc.Caller, s envdoc.Slot) bool {
+	if len(c.Models) == 0 || slices.Contains(c.Models, s.Model) {
+		return true
+	}
+	return s.Adapter != "" && slices.Contains(c.Models, s.Adapter)
+}
+
+// Call returns the call that answers g for caller c at time now. An error has
+// code UnknownModel, UnknownPriority or Forbidden.
+func (t *Catalog) Call(c *envdoc.Caller, g wire.Generation, id string, now time.Time) (Call, error) {
+	slot, ok := t.models[g.Model]
+	if !ok {
+		return Call{}, code.Errorf(code.UnknownModel, "model %q is not declared", g.Model)
+	}
+	if !Allowed(c, slot) {
+		return Call{}, code.Errorf(code.Forbidden, "caller %q may not use model %q", c.Name, g.Model)
+	}
+	p, err := t.Priority(c, g.Priority)
+	if err != nil {
+		return Call{}, err
+	}
+	call := Call{
+		Admission: admit.Request{
+			ID:       id,
+			Caller:   c.Name,
+			Priority: p.Name,
+			Route: route.Request{
+				Model:        slot.Model,
+				Adapter:      slot.Adapter,
+				Version:      slot.Version,
+				Rank:         p.Rank,
+				PromptTokens: PromptTokens(g.Prompt),
+				Expected:     now.Add(time.Duration(p.FirstToken)),
+			},
+		},
+		Prompt:      g.Prompt,
+		MaxTokens:   g.MaxTokens,
+		Temperature: g.Temperature,
+		Seed:        g.Seed,
+	}
+	if p.Deferred {
+		call.Admission.Deadline = now.Add(time.Duration(p.Deadline))
+	}
+	return call, nil
+}
+
+// PromptTokens estimates the number of tokens in a prompt.
+func PromptTokens(prompt string) int {
+	return len(prompt)/bytesPerToken + 1
+}
+
+// DocumentProvider gives the document in force; false before the first one.
+type DocumentProvider interface {
+	Document() (*envdoc.Document, bool)
+}
+
+// Catalogs keeps the catalog of the document in force.
+type Catalogs struct {
+	documents DocumentProvider
+	current   atomic.Pointer[Catalog]
+}
+
+// NewCatalogs returns the catalogs of the documents that p gives.
+func NewCatalogs(p DocumentProvider) *Catalogs {
+	return &Catalogs{documents: p}
+}
+
+// Catalog returns the catalog of the document in force. An error has code
+// NoDocument.
+func (s *Catalogs) Catalog() (*Catalog, error) {
+	doc, ok := s.documents.Document()
+	if !ok {
+		return nil, code.Errorf(code.NoDocument, "no environment document is in force yet")
+	}
+	if t := s.current.Load(); t != nil && t.doc == doc {
+		return t, nil
+	}
+	t := NewCatalog(doc)
+	s.current.Store(t)
+	return t, nil
+}
+
+// Names returns the models and adapters that c may use, in the order of the
+// document.
+func (t *Catalog) Names(c *envdoc.Caller) []string {
+	var names []string
+	for _, m := range t.doc.Models {
+		if Allowed(c, t.models[m.Name]) {
+			names = append(names, m.Name)
+		}
+		for _, a := range m.Adapters {
+			if Allowed(c, t.models[a.Name]) {
+				names = append(names, a.Name)
+			}
+		}
+	}
+	return names
+}
+
+// Service returns a declared service that c may use. An error has code
+// UnknownPath or Forbidden.
+func (t *Catalog) Service(c *envdoc.Caller, name string) (*envdoc.Service, error) {
+	for i := range t.doc.Services {
+		s := &t.doc.Services[i]
+		if s.Name != name {
+			continue
+		}
+		if len(c.Services) > 0 && !slices.Contains(c.Services, name) {
+			return nil, code.Errorf(code.Forbidden, "caller %q may not use service %q", c.Name, name)
+		}
+		return s, nil
+	}
+	return nil, code.Errorf(code.UnknownPath, "service %q is not declared", name)
+}
+
+// Path returns the declared path of s that matches a call. An error has code
+// UnknownPath.
+func Path(s *envdoc.Service, method, path string) (*envdoc.Path, error) {
+	for i := range s.Paths {
+		p := &s.Paths[i]
+		if p.Method == method && pathMatches(p.Path, path) {
+			return p, nil
+		}
+	}
+	return nil, code.Errorf(code.UnknownPath, "service %q declares no %s %s", s.Name, method, path)
+}
+
+// pathMatches compares a path with a declared one. Only a clean path matches,
+// so that dots and doubled slashes lead nowhere else.
+func pathMatches(declared, p string) bool {
+	if p != path.Clean(p) {
+		return false
+	}
+	below, ok := strings.CutSuffix(declared, "/*")
+	if !ok {
+		return p == declared
+	}
+	return strings.HasPrefix(p, below+"/")
+}
