gate,relay: Test frames, recovery, bad input and keyed calls

Cause: the callers' interface had no tests, and JSON lines were taken for JSON because their type begins alike.

--- /dev/null
+++ b/limpetd/fakes/engine.go
@@ -0,0 +1,201 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/limpetlb/limpetlb/limpetd/admit"
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/route"
+)
+
+// Admitter admits to the first backend server that is not excluded.
+type Admitter struct {
+	// VMs are ids that are addresses too; Versions are what engines hold,
+	// "1" where none is given.
+	VMs      []string
+	Versions map[string]string
+
+	mu       sync.Mutex
+	open     int
+	outcomes []admit.Outcome
+}
+
+// Admit admits a generation.
+func (a *Admitter) Admit(ctx context.Context, r admit.Request) (admit.Ticket, error) {
+	if ctx.Err() != nil {
+		return nil, code.Errorf(code.CallerGone, "gone")
+	}
+	for _, vm := range a.VMs {
+		version := a.Versions[vm]
+		if version == "" {
+			version = "1"
+		}
+		if slices.Contains(r.Route.Exclude, vm) || (r.Route.Pinned && r.Route.Version != version) {
+			continue
+		}
+		slot := envdoc.Slot{Model: r.Route.Model, Adapter: r.Route.Adapter, Version: version}
+		return a.ticket(route.Choice{VM: vm, Address: vm, Slot: slot}), nil
+	}
+	return nil, code.Errorf(code.NoEngine, "no engine")
+}
+
+// AdmitService admits a call to a plain service.
+func (a *Admitter) AdmitService(_ context.Context, r admit.ServiceRequest) (admit.Ticket, error) {
+	for _, vm := range a.VMs {
+		if !slices.Contains(r.Exclude, vm) {
+			return a.ticket(route.Choice{VM: vm, Address: vm}), nil
+		}
+	}
+	return nil, code.Errorf(code.NoBackend, "no backend server")
+}
+
+func (a *Admitter) ticket(c route.Choice) admit.Ticket {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open++
+	return &ticket{admitter: a, choice: c}
+}
+
+// Open returns the number of tickets that were not released.
+func (a *Admitter) Open() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.open
+}
+
+// Outcomes returns how the calls ended.
+func (a *Admitter) Outcomes() []admit.Outcome {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.outcomes)
+}
+
+type ticket struct {
+	admitter *Admitter
+	choice   route.Choice
+}
+
+func (t *ticket) Choice() route.Choice { return t.choice }
+func (t *ticket) FirstToken()          {}
+func (t *ticket) Release(o admit.Outcome) {
+	t.admitter.mu.Lock()
+	defer t.admitter.mu.Unlock()
+	t.admitter.open--
+	t.admitter.outcomes = append(t.admitter.outcomes, o)
+}
+
+// Engines generates the tokens "0 1 2 ..." one a frame.
+type Engines struct {
+	// Tokens is the length of each answer.
+	Tokens int
+	// Script changes the frames of the n-th stream, counted from 0, before
+	// they are sent; nil leaves them. A nil frame list refuses the stream
+	// with Refusal.
+	Script func(n int, address string, frames []engine.Frame) []engine.Frame
+	// Refusal is the error of a refused stream.
+	Refusal error
+	// Block makes Next wait for ctx at the end of the frames, as an engine
+	// that stalls.
+	Block bool
+
+	mu        sync.Mutex
+	streams   int
+	requests  []engine.Request
+	cancelled []string
+}
+
+var _ engine.Generator = (*Engines)(nil)
+
+// Text returns the text of the tokens from one to another.
+func Text(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "%d ", i)
+	}
+	return b.String()
+}
+
+// Generate begins an answer.
+func (e *Engines) Generate(ctx context.Context, address string, r engine.Request) (engine.Frames, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, r)
+	return e.stream(ctx, address, r.Attempt, r.GeneratedTokens)
+}
+
+// Resume continues an answer.
+func (e *Engines) Resume(ctx context.Context, address, attempt string, offset int) (engine.Frames, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stream(ctx, address, attempt, offset)
+}
+
+// Cancel notes an attempt.
+func (e *Engines) Cancel(_ context.Context, _, attempt string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = append(e.cancelled, attempt)
+	return nil
+}
+
+// Requests returns what was asked for.
+func (e *Engines) Requests() []engine.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.requests)
+}
+
+// Cancelled returns the attempts that were cancelled.
+func (e *Engines) Cancelled() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.cancelled)
+}
+
+func (e *Engines) stream(ctx context.Context, address, attempt string, from int) (engine.Frames, error) {
+	var list []engine.Frame
+	for i := from; i < e.Tokens; i++ {
+		list = append(list, engine.Frame{Attempt: attempt, Offset: i, Text: Text(i, i+1), Tokens: 1})
+	}
+	list = append(list, engine.Frame{Attempt: attempt, Offset: e.Tokens, Done: true, Reason: "stop"})
+	n := e.streams
+	e.streams++
+	if e.Script != nil {
+		list = e.Script(n, address, list)
+		if list == nil {
+			return nil, e.Refusal
+		}
+	}
+	return &frames{ctx: ctx, list: list, block: e.Block}, nil
+}
+
+type frames struct {
+	ctx   context.Context
+	list  []engine.Frame
+	block bool
+}
+
+func (f *frames) Next() (engine.Frame, error) {
+	if f.ctx.Err() != nil {
+		return engine.Frame{}, f.ctx.Err()
+	}
+	if len(f.list) == 0 {
+		if f.block {
+			<-f.ctx.Done()
+			return engine.Frame{}, f.ctx.Err()
+		}
+		return engine.Frame{}, io.EOF
+	}
+	next := f.list[0]
+	f.list = f.list[1:]
+	return next, nil
+}
+
+func (f *frames) Close() error { return nil }
--- a/limpetd/gate/batch.go
+++ b/limpetd/gate/batch.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"goji.io/pat"
 
@@ -68,6 +67,10 @@
 // submitBatch takes a batch as a JSON object or as lines of JSON, and answers
 // 202 once it is durable.
 func (g *Gate) submitBatch(x *exchange) error {
+	kind, err := x.contentType()
+	if err != nil {
+		return err
+	}
 	body, err := x.body(g.config.MaxBatchBytes)
 	if err != nil {
 		return err
@@ -76,21 +79,21 @@
 		Caller: x.caller,
 		Key:    x.request.Header.Get(headerKey),
 	}
-	switch kind := x.request.Header.Get("Content-Type"); {
-	case kind == "" || strings.HasPrefix(kind, "application/json"):
+	switch kind {
+	case kindJSON:
 		var b batchBody
 		if err := json.Unmarshal(body, &b); err != nil {
 			return code.Errorf(code.MalformedBody, "body: %w", err)
 		}
 		s.Priority = b.Priority
 		s.Items = b.Requests
-	case strings.HasPrefix(kind, "application/jsonl"), strings.HasPrefix(kind, "application/x-ndjson"):
+	case kindJSONL, kindNDJSON:
 		s.Items, err = decodeLines(body)
 		if err != nil {
 			return err
 		}
 	default:
-		return code.Errorf(code.BadContentType, "content type %q is not application/json or application/jsonl", kind)
+		return code.Errorf(code.BadContentType, "content type %q is not %s or %s", kind, kindJSON, kindJSONL)
 	}
 	if p := x.request.Header.Get(headerPriority); p != "" {
 		s.Priority = p
@@ -163,7 +166,7 @@
 			return code.Errorf(code.Internal, "result: %w", err)
 		}
 	}
-	x.raw(http.StatusOK, "application/jsonl", out.Bytes())
+	x.raw(http.StatusOK, kindJSONL, out.Bytes())
 	return nil
 }
 
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"mime"
 	"net/http"
 	"os"
 	"strconv"
@@ -146,13 +147,37 @@
 
 // jsonBody reads a body of JSON.
 func (x *exchange) jsonBody(limit int64) ([]byte, error) {
-	kind := x.request.Header.Get("Content-Type")
-	if kind != "" && !strings.HasPrefix(kind, "application/json") {
-		return nil, code.Errorf(code.BadContentType, "content type %q is not application/json", kind)
+	kind, err := x.contentType()
+	if err != nil {
+		return nil, err
+	}
+	if kind != kindJSON {
+		return nil, code.Errorf(code.BadContentType, "content type %q is not %s", kind, kindJSON)
 	}
 	return x.body(limit)
 }
 
+// Content types.
+const (
+	kindJSON   = "application/json"
+	kindJSONL  = "application/jsonl"
+	kindNDJSON = "application/x-ndjson"
+)
+
+// contentType returns the type of the body without its parameters; JSON where
+// the caller names none.
+func (x *exchange) contentType() (string, error) {
+	value := x.request.Header.Get("Content-Type")
+	if value == "" || value == kindJSON {
+		return kindJSON, nil
+	}
+	kind, _, err := mime.ParseMediaType(value)
+	if err != nil {
+		return "", code.Errorf(code.BadContentType, "content type %q cannot be read", value)
+	}
+	return kind, nil
+}
+
 // state writes how the exchange ended into headers or, once these are written,
 // into trailers.
 func (x *exchange) state(c code.Code, run code.Run) {
@@ -172,7 +197,7 @@
 	if err != nil {
 		return code.Errorf(code.Internal, "answer: %w", err)
 	}
-	x.raw(status, "application/json", body)
+	x.raw(status, kindJSON, body)
 	return nil
 }
 
@@ -247,7 +272,7 @@
 		h.Set("WWW-Authenticate", "Bearer")
 	}
 	body, _ := json.Marshal(wire.NewError(err, x.id))
-	x.raw(code.Of(err).Info().Status, "application/json", body)
+	x.raw(code.Of(err).Info().Status, kindJSON, body)
 }
 
 // seconds rounds up to whole seconds.
--- /dev/null
+++ b/limpetd/gate/gate_test.go
@@ -0,0 +1,332 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/batch"
+	"github.com/limpetlb/limpetlb/limpetd/claim"
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	"github.com/limpetlb/limpetlb/limpetd/relay"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
+)
+
+const (
+	appKey     = "key-app"
+	otherKey   = "key-other"
+	chatBody   = `{"model":"m","messages":[{"role":"user","content":"hello"}]}`
+	streamBody = `{"model":"a","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"hello"}]}`
+)
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func document() *envdoc.Document {
+	return &envdoc.Document{
+		Environment: "test",
+		Priorities: []envdoc.Priority{
+			{Name: "live", FirstToken: envdoc.Duration(time.Second)},
+			{Name: "night", Rank: 9, Deferred: true, Deadline: envdoc.Duration(time.Hour)},
+		},
+		Models: []envdoc.Model{
+			{Name: "m", Version: "1", Adapters: []envdoc.Adapter{{Name: "a", Version: "1"}}},
+			{Name: "hidden", Version: "1"},
+		},
+		Callers: []envdoc.Caller{
+			{Name: "app", KeySHA256: digest(appKey), Priorities: []string{"live", "night"}, Models: []string{"m"}},
+			{Name: "other", KeySHA256: digest(otherKey), Priorities: []string{"night"}, Services: []string{"none"}},
+		},
+		Services: []envdoc.Service{{Name: "app", Pool: "app", Paths: []envdoc.Path{
+			{Method: "GET", Path: "/schedule/*", Repeatable: true},
+			{Method: "POST", Path: "/bookings"},
+			{Method: "POST", Path: "/payments", KeyRequired: true},
+		}}},
+	}
+}
+
+type documents struct{ doc *envdoc.Document }
+
+func (d documents) Document() (*envdoc.Document, bool) { return d.doc, d.doc != nil }
+
+// bench is a gate before fakes.
+type bench struct {
+	gate    *Gate
+	url     string
+	table   *fakes.Table
+	engines *fakes.Engines
+}
+
+type setup struct {
+	config   Config
+	table    *fakes.Table
+	services []string
+	doc      *envdoc.Document
+	engines  *fakes.Engines
+}
+
+func start(t *testing.T, s setup) *bench {
+	if s.table == nil {
+		s.table = &fakes.Table{}
+	}
+	if s.engines == nil {
+		s.engines = &fakes.Engines{Tokens: 3}
+	}
+	vms := s.services
+	if vms == nil {
+		vms = []string{"e1", "e2"}
+	}
+	docs := documents{s.doc}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := relay.New(relay.Deps{Generator: s.engines, Admitter: &fakes.Admitter{VMs: vms}})
+	claims := claim.New(ctx, claim.Config{Environment: "test"}, claim.Deps{Table: s.table})
+	batches := batch.New(ctx, batch.Config{Instance: "i", Environment: "test"}, batch.Deps{
+		Table: s.table, Objects: &fakes.Objects{}, Answerer: r, Documents: docs,
+	})
+	g := New(s.config, Deps{Documents: docs, Relay: r, Claims: claims, Batches: batches})
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = g.Server()
+	server.Start()
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		require.NoError(t, claims.Wait())
+		require.NoError(t, batches.Wait())
+	})
+	return &bench{gate: g, url: server.URL, table: s.table, engines: s.engines}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+}
+
+func (a answer) code() string { return a.header.Get(headerCode) }
+
+func (a answer) wireError(t *testing.T) wire.Error {
+	var e wire.ErrorBody
+	require.NoError(t, json.Unmarshal([]byte(a.body), &e))
+	return e.Error
+}
+
+func (b *bench) do(t *testing.T, method, path, body string, header ...string) answer {
+	q, err := http.NewRequestWithContext(t.Context(), method, b.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	q.Header.Set("Authorization", "Bearer "+appKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	r, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	text, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return answer{status: r.StatusCode, header: r.Header, trailer: r.Trailer, body: string(text)}
+}
+
+func TestChatAnswersWhole(t *testing.T) {
+	b := start(t, setup{doc: document()})
+	a := b.do(t, "POST", batch.PathChat, chatBody)
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, "0", a.code())
+	require.Equal(t, "yes", a.header.Get(headerRun))
+	require.NotEmpty(t, a.header.Get(headerRequestID))
+	require.Contains(t, a.body, `"content":"0 1 2 "`)
+	require.Contains(t, a.body, `"completion_tokens":3`)
+}
+
+func TestChatStreamEndsWithDoneAndTrailers(t *testing.T) {
+	b := start(t, setup{doc: document()})
+	a := b.do(t, "POST", batch.PathChat, streamBody)
+	require.Equal(t, "text/event-stream", a.header.Get("Content-Type"))
+	require.Equal(t, "0", a.trailer.Get(headerCode))
+	require.Equal(t, "yes", a.trailer.Get(headerRun))
+	require.True(t, strings.HasSuffix(a.body, wire.Done))
+	require.Contains(t, a.body, `"finish_reason":"stop"`)
+	require.Contains(t, a.body, `"completion_tokens":3`)
+}
+
+func TestBrokenStreamEndsWithErrorEvent(t *testing.T) {
+	engines := &fakes.Engines{Tokens: 3, Script: func(_ int, _ string, f []engine.Frame) []engine.Frame {
+		return append(f[:1:1], engine.Frame{Attempt: f[0].Attempt, Error: "fault"})
+	}}
+	b := start(t, setup{doc: document(), engines: engines})
+	a := b.do(t, "POST", batch.PathChat, streamBody)
+	require.NotContains(t, a.body, "[DONE]")
+	require.Contains(t, a.body, `data: {"error":{`)
+	require.Equal(t, "1300", a.trailer.Get(headerCode))
+	require.Equal(t, "yes", a.trailer.Get(headerRun))
+}
+
+func TestBadInputHasItsOwnCode(t *testing.T) {
+	b := start(t, setup{doc: document(), config: Config{MaxBodyBytes: 1000}})
+	long := strings.Repeat("x", 1001)
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		code                     code.Code
+	}{
+		{"malformed JSON", "POST", batch.PathChat, `{"model":`, nil, code.MalformedBody},
+		{"two values", "POST", batch.PathChat, chatBody + "{}", nil, code.MalformedBody},
+		{"wrong type", "POST", batch.PathChat, `{"model":1}`, nil, code.MalformedBody},
+		{"no messages", "POST", batch.PathChat, `{"model":"m"}`, nil, code.BadParameter},
+		{"negative length", "POST", batch.PathCompletion, `{"model":"m","prompt":"p","max_tokens":-1}`, nil, code.BadParameter},
+		{"unknown model", "POST", batch.PathCompletion, `{"model":"z","prompt":"p"}`, nil, code.UnknownModel},
+		{"model of others", "POST", batch.PathCompletion, `{"model":"hidden","prompt":"p"}`, nil, code.Forbidden},
+		{"wrong key", "POST", batch.PathChat, chatBody, []string{"Authorization", "Bearer z"}, code.BadKey},
+		{"no key", "POST", batch.PathChat, chatBody, []string{"Authorization", ""}, code.BadKey},
+		{"oversized body", "POST", batch.PathChat, long, nil, code.BodyTooLarge},
+		{"content type", "POST", batch.PathChat, chatBody, []string{"Content-Type", "text/plain"}, code.BadContentType},
+		{"unknown priority", "POST", batch.PathChat, chatBody, []string{headerPriority, "z"}, code.UnknownPriority},
+		{"unknown path", "POST", "/v1/orders", "", nil, code.UnknownPath},
+		{"undeclared service", "GET", "/services/z/a", "", nil, code.UnknownPath},
+		{"undeclared path", "POST", "/services/app/orders", "", nil, code.UnknownPath},
+		{"undeclared method", "DELETE", "/services/app/bookings", "", nil, code.UnknownPath},
+		{"path with dots", "GET", "/services/app/schedule/../orders", "", nil, code.UnknownPath},
+		{"path with encoded dots", "GET", "/services/app/schedule/%2e%2e/orders", "", nil, code.UnknownPath},
+		{"path with encoded slash", "GET", "/services/app/schedule/..%2forders", "", nil, code.UnknownPath},
+		{"path with double slash", "GET", "/services/app//schedule/1", "", nil, code.UnknownPath},
+		{"service of others", "POST", "/services/app/bookings", "", []string{"Authorization", "Bearer " + otherKey}, code.Forbidden},
+		{"key required", "POST", "/services/app/payments", "", nil, code.KeyRequired},
+		{"key too long", "POST", "/services/app/payments", "", []string{headerKey, strings.Repeat("k", 129)}, code.KeyTooLong},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := b.do(t, c.method, c.path, c.body, c.header...)
+			e := a.wireError(t)
+			require.Equal(t, c.code.Info().Name, e.Name, e.Message)
+			require.Equal(t, int(c.code), e.Code)
+			require.Equal(t, c.code.Info().Status, a.status)
+			require.Equal(t, code.RunNo, e.Run)
+			require.Equal(t, "no", a.header.Get(headerRun))
+			require.Equal(t, e.RequestID, a.header.Get(headerRequestID))
+		})
+	}
+	require.Empty(t, b.engines.Requests(), "a refused request reached an engine")
+}
+
+func TestSlowBodyIsRefused(t *testing.T) {
+	b := start(t, setup{doc: document(), config: Config{BodyTime: 20 * time.Millisecond}})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST "+batch.PathChat+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+appKey+"\r\nContent-Length: 50\r\n\r\n{")
+	require.NoError(t, err)
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	require.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+	require.Equal(t, "1106", r.Header.Get(headerCode))
+}
+
+func TestModelsListsWhatTheCallerMayUse(t *testing.T) {
+	b := start(t, setup{doc: document()})
+	a := b.do(t, "GET", "/v1/models", "")
+	require.Contains(t, a.body, `"id":"m"`)
+	require.Contains(t, a.body, `"id":"a"`)
+	require.NotContains(t, a.body, "hidden")
+}
+
+func TestLeavingRefusesNewWork(t *testing.T) {
+	b := start(t, setup{doc: document()})
+	require.Equal(t, http.StatusOK, b.do(t, "GET", "/readyz", "").status)
+	b.gate.Leave()
+	require.Equal(t, http.StatusServiceUnavailable, b.do(t, "GET", "/readyz", "").status)
+	a := b.do(t, "POST", batch.PathChat, chatBody)
+	require.Equal(t, "1001", a.code())
+	require.Equal(t, "no", a.header.Get(headerRun))
+	require.Equal(t, "1", a.header.Get("Retry-After"))
+	require.Equal(t, http.StatusOK, b.do(t, "GET", "/livez", "").status)
+}
+
+func TestNoDocumentIsNotReady(t *testing.T) {
+	b := start(t, setup{})
+	require.Contains(t, b.do(t, "GET", "/readyz", "").body, `"no_document"`)
+	require.Equal(t, "1002", b.do(t, "POST", batch.PathChat, chatBody).code())
+}
+
+// plainService counts the executions of its calls.
+func plainService(t *testing.T, runs *atomic.Int64) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		n := runs.Add(1)
+		w.Header().Set("X-Run", r.Method)
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, string(body)+"#"+string(rune('0'+n)))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestKeyedCallRunsOnceThroughTwoDaemons(t *testing.T) {
+	var runs atomic.Int64
+	service := []string{plainService(t, &runs)}
+	table := &fakes.Table{}
+	first := start(t, setup{doc: document(), table: table, services: service})
+	second := start(t, setup{doc: document(), table: table, services: service})
+	a := first.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	b := second.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	require.Equal(t, http.StatusCreated, b.status)
+	require.Equal(t, a.body, b.body)
+	require.Equal(t, a.header.Get("X-Run"), b.header.Get("X-Run"))
+	require.Equal(t, "yes", b.header.Get(headerRun))
+	c := second.do(t, "POST", "/services/app/bookings", "seat 8", headerKey, "k1")
+	require.Equal(t, "1403", c.code())
+	require.EqualValues(t, 1, runs.Load())
+}
+
+func TestKeyedCallIsNotRunWhileTheTableIsDown(t *testing.T) {
+	var runs atomic.Int64
+	table := &fakes.Table{Fault: func(int) fakes.Fault { return fakes.Down }}
+	b := start(t, setup{doc: document(), table: table, services: []string{plainService(t, &runs)}})
+	a := b.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	require.Equal(t, "1400", a.code())
+	require.Equal(t, "no", a.header.Get(headerRun))
+	require.Zero(t, runs.Load())
+}
+
+func TestCallWithoutKeyRunsOncePerArrival(t *testing.T) {
+	var runs atomic.Int64
+	b := start(t, setup{doc: document(), services: []string{plainService(t, &runs)}})
+	b.do(t, "POST", "/services/app/bookings", "x")
+	b.do(t, "GET", "/services/app/schedule/today?room=2", "")
+	require.EqualValues(t, 2, runs.Load())
+}
+
+func TestBatchesOfOthersAreInvisible(t *testing.T) {
+	b := start(t, setup{doc: document()})
+	lines := `{"custom_id":"1","url":"/v1/completions","body":{"model":"m","prompt":"p"}}` + "\n"
+	a := b.do(t, "POST", "/v1/batches", lines, "Content-Type", "application/jsonl")
+	require.Equal(t, http.StatusAccepted, a.status, a.body)
+	var view batchView
+	require.NoError(t, json.Unmarshal([]byte(a.body), &view))
+	other := []string{"Authorization", "Bearer " + otherKey}
+	require.Contains(t, b.do(t, "GET", "/v1/batches", "").body, view.ID)
+	require.NotContains(t, b.do(t, "GET", "/v1/batches", "", other...).body, view.ID)
+	for _, path := range []string{"", "/result"} {
+		require.Equal(t, "1501", b.do(t, "GET", "/v1/batches/"+view.ID+path, "", other...).code())
+	}
+	require.Equal(t, "1501", b.do(t, "POST", "/v1/batches/"+view.ID+"/cancel", "", other...).code())
+	require.Equal(t, http.StatusOK, b.do(t, "POST", "/v1/batches/"+view.ID+"/cancel", "").status)
+	require.Contains(t, b.do(t, "GET", "/v1/batches/"+view.ID, "").body, `"cancelled"`)
+}
--- a/limpetd/gate/generate.go
+++ b/limpetd/gate/generate.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return code.Errorf(code.Internal, "answer: %w", err)
 	}
-	x.raw(http.StatusOK, "application/json", body)
+	x.raw(http.StatusOK, kindJSON, body)
 	return nil
 }
 
--- a/limpetd/gate/retry.go
+++ b/limpetd/gate/retry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/admit"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 )
 
@@ -11,6 +12,9 @@
 
 // retryAfter is the time that a caller is asked to wait; 0 for none.
 func retryAfter(err error) time.Duration {
+	if wait := admit.RetryAfter(err); wait > 0 {
+		return wait
+	}
 	switch code.Of(err) {
 	case code.Stopping, code.NoDocument, code.CallerLimit, code.QueueFull,
 		code.ShedDeadline, code.NoEngine, code.NoBackend, code.RetryBudget,
--- a/limpetd/relay/catalog.go
+++ b/limpetd/relay/catalog.go
@@ -147,6 +147,7 @@
 				Version:      slot.Version,
 				Rank:         p.Rank,
 				PromptTokens: PromptTokens(g.Prompt),
+				Prefixes:     route.Prefixes(g.Prompt),
 				Expected:     now.Add(time.Duration(p.FirstToken)),
 			},
 		},
