place: Plan slots from the document, the engines and the demand

Placement is one pure decision: reachability first, make before break for versions, relocation when memory is fragmented, replicas for demand with hysteresis, dwell and a reserve, weighed by the document.

--- /dev/null
+++ b/limpetd/place/adapters.go
@@ -0,0 +1,154 @@
+package place
+
+import "github.com/limpetlb/limpetlb/limpetd/code"
+
+// adapters places the adapters that are reachable on no engine, and unloads
+// those that have no model beside them.
+func (s *stage) adapters() {
+	for k := range s.models {
+		mv := &s.views[k]
+		for j := range mv.adapters {
+			s.dropOrphans(k, mv.adapters[j])
+			if !s.adapterHeld(k, j) {
+				s.placeAdapter(k, j)
+			}
+		}
+		s.dropOrphans(k, mv.oldAdapters)
+	}
+}
+
+// adapterHeld tells whether an adapter is charged beside its model, and beside
+// the declared version if that is resident.
+func (s *stage) adapterHeld(k, j int) bool {
+	mv := &s.views[k]
+	changed := count(mv.current, Resident) > 0
+	for _, a := range mv.adapters[j] {
+		if a.state == Unloading {
+			continue
+		}
+		if _, ok := on(mv.current, a.engine); ok {
+			return true
+		}
+		if !changed && s.serves(k, a.engine) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeAdapter loads an adapter beside its model.
+func (s *stage) placeAdapter(k, j int) {
+	m, mv := &s.models[k], &s.views[k]
+	memory := m.Adapters[j].MemoryMB
+	hosts := mv.current
+	if count(mv.current, Resident) == 0 {
+		hosts = mv.old
+	}
+	best, resident := -1, false
+	for _, h := range hosts {
+		if h.state != Resident || occupied(mv.adapters[j], h.engine) {
+			continue
+		}
+		resident = true
+		e := &s.engines[h.engine]
+		if e.free >= memory && (best < 0 || e.free > s.engines[best].free) {
+			best = h.engine
+		}
+	}
+	if best >= 0 {
+		s.load(best, m.adapterSlot(j), memory, RuleAdapter, 0, 0)
+		return
+	}
+	if resident && count(mv.current, Loading) == 0 {
+		s.hostAdapter(k, j)
+	}
+}
+
+// hostAdapter finds room for an adapter whose model's engines are full: a
+// further replica of the model on an engine with room for both.
+func (s *stage) hostAdapter(k, j int) {
+	m := &s.models[k]
+	memory := m.MemoryMB + m.Adapters[j].MemoryMB
+	s.pressed[m.Pool] = true
+	if e := s.choose(k, memory); e >= 0 {
+		s.loadModel(k, e, RuleAdapter, 0, 0)
+		return
+	}
+	if s.evict(k, func(holder, int) bool { return true }, RuleMakeRoom, 0, 0) {
+		return
+	}
+	s.block(m.adapterSlot(j), code.MemoryExceeded, "no engine that holds the model has room")
+}
+
+// dropOrphans unloads adapters on engines that hold no version of the model.
+func (s *stage) dropOrphans(k int, holders []holder) {
+	mv := &s.views[k]
+	for _, a := range holders {
+		if a.state != Resident {
+			continue
+		}
+		if occupied(mv.current, a.engine) || occupied(mv.old, a.engine) {
+			continue
+		}
+		s.unload(holders, a, RuleUndeclared, 0, 0)
+	}
+}
+
+// breakOld unloads old versions once the declared one serves in their place.
+func (s *stage) breakOld() {
+	for k := range s.models {
+		mv := &s.views[k]
+		s.breakOldAdapters(k)
+		for _, h := range mv.old {
+			if h.state != Resident || !s.replaced(k, h.engine) {
+				continue
+			}
+			s.drop(k, h, RuleVersion, 0, 0)
+		}
+	}
+}
+
+// replaced tells whether an old replica can go: the declared version serves
+// with all adapters, and enough replicas are left, or no memory is free to make
+// another one first.
+func (s *stage) replaced(k, engine int) bool {
+	m, mv := &s.models[k], &s.views[k]
+	current := count(mv.current, Resident)
+	if current == 0 {
+		return false
+	}
+	for j := range mv.adapters {
+		if !s.adapterServes(k, j) {
+			return false
+		}
+	}
+	if _, both := on(mv.current, engine); !both && !s.adaptersElsewhere(k, engine) {
+		return false
+	}
+	left := current + count(mv.old, Resident) - 1
+	if left >= min(s.wanted(k), current+count(mv.old, Resident)) || current >= s.wanted(k) {
+		return true
+	}
+	return s.choose(k, m.MemoryMB) < 0 && count(mv.current, Loading) == 0
+}
+
+// adapterServes tells whether an adapter is resident beside the declared
+// version of its model.
+func (s *stage) adapterServes(k, j int) bool {
+	return s.adapterElsewhere(k, j, -1)
+}
+
+// breakOldAdapters unloads old versions of adapters once the declared version
+// serves.
+func (s *stage) breakOldAdapters(k int) {
+	mv := &s.views[k]
+	for _, a := range mv.oldAdapters {
+		if a.state != Resident {
+			continue
+		}
+		j := s.models[k].adapters[a.slot.Adapter]
+		if s.adapterServes(k, j) {
+			s.unload(mv.oldAdapters, a, RuleVersion, 0, 0)
+		}
+	}
+}
--- /dev/null
+++ b/limpetd/place/planner.go
@@ -0,0 +1,246 @@
+package place
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// replicaLoad is the part of an engine's capacity that one replica is
+	// expected to carry before another is wanted.
+	replicaLoad = 0.8
+	// relocateLimit bounds the relocations begun in a plan.
+	relocateLimit = 4
+	// relocateTimeout ends the wait for a relocated model.
+	relocateTimeout = 5 * time.Minute
+)
+
+// Planner plans for one data centre. It is not safe for concurrent use.
+type Planner struct {
+	index   *index
+	demands demands
+	// loaded is when a model last got a replica for demand.
+	loaded map[string]time.Time
+	// relocations are the models that wait for another to move away.
+	relocations map[string]relocation
+	// promises are the models that get memory freed for them, by engine.
+	promises map[string]promise
+}
+
+// promise is memory on an engine that is freed for a model's demand.
+type promise struct {
+	model string
+	at    time.Time
+}
+
+// relocation is a model that moves off an engine to make room.
+type relocation struct {
+	victim string
+	engine string
+	at     time.Time
+}
+
+// NewPlanner returns a planner that has seen no demand.
+func NewPlanner() *Planner {
+	return &Planner{
+		demands:     demands{needs: map[demandKey]*need{}},
+		loaded:      map[string]time.Time{},
+		relocations: map[string]relocation{},
+		promises:    map[string]promise{},
+	}
+}
+
+// Plan returns the moves to make at f.Now. The moves of a plan don't wait for
+// each other; moves that have to wait come in a later plan.
+func (p *Planner) Plan(f Facts) Plan {
+	p.demands.update(f.Demand, f.Now)
+	p.refresh(f)
+	v := newView(p.index, f, &p.demands)
+	v.project()
+	s := &stage{view: v, planner: p, pressed: map[string]bool{}}
+	s.dropStrays()
+	s.dropRefused()
+	s.reach()
+	s.adapters()
+	s.breakOld()
+	s.keepPromises()
+	s.spread()
+	s.spreadAdapters()
+	return v.plan
+}
+
+// refresh derives the index anew when the document or the data centres changed.
+func (p *Planner) refresh(f Facts) {
+	centres := make([]string, 0, len(f.Remotes)+1)
+	for _, r := range f.Remotes {
+		centres = append(centres, r.DataCentre)
+	}
+	centres = append(centres, f.DataCentre)
+	slices.Sort(centres)
+	if p.index != nil && p.index.document == f.Document && p.index.centres == strings.Join(centres, "\n") {
+		return
+	}
+	p.index = newIndex(f.Document, f.DataCentre, centres)
+	p.relocations = map[string]relocation{}
+}
+
+// stage is a plan in the making.
+type stage struct {
+	*view
+	planner *Planner
+	// pressed are the pools in which a declared slot waits for memory; they
+	// get no loads for demand.
+	pressed     map[string]bool
+	relocations int
+}
+
+// minLocal is the number of replicas that a model needs in this data centre.
+func (s *stage) minLocal(k int) int {
+	centres := len(s.facts.Remotes) + 1
+	return max(1, (s.models[k].MinReplicas+centres-1)/centres)
+}
+
+// wanted is the number of replicas that minimum and demand ask for.
+func (s *stage) wanted(k int) int {
+	mv := &s.views[k]
+	capacity := s.capacity(s.models[k].Pool)
+	if capacity == 0 {
+		return s.minLocal(k)
+	}
+	return max(s.minLocal(k), int(math.Ceil(mv.demand/(replicaLoad*capacity))))
+}
+
+// capacity is that of the first usable engine of a pool.
+func (s *stage) capacity(pool string) float64 {
+	for i := range s.engines {
+		if s.engines[i].Usable && s.engines[i].Pool == pool {
+			return s.engines[i].TokensPerSecond
+		}
+	}
+	return 0
+}
+
+// dropStrays unloads what the document no longer declares.
+func (s *stage) dropStrays() {
+	for _, h := range s.strays {
+		if h.state == Resident {
+			s.unload(s.strays, h, RuleUndeclared, 0, 0)
+		}
+	}
+}
+
+// dropRefused gives up the charges of loads that an engine refuses.
+func (s *stage) dropRefused() {
+	for k := range s.views {
+		mv := &s.views[k]
+		lists := append(slices.Clone(mv.adapters), mv.oldAdapters, mv.current, mv.old)
+		for _, hs := range lists {
+			for _, h := range slices.Clone(hs) {
+				if h.state == Refused {
+					s.unload(hs, h, RuleRefused, 0, 0)
+				}
+			}
+		}
+	}
+}
+
+// reach places the models that lack replicas: first those that no data centre
+// has, then those that this one lacks, then by minimum, then changed versions.
+func (s *stage) reach() {
+	for _, k := range s.order {
+		if !s.views[k].remote && !s.held(k) {
+			s.place(k, RuleReachable)
+		}
+	}
+	for _, k := range s.order {
+		if s.views[k].remote && !s.held(k) {
+			s.place(k, RuleReachable)
+		}
+	}
+	for _, k := range s.order {
+		mv := &s.views[k]
+		have := count(mv.current, Loading, Resident) + count(mv.old, Loading, Resident)
+		if have > 0 && have < s.minLocal(k) {
+			s.place(k, RuleReplicas)
+		}
+	}
+	for _, k := range s.order {
+		s.changeVersion(k)
+	}
+}
+
+// held tells whether the data centre holds or loads the model in any version.
+func (s *stage) held(k int) bool {
+	mv := &s.views[k]
+	return count(mv.current, Loading, Resident)+count(mv.old, Resident) > 0
+}
+
+// changeVersion loads the declared version beside older ones, one at a time.
+func (s *stage) changeVersion(k int) {
+	mv := &s.views[k]
+	old := count(mv.old, Resident)
+	if old == 0 || count(mv.current, Loading) > 0 {
+		return
+	}
+	resident := count(mv.current, Resident)
+	if resident >= s.wanted(k) {
+		return
+	}
+	if resident == 0 {
+		s.place(k, RuleVersion)
+		return
+	}
+	if e := s.choose(k, s.models[k].MemoryMB); e >= 0 {
+		s.loadModel(k, e, RuleVersion, 0, 0)
+	}
+}
+
+// place loads a model, or makes room for it.
+func (s *stage) place(k int, rule Rule) {
+	m := &s.models[k]
+	for _, memory := range []int64{m.groupMB, m.MemoryMB} {
+		if e := s.choose(k, memory); e >= 0 {
+			s.loadModel(k, e, rule, 0, 0)
+			delete(s.planner.relocations, m.Name)
+			return
+		}
+	}
+	s.pressed[m.Pool] = true
+	s.makeRoom(k, rule)
+}
+
+// choose returns the usable engine with room for a model that is loaded least
+// and has the most memory free, or -1.
+func (s *stage) choose(k int, memoryMB int64) int {
+	best := -1
+	m, mv := &s.models[k], &s.views[k]
+	for i := range s.engines {
+		e := &s.engines[i]
+		if !e.Usable || e.Pool != m.Pool || e.free < memoryMB || occupied(mv.current, i) || slices.Contains(e.Refuses, m.Name) {
+			continue
+		}
+		if best < 0 || s.better(e, &s.engines[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// better tells whether e is the better engine for a load.
+func (s *stage) better(e, o *engineView) bool {
+	a, b := e.busy(), o.busy()
+	if a != b {
+		return a < b
+	}
+	return e.free > o.free
+}
+
+// busy is the load in tenths of the capacity.
+func (e *engineView) busy() int {
+	if e.TokensPerSecond <= 0 {
+		return 0
+	}
+	return int(10 * e.load / e.TokensPerSecond)
+}
