order: Carry plans out through the ledger

The duty charges, then sends, then settles. What a row charges is what gets sent, so a new holder finishes what the old one began with the same order ids. Daemons that a row names restore an engine that came back empty without lease or table.

--- /dev/null
+++ b/limpetd/order/draft.go
@@ -0,0 +1,236 @@
+package order
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/ledger"
+	"github.com/limpetlb/limpetlb/limpetd/place"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+const (
+	// restorers is the number of daemons, besides the holder, that may restore
+	// an engine.
+	restorers = 2
+	// grantLimit is the number of grants of a row beyond which no unload is
+	// begun until older ones are void.
+	grantLimit = 4
+	// releaseDelay is how long a release waits for others, so that adapters
+	// are released together.
+	releaseDelay = 200 * time.Millisecond
+	// refusedTime is how long placement avoids an engine that refused a model.
+	refusedTime = 5 * time.Minute
+)
+
+// draft is the rows as they will be after the next write.
+type draft struct {
+	loop    *loop
+	now     time.Time
+	rows    map[string]ledger.Row
+	removed map[string]bool
+	grants  map[string]ledger.Grant
+	moves   []place.Move
+	// released counts what is released, pressing whether it can't wait.
+	released int
+	pressing bool
+}
+
+// newDraft returns a draft without changes.
+func newDraft(l *loop, now time.Time) *draft {
+	return &draft{loop: l, now: now, rows: map[string]ledger.Row{}, removed: map[string]bool{}, grants: map[string]ledger.Grant{}}
+}
+
+// row returns an engine's row with the changes so far; false if it can't be
+// read.
+func (d *draft) row(vm string) (ledger.Row, bool) {
+	if r, ok := d.rows[vm]; ok {
+		return r, true
+	}
+	b, ok := d.loop.books.copies[vm]
+	if !ok {
+		return ledger.Row{Engine: vm}, true
+	}
+	return b.row, b.fault == nil
+}
+
+// fresh returns the grant that this write makes for an engine.
+func (d *draft) fresh(vm string) ledger.Grant {
+	if g, ok := d.grants[vm]; ok {
+		return g
+	}
+	duty := d.loop.duty
+	g := ledger.Grant{ID: newID(), Senders: append([]string{duty.config.VM}, d.restorers(vm)...)}
+	duty.mu.Lock()
+	duty.gate.Own(g.ID)
+	duty.mu.Unlock()
+	d.grants[vm] = g
+	return g
+}
+
+// restorers chooses live daemons of the data centre by rendezvous hashing.
+func (d *draft) restorers(vm string) []string {
+	var candidates []string
+	for _, v := range d.loop.vms {
+		if v.Kind == store.KindEntry && v.DataCentre == d.loop.duty.config.DataCentre && v.State == store.StateLive && v.ID != d.loop.duty.config.VM {
+			candidates = append(candidates, v.ID)
+		}
+	}
+	var chosen []string
+	for len(chosen) < restorers && len(candidates) > 0 {
+		c := rendezvous.New(candidates, xxhash.Sum64String).Lookup(vm)
+		chosen = append(chosen, c)
+		candidates = slices.DeleteFunc(candidates, func(o string) bool { return o == c })
+	}
+	return chosen
+}
+
+// allowed returns the row with a grant under which this daemon may send.
+func (d *draft) allowed(r ledger.Row) ledger.Row {
+	duty := d.loop.duty
+	g := r.Current()
+	duty.mu.Lock()
+	open := duty.gate.Open(g.ID)
+	duty.mu.Unlock()
+	if g.Allows(duty.config.VM) && open {
+		return r
+	}
+	return r.AddGrant(d.fresh(r.Engine))
+}
+
+// grant lets this daemon send what rows left open by another one wait for.
+func (d *draft) grant() {
+	for _, vm := range d.loop.books.engines() {
+		r, ok := d.row(vm)
+		if !ok || !d.loop.unfinished(r, d.now) {
+			continue
+		}
+		if a := d.allowed(r); a.Current().ID != r.Current().ID {
+			d.rows[vm] = a
+		}
+	}
+}
+
+// cancel takes back unloads that would give up a last replica.
+func (d *draft) cancel() {
+	for key := range d.loop.cancels {
+		r, ok := d.row(key.engine)
+		if !ok {
+			continue
+		}
+		if r, err := r.CancelUnload(key.slot, newID(), d.now); err == nil {
+			d.rows[key.engine] = r
+		}
+	}
+	clear(d.loop.cancels)
+}
+
+// release removes the charges of confirmed unloads. They wait a little for
+// others.
+func (d *draft) release() {
+	l := d.loop
+	released := map[string]ledger.Row{}
+	for _, vm := range l.books.engines() {
+		r, ok := d.row(vm)
+		k := l.known[vm]
+		if !ok || k == nil {
+			continue
+		}
+		for _, c := range slices.Clone(r.Charges) {
+			if c.Phase != ledger.PhaseUnloading || !k.gone[c.Order] {
+				continue
+			}
+			next, err := r.Release(c.Slot, c.Order)
+			if err != nil {
+				continue
+			}
+			r = next
+			d.released++
+			d.pressing = d.pressing || c.Slot.Adapter == ""
+			released[vm] = r
+		}
+	}
+	if d.released == 0 {
+		l.releasable = time.Time{}
+		return
+	}
+	if l.releasable.IsZero() {
+		l.releasable = d.now
+	}
+	if !d.pressing && d.now.Sub(l.releasable) < releaseDelay {
+		return
+	}
+	for vm, r := range released {
+		d.rows[vm] = r.DropGrants(func(g ledger.Grant) bool { return l.knownVoid(g, d.now) })
+	}
+}
+
+// forget removes the rows of engines that are gone for good.
+func (d *draft) forget() {
+	l := d.loop
+	for _, vm := range l.books.engines() {
+		since, missing := l.missing[vm]
+		if missing && d.now.Sub(since) >= GoneAfter+l.duty.lifetime {
+			d.removed[vm] = true
+			delete(d.rows, vm)
+			delete(l.known, vm)
+		}
+	}
+}
+
+// move takes a move of the plan into the rows.
+func (d *draft) move(m place.Move) {
+	r, ok := d.row(m.Engine)
+	k := d.loop.known[m.Engine]
+	if !ok || k == nil || d.removed[m.Engine] {
+		return
+	}
+	r.MemoryMB = k.memoryMB()
+	var err error
+	if m.Kind == place.Load {
+		r, err = d.allowed(r).Charge(m.Slot, m.MemoryMB, newID(), d.now)
+	} else {
+		if len(r.Grants) > grantLimit {
+			return
+		}
+		r, err = r.BeginUnload(m.Slot, newID(), d.fresh(m.Engine), d.now)
+	}
+	if err != nil {
+		return
+	}
+	d.rows[m.Engine] = r
+	d.moves = append(d.moves, m)
+}
+
+// changes returns the rows to write.
+func (d *draft) changes() []change {
+	var changes []change
+	for _, r := range d.rows {
+		changes = append(changes, change{row: r})
+	}
+	for vm := range d.removed {
+		changes = append(changes, change{row: ledger.Row{Engine: vm}, remove: true})
+	}
+	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(a.row.Engine, b.row.Engine) })
+	return changes
+}
+
+// tell puts the written moves on the time line.
+func (d *draft) tell() {
+	duty := d.loop.duty
+	for _, m := range d.moves {
+		duty.deps.Scope.Counter("moves").Inc(1)
+		duty.deps.Events.Add(event.Event{
+			Kind: event.OrderCharged, Model: m.Slot.Model, VM: m.Engine,
+			Text: string(m.Kind) + " " + m.Slot.String() + " " + string(m.Rule),
+		})
+		if m.Kind == place.Unload && m.Rule == place.RuleRefused {
+			d.loop.refuses[slotKey{m.Engine, m.Slot}] = d.now.Add(refusedTime)
+		}
+	}
+}
--- /dev/null
+++ b/limpetd/order/facts.go
@@ -0,0 +1,106 @@
+package order
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/ledger"
+	"github.com/limpetlb/limpetlb/limpetd/place"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// facts gathers what the plan depends on, with the rows as drafted.
+func (l *loop) facts(d *draft, now time.Time) place.Facts {
+	f := place.Facts{
+		Now:        now,
+		Document:   l.document,
+		DataCentre: l.duty.config.DataCentre,
+		Demand:     l.duty.deps.Demand.Demand(),
+		Saturated:  l.models >= l.shares.limits.AtOnce,
+	}
+	for _, v := range l.vms {
+		if v.Kind != store.KindEngine {
+			continue
+		}
+		if v.DataCentre == f.DataCentre {
+			f.Engines = append(f.Engines, l.engineFacts(d, v, now))
+			continue
+		}
+		f.Remotes = l.addRemote(f.Remotes, v, now)
+	}
+	slices.SortFunc(f.Remotes, func(a, b place.Remote) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	return f
+}
+
+// addRemote adds what an engine of another data centre reports.
+func (l *loop) addRemote(remotes []place.Remote, v store.VM, now time.Time) []place.Remote {
+	i := slices.IndexFunc(remotes, func(r place.Remote) bool { return r.DataCentre == v.DataCentre })
+	if i < 0 {
+		remotes = append(remotes, place.Remote{DataCentre: v.DataCentre})
+		i = len(remotes) - 1
+	}
+	report, received, ok := l.duty.deps.Reports.Report(v.ID)
+	if !ok || v.State != store.StateLive || now.Sub(received) > ReportLifetime {
+		return remotes
+	}
+	r := &remotes[i]
+	for _, s := range report.Slots {
+		if s.Adapter == "" {
+			r.Models = append(r.Models, s.Model)
+		}
+	}
+	slices.Sort(r.Models)
+	r.Models = slices.Compact(r.Models)
+	return remotes
+}
+
+// engineFacts returns what placement knows of an engine.
+func (l *loop) engineFacts(d *draft, v store.VM, now time.Time) place.Engine {
+	k := l.known[v.ID]
+	row, ok := d.row(v.ID)
+	e := place.Engine{
+		VM:              v.ID,
+		Pool:            v.Pool,
+		MemoryMB:        k.memoryMB(),
+		Usable:          ok && k.usable(now) && v.State == store.StateLive && !k.report.Leaving,
+		TokensPerSecond: k.tokens,
+		Load:            k.load(),
+	}
+	for _, c := range row.Charges {
+		e.Slots = append(e.Slots, place.Slot{
+			Slot: c.Slot, MemoryMB: c.MemoryMB, State: l.state(k, c, now), Since: time.UnixMilli(c.At),
+		})
+	}
+	for key, until := range l.refuses {
+		if key.engine == v.ID && now.Before(until) {
+			e.Refuses = append(e.Refuses, key.slot.Model)
+		}
+	}
+	slices.Sort(e.Refuses)
+	return e
+}
+
+// state returns the state of a charged slot.
+func (l *loop) state(k *knowledge, c ledger.Charge, now time.Time) place.State {
+	switch {
+	case c.Phase == ledger.PhaseUnloading:
+		return place.Unloading
+	case k.resident(c.Slot, now):
+		return place.Resident
+	case l.attempt(slotKey{k.vm.ID, c.Slot}).refusals >= refusedLimit:
+		return place.Refused
+	}
+	return place.Loading
+}
+
+// unfinished tells whether a row waits for orders.
+func (l *loop) unfinished(r ledger.Row, now time.Time) bool {
+	k := l.known[r.Engine]
+	if k == nil {
+		return false
+	}
+	return slices.ContainsFunc(r.Charges, func(c ledger.Charge) bool {
+		return c.Phase == ledger.PhaseUnloading || !k.resident(c.Slot, now)
+	})
+}
--- /dev/null
+++ b/limpetd/order/fakeengine_test.go
@@ -0,0 +1,179 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// orderFault is what becomes of an order.
+type orderFault int
+
+const (
+	orderUp orderFault = iota
+	// orderDown can't reach the engine, orderLost gets no answer and no effect,
+	// orderMute has its effect without an answer, orderTwice arrives again
+	// later, orderLate arrives after its sender has given up.
+	orderDown
+	orderLost
+	orderMute
+	orderTwice
+	orderLate
+)
+
+// lateness is how late orders and their copies arrive. It is below the test's
+// connection lifetime.
+const lateness = 4 * time.Second
+
+// fakeEngine is an engine with a memory of its own. It holds whatever it is
+// told to, and remembers the most that it ever held.
+type fakeEngine struct {
+	mu       sync.Mutex
+	vm       store.VM
+	loadTime time.Duration
+	fault    func(o engine.Order) orderFault
+	lives    int
+	sequence int64
+	slots    map[envdoc.Slot]int64
+	answers  map[string]engine.OrderAnswer
+	fence    int64
+	peakMB   int64
+	arrived  int
+	loads    int
+	unloads  int
+	mangle   func(r *engine.Report)
+}
+
+func (e *fakeEngine) instance() string { return fmt.Sprintf("%s#%d", e.vm.ID, e.lives) }
+
+// restart empties the engine.
+func (e *fakeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lives++
+	e.sequence, e.fence = 0, 0
+	e.slots, e.answers = map[envdoc.Slot]int64{}, map[string]engine.OrderAnswer{}
+}
+
+// carryOut has the effect of an order that arrives now.
+func (e *fakeEngine) carryOut(o engine.Order) engine.OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a, ok := e.answers[o.ID]; ok {
+		return a
+	}
+	a := engine.OrderAnswer{ID: o.ID, Status: engine.OrderDone, Instance: e.instance()}
+	if e.vm.Fencing == store.FencingRefuses {
+		if o.Fence < e.fence {
+			a.Status, a.Fence = engine.OrderFenced, e.fence
+			e.answers[o.ID] = a
+			return a
+		}
+		e.fence = o.Fence
+	}
+	a.Fence = e.fence
+	switch o.Kind {
+	case engine.OrderLoad:
+		if _, ok := e.slots[o.Slot]; !ok {
+			e.loads++
+		}
+		e.slots[o.Slot] = o.MemoryMB
+	case engine.OrderUnload:
+		if _, ok := e.slots[o.Slot]; ok {
+			e.unloads++
+		}
+		delete(e.slots, o.Slot)
+	}
+	e.peakMB = max(e.peakMB, e.used())
+	e.answers[o.ID] = a
+	return a
+}
+
+func (e *fakeEngine) used() int64 {
+	var sum int64
+	for _, m := range e.slots {
+		sum += m
+	}
+	return sum
+}
+
+func (e *fakeEngine) holds(slot envdoc.Slot) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.slots[slot]
+	return ok
+}
+
+// arrivals counts the loads that arrived, twice ones included.
+func (e *fakeEngine) arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
+}
+
+func (e *fakeEngine) report() engine.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	r := engine.Report{
+		VM: e.vm.ID, Instance: e.instance(), Sequence: e.sequence, At: time.Now(),
+		MemoryMB: e.vm.MemoryMB, UsedMB: min(e.used(), e.vm.MemoryMB), BatchLimit: 8, Role: engine.RoleMixed,
+	}
+	for s := range e.slots {
+		r.Slots = append(r.Slots, s)
+	}
+	slices.SortFunc(r.Slots, func(a, b envdoc.Slot) int { return strings.Compare(a.String(), b.String()) })
+	if e.mangle != nil {
+		e.mangle(&r)
+	}
+	return r
+}
+
+func (e *fakeEngine) order(ctx context.Context, o engine.Order) (engine.OrderAnswer, error) {
+	e.mu.Lock()
+	fault, load := orderUp, e.loadTime
+	if o.Kind == engine.OrderLoad {
+		e.arrived++
+	}
+	if e.fault != nil {
+		fault = e.fault(o)
+	}
+	e.mu.Unlock()
+	unknown := code.Errorf(code.OrderUnknown, "no answer")
+	switch fault {
+	case orderDown:
+		return engine.OrderAnswer{}, code.Errorf(code.BackendFailed, "no connection")
+	case orderLost:
+		return engine.OrderAnswer{}, unknown
+	case orderLate:
+		time.AfterFunc(lateness, func() { e.carryOut(o) })
+		return engine.OrderAnswer{}, unknown
+	case orderTwice:
+		time.AfterFunc(lateness, func() { e.carryOut(o) })
+	}
+	if o.Kind != engine.OrderLoad {
+		load = 0
+	}
+	if o.Slot.Adapter != "" {
+		load /= 100
+	}
+	select {
+	case <-ctx.Done():
+		time.AfterFunc(time.Second, func() { e.carryOut(o) })
+		return engine.OrderAnswer{}, unknown
+	case <-time.After(load):
+	}
+	a := e.carryOut(o)
+	if fault == orderMute || fault == orderTwice {
+		return engine.OrderAnswer{}, unknown
+	}
+	return a, nil
+}
--- /dev/null
+++ b/limpetd/order/loop.go
@@ -0,0 +1,267 @@
+package order
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
+	"github.com/limpetlb/limpetlb/limpetd/ledger"
+	"github.com/limpetlb/limpetlb/limpetd/place"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// loop is the state of the duty's goroutine.
+type loop struct {
+	duty    *Duty
+	books   *books
+	planner *place.Planner
+	// known is what is known of each engine of the data centre, vms the whole
+	// VM list in the order of ids.
+	known map[string]*knowledge
+	vms   []store.VM
+	// missing is since when a sender or engine is not in the VM list.
+	missing    map[string]time.Time
+	attempts   map[slotKey]*attempt
+	inquiries  map[question]*inquiry
+	cancels    map[slotKey]bool
+	refuses    map[slotKey]time.Time
+	running    int
+	models     int
+	adapters   int
+	shares     *shares
+	limiter    *rate.Limiter
+	document   *envdoc.Document
+	releasable time.Time
+	retry      time.Time
+}
+
+// newLoop returns the state before the first step.
+func newLoop(d *Duty) *loop {
+	c := d.config
+	return &loop{
+		duty:      d,
+		books:     newBooks(d.deps.Table, c.Environment, c.DataCentre),
+		planner:   place.NewPlanner(),
+		known:     map[string]*knowledge{},
+		missing:   map[string]time.Time{},
+		attempts:  map[slotKey]*attempt{},
+		inquiries: map[question]*inquiry{},
+		cancels:   map[slotKey]bool{},
+		refuses:   map[slotKey]time.Time{},
+		shares:    newShares(d.deps.Table, c.Environment, c.DataCentre),
+		limiter:   rate.NewLimiter(0, 1),
+	}
+}
+
+// run steps at each plan period, and sooner when it is woken.
+func (l *loop) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(l.duty.config.PlanPeriod):
+		case <-l.duty.kick:
+			l.pause(ctx)
+		}
+	}
+}
+
+// pause gathers what arises in the commit window.
+func (l *loop) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(commitWindow):
+	}
+}
+
+// step takes in what happened, writes what follows, and sends what is charged.
+func (l *loop) step(ctx context.Context, now time.Time) {
+	l.collect(now)
+	l.observe(now)
+	hold, mine := l.duty.keeper.Hold()
+	mine = mine && !l.leaving()
+	l.read(ctx, mine, now)
+	l.watchSenders(l.vms, now)
+	if mine && l.books.fresh && !now.Before(l.retry) {
+		l.decide(ctx, hold, now)
+	}
+	l.dispatch(ctx, hold, mine && l.books.fresh, now)
+	l.publish(hold, mine)
+}
+
+// leaving tells whether the daemon has begun to leave.
+func (l *loop) leaving() bool {
+	l.duty.mu.Lock()
+	defer l.duty.mu.Unlock()
+	return l.duty.left
+}
+
+// observe takes in the VM list and the reports.
+func (l *loop) observe(now time.Time) {
+	l.vms = slices.Clone(l.duty.deps.VMs.VMs())
+	slices.SortFunc(l.vms, func(a, b store.VM) int { return strings.Compare(a.ID, b.ID) })
+	for _, v := range l.vms {
+		if v.Kind != store.KindEngine || v.DataCentre != l.duty.config.DataCentre {
+			continue
+		}
+		k := l.known[v.ID]
+		if k == nil {
+			k = newKnowledge(v)
+			l.known[v.ID] = k
+		}
+		k.vm = v
+		l.report(k, now)
+	}
+}
+
+// report takes in the report of an engine.
+func (l *loop) report(k *knowledge, now time.Time) {
+	r, received, ok := l.duty.deps.Reports.Report(k.vm.ID)
+	if !ok {
+		return
+	}
+	var row ledger.Row
+	if b, ok := l.books.copies[k.vm.ID]; ok {
+		row = b.row
+	}
+	if err := k.observe(r, received, row, now); err != nil {
+		l.setAside(k, err)
+	}
+}
+
+// setAside tells that an engine gets no orders.
+func (l *loop) setAside(k *knowledge, err error) {
+	l.duty.deps.Scope.Counter("engines_set_aside").Inc(1)
+	l.duty.deps.Events.Add(event.Event{Kind: event.EngineSetAside, VM: k.vm.ID, Code: int(code.Of(err)), Text: err.Error()})
+	l.duty.deps.Log.Warn("engine_set_aside", zap.String("vm", k.vm.ID), zap.Error(err))
+}
+
+// read reads the ledger when the copy is stale.
+func (l *loop) read(ctx context.Context, mine bool, now time.Time) {
+	stale := !l.books.fresh || now.Sub(l.books.read) > CopyPeriod
+	if mine {
+		stale = !l.books.fresh
+	}
+	if !stale || now.Before(l.retry) {
+		return
+	}
+	if err := l.books.refresh(ctx, now); err != nil {
+		l.backOff(now, "ledger_unread", err)
+		return
+	}
+	if !mine {
+		l.books.fresh = false
+	}
+	for _, vm := range l.books.engines() {
+		if err := l.books.copies[vm].fault; err != nil {
+			if k := l.known[vm]; k != nil {
+				l.setAside(k, err)
+			}
+		}
+	}
+}
+
+// backOff puts the next call to the table off.
+func (l *loop) backOff(now time.Time, what string, err error) {
+	l.retry = now.Add(time.Second)
+	l.duty.deps.Log.Warn(what, zap.Error(err))
+}
+
+// decide writes, in one transaction, what follows from answers, from the state
+// of the senders, and from a new plan.
+func (l *loop) decide(ctx context.Context, hold lease.Hold, now time.Time) {
+	if err := l.commit(ctx, hold, l.books.barrier(), now); err != nil {
+		return
+	}
+	if doc, ok := l.duty.deps.Documents.Document(); ok {
+		l.document = doc
+	}
+	l.limits(ctx, hold, now)
+	d := newDraft(l, now)
+	d.cancel()
+	d.release()
+	d.grant()
+	d.forget()
+	if l.document != nil {
+		l.plan(d, now)
+	}
+	if err := l.commit(ctx, hold, d.changes(), now); err != nil {
+		return
+	}
+	d.tell()
+}
+
+// commit writes changed rows and notes the outcome.
+func (l *loop) commit(ctx context.Context, hold lease.Hold, changes []change, now time.Time) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	l.duty.deps.Scope.Counter("ledger_writes").Inc(1)
+	err := l.books.write(ctx, hold, changes)
+	switch code.Of(err) {
+	case code.OK:
+		return nil
+	case code.StoreConflict:
+		l.duty.keeper.Doubt()
+	}
+	l.backOff(now, "ledger_unwritten", err)
+	return err
+}
+
+// plan makes a plan, at each plan period and when the document changed, and
+// takes its moves into the draft.
+func (l *loop) plan(d *draft, now time.Time) {
+	facts := l.facts(d, now)
+	plan := l.planner.Plan(facts)
+	l.duty.mu.Lock()
+	l.duty.plan, l.duty.facts = plan, &facts
+	l.duty.mu.Unlock()
+	for _, m := range plan.Moves {
+		d.move(m)
+	}
+}
+
+// publish renews the status.
+func (l *loop) publish(hold lease.Hold, mine bool) {
+	row := l.duty.keeper.Row()
+	s := Status{Holder: row.VM, Mine: mine, Fence: row.Fence, Running: l.running}
+	if mine {
+		s.Fence = hold.Fence
+	}
+	for _, vm := range l.books.engines() {
+		s.Engines = append(s.Engines, l.engineStatus(vm))
+	}
+	l.duty.mu.Lock()
+	defer l.duty.mu.Unlock()
+	s.Blocked = l.duty.plan.Blocked
+	l.duty.status = s
+}
+
+// engineStatus returns the state of an engine that has a row.
+func (l *loop) engineStatus(vm string) EngineStatus {
+	b := l.books.copies[vm]
+	s := EngineStatus{VM: vm, MemoryMB: b.row.MemoryMB, CommittedMB: b.row.Committed()}
+	k := l.known[vm]
+	fault := b.fault
+	if fault == nil && k != nil {
+		fault = k.fault
+	}
+	if fault != nil {
+		s.SetAside, s.Reason = code.Of(fault), fault.Error()
+	}
+	for _, c := range b.row.Charges {
+		if c.Phase == ledger.PhaseUnloading || k == nil || !k.resident(c.Slot, time.Now()) {
+			s.Unresolved = append(s.Unresolved, string(c.Phase)+" "+c.Slot.String())
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/limpetd/order/question.go
@@ -0,0 +1,114 @@
+package order
+
+import (
+	"context"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/ledger"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// questionPause is the time between questions to a daemon about a grant.
+const questionPause = 500 * time.Millisecond
+
+// question asks whether what a daemon sent under a grant is settled.
+type question struct {
+	grant string
+	vm    string
+}
+
+// inquiry is the state of a question.
+type inquiry struct {
+	running bool
+	settled bool
+	next    time.Time
+}
+
+// void tells whether nothing sent under a grant can reach an engine any more. It
+// asks the senders of whom this is not known.
+func (l *loop) void(ctx context.Context, g ledger.Grant, now time.Time) bool {
+	settled := true
+	for _, vm := range g.Senders {
+		if !l.settled(ctx, question{g.ID, vm}, now) {
+			settled = false
+		}
+	}
+	return settled
+}
+
+// settled tells whether one sender is done with a grant: it says so, or its VM
+// has been gone long enough.
+func (l *loop) settled(ctx context.Context, q question, now time.Time) bool {
+	if q.vm == l.duty.config.VM {
+		return l.duty.AnswerSent(q.grant).State == SentNever
+	}
+	if since, missing := l.missing[q.vm]; missing && now.Sub(since) >= GoneAfter+l.duty.lifetime {
+		return true
+	}
+	i := l.inquiries[q]
+	if i == nil {
+		i = &inquiry{}
+		l.inquiries[q] = i
+	}
+	if !i.settled && !i.running && !now.Before(i.next) && l.running < maxRunning {
+		l.ask(ctx, q, i)
+	}
+	return i.settled
+}
+
+// ask sends a question in a goroutine of its own.
+func (l *loop) ask(ctx context.Context, q question, i *inquiry) {
+	d := l.duty
+	i.running = true
+	l.running++
+	d.tomb.Go(func() error {
+		call, cancel := context.WithTimeout(ctx, store.CallTimeout)
+		defer cancel()
+		answer, err := d.deps.Sent.Sent(call, q.vm, q.grant)
+		d.results <- result{question: &q, settled: err == nil && answer.State == SentNever}
+		d.wake()
+		return nil
+	})
+}
+
+// answered takes the answer to a question.
+func (l *loop) answered(r result, now time.Time) {
+	i := l.inquiries[*r.question]
+	i.running = false
+	i.settled = r.settled
+	i.next = now.Add(questionPause)
+}
+
+// watchSenders notes since when VMs are missing from the VM list. A list that
+// lacks this daemon tells nothing.
+func (l *loop) watchSenders(vms []store.VM, now time.Time) {
+	listed := map[string]bool{}
+	for _, v := range vms {
+		listed[v.ID] = true
+	}
+	if !listed[l.duty.config.VM] {
+		clear(l.missing)
+		return
+	}
+	named := map[string]bool{}
+	for _, b := range l.books.copies {
+		for _, g := range b.row.Grants {
+			for _, vm := range g.Senders {
+				named[vm] = true
+			}
+		}
+	}
+	for vm := range l.known {
+		named[vm] = true
+	}
+	for vm := range l.missing {
+		if listed[vm] || !named[vm] {
+			delete(l.missing, vm)
+		}
+	}
+	for vm := range named {
+		if _, ok := l.missing[vm]; !ok && !listed[vm] {
+			l.missing[vm] = now
+		}
+	}
+}
