order: Draw faults at every step and mend what they showed

A rapid machine crashes, pauses and restarts daemons and engines, loses answers and lets orders come late; it reads the engines' own memory alone. It showed: a grant that an unload refers to was dropped as void, so that the unload could never be settled and grants piled up; an order id refused for its old fence was sent again for ever; an unload under a variant of its id was never released; a model with two old versions filled the memory that its new one needed. Each is mended.

--- a/limpetd/lease/keeper.go
+++ b/limpetd/lease/keeper.go
@@ -53,6 +53,8 @@
 	machine *Machine
 	held    bool
 	leaving bool
+	// seen is when the lease was last read.
+	seen time.Time
 }
 
 // New starts to compete for the lease of a data centre.
@@ -107,6 +109,13 @@
 	return k.machine.Row()
 }
 
+// Seen returns when the lease was last read from the table.
+func (k *Keeper) Seen() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seen
+}
+
 // Doubt drops the trust in the lease until it is read again.
 func (k *Keeper) Doubt() {
 	k.mu.Lock()
@@ -199,7 +208,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.machine.Observe(row, version, time.Now())
+	k.seen = time.Now()
+	k.machine.Observe(row, version, k.seen)
 	return fence, true
 }
 
--- a/limpetd/ledger/row.go
+++ b/limpetd/ledger/row.go
@@ -130,6 +130,9 @@
 		if bad || (c.Phase != PhaseCharged && c.Phase != PhaseUnloading) {
 			return code.Errorf(code.StoreCorrupt, "ledger row of %s: bad charge of %s", engineVM, c.Slot)
 		}
+		if c.Phase == PhaseUnloading && !r.names(c.Grant) {
+			return code.Errorf(code.StoreCorrupt, "ledger row of %s lacks grant %s of %s", engineVM, c.Grant, c.Slot)
+		}
 		if slices.ContainsFunc(r.Charges[:i], func(o Charge) bool { return o.Slot == c.Slot }) {
 			return code.Errorf(code.StoreCorrupt, "ledger row of %s charges %s twice", engineVM, c.Slot)
 		}
@@ -256,10 +259,45 @@
 	return r.Grants[:at]
 }
 
-// DropGrants removes grants that are void. The current grant stays.
+// Withdraw takes a daemon out of the grants that void tells are void for it.
+func (r Row) Withdraw(vm string, void func(g Grant) bool) Row {
+	r = r.clone()
+	for i, g := range r.Grants {
+		if !g.Allows(vm) || !void(g) {
+			continue
+		}
+		others := slices.DeleteFunc(slices.Clone(g.Senders), func(s string) bool { return s == vm })
+		r.Grants[i].Senders = others
+	}
+	return r
+}
+
+// Senders lists the daemons of all grants, once for each grant.
+func (r Row) Senders() []string {
+	var senders []string
+	for _, g := range r.Grants {
+		senders = append(senders, g.Senders...)
+	}
+	return senders
+}
+
+// DropGrants removes grants that are void. The current grant stays, and those
+// that an unload refers to.
 func (r Row) DropGrants(void func(g Grant) bool) Row {
 	current := r.Current().ID
 	r = r.clone()
-	r.Grants = slices.DeleteFunc(r.Grants, func(g Grant) bool { return g.ID != current && void(g) })
+	r.Grants = slices.DeleteFunc(r.Grants, func(g Grant) bool {
+		return g.ID != current && !r.refers(g.ID) && void(g)
+	})
 	return r
 }
+
+// refers tells whether an unload was written with a grant.
+func (r Row) refers(grant string) bool {
+	return slices.ContainsFunc(r.Charges, func(c Charge) bool { return c.Phase == PhaseUnloading && c.Grant == grant })
+}
+
+// names tells whether the row lists a grant.
+func (r Row) names(grant string) bool {
+	return slices.ContainsFunc(r.Grants, func(g Grant) bool { return g.ID == grant })
+}
--- a/limpetd/order/budget.go
+++ b/limpetd/order/budget.go
@@ -158,13 +158,13 @@
 }
 
 // limits renews what the data centre may take, and lends what it doesn't use.
-func (l *loop) limits(ctx context.Context, hold lease.Hold, now time.Time) {
+func (l *loop) limits(ctx context.Context, hold lease.Hold, mine bool, now time.Time) {
 	if l.document == nil {
 		return
 	}
 	s := l.shares
 	share := fixedShare(l.document.Budgets, l.centres(), s.dataCentre)
-	if now.After(s.next) {
+	if mine && now.After(s.next) {
 		s.next = now.Add(budgetPeriod)
 		if err := s.exchange(ctx, hold, share, l.waiting(now), now); err != nil {
 			l.duty.deps.Log.Debug("budget_unread", zap.Error(err))
--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -33,7 +33,7 @@
 		}
 		if p.charge.Phase == ledger.PhaseUnloading {
 			if mine {
-				l.unload(ctx, p, hold, a, now)
+				l.unload(ctx, p, hold, now)
 			}
 			continue
 		}
@@ -85,14 +85,15 @@
 	return true
 }
 
-// restores tells whether a daemon without a trusted lease loads a charge: the
-// engine has come back empty and the holder has had the time to see to it.
+// restores tells whether a daemon without a trusted lease loads a charge: it
+// held the lease last, or the table has been away for so long that no holder
+// may be able to.
 func (l *loop) restores(p pending, now time.Time) bool {
-	k := p.known
-	if !p.row.Current().Allows(l.duty.config.VM) || k.restarted.IsZero() {
+	if !p.row.Current().Allows(l.duty.config.VM) {
 		return false
 	}
-	return now.Sub(k.restarted) >= 2*l.duty.config.LeaseTerm || l.duty.keeper.Row().VM == l.duty.config.VM
+	away := now.Sub(l.duty.keeper.Seen()) >= 2*l.duty.config.LeaseTerm
+	return away || l.duty.keeper.Row().VM == l.duty.config.VM
 }
 
 // load sends the load of a charge within the budgets.
@@ -104,7 +105,10 @@
 	if !l.affords(c.Slot, now) {
 		return
 	}
-	o := engine.Order{ID: a.orderID(c.Order), Kind: engine.OrderLoad, Slot: c.Slot, MemoryMB: c.MemoryMB, Fence: p.row.Fence}
+	if p.known.done[c.Slot] == p.known.instance {
+		a.serial++
+	}
+	o := engine.Order{ID: c.Order, Kind: engine.OrderLoad, Slot: c.Slot, MemoryMB: c.MemoryMB, Fence: p.row.Fence}
 	if mine {
 		o.Fence = hold.Fence
 	}
@@ -131,7 +135,7 @@
 
 // unload sends the unload of a charge once nothing sent before can load the slot
 // again. A last replica is kept instead.
-func (l *loop) unload(ctx context.Context, p pending, hold lease.Hold, a *attempt, now time.Time) {
+func (l *loop) unload(ctx context.Context, p pending, hold lease.Hold, now time.Time) {
 	c := p.charge
 	key := slotKey{p.known.vm.ID, c.Slot}
 	if l.last(p, now) {
@@ -148,7 +152,7 @@
 	if !settled {
 		return
 	}
-	o := engine.Order{ID: a.orderID(c.Order), Kind: engine.OrderUnload, Slot: c.Slot, Fence: hold.Fence}
+	o := engine.Order{ID: c.Order, Kind: engine.OrderUnload, Slot: c.Slot, Fence: hold.Fence}
 	l.send(ctx, p.known, p.row.Current().ID, o)
 }
 
--- a/limpetd/order/draft.go
+++ b/limpetd/order/draft.go
@@ -166,7 +166,7 @@
 		return
 	}
 	for vm, r := range released {
-		d.rows[vm] = r.DropGrants(func(g ledger.Grant) bool { return l.knownVoid(g, d.now) })
+		d.rows[vm] = r
 	}
 }
 
@@ -211,6 +211,7 @@
 func (d *draft) changes() []change {
 	var changes []change
 	for _, r := range d.rows {
+		r = r.DropGrants(func(g ledger.Grant) bool { return d.loop.knownVoid(g, d.now) })
 		changes = append(changes, change{row: r})
 	}
 	for vm := range d.removed {
--- a/limpetd/order/engines.go
+++ b/limpetd/order/engines.go
@@ -219,15 +219,16 @@
 	return k.report.Instance == k.instance && slices.Contains(k.report.Slots, slot)
 }
 
-// confirmed notes the answer to an order that was carried out.
-func (k *knowledge) confirmed(o engine.Order, a engine.OrderAnswer, now time.Time) {
+// confirmed notes the answer to an order that was carried out for a charge with
+// the order id charge.
+func (k *knowledge) confirmed(charge string, o engine.Order, a engine.OrderAnswer, now time.Time) {
 	k.process(a.Instance, now)
 	switch o.Kind {
 	case engine.OrderLoad:
 		k.done[o.Slot] = a.Instance
 		delete(k.absent, o.Slot)
 	case engine.OrderUnload:
-		k.gone[o.ID] = true
+		k.gone[charge] = true
 		delete(k.done, o.Slot)
 		delete(k.absent, o.Slot)
 	}
--- a/limpetd/order/fakeengine_test.go
+++ b/limpetd/order/fakeengine_test.go
@@ -50,6 +50,7 @@
 	loads    int
 	unloads  int
 	mangle   func(r *engine.Report)
+	world    *world
 }
 
 func (e *fakeEngine) instance() string { return fmt.Sprintf("%s#%d", e.vm.ID, e.lives) }
@@ -65,6 +66,16 @@
 
 // carryOut has the effect of an order that arrives now.
 func (e *fakeEngine) carryOut(o engine.Order) engine.OrderAnswer {
+	held := e.holds(o.Slot)
+	a := e.effect(o)
+	if held && o.Kind == engine.OrderUnload && a.Status == engine.OrderDone {
+		e.world.unloaded(o.Slot)
+	}
+	return a
+}
+
+// effect changes the engine.
+func (e *fakeEngine) effect(o engine.Order) engine.OrderAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if a, ok := e.answers[o.ID]; ok {
@@ -105,6 +116,18 @@
 	return sum
 }
 
+// holdsModel tells whether any version of a model is resident.
+func (e *fakeEngine) holdsModel(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.slots {
+		if s.Model == model && s.Adapter == "" {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *fakeEngine) holds(slot envdoc.Slot) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/limpetd/order/loop.go
+++ b/limpetd/order/loop.go
@@ -33,6 +33,7 @@
 	inquiries  map[question]*inquiry
 	cancels    map[slotKey]bool
 	refuses    map[slotKey]time.Time
+	start      time.Time
 	running    int
 	models     int
 	adapters   int
@@ -48,6 +49,7 @@
 	c := d.config
 	return &loop{
 		duty:      d,
+		start:     time.Now(),
 		books:     newBooks(d.deps.Table, c.Environment, c.DataCentre),
 		planner:   place.NewPlanner(),
 		known:     map[string]*knowledge{},
@@ -87,10 +89,13 @@
 func (l *loop) step(ctx context.Context, now time.Time) {
 	l.collect(now)
 	l.observe(now)
+	if doc, ok := l.duty.deps.Documents.Document(); ok {
+		l.document = doc
+	}
 	hold, mine := l.duty.keeper.Hold()
-	mine = mine && !l.leaving()
 	l.read(ctx, mine, now)
 	l.watchSenders(l.vms, now)
+	l.limits(ctx, hold, mine, now)
 	if mine && l.books.fresh && !now.Before(l.retry) {
 		l.decide(ctx, hold, now)
 	}
@@ -105,6 +110,45 @@
 	return l.duty.left
 }
 
+// withdraw takes this daemon out of all grants, once nothing that it sent is
+// unanswered, so that its successor need not wait for its VM to be gone.
+func (l *loop) withdraw(ctx context.Context, hold lease.Hold, now time.Time) {
+	if l.running > 0 {
+		return
+	}
+	var changes []change
+	for _, vm := range l.books.engines() {
+		b := l.books.copies[vm]
+		if b.fault != nil {
+			continue
+		}
+		row := b.row.Withdraw(l.duty.config.VM, func(g ledger.Grant) bool { return l.duty.AnswerSent(g.ID).State == SentNever })
+		if len(row.Senders()) != len(b.row.Senders()) {
+			changes = append(changes, change{row: row})
+		}
+	}
+	if err := l.commit(ctx, hold, changes, now); err != nil {
+		return
+	}
+	l.duty.mu.Lock()
+	defer l.duty.mu.Unlock()
+	l.duty.withdrawn = true
+}
+
+// informed tells whether the engines have reported, or had the time to.
+func (l *loop) informed(now time.Time) bool {
+	if now.Sub(l.start) >= startGrace {
+		return true
+	}
+	for _, v := range l.vms {
+		k := l.known[v.ID]
+		if v.State == store.StateLive && k != nil && !k.reported {
+			return false
+		}
+	}
+	return len(l.known) > 0
+}
+
 // observe takes in the VM list and the reports.
 func (l *loop) observe(now time.Time) {
 	l.vms = slices.Clone(l.duty.deps.VMs.VMs())
@@ -182,16 +226,16 @@
 	if err := l.commit(ctx, hold, l.books.barrier(), now); err != nil {
 		return
 	}
-	if doc, ok := l.duty.deps.Documents.Document(); ok {
-		l.document = doc
+	if l.leaving() {
+		l.withdraw(ctx, hold, now)
+		return
 	}
-	l.limits(ctx, hold, now)
 	d := newDraft(l, now)
 	d.cancel()
 	d.release()
 	d.grant()
 	d.forget()
-	if l.document != nil {
+	if l.document != nil && l.informed(now) {
 		l.plan(d, now)
 	}
 	if err := l.commit(ctx, hold, d.changes(), now); err != nil {
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -127,6 +127,9 @@
 	ReportLifetime = 15 * time.Second
 	// CopyPeriod is how often a daemon without the lease reads the ledger.
 	CopyPeriod = 10 * time.Second
+	// startGrace is how long a daemon that starts waits for engines that have
+	// not reported before it plans without them.
+	startGrace = 5 * time.Second
 	// commitWindow is the least time between two steps; what arises in it is
 	// written in one transaction.
 	commitWindow = 25 * time.Millisecond
@@ -163,12 +166,14 @@
 	// loop is owned by the loop goroutine.
 	loop *loop
 
-	mu     sync.Mutex
-	gate   *ledger.Gate
-	left   bool
-	status Status
-	plan   place.Plan
-	facts  *place.Facts
+	mu   sync.Mutex
+	gate *ledger.Gate
+	left bool
+	// withdrawn tells that no row names this daemon any more.
+	withdrawn bool
+	status    Status
+	plan      place.Plan
+	facts     *place.Facts
 }
 
 // New starts the duty.
@@ -246,10 +251,11 @@
 	o.mu.Lock()
 	o.left = true
 	o.mu.Unlock()
-	for o.Status().Running > 0 && ctx.Err() == nil {
+	for !o.done() && ctx.Err() == nil {
+		o.wake()
 		select {
 		case <-ctx.Done():
-		case <-time.After(commitWindow):
+		case <-time.After(2 * commitWindow):
 		}
 	}
 	handover, cancel := context.WithTimeout(context.WithoutCancel(ctx), store.CallTimeout)
@@ -260,6 +266,14 @@
 	return ctx.Err()
 }
 
+// done tells whether a leaving daemon has nothing left to do.
+func (o *Duty) done() bool {
+	_, mine := o.keeper.Hold()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.withdrawn || (o.status.Running == 0 && !mine)
+}
+
 // Status is the state of the duty.
 type Status struct {
 	// Holder is the VM that holds the lease, Mine whether it is this one.
--- a/limpetd/order/send.go
+++ b/limpetd/order/send.go
@@ -37,17 +37,20 @@
 	// engine refused.
 	failures int
 	refusals int
+	// serial makes a new order id where the last one has been carried out or
+	// refused without the wanted effect.
+	serial int
 	// next is when the next order may be sent.
 	next time.Time
 }
 
-// orderID is the id to send: a refused id would be refused again, so each
-// refusal makes a new one.
+// orderID is the id to send. An engine carries an id out once, so that the same
+// id is only sent again while its effect is unknown.
 func (a *attempt) orderID(id string) string {
-	if a.refusals == 0 {
+	if a.serial == 0 {
 		return id
 	}
-	return id + "." + strconv.Itoa(a.refusals)
+	return id + "." + strconv.Itoa(a.serial)
 }
 
 // failed sets the pause before the next order.
@@ -59,8 +62,9 @@
 
 // result is the end of a send or of a question.
 type result struct {
-	key    slotKey
-	grant  string
+	key slotKey
+	// charge is the order id in the row, which order may have a variant of.
+	charge string
 	order  engine.Order
 	answer engine.OrderAnswer
 	err    error
@@ -69,8 +73,10 @@
 	settled  bool
 }
 
-// send delivers an order in a goroutine of its own, if the grant allows.
+// send delivers an order in a goroutine of its own, if the grant allows. The id
+// of o is that of the charge.
 func (l *loop) send(ctx context.Context, k *knowledge, grant string, o engine.Order) bool {
+	charge := o.ID
 	d := l.duty
 	d.mu.Lock()
 	allowed := !d.left && l.running < maxRunning && d.gate.Begin(grant)
@@ -80,7 +86,9 @@
 	}
 	o.Sender = d.config.Instance
 	key := slotKey{k.vm.ID, o.Slot}
-	l.attempt(key).running = true
+	a := l.attempt(key)
+	a.running = true
+	o.ID = a.orderID(charge)
 	l.running++
 	l.count(o, 1)
 	d.deps.Scope.Counter("orders_sent").Inc(1)
@@ -93,7 +101,7 @@
 		d.mu.Lock()
 		d.gate.End(grant, err == nil || code.Of(err) == code.BackendFailed, time.Now())
 		d.mu.Unlock()
-		d.results <- result{key: key, grant: grant, order: o, answer: answer, err: err}
+		d.results <- result{key: key, charge: charge, order: o, answer: answer, err: err}
 		d.wake()
 		return nil
 	})
@@ -148,17 +156,22 @@
 	case r.err != nil:
 		a.failed(now)
 	case r.answer.Status == engine.OrderDone:
-		*a = attempt{}
+		*a = attempt{serial: a.serial}
 		if k != nil {
-			k.confirmed(r.order, r.answer, now)
+			k.confirmed(r.charge, r.order, r.answer, now)
 		}
 	case r.answer.Status == engine.OrderFenced:
 		a.failed(now)
-		l.books.fresh = false
-		l.duty.keeper.Doubt()
+		a.serial++
+		r.err = code.Errorf(code.OrderRefused, "engine %s refused fence %d, has %d", r.key.engine, r.order.Fence, r.answer.Fence)
+		if r.answer.Fence > r.order.Fence {
+			l.books.fresh = false
+			l.duty.keeper.Doubt()
+		}
 	default:
 		a.failed(now)
 		a.refusals++
+		a.serial++
 		r.err = code.Errorf(code.OrderRefused, "engine %s refused: %s", r.key.engine, r.answer.Reason)
 	}
 	l.tell(r)
--- a/limpetd/order/world_test.go
+++ b/limpetd/order/world_test.go
@@ -38,7 +38,9 @@
 	reports map[string]lagged
 	lost    map[string]bool
 	daemons []*fakeDaemon
-	cut     map[string]bool
+	born    int
+	// unreached are unloads that took the last replica of a model away.
+	unreached []string
 }
 
 type lagged struct {
@@ -58,16 +60,18 @@
 	// engine calls hang until resumed.
 	paused chan struct{}
 	pmu    sync.Mutex
+	dead   bool
 }
 
 func newWorld(t testing.TB, engines int, memoryMB int64, fencing store.Fencing) *world {
-	w := &world{t: t, table: newFakeTable(), reports: map[string]lagged{}, lost: map[string]bool{}, cut: map[string]bool{}}
+	w := &world{t: t, table: newFakeTable(), reports: map[string]lagged{}, lost: map[string]bool{}}
 	for i := range engines {
 		e := &fakeEngine{loadTime: 2 * time.Second, vm: store.VM{
 			ID: fmt.Sprintf("engine-%d", i+1), Kind: store.KindEngine, DataCentre: testCentre, Pool: "assistant",
 			Address: fmt.Sprintf("engine-%d:1", i+1), State: store.StateLive, Fencing: fencing, MemoryMB: memoryMB, Accelerators: 1,
 		}}
 		e.restart()
+		e.world = w
 		w.engines = append(w.engines, e)
 	}
 	return w
@@ -97,13 +101,15 @@
 func (w *world) start(vm string) *fakeDaemon {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &fakeDaemon{world: w, vm: vm, cancel: cancel}
-	w.mu.Lock()
-	w.daemons = append(w.daemons, d)
-	w.mu.Unlock()
-	d.duty = New(ctx, Config{VM: vm, Instance: vm + "#1", DataCentre: testCentre, Environment: testEnvironment}, Deps{
+	w.born++
+	instance := fmt.Sprintf("%s#%d", vm, w.born)
+	d.duty = New(ctx, Config{VM: vm, Instance: instance, DataCentre: testCentre, Environment: testEnvironment}, Deps{
 		Table: &daemonTable{d}, Orderer: d, Documents: w, VMs: w, Reports: w, Demand: w, Sent: d,
 		Log: zap.NewNop(), Events: event.New(vm), Scope: tally.NoopScope,
 	}, WithConnectionLifetime(8*time.Second), WithOrderTimeout(20*time.Second))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.daemons = append(w.daemons, d)
 	return d
 }
 
@@ -114,7 +120,7 @@
 	require.NoError(w.t, ignoreCancel(d.duty.Wait()))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cut[d.vm] = true
+	d.dead = true
 	if gone {
 		w.daemons = slices.DeleteFunc(w.daemons, func(o *fakeDaemon) bool { return o == d })
 	}
@@ -177,12 +183,13 @@
 // Sent implements SentProvider. A paused daemon does not answer.
 func (d *fakeDaemon) Sent(_ context.Context, daemon, grant string) (SentAnswer, error) {
 	d.mu.Lock()
-	i := slices.IndexFunc(d.daemons, func(o *fakeDaemon) bool { return o.vm == daemon && !d.cut[daemon] })
-	d.mu.Unlock()
+	i := slices.IndexFunc(d.daemons, func(o *fakeDaemon) bool { return o.vm == daemon && !o.dead })
 	if i < 0 {
+		d.mu.Unlock()
 		return SentAnswer{}, code.Errorf(code.PeerDown, "%s does not answer", daemon)
 	}
 	peer := d.daemons[i]
+	d.mu.Unlock()
 	peer.pmu.Lock()
 	paused := peer.paused != nil
 	peer.pmu.Unlock()
@@ -267,15 +274,46 @@
 	return doc
 }
 
-// checkMemory requires that no engine ever held more than it has.
-func (w *world) checkMemory() {
-	w.t.Helper()
+// overcommitted returns the first engine that ever held more than it has.
+func (w *world) overcommitted() string {
 	for _, e := range w.engines {
 		e.mu.Lock()
 		peak := e.peakMB
 		e.mu.Unlock()
-		require.LessOrEqual(w.t, peak, e.vm.MemoryMB, "memory of %s", e.vm.ID)
+		if peak > e.vm.MemoryMB {
+			return fmt.Sprintf("%s held %d MB", e.vm.ID, peak)
+		}
+	}
+	return ""
+}
+
+// checkMemory requires that no engine ever held more than it has.
+func (w *world) checkMemory() {
+	w.t.Helper()
+	require.Empty(w.t, w.overcommitted())
+}
+
+// unloaded notes an unload that leaves a declared model on no engine.
+func (w *world) unloaded(slot envdoc.Slot) {
+	doc, ok := w.Document()
+	if !ok || slot.Adapter != "" || !declares(doc, slot) {
+		return
+	}
+	for _, e := range w.engines {
+		if e.holdsModel(slot.Model) {
+			return
+		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreached = append(w.unreached, slot.String())
+}
+
+// lastUnloads returns the unloads that took a last replica away.
+func (w *world) lastUnloads() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.unreached)
 }
 
 // replicas counts the engines that hold a slot.
--- a/limpetd/place/room.go
+++ b/limpetd/place/room.go
@@ -67,8 +67,9 @@
 		return false
 	}
 	for _, c := range best.models {
-		h, _ := on(s.views[c].current, best.engine)
-		s.drop(c, h, rule, gain, cost)
+		if h, ok := s.spare(c, best.engine); ok {
+			s.drop(c, h, rule, gain, cost)
+		}
 	}
 	return true
 }
@@ -106,8 +107,8 @@
 		if v.freedMB >= shortMB {
 			break
 		}
-		h, ok := on(s.views[c].current, engine)
-		if !ok || !s.surplus(c, h) || !allowed(h, c) {
+		h, ok := s.spare(c, engine)
+		if !ok || !allowed(h, c) {
 			continue
 		}
 		v.models = append(v.models, c)
@@ -131,18 +132,24 @@
 	return 0
 }
 
-// surplus tells whether the model keeps its minimum of resident replicas, and
-// every adapter, without this holder.
-func (s *stage) surplus(k int, h holder) bool {
+// spare returns the model's replica on an engine, an old one first, if the model
+// keeps its minimum of resident replicas and every adapter without it.
+func (s *stage) spare(k, engine int) (holder, bool) {
 	mv := &s.views[k]
-	if h.state != Resident || count(mv.current, Resident) <= s.minLocal(k) {
-		return false
+	current := count(mv.current, Resident)
+	if h, ok := on(mv.old, engine); ok && h.state == Resident {
+		others := current + count(mv.old, Resident) - 1
+		return h, others >= 1 && s.adaptersElsewhere(k, engine)
 	}
-	return s.adaptersElsewhere(k, h.engine)
+	h, ok := on(mv.current, engine)
+	if !ok || h.state != Resident || current <= s.minLocal(k) {
+		return holder{}, false
+	}
+	return h, s.adaptersElsewhere(k, engine)
 }
 
 // adaptersElsewhere tells whether every adapter that the engine holds is
-// resident on another engine beside the declared version.
+// resident on another engine beside the model.
 func (s *stage) adaptersElsewhere(k, engine int) bool {
 	for j := range s.views[k].adapters {
 		if _, here := on(s.views[k].adapters[j], engine); here && !s.adapterElsewhere(k, j, engine) {
@@ -152,15 +159,20 @@
 	return true
 }
 
-// adapterElsewhere tells whether an adapter is resident beside the declared
-// version on another engine than the given one.
+// adapterElsewhere tells whether an adapter is resident on another engine than
+// the given one, beside the declared version or, while none is resident, beside
+// an old one.
 func (s *stage) adapterElsewhere(k, j, engine int) bool {
 	mv := &s.views[k]
+	hosts := mv.current
+	if count(hosts, Resident) == 0 {
+		hosts = mv.old
+	}
 	for _, a := range mv.adapters[j] {
 		if a.engine == engine || a.state != Resident {
 			continue
 		}
-		if m, ok := on(mv.current, a.engine); ok && m.state == Resident {
+		if m, ok := on(hosts, a.engine); ok && m.state == Resident {
 			return true
 		}
 	}
