relay,claim,batch: Send calls to services once and settle lost answers

Cause: net/http sends a request again when a reused connection dies and the request has a key or a body that can be rewound; a test shows it. Claims and batches commit through store.Commit. Frames beyond what was asked for end their attempt. Conclusion: five kinds of call are each read once by a backend server that closes a reused connection without an answer.

--- a/limpetd/batch/caller.go
+++ b/limpetd/batch/caller.go
@@ -8,8 +8,6 @@
 	"sort"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
@@ -26,8 +24,8 @@
 	Items    []Item
 }
 
-// submitTries bounds the tries to store a job.
-const submitTries = 3
+// cancelTries bounds the tries to cancel a job that others write.
+const cancelTries = 3
 
 // Submit stores a batch. The job is durable when the error is nil. An error has
 // code NoDocument, BadParameter, MalformedBody, UnknownModel, UnknownPriority,
@@ -68,7 +66,7 @@
 // submissionID is fresh, or follows from the idempotency key.
 func submissionID(s Submission) string {
 	if s.Key == "" {
-		return "batch_" + uuid.NewString()
+		return "batch_" + store.NewID()
 	}
 	sum := sha256.Sum256([]byte(s.Caller.Name + "\x00" + s.Key))
 	return "batch_" + hex.EncodeToString(sum[:16])
@@ -117,28 +115,23 @@
 // a row that is found under it is this job's.
 func (d *Duty) insert(ctx context.Context, j Job) (Job, error) {
 	key := jobKey(d.config.Environment, j.Caller, j.ID)
-	uncertain := false
-	var err error
-	for range submitTries {
-		tx := store.Tx{ID: uuid.NewString()}
-		tx.Require(key, 0)
-		tx.Put(key, encode(j))
-		tx.Put(openKey(d.config.Environment, j), []byte(key))
-		err = d.deps.Table.Apply(ctx, tx)
-		if err == nil {
-			return j, nil
-		}
-		uncertain = uncertain || code.Of(err) == code.StoreUnknown
-		if code.Of(err) != code.StoreUnknown && code.Of(err) != code.StoreConflict {
-			break
-		}
-		found, _, getErr := d.read(ctx, j.Caller, j.ID)
-		if getErr == nil {
+	tx := store.Tx{ID: store.NewID()}
+	tx.Require(key, 0)
+	tx.Put(key, encode(j))
+	tx.Put(openKey(d.config.Environment, j), []byte(key))
+	err := store.Commit(ctx, d.deps.Table, tx)
+	if err == nil {
+		return j, nil
+	}
+	unsure := code.Of(err) == code.StoreUnknown
+	if unsure || code.Of(err) == code.StoreConflict {
+		found, _, readErr := d.read(ctx, j.Caller, j.ID)
+		if readErr == nil {
 			return sameJob(found, j)
 		}
 	}
 	err = code.Errorf(code.BatchStoreDown, "the job could not be stored: %w", err)
-	if uncertain {
+	if unsure {
 		err = code.WithRun(err, code.RunUnknown)
 	}
 	return Job{}, err
@@ -252,7 +245,7 @@
 // BatchEnded or BatchStoreDown.
 func (d *Duty) Cancel(ctx context.Context, caller, id string) (Job, error) {
 	var last error
-	for range submitTries {
+	for range cancelTries {
 		j, version, err := d.read(ctx, caller, id)
 		if err != nil {
 			return Job{}, err
@@ -264,7 +257,7 @@
 			return Job{}, code.Errorf(code.BatchEnded, "batch %s is %s", id, j.State)
 		}
 		j = j.End(StateCancelled, d.now().UTC())
-		last = d.deps.Table.Apply(ctx, d.endTx(j, version))
+		last = store.Commit(ctx, d.deps.Table, d.endTx(j, version))
 		if last == nil {
 			d.event(event.BatchEnded, j)
 			return j, nil
@@ -276,7 +269,7 @@
 // endTx writes a job in a final state and takes it off the open jobs.
 func (d *Duty) endTx(j Job, version int64) store.Tx {
 	key := jobKey(d.config.Environment, j.Caller, j.ID)
-	tx := store.Tx{ID: uuid.NewString()}
+	tx := store.Tx{ID: store.NewID()}
 	tx.Require(key, version)
 	tx.Put(key, encode(j))
 	tx.Delete(openKey(d.config.Environment, j))
--- a/limpetd/batch/run.go
+++ b/limpetd/batch/run.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -108,22 +107,17 @@
 	return nil, nil
 }
 
-// update writes a job under the version that the hold knows. When the answer is
-// lost the row is read again. An error has code StoreConflict when another
+// update writes a job under the version that the hold knows. An error has code StoreConflict when another
 // writer was first, StoreUnknown when that is not known.
 func (d *Duty) update(ctx context.Context, h *hold, j Job) error {
 	key := jobKey(d.config.Environment, j.Caller, j.ID)
-	tx := store.Tx{ID: uuid.NewString()}
+	tx := store.Tx{ID: store.NewID()}
 	tx.Require(key, h.version)
 	tx.Put(key, encode(j))
 	if j.Final() {
 		tx.Delete(openKey(d.config.Environment, j))
 	}
-	err := d.deps.Table.Apply(ctx, tx)
-	if code.Of(err) == code.StoreUnknown {
-		err = d.confirm(ctx, key, tx.ID, h.version)
-	}
-	if err != nil {
+	if err := store.Commit(ctx, d.deps.Table, tx); err != nil {
 		return err
 	}
 	h.job = j
@@ -131,20 +125,6 @@
 	return nil
 }
 
-// confirm finds out whether a transaction took effect.
-func (d *Duty) confirm(ctx context.Context, key, tx string, version int64) error {
-	rows, err := d.deps.Table.Get(ctx, key)
-	switch {
-	case err != nil:
-		return code.Errorf(code.StoreUnknown, "batch row not confirmed: %w", err)
-	case len(rows) == 1 && rows[0].Writer == tx:
-		return nil
-	case len(rows) == 1 && rows[0].Version == version:
-		return code.Errorf(code.StoreUnknown, "batch row not written yet")
-	}
-	return code.Errorf(code.StoreConflict, "batch row has another writer")
-}
-
 // run runs a held job to its end, or until the hold is lost or handed over.
 func (d *Duty) run(ctx context.Context, h *hold) {
 	if err := d.load(ctx, h); err != nil {
--- a/limpetd/claim/claim.go
+++ b/limpetd/claim/claim.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
@@ -28,6 +28,8 @@
 	DefaultMaxOutcomeBytes = 64 << 10
 	// claimTries bounds the attempts to insert one claim.
 	claimTries = 4
+	// claimTime bounds the claiming of a call.
+	claimTime = 5 * time.Second
 	// closeWait is how long an answer waits for its claim to be closed.
 	closeWait = time.Second
 	// groupSize is the largest number of rows in one transaction.
@@ -36,6 +38,8 @@
 	committers = 4
 	// queueSize is the number of writes that wait for a transaction.
 	queueSize = 256
+	// leavePoll is the time between two looks at the claims left to close.
+	leavePoll = 20 * time.Millisecond
 	// lateSize is the number of claims that wait to be closed late.
 	lateSize = 1024
 )
@@ -99,6 +103,8 @@
 	// full the claim stays open, which a repeat sees as unknown, and the
 	// loss is counted.
 	late chan *Hold
+	// open counts the claims that are to be closed late.
+	open atomic.Int64
 
 	groups   tally.Counter
 	rows     tally.Counter
@@ -155,6 +161,19 @@
 	return err
 }
 
+// Leave returns when no claim waits to be closed late, or when ctx ends. Call it
+// once no request is in progress.
+func (s *Claims) Leave(ctx context.Context) error {
+	for s.open.Load() > 0 {
+		select {
+		case <-time.After(leavePoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // MaxOutcomeBytes is the longest answer that is kept.
 func (s *Claims) MaxOutcomeBytes() int {
 	return s.config.MaxOutcomeBytes
@@ -175,9 +194,11 @@
 	if len(c.Key) > MaxKeyBytes {
 		return Claimed{}, code.Errorf(code.KeyTooLong, "the key has %d bytes, %d are allowed", len(c.Key), MaxKeyBytes)
 	}
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
 	h := &Hold{claims: s, key: rowKey(s.config.Environment, c.Caller, c.Key), record: Record{
 		State:   StateOpen,
-		Token:   uuid.NewString(),
+		Token:   store.NewID(),
 		Digest:  c.Digest,
 		Request: c.Request,
 		Until:   s.now().Add(s.config.OpenFor),
@@ -317,9 +338,11 @@
 
 // later hands a claim to the duty that closes it in the background.
 func (s *Claims) later(h *Hold) {
+	s.open.Add(1)
 	select {
 	case s.late <- h:
 	default:
+		s.open.Add(-1)
 		s.lateLost.Inc(1)
 		s.deps.Log.Warn("claim_left_open", zap.String("request_id", h.record.Request))
 	}
--- a/limpetd/claim/commit.go
+++ b/limpetd/claim/commit.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 
-	"github.com/google/uuid"
-
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -105,7 +103,7 @@
 // group and the others are tried again.
 func (s *Claims) commit(ctx context.Context, group []*write) {
 	for len(group) > 0 {
-		tx := store.Tx{ID: uuid.NewString()}
+		tx := store.Tx{ID: store.NewID()}
 		for _, w := range group {
 			tx.Require(w.key, w.version)
 			tx.Put(w.key, w.value)
@@ -164,11 +162,11 @@
 	return again
 }
 
-// apply bounds one transaction in time.
+// apply commits one transaction within a bounded time.
 func (s *Claims) apply(ctx context.Context, tx store.Tx) error {
-	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*store.CallTimeout)
 	defer cancel()
-	return s.deps.Table.Apply(ctx, tx)
+	return store.Commit(ctx, s.deps.Table, tx)
 }
 
 // get bounds one read in time.
--- a/limpetd/claim/duty.go
+++ b/limpetd/claim/duty.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -65,7 +64,9 @@
 		c.tries++
 		if !s.closeOne(ctx, c) {
 			left = append(left, c)
+			continue
 		}
+		s.open.Add(-1)
 	}
 	return left
 }
@@ -130,7 +131,7 @@
 			return err
 		}
 	}
-	tx := store.Tx{ID: uuid.NewString()}
+	tx := store.Tx{ID: store.NewID()}
 	for _, row := range rows {
 		if len(tx.Writes) < groupSize && s.expired(row) {
 			tx.Require(row.Key, row.Version)
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -46,6 +46,9 @@
 	begun bool
 	// ended tells that the answer states how it ended already.
 	ended bool
+	// passed tells that the answer is a backend server's; an error then
+	// breaks the connection, so that a cut answer does not look whole.
+	passed bool
 }
 
 // work wraps the handling of a request that needs a caller: it counts the
@@ -223,7 +226,7 @@
 // end writes the error of an exchange and keeps its books.
 func (x *exchange) end(err error) {
 	c := code.Of(err)
-	if err != nil {
+	if err != nil && !x.passed {
 		x.fail(err)
 	} else if x.begun && !x.ended {
 		x.state(code.OK, code.RunYes)
@@ -238,6 +241,9 @@
 	if err != nil {
 		x.log(err)
 	}
+	if err != nil && x.passed {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (x *exchange) log(err error) {
--- a/limpetd/gate/service.go
+++ b/limpetd/gate/service.go
@@ -59,7 +59,7 @@
 		Method:     x.request.Method,
 		Path:       path,
 		Query:      u.RawQuery,
-		Header:     passedHeader(x.request.Header),
+		Header:     x.header(),
 		Body:       body,
 		Repeatable: declared.Repeatable,
 	}
@@ -69,6 +69,13 @@
 	return g.forwardKeyed(x, call, service, key)
 }
 
+// header returns the headers for the backend server, with the request id.
+func (x *exchange) header() http.Header {
+	h := passedHeader(x.request.Header)
+	h.Set(headerRequestID, x.id)
+	return h
+}
+
 // passedHeader returns the headers that are passed on.
 func passedHeader(h http.Header) http.Header {
 	passed := h.Clone()
@@ -124,7 +131,7 @@
 
 // keepAndPass closes the claim with the answer before the caller gets it.
 func (g *Gate) keepAndPass(ctx context.Context, x *exchange, a *relay.ServiceAnswer, h *claim.Hold) error {
-	if refusedByBackend(a) {
+	if relay.RunOfAnswer(a.Status, a.Header) == code.RunNo {
 		h.NotRun(ctx)
 		return x.pass(a.Status, a.Header, a.Body)
 	}
@@ -139,13 +146,6 @@
 	return x.pass(a.Status, a.Header, io.MultiReader(bytes.NewReader(kept), a.Body))
 }
 
-// refusedByBackend tells whether the backend server itself says that it did not
-// run the call.
-func refusedByBackend(a *relay.ServiceAnswer) bool {
-	busy := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
-	return busy && a.Header.Get(relay.RunHeader) == string(code.RunNo)
-}
-
 // answerHeader returns the headers of an answer that are passed on.
 func answerHeader(h http.Header) http.Header {
 	passed := passedHeader(h)
@@ -153,15 +153,8 @@
 	return passed
 }
 
-// pass writes the answer of a backend server. An error after the beginning
-// breaks the connection, so that a cut answer does not look whole.
+// pass writes the answer of a backend server.
 func (x *exchange) pass(status int, h http.Header, body io.Reader) error {
-	run := code.RunYes
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		if h.Get(relay.RunHeader) == string(code.RunNo) {
-			run = code.RunNo
-		}
-	}
 	header := x.writer.Header()
 	for name, values := range answerHeader(h) {
 		header[name] = values
@@ -169,14 +162,12 @@
 	if length := h.Get("Content-Length"); length != "" {
 		header.Set("Content-Length", length)
 	}
-	x.state(code.OK, run)
+	x.state(code.OK, relay.RunOfAnswer(status, h))
 	x.begun = true
+	x.passed = true
 	x.slow()
 	x.writer.WriteHeader(status)
-	if err := x.copyBody(body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return nil
+	return x.copyBody(body)
 }
 
 // passBytes is the size of the parts in which an answer is passed on.
@@ -190,14 +181,14 @@
 		if n > 0 {
 			x.slow()
 			if _, err := x.writer.Write(buffer[:n]); err != nil {
-				return err
+				return writeError(err)
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return err
+			return code.WithRun(code.Errorf(code.BackendLost, "the answer broke off: %w", err), code.RunYes)
 		}
 	}
 }
--- a/limpetd/relay/attempt.go
+++ b/limpetd/relay/attempt.go
@@ -94,7 +94,7 @@
 			return "", failedStream, code.Errorf(code.StreamBroken, "frames before token %d are missing", f.Offset)
 		}
 		if v == frameFault {
-			return "", failedEngine, code.Errorf(code.EngineError, "engine %s: %s", a.choice.VM, f.Error)
+			return "", failedEngine, code.Errorf(code.EngineError, "engine %s: %s", a.choice.VM, faultOf(f))
 		}
 		if err := a.take(ctx, f, stall); err != nil {
 			return "", failedCaller, err
@@ -105,6 +105,14 @@
 	}
 }
 
+// faultOf describes a frame that ends its attempt.
+func faultOf(f engine.Frame) string {
+	if f.Error != "" {
+		return f.Error
+	}
+	return "a frame contradicts itself"
+}
+
 // dropped counts a frame that is dropped.
 func (a *attempt) dropped(v verdict) bool {
 	switch v {
--- a/limpetd/relay/generate.go
+++ b/limpetd/relay/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 
@@ -33,7 +34,7 @@
 
 // generate fills out with the answer and returns how it ended.
 func (r *Relay) generate(ctx context.Context, c Call, out *pending) (string, error) {
-	g := &generation{relay: r, call: c, out: out}
+	g := &generation{relay: r, call: c, out: out, progress: progress{limit: c.MaxTokens}}
 	for {
 		ticket, err := r.deps.Admitter.Admit(ctx, g.admission())
 		if err != nil {
@@ -129,7 +130,10 @@
 
 // ended returns the error that the caller gets after a dispatch.
 func (g *generation) ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		err = g.late()
+	case ctx.Err() != nil:
 		return code.WithRun(code.Errorf(code.CallerGone, "the caller has gone"), g.run())
 	}
 	g.relay.counts.broken.Inc(1)
@@ -142,6 +146,14 @@
 	return code.WithRun(err, g.run())
 }
 
+// late returns the error of an answer that took too long.
+func (g *generation) late() error {
+	if g.attempts == 0 {
+		return code.Errorf(code.ShedDeadline, "no engine had room in time")
+	}
+	return code.Errorf(code.StreamBroken, "the answer was not whole in time")
+}
+
 // run states whether an engine may have run the call.
 func (g *generation) run() code.Run {
 	switch {
--- a/limpetd/relay/progress.go
+++ b/limpetd/relay/progress.go
@@ -27,10 +27,14 @@
 type progress struct {
 	// attempt is the id of the attempt in progress.
 	attempt string
-	// offset is the number of tokens taken.
+	// offset is the number of tokens taken, limit what was asked for.
 	offset int
+	limit  int
 }
 
+// maxTokenBytes is the longest text of one token.
+const maxTokenBytes = 1024
+
 // judge decides on a frame without changing anything.
 func (g progress) judge(f engine.Frame) verdict {
 	switch {
@@ -38,7 +42,7 @@
 		return frameCrossed
 	case f.Error != "":
 		return frameFault
-	case f.Offset < 0 || f.Tokens < 0 || (f.Text != "" && f.Tokens == 0):
+	case f.Offset < 0 || f.Tokens < 0 || f.Tokens > g.limit || len(f.Text) > f.Tokens*maxTokenBytes:
 		return frameFault
 	case f.Offset > g.offset:
 		return frameGap
@@ -47,6 +51,8 @@
 	case f.Offset < g.offset:
 		// Part of the frame is new; where it begins in the text is not known.
 		return frameGap
+	case f.Offset+f.Tokens > g.limit:
+		return frameFault
 	case f.Done:
 		return frameLast
 	}
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -184,14 +184,34 @@
 		return nil, sent, r.serviceError(ctx, c, choice.VM, sent, err)
 	}
 	t.FirstToken()
+	body := &heldBody{ReadCloser: response.Body, cancel: cancel, ticket: t, caller: ctx}
+	if response.StatusCode >= http.StatusBadGateway {
+		body.outcome = admit.OutcomeFailed
+	}
 	return &ServiceAnswer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body:   &heldBody{ReadCloser: response.Body, cancel: cancel, ticket: t, caller: ctx},
+		Body:   body,
 		VM:     choice.VM,
 	}, true, nil
 }
 
+// RunOfAnswer states whether the call ran that a backend server answered. A
+// refusal counts as not run only where the server says so itself; after another
+// fault of the server it is not known.
+func RunOfAnswer(status int, h http.Header) code.Run {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		if h.Get(RunHeader) == string(code.RunNo) {
+			return code.RunNo
+		}
+		return code.RunUnknown
+	case status >= http.StatusInternalServerError:
+		return code.RunUnknown
+	}
+	return code.RunYes
+}
+
 func serviceOutcome(ctx context.Context) admit.Outcome {
 	if ctx.Err() != nil {
 		return admit.OutcomeGone
--- /dev/null
+++ b/limpetd/relay/service_test.go
@@ -0,0 +1,209 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/admit"
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
+)
+
+// backend is a server that reads requests and closes the connection of some of
+// them without an answer.
+type backend struct {
+	address string
+	// runs counts the requests that arrived whole.
+	runs atomic.Int64
+	// answers is the number of requests answered on each connection.
+	answers int64
+}
+
+func newBackend(t *testing.T, answers int64) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	b := &backend{address: l.Addr().String(), answers: answers}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := int64(0); ; n++ {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		b.runs.Add(1)
+		if n >= b.answers {
+			return
+		}
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
+
+func serviceCall(method, body string) ServiceCall {
+	h := http.Header{}
+	h.Set("Idempotency-Key", "k")
+	return ServiceCall{
+		Admission: admit.ServiceRequest{ID: "r"},
+		Method:    method,
+		Path:      "/bookings",
+		Header:    h,
+		Body:      []byte(body),
+	}
+}
+
+func forward(ctx context.Context, r *Relay, c ServiceCall) (int, error) {
+	a, err := r.Forward(ctx, c)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	_, err = io.Copy(io.Discard, a.Body)
+	return a.Status, err
+}
+
+// TestNetHTTPReplaysOnDeadReusedConnection shows the trap that the client of
+// plain services avoids. It fails if net/http ceases to have it.
+func TestNetHTTPReplaysOnDeadReusedConnection(t *testing.T) {
+	b := newBackend(t, 1)
+	client := &http.Client{Transport: &http.Transport{}}
+	send := func() {
+		q, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+b.address+"/bookings", bytes.NewReader([]byte("seat 7")))
+		require.NoError(t, err)
+		q.Header.Set("Idempotency-Key", "k")
+		a, err := client.Do(q)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, a.Body)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+	}
+	send()
+	send()
+	require.EqualValues(t, 3, b.runs.Load(), "two calls, one of them sent twice")
+}
+
+func TestForwardDoesNotReplayOnDeadReusedConnection(t *testing.T) {
+	cases := []struct{ name, method, body string }{
+		{"POST with a key and a body", "POST", "seat 7"},
+		{"POST with a key and no body", "POST", ""},
+		{"PUT", "PUT", "seat 7"},
+		{"DELETE", "DELETE", ""},
+		{"GET", "GET", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBackend(t, 1)
+			other := newBackend(t, 9)
+			r := New(Deps{Admitter: &fakes.Admitter{VMs: []string{b.address, other.address}}})
+			status, err := forward(t.Context(), r, serviceCall(c.method, c.body))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			_, err = forward(t.Context(), r, serviceCall(c.method, c.body))
+			require.Equal(t, code.BackendLost, code.Of(err))
+			require.Equal(t, code.RunUnknown, code.RunOf(err))
+			require.EqualValues(t, 2, b.runs.Load())
+			require.Zero(t, other.runs.Load())
+		})
+	}
+}
+
+func TestForwardRetriesRepeatablePathsOnly(t *testing.T) {
+	broken := newBackend(t, 0)
+	sound := newBackend(t, 9)
+	r := New(Deps{Admitter: &fakes.Admitter{VMs: []string{broken.address, sound.address}}})
+	c := serviceCall("GET", "")
+	c.Repeatable = true
+	status, err := forward(t.Context(), r, c)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.EqualValues(t, 1, sound.runs.Load())
+}
+
+func TestForwardNotRunIsToldOnlyWhereNoByteArrived(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	unreachable := l.Addr().String()
+	require.NoError(t, l.Close())
+
+	t.Run("no connection", func(t *testing.T) {
+		admitter := &fakes.Admitter{VMs: []string{unreachable}}
+		_, err := forward(t.Context(), New(Deps{Admitter: admitter}), serviceCall("POST", "x"))
+		require.Equal(t, code.RunNo, code.RunOf(err))
+		require.Zero(t, admitter.Open())
+	})
+	t.Run("no connection to the first backend server", func(t *testing.T) {
+		sound := newBackend(t, 9)
+		r := New(Deps{Admitter: &fakes.Admitter{VMs: []string{unreachable, sound.address}}})
+		_, err := forward(t.Context(), r, serviceCall("POST", "x"))
+		require.NoError(t, err)
+		require.EqualValues(t, 1, sound.runs.Load())
+	})
+	t.Run("connection without an answer", func(t *testing.T) {
+		b := newBackend(t, 0)
+		admitter := &fakes.Admitter{VMs: []string{b.address}}
+		_, err := forward(t.Context(), New(Deps{Admitter: admitter}), serviceCall("POST", "x"))
+		require.Equal(t, code.BackendLost, code.Of(err))
+		require.Equal(t, code.RunUnknown, code.RunOf(err))
+		require.Zero(t, admitter.Open())
+	})
+	t.Run("no answer in time", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		r := New(Deps{Admitter: &fakes.Admitter{VMs: []string{l.Addr().String()}}}, WithServiceTime(20*time.Millisecond))
+		_, err = forward(t.Context(), r, serviceCall("POST", "x"))
+		require.Equal(t, code.RunUnknown, code.RunOf(err))
+	})
+	t.Run("unknown stays after a repeat that was not sent", func(t *testing.T) {
+		b := newBackend(t, 0)
+		r := New(Deps{Admitter: &fakes.Admitter{VMs: []string{b.address, unreachable}}})
+		c := serviceCall("GET", "")
+		c.Repeatable = true
+		_, err := forward(t.Context(), r, c)
+		require.Equal(t, code.RunUnknown, code.RunOf(err))
+	})
+}
+
+func TestForwardSendsTheWholeBody(t *testing.T) {
+	var got string
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		got = string(body)
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	r := New(Deps{Admitter: &fakes.Admitter{VMs: []string{l.Addr().String()}}})
+	body := strings.Repeat("0123456789", 50000)
+	_, err = forward(t.Context(), r, serviceCall("POST", body))
+	require.NoError(t, err)
+	require.Equal(t, body, got)
+}
--- a/limpetd/wire/request.go
+++ b/limpetd/wire/request.go
@@ -58,7 +58,7 @@
 	Seed                int64           `json:"seed"`
 	Stream              bool            `json:"stream"`
 	StreamOptions       *streamOptions  `json:"stream_options"`
-	Priority            string          `json:"limpet_priority"`
+	Priority            string          `json:"priority"`
 	N                   *int            `json:"n"`
 	Stop                json.RawMessage `json:"stop"`
 	Tools               json.RawMessage `json:"tools"`
