--- a/limpetd/claim/commit.go
+++ b/limpetd/claim/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/store"
@@ -20,7 +21,8 @@
 	conflict
 	// written: the write has taken effect.
 	written
-	// crowded: the group held another write of the row; try again.
+	// crowded: the group held another write of the row, which had no effect;
+	// try again.
 	crowded
 )
 
@@ -73,30 +75,73 @@
 		case <-s.tomb.Dying():
 			return nil
 		case first := <-s.writes:
-			s.commit(ctx, s.group(first))
+			group, twins := s.group(first)
+			s.commit(ctx, group)
+			s.endTwins(ctx, twins)
 		}
 	}
 }
 
-// group takes further writes that wait already. A second write of one row ends
-// as crowded, so that its call tries again.
-func (s *Claims) group(first *write) []*write {
-	group := []*write{first}
+// group takes further writes that wait already. Twins are second writes of one
+// row.
+func (s *Claims) group(first *write) (group, twins []*write) {
+	group = []*write{first}
 	keys := map[string]bool{first.key: true}
 	for len(group) < groupSize {
 		select {
 		case w := <-s.writes:
 			if keys[w.key] {
-				w.end(crowded, store.Row{}, nil)
+				twins = append(twins, w)
 				continue
 			}
 			keys[w.key] = true
 			group = append(group, w)
 		default:
-			return group
+			return group, twins
 		}
 	}
-	return group
+	return group, twins
+}
+
+// endTwins ends the writes that another one of their group went before: as in
+// conflict with what it wrote, or to be tried again.
+func (s *Claims) endTwins(ctx context.Context, twins []*write) {
+	if len(twins) == 0 {
+		return
+	}
+	found, err := s.found(ctx, twins)
+	for _, w := range twins {
+		row := found[w.key]
+		switch {
+		case err != nil:
+			w.end(notWritten, store.Row{}, err)
+		case row.Version != w.version:
+			w.end(conflict, row, nil)
+		default:
+			w.end(crowded, store.Row{}, nil)
+		}
+	}
+}
+
+// found reads the rows of writes.
+func (s *Claims) found(ctx context.Context, group []*write) (map[string]store.Row, error) {
+	keys := make([]string, 0, len(group))
+	for _, w := range group {
+		if !slices.Contains(keys, w.key) {
+			keys = append(keys, w.key)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
+	defer cancel()
+	rows, err := s.deps.Table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	found := make(map[string]store.Row, len(rows))
+	for _, row := range rows {
+		found[row.Key] = row
+	}
+	return found, nil
 }
 
 // commit writes a group in one transaction. Rows that are in conflict leave the
@@ -127,19 +172,11 @@
 // reread finds out about each write of a group that was refused or not
 // answered. It returns those that are to be tried again.
 func (s *Claims) reread(ctx context.Context, group []*write, tx string, cause error) []*write {
-	keys := make([]string, len(group))
-	for i, w := range group {
-		keys[i] = w.key
-	}
-	rows, err := s.get(ctx, keys...)
+	found, err := s.found(ctx, group)
 	if err != nil {
 		endAll(group, uncertainAfter(cause), err)
 		return nil
 	}
-	found := make(map[string]store.Row, len(rows))
-	for _, row := range rows {
-		found[row.Key] = row
-	}
 	var again []*write
 	for _, w := range group {
 		row := found[w.key]
@@ -169,13 +206,6 @@
 	return store.Commit(ctx, s.deps.Table, tx)
 }
 
-// get bounds one read in time.
-func (s *Claims) get(ctx context.Context, keys ...string) ([]store.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
-	defer cancel()
-	return s.deps.Table.Get(ctx, keys...)
-}
-
 // uncertainAfter is the result of a write whose state could not be read.
 func uncertainAfter(cause error) result {
 	if code.Of(cause) == code.StoreConflict {
--- a/limpetd/claim/duty.go
+++ b/limpetd/claim/duty.go
@@ -38,20 +38,23 @@
 // lateLoop closes claims that could not be closed at once, and frees those
 // whose insertion was never confirmed. It tries all of them in turn.
 func (s *Claims) lateLoop(ctx context.Context) error {
-	tick := time.NewTicker(lateEvery)
-	defer tick.Stop()
 	var waiting []*lateClaim
+	var tick <-chan time.Time
 	for {
 		arrivals := s.late
 		if len(waiting) >= lateSize {
 			arrivals = nil
 		}
+		if len(waiting) > 0 && tick == nil {
+			tick = time.After(lateEvery)
+		}
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case h := <-arrivals:
 			waiting = append(waiting, &lateClaim{Hold: h})
-		case <-tick.C:
+		case <-tick:
+			tick = nil
 			waiting = s.closeLate(ctx, waiting)
 		}
 	}
@@ -84,7 +87,7 @@
 // free closes an insertion that was not confirmed as not run. A missing row may
 // still be written by the table, so it is looked for again.
 func (s *Claims) free(ctx context.Context, h *Hold) bool {
-	rows, err := s.get(ctx, h.key)
+	rows, err := s.deps.Table.Get(ctx, h.key)
 	if err != nil || len(rows) == 0 {
 		return false
 	}
