rbench,admit: Measure requests and keep a reserve that adapts

The choice and the admission had no measurement.

The reserve for urgent calls now grows while urgent calls find no room and shrinks when they do, urgent calls may wait in an engine, which honours ranks, and an engine that failed is tried again only while the call could be sent again.

--- a/limpetd/admit/backend.go
+++ b/limpetd/admit/backend.go
@@ -14,14 +14,14 @@
 	// minWindowPart and maxWindowPart bound a window as parts of the batch
 	// limit.
 	minWindowPart = 0.25
-	maxWindowPart = 1.25
+	maxWindowPart = 1.1
 	// windowShrink and windowGrow change a window, once a windowPeriod.
 	windowShrink = 0.85
 	windowGrow   = 0.05
 	windowPeriod = time.Second
 	// latePart is the part of the expectation that a first token may take on the
 	// engine before it counts as late.
-	latePart = 0.75
+	latePart = 0.6
 	// sampleWeight is the weight of a new sample in the means of a backend.
 	sampleWeight = 0.1
 	// maxSlowness bounds the slowness that is believed.
@@ -30,19 +30,26 @@
 	keepEnded = 10 * time.Second
 )
 
-// part says how far a class may fill an engine: window is the part of the window
-// that it may fill, undivided the part below which room is not divided among
-// daemons.
-type part struct {
-	window, undivided float64
-}
-
-// parts are those of the classes.
-var parts = [classes]part{
-	route.ClassUrgent:   {window: 1, undivided: 0.8},
-	route.ClassNormal:   {window: 0.9, undivided: 0.45},
-	route.ClassDeferred: {window: 0.6, undivided: 0.3},
-}
+const (
+	// minReserve and maxReserve bound the reserve for urgent calls. It grows by
+	// reserveGrow, once a reservePeriod, while urgent calls find no room or
+	// their first tokens are late. It shrinks by reserveShrink a second, and by
+	// reserveDrop once it was not raised for reserveHold.
+	minReserve    = 0.1
+	maxReserve    = 0.9
+	reserveGrow   = 0.1
+	reserveShrink = 0.01
+	reserveDrop   = 0.2
+	reserveHold   = 5 * time.Second
+	reservePeriod = 250 * time.Millisecond
+	// deferredPart is the part of the window less the reserve that deferred calls
+	// may fill.
+	deferredPart = 0.65
+	// urgentUndivided and undivided are the parts of what a class may fill below
+	// which room is not divided among daemons.
+	urgentUndivided = 0.5
+	undivided       = 0.5
+)
 
 // backend is what this daemon knows of an engine from its own calls.
 type backend struct {
@@ -60,6 +67,10 @@
 	active   int
 	slowness mean
 	hold     mean
+	// reserve is the part of the window that is kept for urgent calls, as of
+	// reserveAt; it was raised last at raisedAt.
+	reserve             float64
+	reserveAt, raisedAt time.Time
 }
 
 // limit returns the batch limit of an engine.
@@ -75,7 +86,7 @@
 	batch := limit(e)
 	if b.window == 0 || b.instance != e.Report.Instance {
 		b.instance = e.Report.Instance
-		b.window = batch
+		b.window = batch * maxWindowPart
 	}
 	b.window = min(max(b.window, batch*minWindowPart, 1), batch*maxWindowPart)
 }
@@ -88,6 +99,7 @@
 	}
 	switch {
 	case took > time.Duration(latePart*float64(expected)):
+		b.raiseReserve(now)
 		b.window *= windowShrink
 	case b.limited && took < expected/2:
 		b.window += windowGrow * limit(e)
@@ -112,7 +124,7 @@
 }
 
 // own returns what the choice needs to know of the backend.
-func (b *backend) own(now time.Time, e *route.Engine, daemons int) route.Own {
+func (b *backend) own(now time.Time, e *route.Engine, daemons int, mayTry bool) route.Own {
 	o := route.Own{Ejected: b.outlier.ejected(now)}
 	before := 0
 	for _, c := range b.calls {
@@ -133,9 +145,11 @@
 	}
 	o.Slowness = b.slowness.value
 	o.Hold = time.Duration(b.hold.value * float64(time.Second))
-	if b.outlier.times > 0 && b.active > 0 {
-		// After an ejection one call at a time tries the engine.
-		return o
+	o.Suspect = b.outlier.failures > 0
+	if b.outlier.times > 0 && (b.active > 0 || !mayTry) {
+		// After an ejection one call at a time tries the engine, and only
+		// while it could be sent again.
+		o.Ejected = true
 	}
 	o.Room = b.room(&o, e, before, daemons)
 	return o
@@ -152,19 +166,44 @@
 		share = max(share, min(float64(before)/load, 1))
 	}
 	change := float64(o.Sent - o.Ended)
-	for class := range classes {
-		p := parts[class]
-		if load+change < p.undivided*b.window {
+	normal := (1 - b.reserve) * min(b.window, limit(e))
+	limits := [classes]float64{b.window, normal, normal * deferredPart}
+	free := [classes]float64{b.window * urgentUndivided, normal * undivided, normal * deferredPart * undivided}
+	for class, most := range limits {
+		if load+change < free[class] {
 			continue
 		}
-		free := p.window*b.window - load
-		if divide(free*share, b.fraction(e)) <= change {
+		if divide((most-load)*share, b.fraction(e)) <= change {
+			b.limited = true
 			return class
 		}
 	}
 	return classes
 }
 
+// raiseReserve notes that an urgent call found no room.
+func (b *backend) raiseReserve(now time.Time) {
+	if now.Sub(b.reserveAt) < reservePeriod {
+		return
+	}
+	b.lowerReserve(now)
+	b.reserve = min(b.reserve+reserveGrow, maxReserve)
+	b.raisedAt = now
+}
+
+// lowerReserve lets the reserve shrink with time.
+func (b *backend) lowerReserve(now time.Time) {
+	shrink := reserveShrink
+	if now.Sub(b.raisedAt) > reserveHold {
+		shrink = reserveDrop
+	}
+	if !b.reserveAt.IsZero() {
+		b.reserve -= shrink * now.Sub(b.reserveAt).Seconds()
+	}
+	b.reserve = max(b.reserve, minReserve)
+	b.reserveAt = now
+}
+
 // divide returns a share as a whole number. Its fraction is rounded by a number
 // that differs between daemons, so that the shares of many daemons add up to what
 // is free.
--- a/limpetd/admit/call.go
+++ b/limpetd/admit/call.go
@@ -14,6 +14,8 @@
 	Choice route.Choice
 	// Err is the refusal, once the call is refused.
 	Err error
+	// Memo belongs to the user of the State.
+	Memo any
 
 	class   route.Class
 	arrived time.Time
@@ -45,6 +47,9 @@
 	statusEnded
 )
 
+// Granted tells whether the call was granted and has not ended.
+func (c *Call) Granted() bool { return c.status == statusGranted }
+
 // before tells whether c goes before o in their class.
 func (c *Call) before(o *Call) bool {
 	if c.Request.Route.Rank != o.Request.Route.Rank {
--- a/limpetd/admit/outlier.go
+++ b/limpetd/admit/outlier.go
@@ -5,7 +5,7 @@
 const (
 	// failuresInRow is the number of failures in a row that eject a backend
 	// server.
-	failuresInRow = 3
+	failuresInRow = 2
 	// ejectTime is the time of the first ejection; it doubles with each further
 	// one up to maxEjectTime.
 	ejectTime    = 2 * time.Second
--- a/limpetd/admit/queue.go
+++ b/limpetd/admit/queue.go
@@ -87,18 +87,15 @@
 	services *services
 	document *envdoc.Document
 	view     *route.View
-	// waiters are closed when their call is decided.
-	waiters map[*Call]chan struct{}
 }
 
 // New starts admitting until ctx ends.
 func New(ctx context.Context, c Config, d Deps, opts ...Option) *Queue {
 	q := &Queue{
-		config:  c,
-		deps:    d,
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake:    make(chan struct{}, 1),
-		waiters: make(map[*Call]chan struct{}),
+		config: c,
+		deps:   d,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:   make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(q)
@@ -172,8 +169,7 @@
 // decide lets the state decide and tells the waiters.
 func (q *Queue) decide(now time.Time) {
 	for _, c := range q.state.Step(now) {
-		if w := q.waiters[c]; w != nil {
-			delete(q.waiters, c)
+		if w, ok := c.Memo.(chan struct{}); ok {
 			close(w)
 		}
 	}
@@ -213,7 +209,7 @@
 		return c, nil
 	}
 	w := make(chan struct{})
-	q.waiters[c] = w
+	c.Memo = w
 	select {
 	case q.wake <- struct{}{}:
 	default:
@@ -225,7 +221,6 @@
 func (q *Queue) giveUp(c *Call, k code.Code) (Ticket, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.waiters, c)
 	if c.status == statusGranted {
 		now := time.Now()
 		q.state.Release(now, c, OutcomeGone)
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -47,6 +47,8 @@
 	numbered []*backend
 	backends map[string]*backend
 	hints    *route.Hints
+	// holders is reused between calls.
+	holders []int
 
 	lines   map[target]*line
 	waiting [classes]int
@@ -99,6 +101,9 @@
 			s.hints.Drop(i)
 		}
 		b.begin(e)
+		if now.Sub(b.reserveAt) > reservePeriod {
+			b.lowerReserve(now)
+		}
 		b.forget(now, e.At)
 		s.renew(now, i)
 	}
@@ -131,7 +136,7 @@
 // renew computes what the choice needs to know of an engine.
 func (s *State) renew(now time.Time, number int) {
 	if number >= 0 {
-		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons)
+		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons, s.budget.tokens >= 1)
 	}
 }
 
@@ -312,6 +317,9 @@
 		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
 		return true
 	}
+	if c.class == route.ClassUrgent && (verdict == route.VerdictFull || choice.Estimate > c.latest.Sub(now)/4) {
+		s.raiseReserves(now, c)
+	}
 	if verdict != route.VerdictChosen {
 		return false
 	}
@@ -319,6 +327,15 @@
 	return true
 }
 
+// raiseReserves keeps more room for urgent calls in the engines that could take
+// one.
+func (s *State) raiseReserves(now time.Time, c *Call) {
+	s.holders = s.view.Holders(&c.Request.Route, s.holders[:0])
+	for _, n := range s.holders {
+		s.numbered[n].raiseReserve(now)
+	}
+}
+
 // allowed returns the class as which a call may enter an engine now.
 func (s *State) allowed(now time.Time, c *Call) route.Class {
 	if c.class == route.ClassDeferred && !now.Before(c.due) {
--- a/limpetd/admit/step.go
+++ b/limpetd/admit/step.go
@@ -179,23 +179,18 @@
 	s.renew(now, b.number)
 }
 
-// failed notes a failure of an engine and ejects it, unless too many of its data
-// centre are ejected.
+// failed notes a failure of an engine and ejects it, unless too many are ejected.
 func (s *State) failed(now time.Time, b *backend) {
 	if !b.outlier.failed(now) || b.number < 0 {
 		return
 	}
-	group, ejected := 0, 0
-	for i, other := range s.numbered {
-		if s.view.Engines[i].DataCentre != s.view.Engines[b.number].DataCentre {
-			continue
-		}
-		group++
+	ejected := 0
+	for _, other := range s.numbered {
 		if other.outlier.ejected(now) {
 			ejected++
 		}
 	}
-	if mayEject(ejected, group) {
+	if mayEject(ejected, len(s.numbered)) {
 		b.outlier.eject(now)
 	}
 }
@@ -214,7 +209,7 @@
 				s.failed(now, b)
 			}
 		}
-		if s.own[i].Ejected != b.outlier.ejected(now) {
+		if s.own[i].Ejected || b.outlier.times > 0 {
 			s.renew(now, i)
 		}
 	}
--- a/limpetd/route/choose.go
+++ b/limpetd/route/choose.go
@@ -28,6 +28,8 @@
 	Room int
 	// Ejected marks an engine that failed or stalled for this daemon.
 	Ejected bool
+	// Suspect marks an engine that failed the last call of this daemon.
+	Suspect bool
 	// Slowness is the ratio of measured to estimated first tokens, 0 for
 	// unknown.
 	Slowness float64
@@ -48,6 +50,14 @@
 	defaultHold = 4 * time.Second
 	// remoteCost is the time that a call to another data centre adds.
 	remoteCost = 2 * time.Millisecond
+	// safeShare is the part of the time left, as a divisor, that an estimate in
+	// the own data centre may take before another one is looked at; spillGain is
+	// how many times shorter the estimate there must be.
+	safeShare = 4
+	spillGain = 2
+	// suspectCost is added to the estimate of an engine that failed the last
+	// call.
+	suspectCost = time.Second
 	// maxAge is the age beyond which a report's queue is not drained further.
 	maxAge = 3 * time.Second
 )
@@ -84,7 +94,8 @@
 // Choose chooses an engine for r among those with room for its class. It
 // compares the engines expected to hold the prompt's beginning and a few random
 // ones, first in the own data centre; another data centre is chosen when the
-// own one has no room or misses the expectation and the other one meets it.
+// own one has no room, or endangers the expectation and the other one is clearly
+// quicker.
 // Ejected engines are the last resort. Choose keeps nothing and allocates
 // nothing; hints may be nil.
 func Choose(v *View, own []Own, hints *Hints, r *Request, class Class, now time.Time, random *rand.Rand) (Choice, Verdict) {
@@ -129,22 +140,23 @@
 // among chooses among the local and the remote candidates.
 func (c *chooser) among(cs *candidates, ejected bool) pick {
 	local := c.best(cs.local, localSample, ejected)
-	if local.candidate != nil && c.meets(local.estimate) {
+	if local.candidate != nil && c.safe(local.estimate) {
 		return local
 	}
 	remote := c.best(cs.remote, remoteSample, ejected)
 	if remote.candidate == nil {
 		return local
 	}
-	if local.candidate == nil || c.meets(remote.estimate) {
+	if local.candidate == nil || remote.estimate < local.estimate/spillGain {
 		return remote
 	}
 	return local
 }
 
-// meets tells whether an estimate meets the expectation.
-func (c *chooser) meets(estimate time.Duration) bool {
-	return c.r.Expected.IsZero() || !c.now.Add(estimate).After(c.r.Expected)
+// safe tells whether an estimate leaves enough time to the expectation, since
+// estimates err.
+func (c *chooser) safe(estimate time.Duration) bool {
+	return c.r.Expected.IsZero() || estimate < c.r.Expected.Sub(c.now)/safeShare
 }
 
 // best returns the candidate with the lowest estimate of a sample of list.
--- a/limpetd/route/estimate.go
+++ b/limpetd/route/estimate.go
@@ -38,6 +38,9 @@
 		seconds *= o.Slowness
 	}
 	d := time.Duration(seconds * float64(time.Second))
+	if o.Suspect {
+		d += suspectCost
+	}
 	return d + batchWait(e, o)
 }
 
--- a/limpetd/route/view.go
+++ b/limpetd/route/view.go
@@ -120,6 +120,21 @@
 	return c != nil && len(c.local)+len(c.remote) > 0
 }
 
+// Holders appends to list the numbers of the engines that could answer r.
+func (v *View) Holders(r *Request, list []int) []int {
+	cs := v.find(r)
+	if cs == nil {
+		return list
+	}
+	for i := range cs.local {
+		list = append(list, int(cs.local[i].engine))
+	}
+	for i := range cs.remote {
+		list = append(list, int(cs.remote[i].engine))
+	}
+	return list
+}
+
 // number replaces VMs by engine numbers.
 func (v *View) number(cache Cache) map[uint64]holders {
 	m := make(map[uint64]holders, len(cache))
--- /dev/null
+++ b/limpetlab/rbench/scenarios.go
@@ -0,0 +1,129 @@
+package rbench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The targets.
+const (
+	// burstGain is the least gain over the best baseline in bursts, restGain
+	// that between them.
+	burstGain = 1.2
+	restGain  = 1
+	// urgentAttainment is the least attainment of urgent work that alone fills
+	// urgentLoad of the engines, at twice the capacity.
+	urgentAttainment = 0.95
+	urgentLoad       = 0.7
+	totalLoad        = 2
+	// maxSendsPerRequest bounds sends with half of the engines failing.
+	maxSendsPerRequest = 1.1
+	// recoveryTime is the time after an overload in which attainment is back.
+	recoveryTime = 10 * time.Second
+)
+
+// day measures bursts and the time between them.
+func (b *bench) day(w *world) error {
+	length := dayLength
+	if b.config.Quick {
+		length = dayLength / 3
+	}
+	random := rand.New(rand.NewPCG(b.config.Seed, 3))
+	policies := append([]string{policyLimpet}, baselines...)
+	if err := b.play(scenario{world: w, popular: true, stretches: w.day(random, length), policies: policies}); err != nil {
+		return err
+	}
+	b.atLeast("burst: attainment per accelerator over the best baseline", burstGain, b.gain(phaseBurst))
+	b.atLeast("rest: attainment per accelerator over the best baseline", restGain, b.gain(phaseRest))
+	return nil
+}
+
+// overload measures urgent work and recovery at twice the capacity.
+func (b *bench) overload(w *world) error {
+	const at, end = 20 * time.Second, 80 * time.Second
+	before := constant(0.3, 0.2, 0)
+	stretches := []stretch{
+		{phase: phaseBefore, until: at, load: before},
+		{phase: phaseOverload, from: at, until: end, load: constant(urgentLoad, totalLoad-urgentLoad, 0)},
+		{phase: phaseDrain, from: end, until: end + recoveryTime, load: before},
+		{phase: phaseAfter, from: end + recoveryTime, until: end + 3*recoveryTime, load: before},
+	}
+	policies := append([]string{policyLimpet}, baselines...)
+	if err := b.play(scenario{world: w, stretches: stretches, policies: policies}); err != nil {
+		return err
+	}
+	urgent := b.find(policyLimpet, phaseOverload, priorities[0].name).Attainment
+	b.atLeast("overload: attainment of urgent work", urgentAttainment, urgent)
+	was := b.find(policyLimpet, phaseBefore, allPriorities).Attainment
+	b.atLeast("overload: attainment 10 s after its end", was, b.find(policyLimpet, phaseAfter, allPriorities).Attainment)
+	return nil
+}
+
+// failing measures sends with half of the engines failing.
+func (b *bench) failing(w *world) error {
+	stretches := []stretch{{phase: phaseFailing, until: time.Minute, load: constant(0.2, 0.1, 0)}}
+	policies := append([]string{policyLimpet}, baselines...)
+	if err := b.play(scenario{world: w, failing: true, stretches: stretches, policies: policies}); err != nil {
+		return err
+	}
+	b.atMost("failing: sends per request", maxSendsPerRequest, b.find(policyLimpet, phaseFailing, allPriorities).SendsPerRequest)
+	return nil
+}
+
+// herding measures the spread of queue lengths with few and many routers.
+func (b *bench) herding(*world) error {
+	length := 20 * time.Second
+	if b.config.Quick {
+		length = 8 * time.Second
+	}
+	for _, routers := range []int{6, 360} {
+		phase := fmt.Sprintf("%s_%d", phaseHerd, routers)
+		stretches := []stretch{{phase: phase, until: length, load: constant(0.7, 0, 0)}}
+		policies := []string{policyLimpet, policyRoundRobin, policyLeastLoaded, policyTwoChoices}
+		if err := b.play(scenario{world: newWorld(herd(routers)), stretches: stretches, policies: policies}); err != nil {
+			return err
+		}
+		worst := b.find(policyLeastLoaded, phase, allPriorities).QueueSpread
+		b.atMost(phase+": queue spread, at most that of least loaded", worst, b.find(policyLimpet, phase, allPriorities).QueueSpread)
+	}
+	return nil
+}
+
+// gain returns limpet's attainment per accelerator over that of the best
+// baseline.
+func (b *bench) gain(phase string) float64 {
+	best := 0.0
+	for _, policy := range baselines {
+		best = max(best, b.find(policy, phase, allPriorities).AttainmentPerAccelerator)
+	}
+	return b.find(policyLimpet, phase, allPriorities).AttainmentPerAccelerator / best
+}
+
+// find returns a row.
+func (b *bench) find(policy, phase, priority string) Row {
+	for _, r := range b.result.Rows {
+		if r.Policy == policy && r.Phase == phase && r.Priority == priority {
+			return r
+		}
+	}
+	return Row{}
+}
+
+// atLeast adds a lower bound.
+func (b *bench) atLeast(name string, target, measured float64) {
+	b.bound(Bound{Name: name, Target: target, Measured: measured, Broken: measured < target})
+}
+
+// atMost adds an upper bound.
+func (b *bench) atMost(name string, target, measured float64) {
+	b.bound(Bound{Name: name, Target: target, Measured: measured, Broken: measured > target})
+}
+
+// bound adds a bound.
+func (b *bench) bound(x Bound) {
+	b.result.Bounds = append(b.result.Bounds, x)
+	if x.Broken {
+		b.result.Broken = append(b.result.Broken, x.Name)
+	}
+}
