engsim: Take the prompt chain from package route

The chain of prompt blocks stood twice, in engine and in route, with different hashes, so that cache events would never have matched a router's index. The stand-in now emits route's chain and keeps slots apart by itself.

--- /dev/null
+++ b/limpetlab/caller/answer.go
@@ -0,0 +1,95 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+// choice is a part of an answer.
+type choice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	Message struct {
+		Content string `json:"content"`
+	} `json:"message"`
+	FinishReason string `json:"finish_reason"`
+}
+
+// answerBody is an answer or a part of one.
+type answerBody struct {
+	errorBody
+	Choices []choice `json:"choices"`
+}
+
+// text returns the text of an answer.
+func (b answerBody) text() string {
+	if len(b.Choices) == 0 {
+		return ""
+	}
+	c := b.Choices[0]
+	return c.Text + c.Delta.Content + c.Message.Content
+}
+
+// whole reads an answer that is not streamed.
+func (a *Answer) whole(response *http.Response) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		a.Err = err
+		return
+	}
+	var b answerBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		a.Err = err
+		return
+	}
+	a.Text = b.text()
+	a.Whole = len(b.Choices) == 1 && b.Choices[0].FinishReason != ""
+}
+
+// stream reads server-sent events. The answer is whole when it says [DONE]
+// after a reason to finish.
+func (a *Answer) stream(response *http.Response, start time.Time) {
+	var text strings.Builder
+	finished := false
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Whole = finished && a.Code == 0
+			continue
+		}
+		var b answerBody
+		if err := json.Unmarshal([]byte(data), &b); err != nil {
+			a.Err = err
+			break
+		}
+		if b.Error.Code != 0 {
+			a.Code, a.Run = code.Code(b.Error.Code), b.Error.Run
+			continue
+		}
+		if a.FirstToken == 0 && b.text() != "" {
+			a.FirstToken = time.Since(start)
+		}
+		text.WriteString(b.text())
+		finished = finished || len(b.Choices) == 1 && b.Choices[0].FinishReason != ""
+	}
+	a.Text = text.String()
+	if err := lines.Err(); err != nil && !a.Whole {
+		a.Err = err
+	}
+}
--- /dev/null
+++ b/limpetlab/demo/document.go
@@ -0,0 +1,69 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetlab/caller"
+	"github.com/limpetlb/limpetlb/limpetlab/deploy"
+	"github.com/limpetlb/limpetlb/limpetlab/fleet"
+)
+
+// Probes for models.
+const (
+	probePause  = 100 * time.Millisecond
+	probeTokens = 1
+)
+
+// awaitReachable waits until every declared model and adapter answers in each
+// data centre's daemons, or the time for it is over.
+func (d *demo) awaitReachable(ctx context.Context, doc *envdoc.Document) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	var names []string
+	for _, m := range doc.Models {
+		names = append(names, m.Name)
+		for _, a := range m.Adapters {
+			names = append(names, a.Name)
+		}
+	}
+	missing := make(chan string, len(names))
+	var probes sync.WaitGroup
+	for i, name := range names {
+		live := d.fleet.Live()
+		m := live[i%len(live)]
+		probes.Go(func() {
+			if !d.probe(ctx, m, name) {
+				missing <- name
+			}
+		})
+	}
+	probes.Wait()
+	close(missing)
+	var unreachable []string
+	for name := range missing {
+		unreachable = append(unreachable, name)
+	}
+	if len(unreachable) > 0 {
+		return fmt.Errorf("%d of %d models and adapters do not answer after %v, such as %s",
+			len(unreachable), len(names), readyTimeout, unreachable[0])
+	}
+	return nil
+}
+
+// probe asks for a token until it comes.
+func (d *demo) probe(ctx context.Context, m *fleet.Member, model string) bool {
+	for ctx.Err() == nil {
+		a := d.client.Generate(ctx, m.Daemon.CallerAddr(), caller.Generation{
+			Key: deploy.Key(deploy.CallerUrgent), Model: model, Prompt: "ready?", MaxTokens: probeTokens,
+		})
+		if a.Whole {
+			return true
+		}
+		time.Sleep(probePause)
+	}
+	return false
+}
--- /dev/null
+++ b/limpetlab/demo/summary.go
@@ -0,0 +1,183 @@
+package demo
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetlab/world"
+)
+
+// Summary is the outcome of a demo.
+type Summary struct {
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	Fault      Fault   `json:"fault"`
+	Seconds    float64 `json:"seconds"`
+	// WeightStoreSpeed is the factor by which the weight store is faster
+	// than the deployment's.
+	WeightStoreSpeed float64 `json:"weight_store_speed"`
+	Daemons          int     `json:"daemons"`
+	Engines          int     `json:"engines"`
+	Accelerators     int     `json:"accelerators"`
+
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	// Refused counts requests that ended with an explicit code.
+	Refused int            `json:"refused"`
+	Codes   map[string]int `json:"codes"`
+	// BrokenConnections counts connections that broke before an answer; the
+	// caller then asked another daemon.
+	BrokenConnections int `json:"broken_connections"`
+
+	// WrongAnswers, Lost, Doubled, MemoryOvercommits and NotRunButRan must
+	// be zero.
+	WrongAnswers      int      `json:"wrong_answers"`
+	Lost              int      `json:"lost"`
+	Doubled           int      `json:"doubled"`
+	MemoryOvercommits int      `json:"memory_overcommits"`
+	NotRunButRan      int      `json:"not_run_but_ran"`
+	Notes             []string `json:"notes,omitempty"`
+
+	// Moves counts loads and unloads after the first placement.
+	Moves        int64 `json:"moves"`
+	InitialMoves int64 `json:"initial_moves"`
+	// Attainment is the part of the generations that met the expectation of
+	// their priority, AttainmentPerAccelerator their number for each.
+	Attainment               float64            `json:"attainment"`
+	AttainmentByPriority     map[string]float64 `json:"attainment_by_priority"`
+	AttainmentPerAccelerator float64            `json:"attainment_per_accelerator"`
+	FirstTokenMillis         Percentiles        `json:"first_token_ms"`
+	TableWrites              int64              `json:"table_writes"`
+	TableReads               int64              `json:"table_reads"`
+	RowsByPrefix             map[string]int64   `json:"rows_by_prefix"`
+}
+
+// Percentiles of a time in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// Broken returns the promises that did not hold.
+func (s Summary) Broken() []string {
+	var broken []string
+	for _, c := range []struct {
+		name  string
+		count int
+	}{
+		{"wrong_answers", s.WrongAnswers},
+		{"lost", s.Lost},
+		{"doubled", s.Doubled},
+		{"memory_overcommits", s.MemoryOvercommits},
+		{"not_run_but_ran", s.NotRunButRan},
+	} {
+		if c.count > 0 {
+			broken = append(broken, fmt.Sprintf("%s is %d", c.name, c.count))
+		}
+	}
+	return broken
+}
+
+// summary judges by the stand-ins' books and by what the callers got.
+func (d *demo) summary(initial int64, elapsed time.Duration) Summary {
+	books := d.world.Books()
+	loads, unloads := books.Loads()
+	t := d.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := Summary{
+		Deployment:        d.config.Deployment.Name,
+		Seed:              d.config.Seed,
+		Fault:             d.config.Fault,
+		Seconds:           elapsed.Seconds(),
+		WeightStoreSpeed:  d.config.Speed,
+		Daemons:           len(d.fleet.Live()),
+		Engines:           len(d.world.Engines),
+		Accelerators:      d.config.Deployment.Accelerators(),
+		Requests:          t.requests,
+		Answered:          t.answered,
+		Refused:           t.refused,
+		Codes:             t.codes,
+		BrokenConnections: t.breaks,
+		WrongAnswers:      t.wrong,
+		Lost:              t.lost,
+		MemoryOvercommits: len(books.MemoryOvercommits),
+		Moves:             loads + unloads - initial,
+		InitialMoves:      initial,
+		TableWrites:       books.Table.Writes,
+		TableReads:        books.Table.Reads,
+		RowsByPrefix:      books.Table.RowsByPrefix,
+	}
+	doubled := books.Doubled(func(call string) bool { return strings.HasPrefix(call, "once-") })
+	s.Doubled = len(doubled)
+	for _, call := range doubled {
+		s.Notes = append(s.Notes, fmt.Sprintf("%s ran %d times", call, books.Executions[call]))
+	}
+	s.NotRunButRan = t.notRunButRan(books)
+	s.Notes = append(s.Notes, t.notes...)
+	s.attain(t)
+	return s
+}
+
+// notRunButRan counts requests of which a caller was told that they did not
+// run, and that did. A request that was sent several times counts only when
+// each time ended so.
+func (t *tally) notRunButRan(books world.Books) int {
+	n := 0
+	for call := range t.notRun {
+		if !t.maybeRun[call] && books.Executions[call] > 0 {
+			n++
+			t.note("told not run, but ran: %s", call)
+		}
+	}
+	for prompt := range t.prompts {
+		if !t.maybeRun[prompt] && books.Runs(prompt) > 0 {
+			n++
+			t.note("told not run, but ran: %s", prompt[max(0, len(prompt)-30):])
+		}
+	}
+	return n
+}
+
+// attain fills in the attainment.
+func (s *Summary) attain(t *tally) {
+	s.AttainmentByPriority = make(map[string]float64)
+	asked, attained := 0, 0
+	for p, n := range t.asked {
+		s.AttainmentByPriority[p] = float64(t.attained[p]) / float64(n)
+		asked += n
+		attained += t.attained[p]
+	}
+	if asked > 0 {
+		s.Attainment = float64(attained) / float64(asked)
+	}
+	s.AttainmentPerAccelerator = float64(attained) / float64(s.Accelerators)
+	millis := func(q float64) float64 { return float64(t.first.ValueAtQuantile(q)) / 1000 }
+	s.FirstTokenMillis = Percentiles{P50: millis(50), P95: millis(95), P99: millis(99)}
+}
+
+// String describes the outcome for people.
+func (s Summary) String() string {
+	var b strings.Builder
+	line := func(name string, value any) { _, _ = fmt.Fprintf(&b, "%-28s %v\n", name, value) }
+	line("deployment", s.Deployment)
+	line("fault", s.Fault)
+	line("requests", s.Requests)
+	line("answered", s.Answered)
+	line("refused with a code", fmt.Sprintf("%d %v", s.Refused, s.Codes))
+	line("wrong answers", s.WrongAnswers)
+	line("lost", s.Lost)
+	line("doubled", s.Doubled)
+	line("memory overcommits", s.MemoryOvercommits)
+	line("told not run, but ran", s.NotRunButRan)
+	line("moves", s.Moves)
+	line("attainment", fmt.Sprintf("%.3f", s.Attainment))
+	line("attainment per accelerator", fmt.Sprintf("%.2f", s.AttainmentPerAccelerator))
+	line("first token p50, p95 (ms)", fmt.Sprintf("%.1f, %.1f", s.FirstTokenMillis.P50, s.FirstTokenMillis.P95))
+	for _, n := range s.Notes {
+		line("note", n)
+	}
+	return strings.TrimRight(b.String(), "\n")
+}
--- /dev/null
+++ b/limpetlab/deploy/deploy.go
@@ -0,0 +1,232 @@
+// Package deploy describes the deployments that the demo, the load tool and the
+// fault matrix run: their sizes, their environment documents and the keys of
+// their callers.
+//
+// # Usage
+//
+//	d, err := deploy.ByName("andesoft")
+//	doc := d.Document(1)
+//	body, err := deploy.Encode(doc)
+package deploy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetlab/weight"
+)
+
+// AcceleratorsPerEngine is the number of accelerators of an engine.
+const AcceleratorsPerEngine = 4
+
+// Deployment is the size of a customer's installation.
+type Deployment struct {
+	Name        string
+	DataCentres []string
+	// Daemons and Engines count those of one data centre.
+	Daemons int
+	Engines int
+	// ServiceVMs counts the servers of the plain service over all.
+	ServiceVMs int
+	// EngineMB is the accelerator memory of an engine.
+	EngineMB int64
+	Models   int
+	Adapters int
+	Weights  envdoc.Weights
+	// Store is the weight store.
+	Store weight.Config
+	// EnginePool and ServicePool name the pools; Service the plain service.
+	EnginePool  string
+	ServicePool string
+	Service     string
+	// OncePath takes calls that run at most once, StatusPath those that may
+	// be repeated.
+	OncePath   string
+	StatusPath string
+	// Delay is the time between callers and a data centre, each way.
+	Delay time.Duration
+}
+
+// Names of the priorities and callers of both documents.
+const (
+	PriorityUrgent   = "urgent"
+	PriorityNormal   = "normal"
+	PriorityDeferred = "overnight"
+	CallerUrgent     = "app"
+	CallerNormal     = "desk"
+	CallerDeferred   = "summaries"
+)
+
+// Andesoft is the deployment in Lima.
+func Andesoft() Deployment {
+	return Deployment{
+		Name:        "andesoft",
+		DataCentres: []string{"lima-1", "lima-2", "lima-3", "lima-4"},
+		Daemons:     2,
+		Engines:     3,
+		ServiceVMs:  4,
+		EngineMB:    320_000,
+		Models:      15,
+		Adapters:    75,
+		Weights:     envdoc.Weights{Attainment: 8, Moves: 2},
+		Store: weight.Config{
+			PerSecond: 1.4, AtOnce: 14,
+			AdapterMin: 6 * time.Millisecond, AdapterMax: 19 * time.Millisecond,
+			AdaptersInTransit: 110,
+		},
+		EnginePool:  "assistant",
+		ServicePool: "app",
+		Service:     "app",
+		OncePath:    "/bookings",
+		StatusPath:  "/schedule",
+		Delay:       time.Millisecond,
+	}
+}
+
+// Ibeji is the deployment in Lagos.
+func Ibeji() Deployment {
+	return Deployment{
+		Name:        "ibeji",
+		DataCentres: []string{"lagos-1", "lagos-2", "lagos-3"},
+		Daemons:     2,
+		Engines:     4,
+		ServiceVMs:  3,
+		EngineMB:    320_000,
+		Models:      26,
+		Adapters:    63,
+		Weights:     envdoc.Weights{Attainment: 3, Moves: 8},
+		Store: weight.Config{
+			PerSecond: 1.4, AtOnce: 16,
+			AdapterMin: 9 * time.Millisecond, AdapterMax: 29 * time.Millisecond,
+			AdaptersInTransit: 130,
+		},
+		EnginePool:  "drafting",
+		ServicePool: "dispatch",
+		Service:     "dispatch",
+		OncePath:    "/sends",
+		StatusPath:  "/campaigns",
+		Delay:       3 * time.Millisecond,
+	}
+}
+
+// ByName returns the deployment with a name. An error has code BadParameter.
+func ByName(name string) (Deployment, error) {
+	switch name {
+	case "andesoft":
+		return Andesoft(), nil
+	case "ibeji":
+		return Ibeji(), nil
+	}
+	return Deployment{}, code.Errorf(code.BadParameter, "deployment %q is not andesoft or ibeji", name)
+}
+
+// Accelerators returns the number of accelerators.
+func (d Deployment) Accelerators() int {
+	return len(d.DataCentres) * d.Engines * AcceleratorsPerEngine
+}
+
+// Faster returns d with a weight store that is faster by a factor.
+func (d Deployment) Faster(factor float64) Deployment {
+	d.Store.PerSecond *= factor
+	return d
+}
+
+// Key returns the key of a caller.
+func Key(caller string) string {
+	return "demo-key-of-" + caller
+}
+
+// digest returns the SHA-256 digest of a caller's key in hexadecimal.
+func digest(caller string) string {
+	sum := sha256.Sum256([]byte(Key(caller)))
+	return hex.EncodeToString(sum[:])
+}
+
+// Memory of the models and adapters of the documents, in MB.
+const (
+	smallestModelMB = 14_000
+	modelStepMB     = 6_000
+	modelSizes      = 5
+	adapterMB       = 180
+)
+
+// Document returns the environment document of d in a revision. The version of
+// each model is the revision in which it last changed.
+func (d Deployment) Document(revision int64) *envdoc.Document {
+	doc := &envdoc.Document{
+		Environment: d.Name,
+		Revision:    revision,
+		Weights:     d.Weights,
+		Priorities:  priorities(),
+		Callers: []envdoc.Caller{
+			{Name: CallerUrgent, KeySHA256: digest(CallerUrgent), Priorities: []string{PriorityUrgent, PriorityNormal}},
+			{Name: CallerNormal, KeySHA256: digest(CallerNormal), Priorities: []string{PriorityNormal}},
+			{Name: CallerDeferred, KeySHA256: digest(CallerDeferred), Priorities: []string{PriorityDeferred}},
+		},
+		Services: []envdoc.Service{d.service()},
+		Budgets: envdoc.Budgets{
+			LoadsPerSecond:    d.Store.PerSecond,
+			LoadsAtOnce:       d.Store.AtOnce,
+			AdaptersInTransit: d.Store.AdaptersInTransit,
+		},
+	}
+	for i := range d.Models {
+		doc.Models = append(doc.Models, d.model(i))
+	}
+	for i := range d.Adapters {
+		m := &doc.Models[i%d.Models]
+		name := fmt.Sprintf("%s-a%d", m.Name, i/d.Models+1)
+		m.Adapters = append(m.Adapters, envdoc.Adapter{Name: name, Version: "1", MemoryMB: adapterMB})
+	}
+	return doc
+}
+
+// priorities are those of both documents.
+func priorities() []envdoc.Priority {
+	return []envdoc.Priority{
+		{Name: PriorityUrgent, Rank: 0, FirstToken: envdoc.Duration(900 * time.Millisecond), BetweenTokens: envdoc.Duration(57 * time.Millisecond)},
+		{Name: PriorityNormal, Rank: 1, FirstToken: envdoc.Duration(1700 * time.Millisecond), BetweenTokens: envdoc.Duration(57 * time.Millisecond)},
+		{
+			Name: PriorityDeferred, Rank: 2, Deferred: true,
+			FirstToken: envdoc.Duration(10 * time.Minute), BetweenTokens: envdoc.Duration(200 * time.Millisecond),
+			Deadline: envdoc.Duration(9 * time.Hour),
+		},
+	}
+}
+
+// service declares the plain service.
+func (d Deployment) service() envdoc.Service {
+	return envdoc.Service{
+		Name: d.Service,
+		Pool: d.ServicePool,
+		Paths: []envdoc.Path{
+			{Method: "POST", Path: d.OncePath, KeyRequired: true},
+			{Method: "GET", Path: d.StatusPath, Repeatable: true},
+		},
+	}
+}
+
+// model declares the model with an index.
+func (d Deployment) model(i int) envdoc.Model {
+	m := envdoc.Model{
+		Name:     fmt.Sprintf("%s-m%02d", d.Name, i+1),
+		Version:  "1",
+		Pool:     d.EnginePool,
+		MemoryMB: smallestModelMB + modelStepMB*int64(i%modelSizes),
+	}
+	if i == 0 {
+		m.MinReplicas = 2
+	}
+	return m
+}
+
+// Encode writes a document as YAML.
+func Encode(doc *envdoc.Document) ([]byte, error) {
+	return yaml.Marshal(doc)
+}
--- a/limpetlab/engsim/cache.go
+++ b/limpetlab/engsim/cache.go
@@ -6,6 +6,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/route"
 )
 
 // keptEvents is the number of cache events that an engine keeps.
@@ -24,10 +25,15 @@
 	lag      time.Duration
 	gap      int64
 	recent   *list.List
-	blocks   map[uint64]*list.Element
+	blocks   map[block]*list.Element
 	events   []cacheEvent
 	sequence int64
-	scratch  []uint64
+}
+
+// block is a cached prompt block. Slots do not share blocks.
+type block struct {
+	slot   envdoc.Slot
+	prefix uint64
 }
 
 // newCache returns an empty cache.
@@ -37,41 +43,39 @@
 		lag:    c.CacheLag,
 		gap:    c.CacheGap,
 		recent: list.New(),
-		blocks: make(map[uint64]*list.Element),
+		blocks: make(map[block]*list.Element),
 	}
 }
 
 // cached returns the number of prompt tokens found in the cache.
 func (c *cache) cached(s envdoc.Slot, prompt string) int {
-	c.scratch = engine.Prefixes(c.scratch[:0], s, prompt)
 	found := 0
-	for _, p := range c.scratch {
-		b, ok := c.blocks[p]
+	for _, p := range route.Prefixes(prompt) {
+		b, ok := c.blocks[block{s, p}]
 		if !ok {
 			break
 		}
 		c.recent.MoveToFront(b)
 		found++
 	}
-	return found * engine.BlockBytes / engine.BytesPerToken
+	return found * route.BlockTokens
 }
 
 // add keeps the blocks of a prompt.
 func (c *cache) add(s envdoc.Slot, prompt string) {
-	c.scratch = engine.Prefixes(c.scratch[:0], s, prompt)
-	for _, p := range c.scratch {
-		if b, ok := c.blocks[p]; ok {
+	for _, p := range route.Prefixes(prompt) {
+		key := block{s, p}
+		if b, ok := c.blocks[key]; ok {
 			c.recent.MoveToFront(b)
 			continue
 		}
-		c.blocks[p] = c.recent.PushFront(p)
+		c.blocks[key] = c.recent.PushFront(key)
 		c.note(p, false)
 	}
 	for c.recent.Len() > c.limit {
-		oldest := c.recent.Back()
-		p := c.recent.Remove(oldest).(uint64)
-		delete(c.blocks, p)
-		c.note(p, true)
+		key := c.recent.Remove(c.recent.Back()).(block)
+		delete(c.blocks, key)
+		c.note(key.prefix, true)
 	}
 }
 
--- a/limpetlab/engsim/engsim_test.go
+++ b/limpetlab/engsim/engsim_test.go
@@ -13,6 +13,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 	"github.com/limpetlb/limpetlb/limpetlab/weight"
@@ -201,7 +202,7 @@
 		report, err := e.Report(t.Context())
 		require.NoError(t, err)
 		require.Empty(t, report.Slots)
-		prompt := string(make([]byte, 4*engine.BlockBytes))
+		prompt := string(make([]byte, 4*route.BlockBytes))
 		frames, err := e.Generate(t.Context(), engine.Request{Attempt: "1", Slot: slotA, Prompt: prompt, MaxTokens: 4})
 		require.NoError(t, err)
 		_, err = read(frames)
--- a/limpetlab/engsim/generate.go
+++ b/limpetlab/engsim/generate.go
@@ -110,7 +110,7 @@
 	b := base(r.Slot, r.Prompt)
 	total, reason := length(b, r.MaxTokens)
 	cached := e.life.cache.cached(r.Slot, r.Prompt)
-	prompt := engine.PromptTokens(r.Prompt) + r.GeneratedTokens
+	prompt := promptTokens(r.Prompt) + r.GeneratedTokens
 	g := &generation{
 		request: r,
 		base:    b,
--- a/limpetlab/engsim/text.go
+++ b/limpetlab/engsim/text.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/route"
 )
 
 // Form of the generated text.
@@ -85,3 +86,9 @@
 	}
 	return false
 }
+
+// promptTokens returns the number of tokens of a prompt.
+func promptTokens(prompt string) int {
+	const tokenLength = route.BlockBytes / route.BlockTokens
+	return (len(prompt) + tokenLength - 1) / tokenLength
+}
--- /dev/null
+++ b/limpetlab/world/books.go
@@ -0,0 +1,58 @@
+package world
+
+import (
+	"github.com/limpetlb/limpetlb/limpetlab/engsim"
+	"github.com/limpetlb/limpetlb/limpetlab/table"
+	"github.com/limpetlb/limpetlb/limpetlab/weight"
+)
+
+// Books are what all stand-ins saw.
+type Books struct {
+	Table             table.Books         `json:"table"`
+	Weights           weight.Books        `json:"weights"`
+	Engines           []engsim.Books      `json:"engines"`
+	MemoryOvercommits []engsim.Overcommit `json:"memory_overcommits"`
+	// Executions counts executions of the plain service by call.
+	Executions map[string]int `json:"executions"`
+}
+
+// Books returns what the stand-ins saw so far.
+func (w *World) Books() Books {
+	b := Books{Table: w.Table.Books(), Weights: w.Weights.Books(), Executions: w.Bookings.All()}
+	for _, e := range w.Engines {
+		books := e.Books()
+		b.Engines = append(b.Engines, books)
+		b.MemoryOvercommits = append(b.MemoryOvercommits, books.Overcommits...)
+	}
+	return b
+}
+
+// Loads counts loads of models and adapters, Unloads their removal.
+func (b Books) Loads() (loads, unloads int64) {
+	for _, e := range b.Engines {
+		loads += e.ModelLoads + e.AdapterLoads
+		unloads += e.ModelUnloads + e.AdapterUnloads
+	}
+	return loads, unloads
+}
+
+// Runs returns how many attempts began for a prompt.
+func (b Books) Runs(prompt string) int {
+	n := 0
+	for _, e := range b.Engines {
+		n += e.Runs[prompt]
+	}
+	return n
+}
+
+// Doubled returns the calls that were executed more than once, among those for
+// which once tells that they must not be.
+func (b Books) Doubled(once func(call string) bool) []string {
+	var doubled []string
+	for call, n := range b.Executions {
+		if n > 1 && once(call) {
+			doubled = append(doubled, call)
+		}
+	}
+	return doubled
+}
