--- a/limpetlab/world/world.go
+++ b/limpetlab/world/world.go
@@ -231,7 +231,7 @@
 	}
 	for _, e := range w.Engines {
 		e.Server.Stop()
-		_ = e.Engine.Stop()
+		_ = e.Stop()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
