--- a/limpetd/batch/answer.go
+++ b/limpetd/batch/answer.go
@@ -24,12 +24,7 @@
 
 // answerAll answers the items that have no line yet, several at once.
 func (d *Duty) answerAll(ctx context.Context, h *hold) {
-	var open []int
-	for i := range h.items {
-		if _, ok := h.lines[i]; !ok {
-			open = append(open, i)
-		}
-	}
+	open := h.open()
 	// next gives the items to the workers; each waits for the next one.
 	next := make(chan int)
 	var workers sync.WaitGroup
@@ -57,14 +52,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil || !again(err, try, d.now(), h.job.Deadline) {
+		if err == nil || !again(err, try, d.now(), h.task.Deadline) {
 			if err != nil {
-				e := wire.NewError(err, requestID(h.job, i)).Error
+				e := wire.NewError(err, requestID(h.task, i)).Error
 				line.Error = &e
 			}
-			h.mu.Lock()
-			h.lines[i] = line
-			h.mu.Unlock()
+			h.keep(line)
 			return
 		}
 		select {
@@ -109,23 +102,23 @@
 	if err != nil {
 		return line, err
 	}
-	caller, ok := catalog.Caller(h.job.Caller)
+	caller, ok := catalog.Caller(h.task.Caller)
 	if !ok {
-		return line, code.Errorf(code.Forbidden, "caller %q is not declared any more", h.job.Caller)
+		return line, code.Errorf(code.Forbidden, "caller %q is not declared any more", h.task.Caller)
 	}
 	g, err := item.Generation()
 	if err != nil {
 		return line, err
 	}
-	g.Priority = h.job.Priority
-	id := requestID(h.job, i)
+	g.Priority = h.task.Priority
+	id := requestID(h.task, i)
 	now := d.now()
-	attempt := id + "-" + strconv.Itoa(h.job.Holds) + "-" + strconv.Itoa(try)
+	attempt := id + "-" + strconv.Itoa(h.task.Holds) + "-" + strconv.Itoa(try)
 	call, err := catalog.Call(caller, g, attempt, now)
 	if err != nil {
 		return line, err
 	}
-	call.Admission.Deadline = h.job.Deadline
+	call.Admission.Deadline = h.task.Deadline
 	var whole relay.Whole
 	if err := d.deps.Answerer.Answer(ctx, call, &whole); err != nil {
 		return line, err
--- a/limpetd/batch/batch.go
+++ b/limpetd/batch/batch.go
@@ -36,6 +36,12 @@
 	openPage = 50
 	// listPage is the number of jobs in a list.
 	listPage = 100
+	// DefaultKeepFor is how long a batch that has ended is kept.
+	DefaultKeepFor = 7 * 24 * time.Hour
+	// sweepEvery is the mean time between two sweeps of ended batches.
+	sweepEvery = 10 * time.Minute
+	// sweepPage is the number of batches that a sweep deletes at most.
+	sweepPage = 20
 	// renewals is the number of renewals within one hold.
 	renewals = 3
 	// storeRetry is the mean time between two tries of a write to the store.
@@ -56,6 +62,8 @@
 	SaveEvery      time.Duration
 	JobsAtOnce     int
 	RequestsAtOnce int
+	// KeepFor is how long a batch that has ended is kept.
+	KeepFor time.Duration
 }
 
 // withDefaults fills in what is not set.
@@ -69,6 +77,9 @@
 	if c.SaveEvery == 0 {
 		c.SaveEvery = DefaultSaveEvery
 	}
+	if c.KeepFor == 0 {
+		c.KeepFor = DefaultKeepFor
+	}
 	if c.JobsAtOnce == 0 {
 		c.JobsAtOnce = DefaultJobsAtOnce
 	}
@@ -160,6 +171,7 @@
 		for range d.config.JobsAtOnce {
 			t.Go(func() error { return d.runLoop(ctx) })
 		}
+		t.Go(func() error { return d.sweepLoop(ctx) })
 		return nil
 	})
 	return d
--- /dev/null
+++ b/limpetd/batch/batch_test.go
@@ -0,0 +1,427 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	"github.com/limpetlb/limpetlb/limpetd/relay"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// itemTime is how long the generation of an item takes.
+const itemTime = 20 * time.Second
+
+type documents struct{}
+
+var doc = &envdoc.Document{
+	Priorities: []envdoc.Priority{
+		{Name: "live"},
+		{Name: "night", Rank: 9, Deferred: true, Deadline: envdoc.Duration(8 * time.Hour)},
+	},
+	Models:  []envdoc.Model{{Name: "m", Version: "1"}},
+	Callers: []envdoc.Caller{{Name: "app", Priorities: []string{"live", "night"}}},
+}
+
+func (documents) Document() (*envdoc.Document, bool) { return doc, true }
+
+// answerer answers with the prompt and counts the generations of each.
+type answerer struct {
+	mu    sync.Mutex
+	began map[string]int
+	ended map[string]int
+	fail  func(prompt string, n int) error
+}
+
+func (a *answerer) Answer(ctx context.Context, c relay.Call, s relay.Sink) error {
+	a.mu.Lock()
+	if a.began == nil {
+		a.began = make(map[string]int)
+		a.ended = make(map[string]int)
+	}
+	n := a.began[c.Prompt]
+	a.began[c.Prompt]++
+	a.mu.Unlock()
+	select {
+	case <-time.After(itemTime):
+	case <-ctx.Done():
+		return code.Errorf(code.CallerGone, "gone")
+	}
+	if a.fail != nil {
+		if err := a.fail(c.Prompt, n); err != nil {
+			return err
+		}
+	}
+	a.mu.Lock()
+	a.ended[c.Prompt]++
+	a.mu.Unlock()
+	return s.Send(relay.Piece{Text: "re " + c.Prompt, Tokens: 2, Done: true, Reason: "stop"})
+}
+
+// world is a table and objects with daemons on them.
+type world struct {
+	table    store.Table
+	objects  *fakes.Objects
+	answerer *answerer
+	n        int
+}
+
+// daemon starts a daemon; stop ends it as its death would.
+func (w *world) daemon(t *testing.T, table store.Table) (d *Duty, stop func()) {
+	w.n++
+	ctx, cancel := context.WithCancel(t.Context())
+	d = New(ctx, Config{VM: "vm", Instance: fmt.Sprint("i", w.n), Environment: "test", JobsAtOnce: 1, SaveEvery: 10 * time.Second}, Deps{
+		Table: table, Objects: w.objects, Answerer: w.answerer, Documents: documents{},
+	})
+	return d, func() {
+		cancel()
+		require.NoError(t, d.Wait())
+	}
+}
+
+func submission(items int) Submission {
+	s := Submission{Caller: &doc.Callers[0]}
+	for i := range items {
+		s.Items = append(s.Items, Item{CustomID: fmt.Sprint(i), URL: PathCompletion, Body: fmt.Appendf(nil, `{"model":"m","prompt":"p%d"}`, i)})
+	}
+	return s
+}
+
+// ended waits until a job has ended.
+func ended(t *testing.T, d *Duty, id string) Job {
+	for range 10000 {
+		j, err := d.Get(t.Context(), "app", id)
+		if err == nil && j.Final() {
+			return j
+		}
+		time.Sleep(time.Second)
+	}
+	require.Fail(t, "the job has not ended")
+	return Job{}
+}
+
+// requireWhole checks that a result holds one answer to each item, in order.
+func requireWhole(t *testing.T, d *Duty, id string, items int) {
+	lines, err := d.Result(t.Context(), "app", id)
+	require.NoError(t, err)
+	require.Len(t, lines, items)
+	for i, l := range lines {
+		require.Equal(t, fmt.Sprint(i), l.CustomID)
+		require.Nil(t, l.Error)
+		require.Contains(t, string(l.Response.Body), fmt.Sprintf(`"text":"re p%d"`, i))
+	}
+}
+
+func inWorld(t *testing.T, table *fakes.Table, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		f(t, &world{table: table, objects: &fakes.Objects{}, answerer: &answerer{}})
+	})
+}
+
+const items = 10
+
+func TestBatchRunsToItsResult(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		d, stop := w.daemon(t, w.table)
+		defer stop()
+		j, err := d.Submit(t.Context(), submission(items))
+		require.NoError(t, err)
+		lines, err := d.Result(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		require.Nil(t, lines)
+		require.Equal(t, StateDone, ended(t, d, j.ID).State)
+		requireWhole(t, d, j.ID, items)
+		jobs, more, err := d.List(t.Context(), "app", "")
+		require.NoError(t, err)
+		require.False(t, more)
+		require.Len(t, jobs, 1)
+	})
+}
+
+func TestBatchIsDurableBeforeItIsAccepted(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  []fakes.Fault
+		objects fakes.Fault
+		code    code.Code
+		run     code.Run
+	}{
+		{"no fault", nil, fakes.None, code.OK, code.RunYes},
+		{"answer lost", []fakes.Fault{fakes.LostAnswer}, fakes.None, code.OK, code.RunYes},
+		{"transaction lost", []fakes.Fault{fakes.LostCall}, fakes.None, code.OK, code.RunYes},
+		{"transaction late", []fakes.Fault{fakes.LateEffect}, fakes.None, code.OK, code.RunYes},
+		{"table down", []fakes.Fault{fakes.Down}, fakes.None, code.BatchStoreDown, code.RunNo},
+		{"not known", []fakes.Fault{fakes.LostCall, fakes.LostCall, fakes.LostCall, fakes.LostCall}, fakes.None, code.BatchStoreDown, code.RunUnknown},
+		{"objects down", nil, fakes.Down, code.BatchStoreDown, code.RunNo},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := &fakes.Table{Fault: func(n int) fakes.Fault {
+				if n < len(c.faults) {
+					return c.faults[n]
+				}
+				return fakes.None
+			}}
+			inWorld(t, table, func(t *testing.T, w *world) {
+				d, stop := w.daemon(t, w.table)
+				defer stop()
+				w.objects.Fault = func() fakes.Fault { return c.objects }
+				j, err := d.Submit(t.Context(), submission(1))
+				require.Equal(t, c.code, code.Of(err))
+				require.Equal(t, c.run, code.RunOf(err))
+				_, err = d.Get(t.Context(), "app", j.ID)
+				require.Equal(t, c.code == code.OK, err == nil)
+			})
+		})
+	}
+}
+
+func TestRepeatedSubmissionFindsItsJob(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		d, stop := w.daemon(t, w.table)
+		defer stop()
+		s := submission(2)
+		s.Key = "k"
+		first, err := d.Submit(t.Context(), s)
+		require.NoError(t, err)
+		second, err := d.Submit(t.Context(), s)
+		require.NoError(t, err)
+		require.Equal(t, first.ID, second.ID)
+		s.Items = s.Items[:1]
+		_, err = d.Submit(t.Context(), s)
+		require.Equal(t, code.ClaimMismatch, code.Of(err))
+	})
+}
+
+func TestDeathOfTheHolderRepeatsOnlyWhatWasNotSaved(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		first, die := w.daemon(t, w.table)
+		j, err := first.Submit(t.Context(), submission(items))
+		require.NoError(t, err)
+		time.Sleep(3*itemTime + itemTime/2)
+		second, stop := w.daemon(t, w.table)
+		defer stop()
+		die()
+		got := ended(t, second, j.ID)
+		require.Equal(t, StateDone, got.State)
+		requireWhole(t, second, j.ID, items)
+		repeats := 0
+		for _, n := range w.answerer.ended {
+			repeats += n - 1
+		}
+		require.LessOrEqual(t, repeats, DefaultRequestsAtOnce)
+	})
+}
+
+// cutTable is a table that a daemon loses the connection to.
+type cutTable struct {
+	store.Table
+	mu  sync.Mutex
+	cut bool
+}
+
+func (c *cutTable) set(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+func (c *cutTable) down() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut {
+		return code.Errorf(code.StoreDown, "cut off")
+	}
+	return nil
+}
+
+func (c *cutTable) Apply(ctx context.Context, tx store.Tx) error {
+	if err := c.down(); err != nil {
+		return err
+	}
+	return c.Table.Apply(ctx, tx)
+}
+
+func (c *cutTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	if err := c.down(); err != nil {
+		return nil, err
+	}
+	return c.Table.Get(ctx, keys...)
+}
+
+// TestResultIsWrittenOnceWhenAHolderWasCutOff cuts the holder off until another
+// daemon has taken the job over and ended it.
+func TestResultIsWrittenOnceWhenAHolderWasCutOff(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		cut := &cutTable{Table: w.table}
+		first, stopFirst := w.daemon(t, cut)
+		defer stopFirst()
+		j, err := first.Submit(t.Context(), submission(items))
+		require.NoError(t, err)
+		time.Sleep(itemTime)
+		cut.set(true)
+		second, stopSecond := w.daemon(t, w.table)
+		defer stopSecond()
+		got := ended(t, second, j.ID)
+		require.Equal(t, 2, got.Holds)
+		cut.set(false)
+		time.Sleep(time.Minute)
+		after, err := first.Get(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		require.Equal(t, got, after, "the first holder ended the job a second time")
+		requireWhole(t, first, j.ID, items)
+	})
+}
+
+func TestLeavingHandsTheJobOver(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		first, stop := w.daemon(t, w.table)
+		defer stop()
+		j, err := first.Submit(t.Context(), submission(items))
+		require.NoError(t, err)
+		time.Sleep(itemTime + itemTime/2)
+		require.NoError(t, first.Leave(t.Context()))
+		held, err := first.Get(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		require.True(t, held.Takeable(time.Now()))
+		second, stopSecond := w.daemon(t, w.table)
+		defer stopSecond()
+		require.Equal(t, StateDone, ended(t, second, j.ID).State)
+		requireWhole(t, second, j.ID, items)
+		for prompt, n := range w.answerer.ended {
+			require.Equal(t, 1, n, prompt)
+		}
+	})
+}
+
+func TestCancelledJobIsNotEndedByItsHolder(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		d, stop := w.daemon(t, w.table)
+		defer stop()
+		j, err := d.Submit(t.Context(), submission(items))
+		require.NoError(t, err)
+		time.Sleep(itemTime)
+		_, err = d.Cancel(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		time.Sleep(time.Hour)
+		got, err := d.Get(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		require.Equal(t, StateCancelled, got.State)
+		require.Less(t, len(w.answerer.ended), items)
+		_, err = d.Result(t.Context(), "app", j.ID)
+		require.Equal(t, code.BatchFailed, code.Of(err))
+
+		j, err = d.Submit(t.Context(), submission(1))
+		require.NoError(t, err)
+		ended(t, d, j.ID)
+		_, err = d.Cancel(t.Context(), "app", j.ID)
+		require.Equal(t, code.BatchEnded, code.Of(err))
+	})
+}
+
+func TestItemsAreTriedAgainWhereThatMayHelp(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		w.answerer.fail = func(prompt string, n int) error {
+			switch {
+			case prompt == "p0" && n < 20:
+				return code.Errorf(code.QueueFull, "full")
+			case prompt == "p1" && n < 2:
+				return code.Errorf(code.StreamBroken, "broken")
+			case prompt == "p2":
+				return code.Errorf(code.EngineError, "fault")
+			}
+			return nil
+		}
+		d, stop := w.daemon(t, w.table)
+		defer stop()
+		j, err := d.Submit(t.Context(), submission(4))
+		require.NoError(t, err)
+		got := ended(t, d, j.ID)
+		require.Equal(t, 1, got.Failed)
+		lines, err := d.Result(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		require.Equal(t, "engine_error", lines[2].Error.Name)
+		require.Equal(t, maxItemTries, w.answerer.began["p2"])
+	})
+}
+
+func TestSweepDeletesOldBatches(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		d, stop := w.daemon(t, w.table)
+		defer stop()
+		j, err := d.Submit(t.Context(), submission(1))
+		require.NoError(t, err)
+		ended(t, d, j.ID)
+		time.Sleep(DefaultKeepFor - time.Hour)
+		_, err = d.Get(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		time.Sleep(2 * time.Hour)
+		rows, err := w.table.Scan(t.Context(), "batch/", "", 10)
+		require.NoError(t, err)
+		require.Empty(t, rows)
+	})
+}
+
+// TestJobEndsOnceUnderAnyFaults lets daemons die and transactions fail.
+func TestJobEndsOnceUnderAnyFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]fakes.Fault{
+			fakes.None, fakes.Down, fakes.LostAnswer, fakes.LostCall, fakes.LateEffect,
+		}), 0, 40).Draw(r, "faults")
+		lives := rapid.SliceOfN(rapid.IntRange(1, 300), 0, 4).Draw(r, "lives")
+		table := &fakes.Table{Fault: func(n int) fakes.Fault {
+			// The first transaction accepts the job.
+			if n > 0 && n <= len(faults) {
+				return faults[n-1]
+			}
+			return fakes.None
+		}}
+		inWorld(t, table, func(t *testing.T, w *world) {
+			last, stop := w.daemon(t, w.table)
+			j, err := last.Submit(t.Context(), submission(items))
+			require.NoError(t, err)
+			for _, seconds := range lives {
+				time.Sleep(time.Duration(seconds) * time.Second)
+				stop()
+				last, stop = w.daemon(t, w.table)
+			}
+			defer func() { stop() }()
+			got := ended(t, last, j.ID)
+			require.Equal(t, StateDone, got.State)
+			requireWhole(t, last, j.ID, items)
+			time.Sleep(5 * time.Minute)
+			after, err := last.Get(t.Context(), "app", j.ID)
+			require.NoError(t, err)
+			require.Equal(t, got, after)
+			open, err := w.table.Scan(t.Context(), openPrefix("test"), "", 10)
+			require.NoError(t, err)
+			require.Empty(t, open)
+		})
+	})
+}
+
+func FuzzItem(f *testing.F) {
+	f.Add(PathChat, `{"model":"m","messages":[{"role":"user","content":"x"}]}`)
+	f.Add(PathCompletion, `{"model":"m","prompt":["x"]}`)
+	f.Add("/v1/orders", `{}`)
+	f.Fuzz(func(t *testing.T, url, body string) {
+		g, err := Item{URL: url, Body: []byte(body)}.Generation()
+		if err != nil {
+			require.Contains(t, []code.Code{code.MalformedBody, code.BadParameter}, code.Of(err))
+			return
+		}
+		require.NotEmpty(t, g.Model)
+		require.Positive(t, g.MaxTokens)
+		require.True(t, strings.HasPrefix(url, "/v1/c"))
+	})
+}
--- a/limpetd/batch/caller.go
+++ b/limpetd/batch/caller.go
@@ -257,7 +257,7 @@
 			return Job{}, code.Errorf(code.BatchEnded, "batch %s is %s", id, j.State)
 		}
 		j = j.End(StateCancelled, d.now().UTC())
-		last = store.Commit(ctx, d.deps.Table, d.endTx(j, version))
+		last = store.Commit(ctx, d.deps.Table, d.jobTx(j, version))
 		if last == nil {
 			d.event(event.BatchEnded, j)
 			return j, nil
@@ -266,13 +266,17 @@
 	return Job{}, code.WithRun(code.Errorf(code.BatchStoreDown, "the batch could not be cancelled: %w", last), code.RunUnknown)
 }
 
-// endTx writes a job in a final state and takes it off the open jobs.
-func (d *Duty) endTx(j Job, version int64) store.Tx {
+// jobTx writes a job whose row has a version. A job that has ended goes from
+// the open jobs to the ended ones.
+func (d *Duty) jobTx(j Job, version int64) store.Tx {
 	key := jobKey(d.config.Environment, j.Caller, j.ID)
 	tx := store.Tx{ID: store.NewID()}
 	tx.Require(key, version)
 	tx.Put(key, encode(j))
-	tx.Delete(openKey(d.config.Environment, j))
+	if j.Final() {
+		tx.Delete(openKey(d.config.Environment, j))
+		tx.Put(endedKey(d.config.Environment, j.Ended, j.ID), []byte(key))
+	}
 	return tx
 }
 
--- a/limpetd/batch/job.go
+++ b/limpetd/batch/job.go
@@ -72,14 +72,18 @@
 	return !j.Final() && (j.Holder == "" || now.After(j.HeldUntil))
 }
 
-// Held returns the job under a hold until a time. Taking it anew counts.
-func (j Job) Held(vm, instance string, until time.Time) Job {
-	if j.Holder != instance {
-		j.Holds++
-	}
+// Taken returns the job under a new hold until a time.
+func (j Job) Taken(vm, instance string, until time.Time) Job {
 	j.State = StateRunning
 	j.Holder = instance
 	j.HolderVM = vm
+	j.HeldUntil = until
+	j.Holds++
+	return j
+}
+
+// Renewed returns the job under the same hold until a later time.
+func (j Job) Renewed(until time.Time) Job {
 	j.HeldUntil = until
 	return j
 }
@@ -163,8 +167,21 @@
 	return "batch/" + environment + "/open/"
 }
 
+// endedPrefix begins the rows that list the jobs which have ended, in the order
+// of their ends.
+func endedPrefix(environment string) string {
+	return "batch/" + environment + "/ended/"
+}
+
+func endedKey(environment string, at time.Time, id string) string {
+	return endedPrefix(environment) + at.UTC().Format(keyTime) + "/" + id
+}
+
+// keyTime is the form of times in keys; its order is that of the times.
+const keyTime = "20060102T150405"
+
 func openKey(environment string, j Job) string {
-	return openPrefix(environment) + j.Deadline.UTC().Format("20060102T150405") + "/" + j.ID
+	return openPrefix(environment) + j.Deadline.UTC().Format(keyTime) + "/" + j.ID
 }
 
 func objectKey(environment, kind, digest string) string {
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -38,7 +38,7 @@
 const (
 	DefaultMaxHeaderBytes = 32 << 10
 	DefaultMaxBodyBytes   = 1 << 20
-	DefaultMaxBatchBytes  = 32 << 20
+	DefaultMaxBatchBytes  = 8 << 20
 	DefaultMaxConnections = 10000
 	DefaultHeaderTime     = 5 * time.Second
 	DefaultBodyTime       = 10 * time.Second
