gate,claim: Keep unknown outcomes and pass streams on part by part

Change: such a claim is closed as unknown at once and never swept; bodies of unknown length are flushed part by part. Tests break the caller's connection while a booking runs, let the backend die, and let callers stop reading.

--- a/limpetd/claim/claim.go
+++ b/limpetd/claim/claim.go
@@ -276,7 +276,7 @@
 	return &r, nil
 }
 
-// Hold is a claim of this daemon. Close or NotRun must be called once.
+// Hold is a claim of this daemon. Close, NotRun or Unknown must be called once.
 type Hold struct {
 	claims    *Claims
 	key       string
@@ -348,8 +348,8 @@
 	}
 }
 
-// Abandon leaves the claim open: whether the call ran is not known, and a
-// repeat will be told so.
-func (h *Hold) Abandon() {
-	h.claims.deps.Log.Info("claim_unknown", zap.String("request_id", h.record.Request))
+// Unknown keeps that the call was dispatched and that its outcome is not known;
+// a repeat is told so for ever.
+func (h *Hold) Unknown(ctx context.Context) {
+	h.close(ctx, StateUnknown, nil)
 }
--- a/limpetd/claim/claim_test.go
+++ b/limpetd/claim/claim_test.go
@@ -24,6 +24,7 @@
 func TestDecide(t *testing.T) {
 	open := Record{State: StateOpen, Token: "t1", Digest: "d", Until: now}
 	done := Record{State: StateDone, Token: "t1", Digest: "d"}
+	lost := Record{State: StateUnknown, Token: "t1", Digest: "d", Until: now}
 	free := Record{State: StateNotRun, Token: "t1", Digest: "d"}
 	cases := []struct {
 		name   string
@@ -38,6 +39,7 @@
 		{"open", &open, "d", "t2", now.Add(-1), VerdictInProgress},
 		{"open too long", &open, "d", "t2", now, VerdictUnknown},
 		{"open for ever", &open, "d", "t2", now.Add(10000 * time.Hour), VerdictUnknown},
+		{"lost", &lost, "d", "t2", now.Add(-1), VerdictUnknown},
 		{"done", &done, "d", "t2", now, VerdictStored},
 		{"not run", &free, "d", "t2", now, VerdictTake},
 		{"other call, open", &open, "e", "t2", now, VerdictMismatch},
@@ -52,6 +54,7 @@
 func TestOpenClaimsNeverExpire(t *testing.T) {
 	late := now.Add(10000 * time.Hour)
 	require.False(t, Expired(Record{State: StateOpen, Until: now}, time.Hour, late))
+	require.False(t, Expired(Record{State: StateUnknown, Closed: now}, time.Hour, late))
 	require.True(t, Expired(Record{State: StateDone, Closed: now}, time.Hour, late))
 	require.False(t, Expired(Record{State: StateDone, Closed: late}, time.Hour, late))
 }
@@ -238,7 +241,8 @@
 type arrival struct {
 	daemon int
 	// ending is what becomes of a call that may be dispatched: it is run and
-	// closed, found not to have run, or its daemon dies before or after.
+	// closed, found not to have run, run without closing, run without a known
+	// outcome, or its daemon dies before the dispatch.
 	ending int
 }
 
@@ -265,6 +269,9 @@
 		go c.Hold.NotRun(ctx)
 	case 2:
 		s.runs++
+	case 3:
+		s.runs++
+		go c.Hold.Unknown(ctx)
 	}
 }
 
@@ -275,7 +282,7 @@
 			fakes.None, fakes.None, fakes.Down, fakes.LostAnswer, fakes.LostCall, fakes.LateEffect,
 		}), 0, 30).Draw(r, "faults")
 		arrivals := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) arrival {
-			return arrival{daemon: rapid.IntRange(0, 1).Draw(r, "daemon"), ending: rapid.IntRange(0, 3).Draw(r, "ending")}
+			return arrival{daemon: rapid.IntRange(0, 1).Draw(r, "daemon"), ending: rapid.IntRange(0, 4).Draw(r, "ending")}
 		}), 1, 12).Draw(r, "arrivals")
 		gaps := rapid.SliceOfN(rapid.IntRange(0, 200), len(arrivals), len(arrivals)).Draw(r, "gaps")
 		service := &service{told: make(map[code.Run]int)}
--- a/limpetd/claim/record.go
+++ b/limpetd/claim/record.go
@@ -7,8 +7,8 @@
 // call is known not to have run. While the table cannot be reached a keyed call
 // is refused as not run.
 //
-// Closed rows are kept for a configured time and then swept; within it a key
-// stands for its first call. Rows that were never closed are not swept.
+// Rows with an outcome are kept for a configured time and then swept; within it
+// a key stands for its first call. Rows without a known outcome are not swept.
 //
 // # Usage
 //
@@ -16,7 +16,7 @@
 //	c, err := claims.Claim(ctx, claim.Call{Caller: "app", Key: key, Digest: claim.Digest(...)})
 //	if err != nil { ... }              // refused; code.RunOf(err) tells whether it ran
 //	if c.Stored != nil { ... }         // the outcome of the first call
-//	defer c.Hold.Close(ctx, outcome)   // or c.Hold.NotRun(ctx)
+//	c.Hold.Close(ctx, outcome)         // or NotRun, or Unknown
 package claim
 
 import (
@@ -34,11 +34,13 @@
 // State is the state of a claim.
 type State string
 
-// The states of a claim. A claim in StateNotRun may be taken again.
+// The states of a claim. A claim in StateNotRun may be taken again. One in
+// StateUnknown was dispatched and has no known outcome.
 const (
-	StateOpen   State = "open"
-	StateDone   State = "done"
-	StateNotRun State = "not_run"
+	StateOpen    State = "open"
+	StateDone    State = "done"
+	StateNotRun  State = "not_run"
+	StateUnknown State = "unknown"
 )
 
 // Record is the value of a claim's row.
@@ -103,17 +105,17 @@
 type Verdict int
 
 const (
-	// VerdictTake: the call may claim the row.
+	// VerdictTake means that the call may claim the row.
 	VerdictTake Verdict = iota
-	// VerdictOurs: the row is the claim of this very arrival.
+	// VerdictOurs means that the row is the claim of this very arrival.
 	VerdictOurs
-	// VerdictStored: the first call is done.
+	// VerdictStored means that the first call is done.
 	VerdictStored
-	// VerdictInProgress: the first call has not ended.
+	// VerdictInProgress means that the first call has not ended.
 	VerdictInProgress
-	// VerdictUnknown: the first call was never closed.
+	// VerdictUnknown means that it is not known whether the first call ran.
 	VerdictUnknown
-	// VerdictMismatch: the key was used for another call.
+	// VerdictMismatch means that the key was used for another call.
 	VerdictMismatch
 )
 
@@ -131,7 +133,7 @@
 		return VerdictTake
 	case found.State == StateDone:
 		return VerdictStored
-	case now.Before(found.Until):
+	case found.State == StateOpen && now.Before(found.Until):
 		return VerdictInProgress
 	}
 	return VerdictUnknown
@@ -139,7 +141,8 @@
 
 // Expired tells whether a record may be swept at time now.
 func Expired(r Record, keep time.Duration, now time.Time) bool {
-	return r.State != StateOpen && now.Sub(r.Closed) > keep
+	final := r.State == StateDone || r.State == StateNotRun
+	return final && now.Sub(r.Closed) > keep
 }
 
 // refusal is the error of a verdict.
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -1,7 +1,7 @@
 // Package gate is the callers' HTTP interface.
 //
-// It takes chat completions, completions, batches and calls to plain services,
-// checks the caller's key against the document in force and answers with the
+// It takes requests for chats and completions, batches and calls to plain
+// services, checks the caller's key against the document in force and answers with the
 // headers limpet-request-id, limpet-code and limpet-run. Streams carry the last
 // two as trailers, and an error as the last event.
 //
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -6,12 +6,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -239,6 +239,67 @@
 	require.Equal(t, "1106", r.Header.Get(headerCode))
 }
 
+// Bounds of waiting for something that happens in another goroutine.
+const (
+	eventually = 20 * time.Second
+	tick       = time.Millisecond
+)
+
+// openStream sends a streamed request and returns the connection unread.
+func (b *bench) openStream(t *testing.T) net.Conn {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	require.NoError(t, err)
+	body := fmt.Sprintf(`{"model":"m","prompt":"p","stream":true,"max_tokens":%d}`, wire.MaxMaxTokens)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		batch.PathCompletion, appKey, len(body), body)
+	require.NoError(t, err)
+	return conn
+}
+
+func TestSlowCallerOfAStreamIsCutOffAndItsEngineFreed(t *testing.T) {
+	text := strings.Repeat("x", 1000)
+	engines := &fakes.Engines{Tokens: wire.MaxMaxTokens, Script: func(_ int, _ string, f []engine.Frame) []engine.Frame {
+		for i := range f[:len(f)-1] {
+			f[i].Text = text
+		}
+		return f
+	}}
+	b := start(t, setup{doc: document(), engines: engines, config: Config{SlowCaller: 50 * time.Millisecond}})
+	conn := b.openStream(t)
+	defer func() { _ = conn.Close() }()
+	require.Eventually(t, func() bool { return len(engines.Cancelled()) == 1 }, eventually, tick)
+	require.Eventually(t, func() bool { return b.gate.Inflight() == 0 }, eventually, tick)
+}
+
+func TestCallerGoneFreesTheEngine(t *testing.T) {
+	engines := &fakes.Engines{Tokens: 3, Block: true, Script: func(_ int, _ string, f []engine.Frame) []engine.Frame { return f[:1] }}
+	b := start(t, setup{doc: document(), engines: engines})
+	conn := b.openStream(t)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "200")
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool { return len(engines.Cancelled()) == 1 }, eventually, tick)
+	require.Eventually(t, func() bool { return b.gate.Inflight() == 0 }, eventually, tick)
+}
+
+func TestInFlightGoesOnWhileLeaving(t *testing.T) {
+	release := make(chan struct{})
+	engines := &fakes.Engines{Tokens: 3, Script: func(_ int, _ string, f []engine.Frame) []engine.Frame {
+		<-release
+		return f
+	}}
+	b := start(t, setup{doc: document(), engines: engines})
+	answers := make(chan answer, 1)
+	go func() { answers <- b.do(t, "POST", batch.PathChat, streamBody) }()
+	require.Eventually(t, func() bool { return b.gate.Inflight() == 1 }, eventually, tick)
+	b.gate.Leave()
+	close(release)
+	a := <-answers
+	require.True(t, strings.HasSuffix(a.body, wire.Done))
+	require.Equal(t, "0", a.trailer.Get(headerCode))
+}
+
 func TestModelsListsWhatTheCallerMayUse(t *testing.T) {
 	b := start(t, setup{doc: document()})
 	a := b.do(t, "GET", "/v1/models", "")
@@ -265,54 +326,6 @@
 	require.Equal(t, "1002", b.do(t, "POST", batch.PathChat, chatBody).code())
 }
 
-// plainService counts the executions of its calls.
-func plainService(t *testing.T, runs *atomic.Int64) string {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		n := runs.Add(1)
-		w.Header().Set("X-Run", r.Method)
-		w.WriteHeader(http.StatusCreated)
-		_, _ = io.WriteString(w, string(body)+"#"+string(rune('0'+n)))
-	}))
-	t.Cleanup(s.Close)
-	return strings.TrimPrefix(s.URL, "http://")
-}
-
-func TestKeyedCallRunsOnceThroughTwoDaemons(t *testing.T) {
-	var runs atomic.Int64
-	service := []string{plainService(t, &runs)}
-	table := &fakes.Table{}
-	first := start(t, setup{doc: document(), table: table, services: service})
-	second := start(t, setup{doc: document(), table: table, services: service})
-	a := first.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
-	b := second.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
-	require.Equal(t, http.StatusCreated, b.status)
-	require.Equal(t, a.body, b.body)
-	require.Equal(t, a.header.Get("X-Run"), b.header.Get("X-Run"))
-	require.Equal(t, "yes", b.header.Get(headerRun))
-	c := second.do(t, "POST", "/services/app/bookings", "seat 8", headerKey, "k1")
-	require.Equal(t, "1403", c.code())
-	require.EqualValues(t, 1, runs.Load())
-}
-
-func TestKeyedCallIsNotRunWhileTheTableIsDown(t *testing.T) {
-	var runs atomic.Int64
-	table := &fakes.Table{Fault: func(int) fakes.Fault { return fakes.Down }}
-	b := start(t, setup{doc: document(), table: table, services: []string{plainService(t, &runs)}})
-	a := b.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
-	require.Equal(t, "1400", a.code())
-	require.Equal(t, "no", a.header.Get(headerRun))
-	require.Zero(t, runs.Load())
-}
-
-func TestCallWithoutKeyRunsOncePerArrival(t *testing.T) {
-	var runs atomic.Int64
-	b := start(t, setup{doc: document(), services: []string{plainService(t, &runs)}})
-	b.do(t, "POST", "/services/app/bookings", "x")
-	b.do(t, "GET", "/services/app/schedule/today?room=2", "")
-	require.EqualValues(t, 2, runs.Load())
-}
-
 func TestBatchesOfOthersAreInvisible(t *testing.T) {
 	b := start(t, setup{doc: document()})
 	lines := `{"custom_id":"1","url":"/v1/completions","body":{"model":"m","prompt":"p"}}` + "\n"
--- a/limpetd/gate/service.go
+++ b/limpetd/gate/service.go
@@ -121,7 +121,7 @@
 		if code.RunOf(err) == code.RunNo {
 			claimed.Hold.NotRun(ctx)
 		} else {
-			claimed.Hold.Abandon()
+			claimed.Hold.Unknown(ctx)
 		}
 		return err
 	}
@@ -159,7 +159,8 @@
 	for name, values := range answerHeader(h) {
 		header[name] = values
 	}
-	if length := h.Get("Content-Length"); length != "" {
+	length := h.Get("Content-Length")
+	if length != "" {
 		header.Set("Content-Length", length)
 	}
 	x.state(code.OK, relay.RunOfAnswer(status, h))
@@ -167,14 +168,15 @@
 	x.passed = true
 	x.slow()
 	x.writer.WriteHeader(status)
-	return x.copyBody(body)
+	return x.copyBody(body, length == "")
 }
 
 // passBytes is the size of the parts in which an answer is passed on.
 const passBytes = 32 << 10
 
-// copyBody passes a body on in parts, each with its own deadline.
-func (x *exchange) copyBody(body io.Reader) error {
+// copyBody passes a body on in parts, each with its own deadline. A body that
+// is streamed is flushed part by part.
+func (x *exchange) copyBody(body io.Reader, streamed bool) error {
 	buffer := make([]byte, passBytes)
 	for {
 		n, err := body.Read(buffer)
@@ -183,6 +185,9 @@
 			if _, err := x.writer.Write(buffer[:n]); err != nil {
 				return writeError(err)
 			}
+			if streamed {
+				_ = x.control.Flush()
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- /dev/null
+++ b/limpetd/gate/service_test.go
@@ -0,0 +1,185 @@
+package gate
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
+)
+
+// plainService counts the executions of its calls.
+func plainService(t *testing.T, runs *atomic.Int64) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		n := runs.Add(1)
+		w.Header().Set("X-Run", r.Method)
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, string(body)+"#"+string(rune('0'+n)))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestKeyedCallRunsOnceThroughTwoDaemons(t *testing.T) {
+	var runs atomic.Int64
+	service := []string{plainService(t, &runs)}
+	table := &fakes.Table{}
+	first := start(t, setup{doc: document(), table: table, services: service})
+	second := start(t, setup{doc: document(), table: table, services: service})
+	a := first.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	b := second.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	require.Equal(t, http.StatusCreated, b.status)
+	require.Equal(t, a.body, b.body)
+	require.Equal(t, a.header.Get("X-Run"), b.header.Get("X-Run"))
+	require.Equal(t, "yes", b.header.Get(headerRun))
+	c := second.do(t, "POST", "/services/app/bookings", "seat 8", headerKey, "k1")
+	require.Equal(t, "1403", c.code())
+	require.EqualValues(t, 1, runs.Load())
+}
+
+func TestKeyedCallIsNotRunWhileTheTableIsDown(t *testing.T) {
+	var runs atomic.Int64
+	table := &fakes.Table{Fault: func(int) fakes.Fault { return fakes.Down }}
+	b := start(t, setup{doc: document(), table: table, services: []string{plainService(t, &runs)}})
+	a := b.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	require.Equal(t, "1400", a.code())
+	require.Equal(t, "no", a.header.Get(headerRun))
+	require.Zero(t, runs.Load())
+}
+
+func TestCallWithoutKeyRunsOncePerArrival(t *testing.T) {
+	var runs atomic.Int64
+	b := start(t, setup{doc: document(), services: []string{plainService(t, &runs)}})
+	b.do(t, "POST", "/services/app/bookings", "x")
+	b.do(t, "GET", "/services/app/schedule/today?room=2", "")
+	require.EqualValues(t, 2, runs.Load())
+}
+
+// TestKeyedCallWhoseAnswerIsLostRunsOnce breaks the caller's connection while
+// the service runs the call, and repeats it through another daemon.
+func TestKeyedCallWhoseAnswerIsLostRunsOnce(t *testing.T) {
+	var runs atomic.Int64
+	running, finish := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		close(running)
+		<-finish
+		_, _ = io.WriteString(w, "booked")
+	}))
+	defer s.Close()
+	service := []string{strings.TrimPrefix(s.URL, "http://")}
+	table := &fakes.Table{}
+	first := start(t, setup{doc: document(), table: table, services: service})
+	second := start(t, setup{doc: document(), table: table, services: service})
+
+	conn, err := net.Dial("tcp", strings.TrimPrefix(first.url, "http://"))
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /services/app/bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
+		appKey+"\r\nIdempotency-Key: k1\r\nContent-Length: 6\r\n\r\nseat 7")
+	require.NoError(t, err)
+	<-running
+	require.NoError(t, conn.Close())
+
+	a := second.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	require.Equal(t, "1401", a.code())
+	require.Equal(t, "unknown", a.header.Get(headerRun))
+	require.Equal(t, "1", a.header.Get("Retry-After"))
+	close(finish)
+	require.Eventually(t, func() bool { return first.gate.Inflight() == 0 }, eventually, tick)
+	a = second.do(t, "POST", "/services/app/bookings", "seat 7", headerKey, "k1")
+	require.Equal(t, "booked", a.body)
+	require.Equal(t, "yes", a.header.Get(headerRun))
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// TestKeyedCallWhoseBackendDiesStaysUnknown lets the backend server run a call
+// and close the connection without an answer.
+func TestKeyedCallWhoseBackendDiesStaysUnknown(t *testing.T) {
+	var runs atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer s.Close()
+	b := start(t, setup{doc: document(), services: []string{strings.TrimPrefix(s.URL, "http://")}})
+	a := b.do(t, "POST", "/services/app/payments", "10", headerKey, "k1")
+	require.Equal(t, "1303", a.code())
+	require.Equal(t, "unknown", a.header.Get(headerRun))
+	for range 3 {
+		a = b.do(t, "POST", "/services/app/payments", "10", headerKey, "k1")
+		require.Equal(t, "1402", a.code())
+	}
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// TestNotRunByTheBackendsWordFreesTheKey lets the service refuse once.
+func TestNotRunByTheBackendsWordFreesTheKey(t *testing.T) {
+	var runs, calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			w.Header().Set(headerRun, "no")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		runs.Add(1)
+	}))
+	defer s.Close()
+	b := start(t, setup{doc: document(), services: []string{strings.TrimPrefix(s.URL, "http://")}})
+	a := b.do(t, "POST", "/services/app/payments", "10", headerKey, "k1")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Equal(t, "no", a.header.Get(headerRun))
+	a = b.do(t, "POST", "/services/app/payments", "10", headerKey, "k1")
+	require.Equal(t, http.StatusOK, a.status)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// TestCutAnswerOfAServiceDoesNotLookWhole lets the service break off.
+func TestCutAnswerOfAServiceDoesNotLookWhole(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer s.Close()
+	b := start(t, setup{doc: document(), services: []string{strings.TrimPrefix(s.URL, "http://")}})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /services/app/schedule/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+appKey+"\r\n\r\n")
+	require.NoError(t, err)
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	_, err = io.ReadAll(r.Body)
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return b.gate.Inflight() == 0 }, eventually, tick)
+}
+
+// TestHeadersOfAConnectionAreNotPassedOn checks both directions.
+func TestHeadersOfAConnectionAreNotPassedOn(t *testing.T) {
+	var got http.Header
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header
+		w.Header().Set("Keep-Alive", "9")
+		w.Header().Set(headerRequestID, "forged")
+		w.Header().Set("X-Own", "1")
+	}))
+	defer s.Close()
+	b := start(t, setup{doc: document(), services: []string{strings.TrimPrefix(s.URL, "http://")}})
+	a := b.do(t, "GET", "/services/app/schedule/1", "", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "1")
+	require.Empty(t, got.Get("X-Hop"))
+	require.Empty(t, got.Get("Authorization"), "the caller's key must not reach a backend server")
+	require.Equal(t, "1", got.Get("X-Kept"))
+	require.Equal(t, a.header.Get(headerRequestID), got.Get(headerRequestID))
+	require.Empty(t, a.header.Get("Keep-Alive"))
+	require.NotEqual(t, "forged", a.header.Get(headerRequestID))
+	require.Equal(t, "1", a.header.Get("X-Own"))
+}
--- a/limpetd/relay/generate.go
+++ b/limpetd/relay/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -110,7 +111,7 @@
 // answer began with.
 func (g *generation) leave(c route.Choice) {
 	q := &g.call.Admission.Route
-	q.Exclude = append(q.Exclude[:len(q.Exclude):len(q.Exclude)], c.VM)
+	q.Exclude = append(slices.Clip(q.Exclude), c.VM)
 	if g.progress.offset > 0 {
 		q.Pinned = true
 		q.Version = c.Slot.Version
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -161,8 +162,7 @@
 			return nil, code.WithRun(err, run)
 		}
 		vm := ticket.Choice().VM
-		excluded := c.Admission.Exclude
-		c.Admission.Exclude = append(excluded[:len(excluded):len(excluded)], vm)
+		c.Admission.Exclude = append(slices.Clip(c.Admission.Exclude), vm)
 		r.deps.Events.Add(event.Event{
 			Kind:    event.RequestRetried,
 			Request: c.Admission.ID,
@@ -177,7 +177,7 @@
 	choice := t.Choice()
 	r.deps.Events.Add(event.Event{Kind: event.RequestSent, Request: c.Admission.ID, VM: choice.VM})
 	attempt, cancel := context.WithTimeout(ctx, r.serviceTime)
-	response, sent, err := r.services.send(attempt, choice.Address, c)
+	response, sent, err := r.services.send(attempt, choice.Address, c) //nolint:bodyclose // the caller closes the held body
 	if err != nil {
 		cancel()
 		t.Release(serviceOutcome(ctx))
