wire,gate: Fuzz bodies and measure the way through

Cause: bodies of callers were only tested by cases, and the cost of the way through a daemon was not known. Change: fuzz targets for both kinds of request, lines of a batch, items and frames; benchmarks of an engine called directly and through the interface.

--- /dev/null
+++ b/limpetd/gate/bench_test.go
@@ -0,0 +1,95 @@
+package gate
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/batch"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	"github.com/limpetlb/limpetlb/limpetd/relay"
+)
+
+// engineServer answers each generation at once with 16 tokens in 4 frames.
+func engineServer(b *testing.B) *httptest.Server {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q engine.Request
+		_ = json.NewDecoder(r.Body).Decode(&q)
+		e := json.NewEncoder(w)
+		for i := range 4 {
+			_ = e.Encode(engine.Frame{Attempt: q.Attempt, Offset: 4 * i, Text: "one two three four ", Tokens: 4})
+		}
+		_ = e.Encode(engine.Frame{Attempt: q.Attempt, Offset: 16, Done: true, Reason: "stop"})
+	}))
+	b.Cleanup(s.Close)
+	return s
+}
+
+// post sends one request and reads the answer.
+func post(b *testing.B, c *http.Client, url, body string) {
+	q, err := http.NewRequest("POST", url, strings.NewReader(body))
+	require.NoError(b, err)
+	q.Header.Set("Authorization", "Bearer "+appKey)
+	r, err := c.Do(q)
+	require.NoError(b, err)
+	_, err = io.Copy(io.Discard, r.Body)
+	require.NoError(b, err)
+	require.Equal(b, http.StatusOK, r.StatusCode)
+	require.NoError(b, r.Body.Close())
+}
+
+// median sends the b.N requests one by one and reports the median time of one.
+func median(b *testing.B, url, body string) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	times := make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		began := time.Now()
+		post(b, client, url, body)
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+}
+
+func gateServer(b *testing.B, address string) *httptest.Server {
+	r := relay.New(relay.Deps{Generator: engine.NewClient(), Admitter: &fakes.Admitter{VMs: []string{address}}})
+	g := New(Config{}, Deps{Documents: documents{document()}, Relay: r})
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = g.Server()
+	s.Start()
+	b.Cleanup(s.Close)
+	return s
+}
+
+// BenchmarkDirect calls the engine without a daemon.
+func BenchmarkDirect(b *testing.B) {
+	s := engineServer(b)
+	median(b, s.URL+"/v1/generate", `{"attempt":"a","prompt":"hello"}`)
+}
+
+// BenchmarkThrough calls the engine through the callers' interface.
+func BenchmarkThrough(b *testing.B) {
+	s := gateServer(b, strings.TrimPrefix(engineServer(b).URL, "http://"))
+	median(b, s.URL+batch.PathChat, streamBody)
+}
+
+// BenchmarkThroughAtOnce sends requests over 64 connections.
+func BenchmarkThroughAtOnce(b *testing.B) {
+	s := gateServer(b, strings.TrimPrefix(engineServer(b).URL, "http://"))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.SetParallelism(8)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			post(b, client, s.URL+batch.PathChat, streamBody)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -343,3 +343,17 @@
 	require.Equal(t, http.StatusOK, b.do(t, "POST", "/v1/batches/"+view.ID+"/cancel", "").status)
 	require.Contains(t, b.do(t, "GET", "/v1/batches/"+view.ID, "").body, `"cancelled"`)
 }
+
+func FuzzDecodeLines(f *testing.F) {
+	f.Add(`{"custom_id":"1","url":"/v1/completions","body":{}}` + "\n" + `{"custom_id":"2"}`)
+	f.Add("{}{}")
+	f.Add("[")
+	f.Fuzz(func(t *testing.T, body string) {
+		items, err := decodeLines([]byte(body))
+		if err != nil {
+			require.Contains(t, []code.Code{code.MalformedBody, code.BadParameter}, code.Of(err))
+			return
+		}
+		require.LessOrEqual(t, len(items), batch.MaxItems)
+	})
+}
--- /dev/null
+++ b/limpetd/wire/wire_test.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+)
+
+func TestDecodeChat(t *testing.T) {
+	g, err := DecodeChat([]byte(`{
+		"model": "m", "stream": true, "stream_options": {"include_usage": true}, "max_completion_tokens": 9,
+		"temperature": 0.5, "seed": 7, "top_p": 1, "stop": null, "priority": "night",
+		"messages": [
+			{"role": "system", "content": "be short"},
+			{"role": "user", "content": [{"type": "text", "text": "a"}, {"type": "text", "text": "b"}]}
+		]}`))
+	require.NoError(t, err)
+	require.Equal(t, Generation{
+		Chat: true, Model: "m", Prompt: "system: be short\nuser: ab\nassistant:", MaxTokens: 9,
+		Temperature: 0.5, Seed: 7, Stream: true, IncludeUsage: true, Priority: "night",
+	}, g)
+}
+
+func TestDecodeRefusesWhatCannotBeHonoured(t *testing.T) {
+	cases := []struct {
+		body string
+		want code.Code
+	}{
+		{`{"model":"m","prompt":"p","n":2}`, code.BadParameter},
+		{`{"model":"m","prompt":"p","stop":["x"]}`, code.BadParameter},
+		{`{"model":"m","prompt":"p","max_tokens":0}`, code.BadParameter},
+		{`{"model":"m","prompt":"p","max_tokens":40000}`, code.BadParameter},
+		{`{"model":"m","prompt":"p","temperature":3}`, code.BadParameter},
+		{`{"model":"m","prompt":["p","q"]}`, code.BadParameter},
+		{`{"model":"m","prompt":[1,2]}`, code.BadParameter},
+		{`{"model":"m"}`, code.BadParameter},
+		{`{"prompt":"p"}`, code.BadParameter},
+		{`{"model":"m","prompt":"p"`, code.MalformedBody},
+		{`{"model":"m","prompt":"p"} x`, code.MalformedBody},
+		{`{"model":{},"prompt":"p"}`, code.MalformedBody},
+		{`[]`, code.MalformedBody},
+		{``, code.MalformedBody},
+	}
+	for _, c := range cases {
+		_, err := DecodeCompletion([]byte(c.body))
+		require.Equal(t, c.want, code.Of(err), c.body)
+		require.Equal(t, code.RunNo, code.RunOf(err), c.body)
+		require.NotContains(t, err.Error(), "Go ", c.body)
+	}
+	_, err := DecodeChat([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`))
+	require.Equal(t, code.BadParameter, code.Of(err))
+}
+
+func TestChunksHaveTheUsualShape(t *testing.T) {
+	chat := Head{ID: "r", Model: "m", Created: 5, Chat: true}
+	require.Equal(t,
+		`data: {"id":"r","object":"chat.completion.chunk","created":5,"model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"a\nb"},"finish_reason":null}]}`+"\n\n",
+		string(chat.AppendChunk(nil, Chunk{First: true, Text: "a\nb"})))
+	require.Equal(t,
+		`data: {"id":"r","object":"chat.completion.chunk","created":5,"model":"m","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`+"\n\n",
+		string(chat.AppendChunk(nil, Chunk{Finish: "stop"})))
+	plain := Head{ID: "r", Model: "m", Created: 5}
+	require.Equal(t,
+		`data: {"id":"r","object":"text_completion","created":5,"model":"m","choices":[{"index":0,"text":"a","finish_reason":null}]}`+"\n\n",
+		string(plain.AppendChunk(nil, Chunk{Text: "a"})))
+}
+
+func TestErrorsHideWhatHasNoCode(t *testing.T) {
+	e := NewError(errors.New("secret address"), "r").Error
+	require.NotContains(t, e.Message, "secret")
+	require.Equal(t, "internal", e.Name)
+	e = NewError(code.Errorf(code.QueueFull, "the queue is full"), "r").Error
+	require.Equal(t, Error{Message: "the queue is full", Type: "rate_limit_error", Code: 1201, Name: "queue_full", Run: code.RunNo, RequestID: "r"}, e)
+}
+
+func FuzzDecodeChat(f *testing.F) {
+	f.Add(`{"model":"m","messages":[{"role":"user","content":"x"}]}`)
+	f.Add(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}],"max_tokens":1e9}`)
+	f.Add(`{"messages":null}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		g, err := DecodeChat([]byte(body))
+		check(t, g, err)
+		if err == nil {
+			require.True(t, strings.HasSuffix(g.Prompt, "assistant:"))
+		}
+	})
+}
+
+func FuzzDecodeCompletion(f *testing.F) {
+	f.Add(`{"model":"m","prompt":"x","temperature":-1}`)
+	f.Add(`{"model":"m","prompt":["x"],"stream":true,"stream_options":null}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		g, err := DecodeCompletion([]byte(body))
+		check(t, g, err)
+	})
+}
+
+// check holds for each decoded body: it is refused with a code of its own, or
+// it is within the limits and its answer is rendered as one event.
+func check(t *testing.T, g Generation, err error) {
+	if err != nil {
+		require.Contains(t, []code.Code{code.MalformedBody, code.BadParameter}, code.Of(err))
+		return
+	}
+	require.NotEmpty(t, g.Model)
+	require.True(t, g.MaxTokens >= 1 && g.MaxTokens <= MaxMaxTokens)
+	require.True(t, g.Temperature >= 0 && g.Temperature <= MaxTemperature)
+	event := string(Head{ID: "r", Model: g.Model, Chat: g.Chat}.AppendChunk(nil, Chunk{Text: g.Prompt}))
+	data, ok := strings.CutPrefix(event, "data: ")
+	require.True(t, ok)
+	require.Equal(t, 1, strings.Count(event, "\n\n"))
+	require.True(t, json.Valid([]byte(data)))
+}
