node: Join the duties of a daemon

Cause: the parts exist and nothing runs them together. Change: node owns the lives of all duties and the three interfaces, leaves without cutting off requests, and answers the operators' calls; limpetd is a command around it. The errors no longer take a stack trace, which made a log line span several lines and cost time for each refused request.

--- a/limpet/cmds/document.go
+++ b/limpet/cmds/document.go
@@ -76,6 +76,7 @@
 // applyCommand applies a document.
 type applyCommand struct {
 	File       string        `short:"f" required:"" help:"The document."`
+	Untried    bool          `help:"Let production take a document that was not tried; for emergencies."`
 	Submission string        `help:"Submission id; a repeated call with the same id is harmless. Made when absent."`
 	Wait       bool          `help:"Wait until every live daemon has taken the document up."`
 	WaitFor    time.Duration `help:"Longest time to wait." default:"30s"`
@@ -91,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	s := admin.Submission{ID: c.Submission, File: c.File, Body: string(body)}
+	s := admin.Submission{ID: c.Submission, File: c.File, Body: string(body), Untried: c.Untried}
 	if s.ID == "" {
 		s.ID = uuid.NewString()
 		d.progress("submission %s", s.ID)
--- a/limpetd/admin/message.go
+++ b/limpetd/admin/message.go
@@ -25,6 +25,8 @@
 	// File is the name that errors show.
 	File string `json:"file"`
 	Body string `json:"body"`
+	// Untried lets production take a document that was not tried.
+	Untried bool `json:"untried,omitempty"`
 }
 
 // Promotion puts the document that is in force in the trial stage into the
--- a/limpetd/code/code.go
+++ b/limpetd/code/code.go
@@ -20,7 +20,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 
 	"github.com/joomcode/errorx"
 )
@@ -41,12 +40,12 @@
 
 var (
 	namespace = errorx.NewNamespace("limpet")
-	errorType = namespace.NewType("error")
+	errorType = namespace.NewType("error").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 	codeKey   = errorx.RegisterProperty("code")
 	runKey    = errorx.RegisterProperty("run")
 )
 
-// Error is an error with a code. Its stack trace is printed by %+v.
+// Error is an error with a code.
 type Error struct {
 	detail *errorx.Error
 	cause  error
@@ -64,15 +63,6 @@
 	return e.cause
 }
 
-// Format prints the message, and with %+v the stack trace too.
-func (e *Error) Format(s fmt.State, verb rune) {
-	if verb == 'v' && s.Flag('+') {
-		e.detail.Format(s, verb)
-		return
-	}
-	_, _ = io.WriteString(s, e.Error())
-}
-
 // Errorf returns an error with code c. The verb %w wraps a cause.
 func Errorf(c Code, format string, args ...any) error {
 	err := fmt.Errorf(format, args...)
--- a/limpetd/conf/conf.go
+++ b/limpetd/conf/conf.go
@@ -36,9 +36,11 @@
 	PlatformPlain bool   `name:"platform-plain" env:"LIMPETD_PLATFORM_PLAIN" help:"Allow an http platform URL, without TLS."`
 
 	CallerAddress   string `name:"caller-address" env:"LIMPETD_CALLER_ADDRESS" help:"Address (ip:port) of the callers' interface." default:"0.0.0.0:8080"`
-	PeerAddress     string `name:"peer-address" env:"LIMPETD_PEER_ADDRESS" help:"Address (ip:port) of the interface between daemons." default:"0.0.0.0:8081"`
+	PeerAddress     string `name:"peer-address" env:"LIMPETD_PEER_ADDRESS" help:"Address (ip:port) of the interface between daemons, as peers reach it." required:""`
 	OperatorAddress string `name:"operator-address" env:"LIMPETD_OPERATOR_ADDRESS" help:"Address (ip:port) of the operators' interface." default:"0.0.0.0:8082"`
 
+	Peers []string `name:"peer" env:"LIMPETD_PEERS" help:"Addresses (ip:port) of peers to ask while the VM list cannot be read; repeat or separate by commas."`
+
 	CallerCertificate string `name:"caller-certificate" env:"LIMPETD_CALLER_CERTIFICATE" help:"File with the PEM certificate chain of the callers' and operators' interfaces."`
 	CallerKey         string `name:"caller-key" env:"LIMPETD_CALLER_KEY" help:"File with the PEM key of the callers' and operators' interfaces."`
 	PeerCertificate   string `name:"peer-certificate" env:"LIMPETD_PEER_CERTIFICATE" help:"File with the PEM certificate chain used between daemons and to the platform."`
@@ -100,8 +102,8 @@
 	lines := make([]string, 0, len(k.faults))
 	for _, f := range k.faults {
 		variable := "LIMPETD_" + strings.ToUpper(strings.ReplaceAll(f.flag, "-", "_"))
-		if f.flag == "operator" {
-			variable = "LIMPETD_OPERATORS"
+		if f.flag == "operator" || f.flag == "peer" {
+			variable += "S"
 		}
 		lines = append(lines, fmt.Sprintf("--%s (%s) is %q: must be %s", f.flag, variable, f.value, f.allowed))
 	}
@@ -139,6 +141,11 @@
 	k.require(isAddress(c.CallerAddress), "caller-address", c.CallerAddress, allowed)
 	k.require(isAddress(c.PeerAddress), "peer-address", c.PeerAddress, allowed)
 	k.require(isAddress(c.OperatorAddress), "operator-address", c.OperatorAddress, allowed)
+	host, _, err := net.SplitHostPort(c.PeerAddress)
+	k.require(err != nil || !net.ParseIP(host).IsUnspecified(), "peer-address", c.PeerAddress, "an address that peers can reach")
+	for _, p := range c.Peers {
+		k.require(isAddress(p), "peer", p, allowed)
+	}
 	u, err := url.Parse(c.Platform)
 	ok := err == nil && u.Host != "" && (u.Scheme == "https" || u.Scheme == "http" && c.PlatformPlain)
 	k.require(ok, "platform", c.Platform, "an https URL, or an http URL with --platform-plain")
--- /dev/null
+++ b/limpetd/node/node.go
@@ -0,0 +1,314 @@
+// Package node joins the duties of a daemon and owns their lives.
+//
+// A node begins with the document and the members, then the view of the
+// engines, admission, answers, deferred work and placement, and last the three
+// interfaces: callers', peers' and operators'. It leaves in the opposite order
+// and cuts off nothing in flight.
+//
+// # Usage
+//
+//	n, err := node.New(ctx, settings, node.WithLogger(log))
+//	if err != nil { ... }
+//	<-n.Left()                  // an operator or the platform asks to leave
+//	err = n.Leave(context.Background())
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/limpetlb/limpetlb/limpetd/admit"
+	"github.com/limpetlb/limpetlb/limpetd/batch"
+	"github.com/limpetlb/limpetlb/limpetd/claim"
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conf"
+	"github.com/limpetlb/limpetlb/limpetd/docs"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/gate"
+	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/order"
+	"github.com/limpetlb/limpetlb/limpetd/relay"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+	"github.com/limpetlb/limpetlb/limpetd/watch"
+)
+
+// Option changes a Node.
+type Option func(*Node)
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) Option {
+	return func(n *Node) { n.log = l }
+}
+
+// Node is a running daemon.
+type Node struct {
+	config   conf.Config
+	instance string
+	log      *zap.Logger
+	line     *event.Line
+	metrics  metrics
+	tomb     *tomb.Tomb
+	cancel   context.CancelFunc
+
+	platform *store.Client
+	engines  *engine.Client
+	shares   *shares
+	peers    peers
+	members  *member.Duty
+	docs     *docs.Duty
+	watch    *watch.Watch
+	queue    *admit.Queue
+	relay    *relay.Relay
+	claims   *claim.Claims
+	batches  *batch.Duty
+	gate     *gate.Gate
+	orders   *order.Duty
+
+	listeners listeners
+	servers   []*http.Server
+
+	leaveOnce sync.Once
+	left      chan struct{}
+}
+
+// listeners are the sockets of the three interfaces.
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+// waiter is a duty that ends with its context.
+type waiter interface {
+	Wait() error
+}
+
+// New starts a daemon. When ctx ends it stops at once; Leave ends it without
+// cutting anything off. The error has code BadSetting when a setting is refused
+// or an address cannot be listened on.
+func New(ctx context.Context, c conf.Config, opts ...Option) (*Node, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		config:   c,
+		instance: uuid.NewString(),
+		log:      zap.NewNop(),
+		line:     event.New(c.VM, event.WithCapacity(c.EventCapacity)),
+		metrics:  newMetrics(c.VM),
+		shares:   &shares{},
+		left:     make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(n)
+	}
+	n.log = n.log.With(zap.String("vm", c.VM))
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	inner, cancel := context.WithCancel(ctx)
+	n.cancel = cancel
+	n.tomb, inner = tomb.WithContext(inner)
+	if err := n.connect(inner); err != nil {
+		cancel()
+		n.listeners.close()
+		return nil, err
+	}
+	n.startDuties(inner)
+	n.serve(inner)
+	n.tomb.Go(func() error { return n.follow(inner) })
+	n.line.Add(event.Event{Kind: event.DaemonStarted, VM: c.VM})
+	n.log.Info("daemon_started", zap.String("instance", n.instance), zap.String("callers", n.CallerAddr()),
+		zap.String("peers", n.PeerAddr()), zap.String("operators", n.OperatorAddr()))
+	return n, nil
+}
+
+// listen opens the three sockets.
+func (n *Node) listen() error {
+	var err error
+	open := func(flag, address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		l, e := net.Listen("tcp", address)
+		if e != nil {
+			err = code.Errorf(code.BadSetting, "--%s %q: %w", flag, address, e)
+			return nil
+		}
+		return l
+	}
+	n.listeners.caller = open("caller-address", n.config.CallerAddress)
+	n.listeners.peer = open("peer-address", n.config.PeerAddress)
+	n.listeners.operator = open("operator-address", n.config.OperatorAddress)
+	if err != nil {
+		n.listeners.close()
+	}
+	return err
+}
+
+// close closes the sockets that are open.
+func (l listeners) close() {
+	for _, s := range []net.Listener{l.caller, l.peer, l.operator} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// startDuties starts all duties in the order in which they depend on each other.
+func (n *Node) startDuties(ctx context.Context) {
+	c := n.config
+	scope := docs.Scope(c.Environment, docs.Stage(c.Stage))
+	log, events, metric := n.log, n.line, n.metrics.scope
+	n.members = member.New(ctx, member.Config{
+		VM: c.VM, Instance: n.instance, DataCentre: c.DataCentre, Region: c.Region,
+		Address: n.PeerAddr(), Seeds: c.Peers,
+	}, member.Deps{
+		List: n.platform, Peers: n.peers, Shares: n.shares, Receiver: n.shares, Holder: n.shares.holder,
+		Log: log, Events: events, Scope: metric,
+	})
+	n.docs = docs.New(ctx, docs.Config{
+		Environment: c.Environment, Stage: docs.Stage(c.Stage), VM: c.VM, Instance: n.instance,
+	}, docs.Deps{
+		Table: n.platform, Objects: n.platform.Objects(), Peers: n.members, Fit: n.fits,
+		Log: log, Events: events, Scope: metric,
+	})
+	n.watch = watch.New(ctx, watch.Config{VM: c.VM, DataCentre: c.DataCentre}, watch.Deps{
+		VMs: n.members, Reporter: n.engines, Log: log, Events: events, Scope: metric,
+	})
+	n.queue = admit.New(ctx, admit.Config{VM: c.VM, DataCentre: c.DataCentre}, admit.Deps{
+		Documents: n.docs, Views: n.watch, Peers: n.members, VMs: n.members, Log: log, Events: events, Scope: metric,
+	})
+	n.relay = relay.New(relay.Deps{
+		Generator: n.engines, Admitter: n.queue, Log: log, Events: events, Scope: metric,
+	})
+	n.claims = claim.New(ctx, claim.Config{Environment: scope}, claim.Deps{
+		Table: n.platform, Log: log, Events: events, Scope: metric,
+	})
+	n.batches = batch.New(ctx, batch.Config{VM: c.VM, Instance: n.instance, Environment: scope}, batch.Deps{
+		Table: n.platform, Objects: n.platform.Objects(), Answerer: n.relay, Documents: n.docs,
+		Log: log, Events: events, Scope: metric,
+	})
+	n.orders = order.New(ctx, order.Config{
+		VM: c.VM, Instance: n.instance, DataCentre: c.DataCentre, Environment: scope,
+		LeaseTerm: c.LeaseTerm, PlanPeriod: c.PlanPeriod,
+	}, order.Deps{
+		Table: n.platform, Orderer: n.engines, Documents: n.docs, VMs: n.members, Reports: n.watch,
+		Demand: n.shares, Sent: sender{n}, Log: log, Events: events, Scope: metric,
+	})
+	n.gate = gate.New(gate.Config{MaxBodyBytes: c.MaxBody, BodyTime: c.BodyTimeout}, gate.Deps{
+		Documents: n.docs, Relay: n.relay, Claims: n.claims, Batches: n.batches, Ready: n,
+		Log: log, Events: events, Scope: metric,
+	})
+	n.shares.bind(n.watch, n.queue, n.orders)
+}
+
+// Ready returns the codes of the reasons why the daemon takes no requests.
+func (n *Node) Ready() []code.Code {
+	var reasons []code.Code
+	if err := n.docs.Unready(); err != nil {
+		reasons = append(reasons, code.Of(err))
+	}
+	if !n.members.Listed() {
+		reasons = append(reasons, code.NoMembers)
+	}
+	return reasons
+}
+
+// followPeriod is the time between two looks at the daemon's own state.
+const followPeriod = 200 * time.Millisecond
+
+// follow tells peers whether the daemon is ready, and notices when the platform
+// has this VM leave.
+func (n *Node) follow(ctx context.Context) error {
+	tick := time.NewTicker(followPeriod)
+	defer tick.Stop()
+	was := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		ready := len(n.Ready()) == 0 && !n.leaving()
+		if ready && !was {
+			n.line.Add(event.Event{Kind: event.DaemonReady, VM: n.config.VM})
+			n.log.Info("daemon_ready")
+		}
+		was = ready
+		n.members.SetReady(ready)
+		if n.listedLeaving() {
+			n.askToLeave()
+		}
+	}
+}
+
+// listedLeaving tells whether the VM list has this VM leave.
+func (n *Node) listedLeaving() bool {
+	for _, v := range n.members.VMs() {
+		if v.ID == n.config.VM {
+			return v.State == store.StateLeaving
+		}
+	}
+	return false
+}
+
+// leaving tells whether the daemon was asked to leave.
+func (n *Node) leaving() bool {
+	select {
+	case <-n.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// askToLeave makes Left known once.
+func (n *Node) askToLeave() {
+	n.leaveOnce.Do(func() { close(n.left) })
+}
+
+// Left is closed when an operator or the platform has asked the daemon to leave,
+// or Leave was called. The owner of the node then calls Leave.
+func (n *Node) Left() <-chan struct{} {
+	return n.left
+}
+
+// CallerAddr returns the address of the callers' interface.
+func (n *Node) CallerAddr() string {
+	return n.listeners.caller.Addr().String()
+}
+
+// PeerAddr returns the address of the interface between daemons.
+func (n *Node) PeerAddr() string {
+	return n.listeners.peer.Addr().String()
+}
+
+// OperatorAddr returns the address of the operators' interface.
+func (n *Node) OperatorAddr() string {
+	return n.listeners.operator.Addr().String()
+}
+
+// Wait returns when everything has ended.
+func (n *Node) Wait() error {
+	err := n.tomb.Wait()
+	for _, w := range []waiter{n.orders, n.batches, n.claims, n.queue, n.watch, n.docs, n.members} {
+		if e := w.Wait(); e != nil && !errors.Is(e, context.Canceled) {
+			err = errors.Join(err, e)
+		}
+	}
+	n.platform.Close()
+	n.engines.Close()
+	_ = n.metrics.closer.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
