member: Tell near daemons changes and keep the merged VM list

The VM list lags and says nothing of what daemons know of each other. Daemons now tell changes: their own state to each near daemon, what they hear to two others and three far links in each period, news at once.

--- a/limpetd/docs/apply.go
+++ b/limpetd/docs/apply.go
@@ -64,9 +64,6 @@
 // idPattern is the form of submission ids.
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
-// maxAttempts bounds the attempts to find out what became of a write.
-const maxAttempts = 4
-
 // Apply accepts a document. It returns when the document is accepted, or with
 // code DocumentInvalid, DocumentTooLarge, DocumentConflict, DocumentUnfit,
 // DocumentLevel, DocumentNotTried or DocumentStoreDown. After DocumentStoreDown
@@ -239,41 +236,39 @@
 	return code.Errorf(code.DocumentLevel, "the document needs feature level %d; replace first: %s", c.level, strings.Join(old, ", "))
 }
 
-// commit writes the head. When the answer is lost it reads until it knows, and
-// tries the same conditional transaction again only while the head stands still.
+// commit writes the head and finds out whether the submission was accepted.
 func (u *Duty) commit(ctx context.Context, c change, read rows, head Head) error {
 	tx, err := u.transaction(c, read, head)
 	if err != nil {
 		return err
 	}
-	unsure := false
-	for range maxAttempts {
-		err = u.deps.Table.Apply(ctx, tx)
-		switch code.Of(err) {
-		case code.OK:
-			return nil
-		case code.StoreConflict:
-		case code.StoreDown, code.StoreLimited:
-			if !unsure {
-				return notStored(err)
-			}
-		default:
-			unsure = true
-		}
-		now, readErr := u.readRows(ctx, c)
-		if readErr != nil {
-			continue
-		}
-		switch {
-		case now.found != nil && now.found.Digest == c.digest:
-			return nil
-		case now.headVersion != read.headVersion:
-			return conflict(c, now.head)
-		case now.sourceVersion != read.sourceVersion:
-			return code.Errorf(code.DocumentNotTried, "revision %d with digest %.12s took the place of %.12s in %s", now.source.Revision, now.source.Digest, c.digest, c.source)
-		}
+	err = store.Commit(ctx, u.deps.Table, tx)
+	switch code.Of(err) {
+	case code.OK:
+		return nil
+	case code.StoreConflict, code.StoreUnknown:
+		return u.settle(ctx, c, read, err)
+	default:
+		return notStored(err)
 	}
-	return code.WithRun(code.Errorf(code.DocumentStoreDown, "it is not known whether submission %s was accepted; send it again: %w", c.id, err), code.RunUnknown)
+}
+
+// settle reads what became of a submission whose write was not confirmed.
+func (u *Duty) settle(ctx context.Context, c change, read rows, cause error) error {
+	now, err := u.readRows(ctx, c)
+	switch {
+	case err != nil:
+		cause = err
+	case now.found != nil && now.found.Digest == c.digest:
+		return nil
+	case now.headVersion != read.headVersion:
+		return conflict(c, now.head)
+	case now.sourceVersion != read.sourceVersion:
+		return code.Errorf(code.DocumentNotTried, "revision %d with digest %.12s took the place of %.12s in %s",
+			now.source.Revision, now.source.Digest, c.digest, c.source)
+	}
+	err = code.Errorf(code.DocumentStoreDown, "it is not known whether submission %s was accepted; send it again: %w", c.id, cause)
+	return code.WithRun(err, code.RunUnknown)
 }
 
 // transaction returns the conditional write of a change.
@@ -283,7 +278,7 @@
 		return store.Tx{}, err
 	}
 	scope := u.scope()
-	tx := store.Tx{ID: "document-" + c.id}
+	tx := store.Tx{ID: fmt.Sprintf("document-%s-%.12s", c.id, c.digest)}
 	tx.Require(headKey(scope), read.headVersion)
 	tx.Require(submissionKey(scope, c.id), 0)
 	if c.source != "" {
--- a/limpetd/docs/apply_test.go
+++ b/limpetd/docs/apply_test.go
@@ -97,7 +97,7 @@
 		{"lost after the effect", 1, 0, code.OK},
 		{"unanswered without effect", 0, 1, code.OK},
 		{"both", 1, 1, code.OK},
-		{"never answered", 0, maxAttempts, code.DocumentStoreDown},
+		{"never answered", 0, 4, code.DocumentStoreDown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/limpetd/docs/fake_test.go
+++ b/limpetd/docs/fake_test.go
@@ -95,7 +95,7 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = store.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: w.Value}
+		t.rows[w.Key] = store.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Writer: tx.ID, Value: w.Value}
 		if strings.HasSuffix(w.Key, "/head") {
 			h, err := decodeHead(t.rows[w.Key])
 			if err != nil {
--- a/limpetd/member/message.go
+++ b/limpetd/member/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
 // Daemon is what a daemon tells of itself, relayed by the others.
@@ -33,18 +34,26 @@
 	Refused code.Code
 	Leaving bool
 	Ready   bool
-	// Suspect marks a daemon that others fail to reach. The daemon itself
+	// Suspect marks a daemon that others fail to hear. The daemon itself
 	// refutes it with a higher sequence.
 	Suspect bool
 }
 
-// Advice is what a daemon saw of a VM that runs no daemon, sooner than the VM
-// list tells.
+// Entry is a change of the VM list that a daemon read.
+type Entry struct {
+	VM store.VM
+	// Gone means that the VM is no longer listed.
+	Gone bool
+	// At is when the list was read, in milliseconds since 1970.
+	At int64
+}
+
+// Advice tells that a VM which runs no daemon leaves, sooner than the VM list
+// does, or that it stays after all.
 type Advice struct {
-	VM string
-	// Leaving means that the VM itself said that it leaves.
+	VM      string
 	Leaving bool
-	// At is when it was seen, in milliseconds since 1970.
+	// At is when it was seen, in milliseconds since 1970; the latest holds.
 	At int64
 }
 
@@ -58,21 +67,25 @@
 	Whole bool
 }
 
-// Message is what daemons exchange.
+// Sender names the daemon that sent a message.
+type Sender struct {
+	VM       string
+	Instance string
+}
+
+// Message is what daemons exchange. All but View is left out where it has not
+// changed.
 type Message struct {
-	// Environment names environment and stage; others are not listened to.
-	Environment string
-	From        Daemon
-	// Daemons are states that changed lately.
+	// View is a hash of the daemon states that the sender knows.
+	View uint64
+	// Want asks for the VM list in the answer to an exchange.
+	Want    bool
 	Daemons []Daemon
+	Entries []Entry
 	Advice  []Advice
-	// View is a hash of all states that the sender knows.
-	View uint64
-	// Whole means that Daemons are all that the sender knows.
-	Whole  bool
-	Loads  []Load
-	Demand []ModelDemand
-	Use    []CallerUse
+	Loads   []Load
+	Demand  []ModelDemand
+	Use     []CallerUse
 }
 
 // Copy is a document that a peer hands on.
@@ -82,15 +95,15 @@
 	Body     []byte
 }
 
-// Transport reaches the member duties of other daemons.
+// Transport reaches the member duties of other daemons of the environment.
 type Transport interface {
-	// Tell sends m to a peer and does not wait until it is read. Messages to
-	// one peer arrive in order or the peer is reported as failed.
-	Tell(ctx context.Context, address string, m Message) error
-	// Exchange sends m and returns the peer's whole view.
+	// Tell queues m for a peer and does not wait. Messages to a peer arrive
+	// in order; after an error the peer may have missed any of them.
+	Tell(address string, m Message) error
+	// Exchange sends m and returns all that the peer knows.
 	Exchange(ctx context.Context, address string, m Message) (Message, error)
 	// Document fetches the document that the peer has in force.
-	Document(ctx context.Context, address, environment string) (Copy, error)
+	Document(ctx context.Context, address string) (Copy, error)
 }
 
 // Peer is a daemon as this one knows it.
@@ -106,7 +119,7 @@
 	Refused    code.Code
 	Leaving    bool
 	Ready      bool
-	// Suspect means that the daemon could not be reached lately.
+	// Suspect means that the daemon was not heard lately.
 	Suspect bool
 }
 
@@ -117,15 +130,36 @@
 	Refused  code.Code
 }
 
-// Times of the duty.
+// Times and sizes of the duty.
 const (
-	// DefaultPeriod is the time between two messages to a peer of the data
-	// centre.
+	// DefaultPeriod is the time between two messages to a near peer.
 	DefaultPeriod = time.Second
-	// DefaultListPeriod is the time between two reads of the VM list.
-	DefaultListPeriod = 2 * time.Second
-	// CallTimeout bounds a call to a peer.
-	CallTimeout = time.Second
-	// SyncPeriod is the least time between two exchanges of whole views.
-	SyncPeriod = 15 * time.Second
+	// MeshSize is the number of daemons up to which all are near; beyond it,
+	// those of the same data centre are.
+	MeshSize = 64
+	// SilentAfter is how long a near peer may stay silent before it is
+	// suspected.
+	SilentAfter = 4 * time.Second
+	// SyncPeriod is the least time between two exchanges of all that is known.
+	SyncPeriod = 30 * time.Second
+	// ListPeriod is the least time between two reads of the VM list by a
+	// daemon. It grows by listPeriodPeer with each near peer, since all pass
+	// on what they read.
+	ListPeriod     = 2 * time.Second
+	listPeriodPeer = time.Second
+	// ListLag is how far the VM list may lag.
+	ListLag = time.Minute
+	// CallTimeout bounds a call to a peer or to the VM list.
+	CallTimeout = 2 * time.Second
+	// remoteLinks is the number of daemons outside the near ones that are
+	// told news, and remoteLinkPeriod how long each is kept.
+	remoteLinks      = 3
+	remoteLinkPeriod = time.Minute
+	// relayPeriods is the number of periods in which news is repeated, and
+	// maxNews the largest number of states in a message.
+	relayPeriods = 6
+	maxNews      = 48
+	// spreadSize is the number of near peers that are told demand and use in
+	// a period; the others follow in the next periods.
+	spreadSize = 8
 )
--- a/limpetd/member/share.go
+++ b/limpetd/member/share.go
@@ -1,5 +1,3 @@
-// Package member knows the VMs of the system: those that the platform lists and
-// what peers tell sooner.
 package member
 
 import "github.com/limpetlb/limpetlb/limpetd/engine"
--- /dev/null
+++ b/limpetd/member/spread.go
@@ -0,0 +1,265 @@
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+)
+
+// wholeLoadPeriods is the number of periods after which slots are sent again
+// although they have not changed.
+const wholeLoadPeriods = 60
+
+// parcel is a message on its way to a peer.
+type parcel struct {
+	vm      string
+	address string
+	message Message
+}
+
+// told is what a peer was told last.
+type told struct {
+	instance string
+	sequence int64
+	slots    map[string]uint64
+	since    int
+}
+
+// spread chooses what to tell whom. It is a pure state like view.
+type spread struct {
+	random *rand.Rand
+	period int
+	told   map[string]*told
+	links  []string
+	linked time.Time
+	// holder is the VM that is told demand in each period, if any.
+	holder string
+}
+
+// newSpread returns a spread that has told nobody anything.
+func newSpread(random *rand.Rand) *spread {
+	return &spread{random: random, told: map[string]*told{}}
+}
+
+// reset forgets what a peer was told, after a message to it may be lost.
+func (s *spread) reset(vm string) {
+	delete(s.told, vm)
+}
+
+// round returns the messages of a period.
+func (s *spread) round(v *view, share Share, now time.Time) []parcel {
+	s.period++
+	near, far := v.near()
+	s.link(far, now)
+	hash := v.hash()
+	relays := s.relays(len(near))
+	turns := max(1, (len(near)+spreadSize-1)/spreadSize)
+	loads := prepare(share.Loads)
+	var parcels []parcel
+	for i, d := range near {
+		m := s.changes(v, d, relays[i])
+		m.View = hash
+		m.Loads = s.loads(d, loads)
+		if turn := (i+s.period)%turns == 0; turn || d.VM == s.holder {
+			m.Demand = share.Demand
+		}
+		if (i+s.period)%turns == 0 {
+			m.Use = share.Use
+		}
+		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+	}
+	for _, d := range s.linkedTo(far) {
+		m := s.changes(v, d, true)
+		m.View = hash
+		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+	}
+	v.age()
+	return parcels
+}
+
+// urgent returns the messages that carry fresh news at once.
+func (s *spread) urgent(v *view) []parcel {
+	near, far := v.near()
+	relays := s.relays(len(near))
+	own := v.hasOwn()
+	hash := v.hash()
+	var parcels []parcel
+	for i, d := range near {
+		if !own && !relays[i] {
+			continue
+		}
+		m := s.changes(v, d, true)
+		m.View = hash
+		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+	}
+	for _, d := range s.linkedTo(far) {
+		m := s.changes(v, d, true)
+		m.View = hash
+		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+	}
+	return parcels
+}
+
+// relays chooses two of n peers that are told news of others.
+func (s *spread) relays(n int) []bool {
+	chosen := make([]bool, n)
+	for range min(2, n) {
+		chosen[s.random.IntN(n)] = true
+	}
+	return chosen
+}
+
+// link renews the far daemons that are told news.
+func (s *spread) link(far []Daemon, now time.Time) {
+	if len(far) == 0 {
+		s.links = nil
+		return
+	}
+	if len(s.linkedTo(far)) == min(remoteLinks, len(far)) && now.Sub(s.linked) < remoteLinkPeriod {
+		return
+	}
+	s.linked = now
+	s.links = nil
+	for _, i := range s.random.Perm(len(far))[:min(remoteLinks, len(far))] {
+		s.links = append(s.links, far[i].VM)
+	}
+}
+
+// linkedTo returns the far daemons with a link.
+func (s *spread) linkedTo(far []Daemon) []Daemon {
+	var linked []Daemon
+	for _, d := range far {
+		for _, vm := range s.links {
+			if d.VM == vm && !d.Suspect {
+				linked = append(linked, d)
+			}
+		}
+	}
+	return linked
+}
+
+// changes returns what a peer has not been told: this daemon's own state, what
+// others say of the peer, and news.
+func (s *spread) changes(v *view, d Daemon, relay bool) Message {
+	t := s.peer(d)
+	var m Message
+	if t.sequence != v.self.Sequence {
+		t.sequence = v.self.Sequence
+		m.Daemons = append(m.Daemons, v.self)
+	}
+	if d.Suspect {
+		m.Daemons = append(m.Daemons, d)
+	}
+	for i := len(v.news) - 1; i >= 0; i-- {
+		n := v.news[i]
+		if !relay && (!n.own || n.left < relayPeriods) {
+			continue
+		}
+		v.add(&m, n, d.VM)
+		if len(m.Daemons)+len(m.Entries)+len(m.Advice) >= maxNews {
+			break
+		}
+	}
+	return m
+}
+
+// peer returns what d was told, nothing if it is a new instance.
+func (s *spread) peer(d Daemon) *told {
+	t, ok := s.told[d.VM]
+	if !ok || t.instance != d.Instance {
+		t = &told{instance: d.Instance, sequence: -1, slots: map[string]uint64{}}
+		s.told[d.VM] = t
+	}
+	return t
+}
+
+// prepare hashes the slots of reports.
+func prepare(reports []engine.Report) []Load {
+	loads := make([]Load, len(reports))
+	for i, r := range reports {
+		loads[i] = Load{Report: r, SlotsHash: hashSlots(r.Slots), Whole: true}
+	}
+	return loads
+}
+
+// hashSlots identifies a list of slots.
+func hashSlots(slots []envdoc.Slot) uint64 {
+	d := xxhash.New()
+	if err := msgpack.NewEncoder(d).Encode(slots); err != nil {
+		return 0
+	}
+	return d.Sum64()
+}
+
+// loads returns the reports for a peer, without the slots that it knows.
+func (s *spread) loads(d Daemon, loads []Load) []Load {
+	t := s.peer(d)
+	if t.since++; t.since >= wholeLoadPeriods {
+		t.since, t.slots = 0, map[string]uint64{}
+	}
+	cut := make([]Load, len(loads))
+	for i, l := range loads {
+		cut[i] = l
+		if known, ok := t.slots[l.Report.VM]; ok && known == l.SlotsHash {
+			cut[i].Whole, cut[i].Report.Slots = false, nil
+		}
+		t.slots[l.Report.VM] = l.SlotsHash
+	}
+	return cut
+}
+
+// add puts news into a message, unless it is about the receiver.
+func (v *view) add(m *Message, n news, receiver string) {
+	switch {
+	case n.daemon == receiver || n.daemon == v.self.VM:
+	case n.daemon != "":
+		m.Daemons = append(m.Daemons, v.daemons[n.daemon])
+	case n.entry != "":
+		m.Entries = append(m.Entries, v.entries[n.entry])
+	case n.advice != "":
+		m.Advice = append(m.Advice, v.advice[n.advice])
+	}
+}
+
+// hasOwn tells whether there is news that all near peers are to be told at once.
+func (v *view) hasOwn() bool {
+	for _, n := range v.news {
+		if n.own && n.left == relayPeriods {
+			return true
+		}
+	}
+	return false
+}
+
+// age counts a period of each item of news and drops those repeated enough.
+func (v *view) age() {
+	kept := v.news[:0]
+	for _, n := range v.news {
+		if n.left--; n.left > 0 {
+			kept = append(kept, n)
+		}
+	}
+	v.news = kept
+}
+
+// whole returns all that the view knows, with the VM list if it is wanted.
+func (v *view) whole(want bool) Message {
+	m := Message{View: v.hash()}
+	for _, d := range v.daemons {
+		m.Daemons = append(m.Daemons, d)
+	}
+	for _, a := range v.advice {
+		m.Advice = append(m.Advice, a)
+	}
+	for _, e := range v.entries {
+		if want && !e.Gone {
+			m.Entries = append(m.Entries, e)
+		}
+	}
+	return m
+}
