--- a/limpetd/admit/step.go
+++ b/limpetd/admit/step.go
@@ -145,8 +145,8 @@
 	if c.status != statusGranted || c.first {
 		return
 	}
-	c.first = true
 	b := c.backend
+	b.firstToken(c)
 	b.outlier.answered()
 	if b.number < 0 {
 		return
@@ -168,7 +168,7 @@
 	}
 	c.status, c.ended = statusEnded, now
 	b := c.backend
-	b.active--
+	b.end(c)
 	switch o {
 	case OutcomeAnswered:
 		b.outlier.answered()
@@ -179,23 +179,18 @@
 	s.renew(now, b.number)
 }
 
-// failed notes a failure of an engine and ejects it, unless too many of its data
-// centre are ejected.
+// failed notes a failure of an engine and ejects it, unless too many are ejected.
 func (s *State) failed(now time.Time, b *backend) {
 	if !b.outlier.failed(now) || b.number < 0 {
 		return
 	}
-	group, ejected := 0, 0
-	for i, other := range s.numbered {
-		if s.view.Engines[i].DataCentre != s.view.Engines[b.number].DataCentre {
-			continue
-		}
-		group++
+	ejected := 0
+	for _, other := range s.numbered {
 		if other.outlier.ejected(now) {
 			ejected++
 		}
 	}
-	if mayEject(ejected, group) {
+	if mayEject(ejected, len(s.numbered)) {
 		b.outlier.eject(now)
 	}
 }
@@ -204,8 +199,8 @@
 // engines, and lets engines back whose ejection is over.
 func (s *State) findStalled(now time.Time) {
 	for i, b := range s.numbered {
-		for _, c := range b.calls {
-			if c.stalled || c.first || c.status != statusGranted || c.class != route.ClassUrgent {
+		for _, c := range b.flight {
+			if c.stalled || c.first || c.class != route.ClassUrgent {
 				continue
 			}
 			wait := now.Sub(c.sent)
@@ -214,7 +209,7 @@
 				s.failed(now, b)
 			}
 		}
-		if s.own[i].Ejected != b.outlier.ejected(now) {
+		if s.own[i].Ejected || b.outlier.times > 0 {
 			s.renew(now, i)
 		}
 	}
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -161,8 +162,7 @@
 			return nil, code.WithRun(err, run)
 		}
 		vm := ticket.Choice().VM
-		excluded := c.Admission.Exclude
-		c.Admission.Exclude = append(excluded[:len(excluded):len(excluded)], vm)
+		c.Admission.Exclude = append(slices.Clip(c.Admission.Exclude), vm)
 		r.deps.Events.Add(event.Event{
 			Kind:    event.RequestRetried,
 			Request: c.Admission.ID,
@@ -177,21 +177,41 @@
 	choice := t.Choice()
 	r.deps.Events.Add(event.Event{Kind: event.RequestSent, Request: c.Admission.ID, VM: choice.VM})
 	attempt, cancel := context.WithTimeout(ctx, r.serviceTime)
-	response, sent, err := r.services.send(attempt, choice.Address, c)
+	response, sent, err := r.services.send(attempt, choice.Address, c) //nolint:bodyclose // the caller closes the held body
 	if err != nil {
 		cancel()
 		t.Release(serviceOutcome(ctx))
 		return nil, sent, r.serviceError(ctx, c, choice.VM, sent, err)
 	}
 	t.FirstToken()
+	body := &heldBody{ReadCloser: response.Body, cancel: cancel, ticket: t, caller: ctx}
+	if response.StatusCode >= http.StatusBadGateway {
+		body.outcome = admit.OutcomeFailed
+	}
 	return &ServiceAnswer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body:   &heldBody{ReadCloser: response.Body, cancel: cancel, ticket: t, caller: ctx},
+		Body:   body,
 		VM:     choice.VM,
 	}, true, nil
 }
 
+// RunOfAnswer states whether the call ran that a backend server answered. A
+// refusal counts as not run only where the server says so itself; after another
+// fault of the server it is not known.
+func RunOfAnswer(status int, h http.Header) code.Run {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		if h.Get(RunHeader) == string(code.RunNo) {
+			return code.RunNo
+		}
+		return code.RunUnknown
+	case status >= http.StatusInternalServerError:
+		return code.RunUnknown
+	}
+	return code.RunYes
+}
+
 func serviceOutcome(ctx context.Context) admit.Outcome {
 	if ctx.Err() != nil {
 		return admit.OutcomeGone
