admit,route: Divide room only while calls wait

Arrivals come at a rate that engines keep up with; what must be divided is the work that waits in many daemons.

--- a/limpetd/admit/backend.go
+++ b/limpetd/admit/backend.go
@@ -129,6 +129,6 @@
 		// while it could be sent again.
 		o.Ejected = true
 	}
-	o.Room = b.room(e, daemons)
+	o.Room, o.WaitedRoom = b.room(e, daemons)
 	return o
 }
--- a/limpetd/admit/call.go
+++ b/limpetd/admit/call.go
@@ -25,6 +25,8 @@
 	// notBefore is the earliest time of a retry.
 	notBefore time.Time
 	status    status
+	// waited tells that the call waited for room.
+	waited bool
 	// backend is where the call was sent, the times when it was sent and ended.
 	backend     *backend
 	sent, ended time.Time
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -23,6 +23,8 @@
 	minWait = 250 * time.Millisecond
 	// defaultFirstToken is the expectation of a call that has none.
 	defaultFirstToken = 30 * time.Second
+	// backlogTime is how long after a call had to wait the daemon holds back.
+	backlogTime = 4 * time.Second
 	// minAhead is the number of calls ahead from which an arriving call is
 	// refused by the expected wait.
 	minAhead = 4
@@ -52,6 +54,8 @@
 
 	lines   map[target]*line
 	waiting [classes]int
+	// waited is when a call of a class had to wait last.
+	waited  [classes]time.Time
 	delayed []*Call
 	order   int
 }
@@ -286,6 +290,8 @@
 	if l.len() == 0 {
 		l.fullSince, l.granted = now, 0
 	}
+	c.waited = true
+	s.waited[c.class] = now
 	heap.Push(&l.waiting[c.class], c)
 	s.waiting[c.class]++
 }
@@ -312,7 +318,8 @@
 	if s.view == nil {
 		return false
 	}
-	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, s.allowed(now, c), now, s.random)
+	ask := route.Ask{Class: s.allowed(now, c), Waited: c.waited || s.backlog(now, c.class), Now: now}
+	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, ask, s.random)
 	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait {
 		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
 		return true
@@ -327,6 +334,17 @@
 	return true
 }
 
+// backlog tells whether calls of a class, or a more urgent one, wait or waited a
+// moment ago.
+func (s *State) backlog(now time.Time, class route.Class) bool {
+	for i, n := range s.waiting[:class+1] {
+		if n > 0 || now.Sub(s.waited[i]) < backlogTime {
+			return true
+		}
+	}
+	return false
+}
+
 // raiseReserves keeps more room for urgent calls in the engines that could take
 // one.
 func (s *State) raiseReserves(now time.Time, c *Call) {
--- a/limpetd/admit/window.go
+++ b/limpetd/admit/window.go
@@ -31,7 +31,7 @@
 	// reserveDrop once it was not raised for reserveHold.
 	minReserve    = 0.1
 	maxReserve    = 0.9
-	reserveGrow   = 0.1
+	reserveGrow   = 0.2
 	reserveShrink = 0.01
 	reserveDrop   = 0.2
 	reserveHold   = 5 * time.Second
@@ -39,10 +39,9 @@
 	// deferredPart is the part of the window less the reserve that deferred calls
 	// may fill.
 	deferredPart = 0.65
-	// urgentUndivided and undivided are the parts of what a class may fill below
-	// which room is not divided among daemons.
-	urgentUndivided = 0.5
-	undivided       = 0.5
+	// undivided is the part of what a class may fill below which room is not
+	// divided among daemons.
+	undivided = 0.5
 )
 
 // limit returns the batch limit of an engine.
@@ -82,11 +81,13 @@
 	b.begin(e)
 }
 
-// room returns the number of classes that the engine has room for. Other daemons
-// send too, which this one learns only from the next report: what is free in the
-// report is divided among the daemons, by their part of the engine's load, and a
-// daemon may replace its own calls that ended.
-func (b *backend) room(e *route.Engine, daemons int) int {
+// room returns the numbers of classes that the engine has room for, and has for
+// calls that waited. Other daemons send too, which this one learns only from the
+// next report. Arrivals come at a rate that engines mostly keep up with, but calls
+// that wait in many daemons would all be sent at once: for them what is free in
+// the report is divided among the daemons, by their part of the engine's load, and
+// a daemon may replace its own calls that ended.
+func (b *backend) room(e *route.Engine, daemons int) (room, waited int) {
 	load := float64(e.Report.Running + e.Report.Waiting)
 	share := 1 / float64(max(daemons, 1))
 	if load > 0 {
@@ -95,17 +96,20 @@
 	change := float64(b.counts.sent - b.counts.ended)
 	normal := (1 - b.reserve) * min(b.window, limit(e))
 	limits := [classes]float64{b.window, normal, normal * deferredPart}
-	free := [classes]float64{b.window * urgentUndivided, normal * undivided, normal * deferredPart * undivided}
 	for class, most := range limits {
-		if load+change < free[class] {
-			continue
-		}
-		if divide((most-load)*share, b.fraction(e)) <= change {
+		if load+change+1 > most {
 			b.limited = true
-			return class
+			break
+		}
+		room = class + 1
+	}
+	for class, most := range limits {
+		if load+change >= most*undivided && divide((most-load)*share, b.fraction(e)) <= change {
+			break
 		}
+		waited = class + 1
 	}
-	return classes
+	return room, waited
 }
 
 // raiseReserve notes that an urgent call found no room.
--- a/limpetd/route/choose.go
+++ b/limpetd/route/choose.go
@@ -20,8 +20,9 @@
 // in the order of the view's engines.
 type Own struct {
 	// Room is the number of classes that the engine has room for: 0 none, 1
-	// ClassUrgent, 2 also ClassNormal, 3 all.
-	Room int
+	// ClassUrgent, 2 also ClassNormal, 3 all. WaitedRoom is the same for requests
+	// that waited for room, of which other daemons have some too.
+	Room, WaitedRoom int
 	// Sent and SentTokens count the requests that this daemon sent after
 	// the report was measured, and their prompt tokens; Ended counts those of
 	// its requests that ended since.
@@ -37,6 +38,14 @@
 	Hold time.Duration
 }
 
+// Ask says how a request is to be placed.
+type Ask struct {
+	Class Class
+	// Waited tells that the request waited for room.
+	Waited bool
+	Now    time.Time
+}
+
 const (
 	// localSample and remoteSample are the numbers of random candidates that
 	// a choice compares. Few of them keep routers with the same old report from
@@ -87,8 +96,7 @@
 	own    []Own
 	hints  *Hints
 	r      *Request
-	class  Class
-	now    time.Time
+	ask    Ask
 	random *rand.Rand
 	full   bool
 	// probes are the known prefixes of the prompt, the shortest first; known
@@ -104,12 +112,12 @@
 // quicker.
 // Ejected engines are the last resort. Choose keeps nothing and allocates
 // nothing; hints may be nil.
-func Choose(v *View, own []Own, hints *Hints, r *Request, class Class, now time.Time, random *rand.Rand) (Choice, Verdict) {
+func Choose(v *View, own []Own, hints *Hints, r *Request, ask Ask, random *rand.Rand) (Choice, Verdict) {
 	cs := v.find(r)
 	if cs == nil {
 		return Choice{}, VerdictNone
 	}
-	c := chooser{view: v, own: own, hints: hints, r: r, class: class, now: now, random: random}
+	c := chooser{view: v, own: own, hints: hints, r: r, ask: ask, random: random}
 	c.look()
 	best := c.among(cs, false)
 	if best.candidate == nil && !c.full {
@@ -163,7 +171,7 @@
 // safe tells whether an estimate leaves enough time to the expectation, since
 // estimates err.
 func (c *chooser) safe(estimate time.Duration) bool {
-	return c.r.Expected.IsZero() || estimate < c.r.Expected.Sub(c.now)/safeShare
+	return c.r.Expected.IsZero() || estimate < c.r.Expected.Sub(c.ask.Now)/safeShare
 }
 
 // best returns the candidate with the lowest estimate of a sample of list.
@@ -207,7 +215,11 @@
 	if o.Ejected != ejected || c.excluded(x.engine) {
 		return false
 	}
-	if o.Room <= int(c.class) {
+	room := o.Room
+	if c.ask.Waited {
+		room = o.WaitedRoom
+	}
+	if room <= int(c.ask.Class) {
 		c.full = true
 		return false
 	}
--- a/limpetd/route/estimate.go
+++ b/limpetd/route/estimate.go
@@ -16,7 +16,7 @@
 func (c *chooser) estimate(engine int32) (time.Duration, int) {
 	e, o := &c.view.Engines[engine], &c.own[engine]
 	cached := min(c.cached(engine), c.r.PromptTokens)
-	d := Estimate(e, o, c.r.PromptTokens-cached, c.now)
+	d := Estimate(e, o, c.r.PromptTokens-cached, c.ask.Now)
 	if e.DataCentre != c.view.DataCentre {
 		d += remoteCost
 	}
--- a/limpetd/watch/watch.go
+++ b/limpetd/watch/watch.go
@@ -13,7 +13,7 @@
 //
 //	w := watch.New(ctx, watch.Config{VM: "vm-a1", DataCentre: "a"}, watch.Deps{...})
 //	view := w.View()
-//	choice, verdict := route.Choose(view, own, hints, &request, class, now, random)
+//	choice, verdict := route.Choose(view, own, hints, &request, ask, random)
 //	err := w.Wait()
 package watch
 
--- a/limpetlab/rbench/scenarios.go
+++ b/limpetlab/rbench/scenarios.go
@@ -39,6 +39,21 @@
 	return nil
 }
 
+// calm measures a day without bursts.
+func (b *bench) calm(w *world) error {
+	length := dayLength
+	if b.config.Quick {
+		length = dayLength / 3
+	}
+	policies := append([]string{policyLimpet}, baselines...)
+	stretches := []stretch{{phase: phaseCalm, until: length, load: restLoad(length)}}
+	if err := b.play(scenario{world: w, popular: true, stretches: stretches, policies: policies}); err != nil {
+		return err
+	}
+	b.atLeast("calm: attainment per accelerator over the best baseline", restGain, b.gain(phaseCalm))
+	return nil
+}
+
 // overload measures urgent work and recovery at twice the capacity.
 func (b *bench) overload(w *world) error {
 	const at, end = 20 * time.Second, 80 * time.Second
--- a/limpetlab/rbench/workload.go
+++ b/limpetlab/rbench/workload.go
@@ -9,6 +9,7 @@
 
 // The phases of a run.
 const (
+	phaseCalm     = "calm"
 	phaseRest     = "rest"
 	phaseBurst    = "burst"
 	phaseBefore   = "before"
