--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -205,6 +205,7 @@
 		{"path with dots", "GET", "/services/app/schedule/../orders", "", nil, code.UnknownPath},
 		{"path with encoded dots", "GET", "/services/app/schedule/%2e%2e/orders", "", nil, code.UnknownPath},
 		{"path with encoded slash", "GET", "/services/app/schedule/..%2forders", "", nil, code.UnknownPath},
+		{"path with encoded slash below", "GET", "/services/app/schedule/a%2fb", "", nil, code.UnknownPath},
 		{"path with double slash", "GET", "/services/app//schedule/1", "", nil, code.UnknownPath},
 		{"service of others", "POST", "/services/app/bookings", "", []string{"Authorization", "Bearer " + otherKey}, code.Forbidden},
 		{"key required", "POST", "/services/app/payments", "", nil, code.KeyRequired},
--- a/limpetd/gate/service_test.go
+++ b/limpetd/gate/service_test.go
@@ -141,6 +141,24 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// TestRefusalWithoutAWordOnTheRunIsNotRepeated lets the service answer busy
+// after it has run the call.
+func TestRefusalWithoutAWordOnTheRunIsNotRepeated(t *testing.T) {
+	var runs atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer s.Close()
+	b := start(t, setup{doc: document(), services: []string{strings.TrimPrefix(s.URL, "http://")}})
+	for range 2 {
+		a := b.do(t, "POST", "/services/app/payments", "10", headerKey, "k1")
+		require.Equal(t, http.StatusServiceUnavailable, a.status)
+		require.Equal(t, "unknown", a.header.Get(headerRun))
+	}
+	require.EqualValues(t, 1, runs.Load())
+}
+
 // TestCutAnswerOfAServiceDoesNotLookWhole lets the service break off.
 func TestCutAnswerOfAServiceDoesNotLookWhole(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
