--- a/limpet/cmds/document.go
+++ b/limpet/cmds/document.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -204,7 +205,7 @@
 func notInForce(revision int64, behind []admin.Daemon) error {
 	text := ""
 	for _, m := range behind {
-		text += fmt.Sprintf("\n%s has revision %d, reasons %v", m.VM, m.Revision, m.Reasons)
+		text += fmt.Sprintf("\n%s has revision %d: %s", m.VM, m.Revision, strings.Join(m.Reasons, ", "))
 	}
 	return code.Errorf(code.DocumentNotForce, "revision %d is accepted but not in force on %d daemons:%s", revision, len(behind), text)
 }
--- a/limpet/cmds/show.go
+++ b/limpet/cmds/show.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -38,7 +39,7 @@
 		s.Environment, s.Stage, s.Revision, s.Daemon, s.DataCentre, orNone(s.LeaseHolder), s.Fence, s.Inflight)
 	err = d.table("DAEMON\tDATA CENTRE\tREVISION\tLEVEL\tSTATE\tREASONS", func(w io.Writer) {
 		for _, m := range s.Daemons {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%v\n", m.VM, m.DataCentre, m.Revision, m.Level, daemonState(m.Ready, m.Leaving), m.Reasons)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", m.VM, m.DataCentre, m.Revision, m.Level, daemonState(m.Ready, m.Leaving), strings.Join(m.Reasons, ", "))
 		}
 	})
 	if err != nil {
--- a/limpetd/event/event.go
+++ b/limpetd/event/event.go
@@ -216,7 +216,7 @@
 
 // Merge joins the events of several processes in causal order.
 func Merge(lines ...[]Event) []Event {
-	var merged []Event
+	merged := []Event{}
 	for _, l := range lines {
 		merged = append(merged, l...)
 	}
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -116,11 +116,7 @@
 	inner, cancel := context.WithCancel(ctx)
 	n.cancel = cancel
 	n.tomb, inner = tomb.WithContext(inner)
-	if err := n.connect(inner); err != nil {
-		cancel()
-		n.listeners.close()
-		return nil, err
-	}
+	n.connect()
 	n.startDuties(inner)
 	n.serve(inner)
 	n.tomb.Go(func() error { return n.follow(inner) })
--- a/limpetd/node/observe.go
+++ b/limpetd/node/observe.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/jsternberg/zap-logfmt"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -20,11 +20,10 @@
 // operatorHeaderTime bounds the arrival of an operator call's header.
 const operatorHeaderTime = 5 * time.Second
 
-// connect makes the clients of the platform, the engines and the peers.
-func (n *Node) connect(_ context.Context) error {
+// connect makes the clients of the platform and the engines.
+func (n *Node) connect() {
 	n.platform = store.NewClient(n.config.Platform)
 	n.engines = engine.NewClient()
-	return nil
 }
 
 // serve starts the callers' and the operators' interface.
