peer,keys: Carry what daemons say over gRPC with mutual TLS

Daemons need one interface for member states, documents, questions about orders and the time line, and nobody else may use it. Member messages travel on one stream a pair, so that a message costs no headers; what seldom changes in a load report is sent once. A daemon is known by a certificate of the peer authority with the name limpetd, so a caller's certificate is refused, and a daemon of another environment or stage is refused by its metadata.

--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -179,19 +179,18 @@
 	}
 }
 
-// complete puts known slots into a report that was sent without them.
+// complete puts back what a report was sent without.
 func (u *Duty) complete(l Load) (report engine.Report, ok bool) {
 	if l.Whole {
-		u.slots[l.Report.VM] = knownSlots{hash: l.SlotsHash, slots: l.Report.Slots}
+		u.fixed[l.Report.VM] = l
 		return l.Report, true
 	}
-	known, ok := u.slots[l.Report.VM]
-	if !ok || known.hash != l.SlotsHash {
-		u.deps.Scope.Counter("member_slots_unknown").Inc(1)
+	known, ok := u.fixed[l.Report.VM]
+	if !ok || known.Hash != l.Hash {
+		u.deps.Scope.Counter("member_load_unknown").Inc(1)
 		return engine.Report{}, false
 	}
-	l.Report.Slots = known.slots
-	return l.Report, true
+	return fill(l.Report, known.Report), true
 }
 
 // wantSync asks for an exchange with a peer that knows other daemons.
--- a/limpetd/member/member.go
+++ b/limpetd/member/member.go
@@ -96,18 +96,12 @@
 	mu        sync.Mutex
 	view      *view
 	spread    *spread
-	slots     map[string]knownSlots
+	fixed     map[string]Load
 	vms       []store.VM
 	synced    time.Time
 	announced int64
 }
 
-// knownSlots are the slots that an engine last reported.
-type knownSlots struct {
-	hash  uint64
-	slots []envdoc.Slot
-}
-
 // New starts the duty. It ends with ctx.
 func New(ctx context.Context, config Config, deps Deps, opts ...Option) *Duty {
 	if config.Level == 0 {
@@ -118,7 +112,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake:   make(chan struct{}, 1), syncs: make(chan string, 1),
 		reads: make(chan struct{}, 1), newer: make(chan int64, 1),
-		slots: map[string]knownSlots{},
+		fixed: map[string]Load{},
 	}
 	u.defaults()
 	for _, o := range opts {
--- a/limpetd/member/message.go
+++ b/limpetd/member/message.go
@@ -57,13 +57,13 @@
 	At int64
 }
 
-// Load is an engine's report as peers send it: the slots are left out while
-// they have not changed.
+// Load is an engine's report as peers send it: instance, memory, batch limit,
+// role, fence and slots are left out while they have not changed.
 type Load struct {
 	Report engine.Report
-	// SlotsHash identifies the slots.
-	SlotsHash uint64
-	// Whole means that Report carries the slots.
+	// Hash identifies the part that seldom changes.
+	Hash uint64
+	// Whole means that Report carries that part.
 	Whole bool
 }
 
--- a/limpetd/member/spread.go
+++ b/limpetd/member/spread.go
@@ -8,11 +8,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
-	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 )
 
-// wholeLoadPeriods is the number of periods after which slots are sent again
-// although they have not changed.
+// wholeLoadPeriods is the number of periods after which whole reports are sent
+// again.
 const wholeLoadPeriods = 60
 
 // parcel is a message on its way to a peer.
@@ -26,8 +25,9 @@
 type told struct {
 	instance string
 	sequence int64
-	slots    map[string]uint64
-	since    int
+	// fixed holds the hashes of Load that the peer knows.
+	fixed map[string]uint64
+	since int
 }
 
 // spread chooses what to tell whom. It is a pure state like view.
@@ -172,45 +172,59 @@
 func (s *spread) peer(d Daemon) *told {
 	t, ok := s.told[d.VM]
 	if !ok || t.instance != d.Instance {
-		t = &told{instance: d.Instance, sequence: -1, slots: map[string]uint64{}}
+		t = &told{instance: d.Instance, sequence: -1, fixed: map[string]uint64{}}
 		s.told[d.VM] = t
 	}
 	return t
 }
 
-// prepare hashes the slots of reports.
+// prepare hashes the parts of reports that seldom change.
 func prepare(reports []engine.Report) []Load {
 	loads := make([]Load, len(reports))
 	for i, r := range reports {
-		loads[i] = Load{Report: r, SlotsHash: hashSlots(r.Slots), Whole: true}
+		loads[i] = Load{Report: r, Hash: hashFixed(r), Whole: true}
 	}
 	return loads
 }
 
-// hashSlots identifies a list of slots.
-func hashSlots(slots []envdoc.Slot) uint64 {
+// hashFixed identifies the part of a report that seldom changes.
+func hashFixed(r engine.Report) uint64 {
 	d := xxhash.New()
-	if err := msgpack.NewEncoder(d).Encode(slots); err != nil {
+	err := msgpack.NewEncoder(d).EncodeMulti(r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots)
+	if err != nil {
 		return 0
 	}
 	return d.Sum64()
 }
 
-// loads returns the reports for a peer, without the slots that it knows.
+// cut returns a report without the part that seldom changes.
+func cut(r engine.Report) engine.Report {
+	r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots = "", 0, 0, "", 0, nil
+	return r
+}
+
+// fill puts the part that seldom changes back from an earlier report.
+func fill(r, earlier engine.Report) engine.Report {
+	r.Instance, r.MemoryMB, r.BatchLimit = earlier.Instance, earlier.MemoryMB, earlier.BatchLimit
+	r.Role, r.Fence, r.Slots = earlier.Role, earlier.Fence, earlier.Slots
+	return r
+}
+
+// loads returns the reports for a peer, without what it knows.
 func (s *spread) loads(d Daemon, loads []Load) []Load {
 	t := s.peer(d)
 	if t.since++; t.since >= wholeLoadPeriods {
-		t.since, t.slots = 0, map[string]uint64{}
+		t.since, t.fixed = 0, map[string]uint64{}
 	}
-	cut := make([]Load, len(loads))
+	known := make([]Load, len(loads))
 	for i, l := range loads {
-		cut[i] = l
-		if known, ok := t.slots[l.Report.VM]; ok && known == l.SlotsHash {
-			cut[i].Whole, cut[i].Report.Slots = false, nil
+		if h, ok := t.fixed[l.Report.VM]; ok && h == l.Hash {
+			l.Whole, l.Report = false, cut(l.Report)
 		}
-		t.slots[l.Report.VM] = l.SlotsHash
+		t.fixed[l.Report.VM] = l.Hash
+		known[i] = l
 	}
-	return cut
+	return known
 }
 
 // add puts news into a message, unless it is about the receiver.
--- /dev/null
+++ b/limpetd/peer/peer_test.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/keys"
+	"github.com/limpetlb/limpetlb/limpetd/keys/certs"
+	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// handlers answers calls and keeps what members told.
+type handlers struct {
+	received chan member.Message
+	from     chan member.Sender
+}
+
+func newHandlers() *handlers {
+	return &handlers{received: make(chan member.Message, 64), from: make(chan member.Sender, 64)}
+}
+
+func (h *handlers) Receive(from member.Sender, m member.Message) {
+	h.from <- from
+	h.received <- m
+}
+
+func (h *handlers) Exchange(_ member.Sender, m member.Message) member.Message { return m }
+
+func (h *handlers) Copy(string) (member.Copy, error) {
+	return member.Copy{Revision: 3, Digest: "d", Body: []byte("body")}, nil
+}
+
+func (h *handlers) Sent(grant string) SentAnswer {
+	return SentAnswer{Instance: "b-1", State: "never " + grant}
+}
+
+func (h *handlers) Drain(_ context.Context, operator string, _ bool) error {
+	return code.Errorf(code.Stopping, "asked by %s", operator)
+}
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, environment string, tlsConfig *tls.Config, h *handlers, line *event.Line) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	deps := ServerDeps{TLS: tlsConfig, Members: h, Documents: h, Sent: h, Drain: h}
+	if line != nil {
+		deps.Line, deps.Events = line, line
+	}
+	NewServer(t.Context(), Config{Environment: environment, VM: "b", Instance: "b-1"}, listener, deps)
+	return listener.Addr().String()
+}
+
+// client returns a client of environment e/trial.
+func client(t *testing.T, deps ClientDeps) *Client {
+	return NewClient(t.Context(), Config{Environment: "e/trial", VM: "a", Instance: "a-1"}, deps)
+}
+
+// message has every field set.
+func message() member.Message {
+	slot := envdoc.Slot{Model: "m", Adapter: "a", Version: "1"}
+	report := engine.Report{
+		VM: "e1", Instance: "i", Sequence: 2, At: time.UnixMilli(5), MemoryMB: 9, UsedMB: 8, Slots: []envdoc.Slot{slot},
+		Running: 1, Waiting: 2, WaitingTokens: 3, TokensPerSecond: 4, PromptTokensPerSecond: 5, BatchLimit: 6,
+		Role: engine.RoleMixed, Fence: 7, Leaving: true,
+	}
+	vm := store.VM{
+		ID: "v", Kind: store.KindEngine, DataCentre: "d", Region: "r", Address: "a", State: store.StateLive,
+		Pool: "p", Fencing: store.FencingRefuses, MemoryMB: 5, Accelerators: 4,
+	}
+	daemon := member.Daemon{
+		VM: "x", Instance: "x-1", Sequence: 4, Started: 5, DataCentre: "d", Region: "r", Address: "a", Revision: 6,
+		Digest: envdoc.Digest(nil), Level: 1, Refused: code.DocumentLevel, Leaving: true, Ready: true, Suspect: true,
+	}
+	return member.Message{
+		View: 1, Want: true, Daemons: []member.Daemon{daemon}, Entries: []member.Entry{{VM: vm, Gone: true, At: 3}},
+		Advice: []member.Advice{{VM: "v", Leaving: true, At: 4}}, Loads: []member.Load{{Report: report, Hash: 9, Whole: true}},
+		Demand: []member.ModelDemand{{Model: "m", Adapter: "a", PerSecond: 1, TokensPerSecond: 2, Queued: 3}},
+		Use:    []member.CallerUse{{Caller: "c", PerSecond: 2}},
+	}
+}
+
+// secured returns the keys of a daemon.
+func secured(t *testing.T, a *certs.Authority, name string) *keys.Duty {
+	certificate, key, err := a.Issue(name)
+	require.NoError(t, err)
+	config := keys.Config{Certificate: keys.Secret(certificate), Key: keys.Secret(key), Authority: keys.Secret(a.PEM)}
+	u, err := keys.New(t.Context(), config, keys.Deps{})
+	require.NoError(t, err)
+	return u
+}
+
+func TestCallsOverMutualTLS(t *testing.T) {
+	ctx := t.Context()
+	a, err := certs.NewAuthority()
+	require.NoError(t, err)
+	h, line := newHandlers(), event.New("b")
+	address := serve(t, "e/trial", secured(t, a, keys.PeerName).PeerServer(), h, line)
+	c := client(t, ClientDeps{TLS: secured(t, a, keys.PeerName).PeerClient(), Events: event.New("a")})
+	for range 3 {
+		require.NoError(t, c.Tell(address, message()))
+		require.Equal(t, member.Sender{VM: "a", Instance: "a-1"}, <-h.from)
+		require.Equal(t, message(), <-h.received)
+	}
+	answer, err := c.Exchange(ctx, address, message())
+	require.NoError(t, err)
+	require.Equal(t, message(), answer)
+	d, err := c.Document(ctx, address)
+	require.NoError(t, err)
+	require.Equal(t, member.Copy{Revision: 3, Digest: "d", Body: []byte("body")}, d)
+	sent, err := c.Sent(ctx, address, "g1")
+	require.NoError(t, err)
+	require.Equal(t, SentAnswer{Instance: "b-1", State: "never g1"}, sent)
+	err = c.Drain(ctx, address, "ana", true)
+	require.Equal(t, code.Stopping, code.Of(err))
+	require.ErrorContains(t, err, "asked by ana")
+	for i := range 600 {
+		line.Add(event.Event{Kind: event.OrderSent, Model: "m", Text: fmt.Sprint(i)})
+	}
+	events, err := c.Events(ctx, address, event.Filter{Model: "m", Limit: 500, Since: time.Unix(1, 0)})
+	require.NoError(t, err)
+	require.Len(t, events, 500)
+	require.Equal(t, "599", events[499].Text)
+	require.Equal(t, "b", events[0].Process)
+
+	caller := client(t, ClientDeps{TLS: secured(t, a, "caller").PeerClient()})
+	_, err = caller.Document(ctx, address)
+	require.Error(t, err)
+	plain := client(t, ClientDeps{})
+	_, err = plain.Document(ctx, address)
+	require.Error(t, err)
+}
+
+func TestOtherEnvironmentsAreRefused(t *testing.T) {
+	h := newHandlers()
+	address := serve(t, "e/production", nil, h, nil)
+	c := client(t, ClientDeps{})
+	_, err := c.Exchange(t.Context(), address, message())
+	require.Equal(t, code.PeerUntrusted, code.Of(err))
+	_, err = c.Events(t.Context(), address, event.Filter{})
+	require.Equal(t, code.PeerUntrusted, code.Of(err))
+	require.NoError(t, c.Tell(address, message()))
+	require.Eventually(t, func() bool { return c.Tell(address, message()) != nil }, time.Minute, time.Millisecond)
+	require.Empty(t, h.received)
+}
+
+// TestLostMessagesAreReported restarts the peer between two messages: the client
+// says that messages were lost before it goes on.
+func TestLostMessagesAreReported(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	h := newHandlers()
+	ctx, stop := context.WithCancel(t.Context())
+	config := Config{Environment: "e/trial", VM: "b", Instance: "b-1"}
+	first := NewServer(ctx, config, listener, ServerDeps{Members: h})
+	c := client(t, ClientDeps{})
+	require.NoError(t, c.Tell(address, message()))
+	<-h.received
+	stop()
+	require.NoError(t, first.Wait())
+	require.Eventually(t, func() bool { return code.Of(c.Tell(address, message())) == code.PeerDown }, time.Minute, time.Millisecond)
+	listener, err = net.Listen("tcp", address)
+	require.NoError(t, err)
+	NewServer(t.Context(), config, listener, ServerDeps{Members: h})
+	require.Eventually(t, func() bool {
+		_ = c.Tell(address, message())
+		return len(h.received) > 0
+	}, time.Minute, time.Millisecond)
+}
