node: Let daemons speak to each other

Cause: daemons stood alone; demand, reports and documents did not spread. Change: the members, documents, grants, time line and drains go over the gRPC interface, with the TLS settings of package keys on all interfaces.

--- a/limpet/cmds/cmds_test.go
+++ b/limpet/cmds/cmds_test.go
@@ -75,7 +75,7 @@
 	return admin.Events{Events: []event.Event{e}, Missing: []string{"vm-2"}}, nil
 }
 
-func (f *fakeDaemon) Drain(_ context.Context, vm string) error {
+func (f *fakeDaemon) Drain(_ context.Context, _, vm string) error {
 	if vm == "vm-9" {
 		return code.Errorf(code.BadParameter, "no live daemon runs on VM %q", vm)
 	}
--- a/limpetd/admin/server.go
+++ b/limpetd/admin/server.go
@@ -45,7 +45,7 @@
 
 // Drainer makes a daemon leave.
 type Drainer interface {
-	Drain(ctx context.Context, vm string) error
+	Drain(ctx context.Context, operator, vm string) error
 }
 
 // Deps is what a Server depends on.
@@ -164,12 +164,12 @@
 	return s.deps.Plan.Plan(r.Context())
 }
 
-func (s *Server) drain(r *http.Request, _ string) (any, error) {
+func (s *Server) drain(r *http.Request, operator string) (any, error) {
 	var m Drain
 	if err := readJSON(r, &m); err != nil {
 		return nil, err
 	}
-	return m, s.deps.Drainer.Drain(r.Context(), m.VM)
+	return m, s.deps.Drainer.Drain(r.Context(), operator, m.VM)
 }
 
 func (s *Server) events(r *http.Request, _ string) (any, error) {
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -34,8 +34,10 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/gate"
+	"github.com/limpetlb/limpetlb/limpetd/keys"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
+	"github.com/limpetlb/limpetlb/limpetd/peer"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetd/watch"
@@ -59,19 +61,21 @@
 	tomb     *tomb.Tomb
 	cancel   context.CancelFunc
 
-	platform *store.Client
-	engines  *engine.Client
-	shares   *shares
-	peers    peers
-	members  *member.Duty
-	docs     *docs.Duty
-	watch    *watch.Watch
-	queue    *admit.Queue
-	relay    *relay.Relay
-	claims   *claim.Claims
-	batches  *batch.Duty
-	gate     *gate.Gate
-	orders   *order.Duty
+	platform             *store.Client
+	engines              *engine.Client
+	shares               *shares
+	peers                *peer.Client
+	callerKeys, peerKeys *keys.Duty
+	peerServer           *peer.Server
+	members              *member.Duty
+	docs                 *docs.Duty
+	watch                *watch.Watch
+	queue                *admit.Queue
+	relay                *relay.Relay
+	claims               *claim.Claims
+	batches              *batch.Duty
+	gate                 *gate.Gate
+	orders               *order.Duty
 
 	listeners listeners
 	servers   []*http.Server
@@ -116,7 +120,11 @@
 	inner, cancel := context.WithCancel(ctx)
 	n.cancel = cancel
 	n.tomb, inner = tomb.WithContext(inner)
-	n.connect()
+	if err := n.connect(inner); err != nil {
+		cancel()
+		n.listeners.close()
+		return nil, err
+	}
 	n.startDuties(inner)
 	n.serve(inner)
 	n.tomb.Go(func() error { return n.follow(inner) })
@@ -295,7 +303,9 @@
 // Wait returns when everything has ended.
 func (n *Node) Wait() error {
 	err := n.tomb.Wait()
-	for _, w := range []waiter{n.orders, n.batches, n.claims, n.queue, n.watch, n.docs, n.members} {
+	for _, w := range []waiter{
+		n.orders, n.batches, n.claims, n.queue, n.watch, n.docs, n.members, n.peerServer, n.peers, n.callerKeys, n.peerKeys,
+	} {
 		if e := w.Wait(); e != nil && !errors.Is(e, context.Canceled) {
 			err = errors.Join(err, e)
 		}
--- a/limpetd/node/operate.go
+++ b/limpetd/node/operate.go
@@ -191,40 +191,13 @@
 }
 
 // Drain makes this daemon or a peer leave.
-func (o operate) Drain(ctx context.Context, vm string) error {
+func (o operate) Drain(ctx context.Context, operator, vm string) error {
 	if vm == o.config.VM {
-		o.askToLeave()
-		return nil
+		return answerer(o).Drain(ctx, operator, true)
 	}
 	address, err := o.peerAddress(vm)
 	if err != nil {
 		return err
 	}
-	return o.peers.Drain(ctx, address)
-}
-
-// peerAddress returns the peer address of a live daemon.
-func (n *Node) peerAddress(vm string) (string, error) {
-	for _, p := range n.members.Peers() {
-		if p.VM == vm {
-			return p.Address, nil
-		}
-	}
-	return "", code.Errorf(code.BadParameter, "no live daemon runs on VM %q", vm)
-}
-
-// sender asks peers about the orders that they sent.
-type sender struct {
-	*Node
-}
-
-var _ order.SentProvider = sender{}
-
-// Sent asks a daemon whether anything it sent under a grant may still arrive.
-func (s sender) Sent(ctx context.Context, daemon, grant string) (order.SentAnswer, error) {
-	address, err := s.peerAddress(daemon)
-	if err != nil {
-		return order.SentAnswer{}, err
-	}
-	return s.peers.Sent(ctx, address, grant)
+	return o.peers.Drain(ctx, address, operator, true)
 }
--- a/limpetd/node/peers.go
+++ b/limpetd/node/peers.go
@@ -5,42 +5,59 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
-	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
+	"github.com/limpetlb/limpetlb/limpetd/peer"
 )
 
-// peers reaches the other daemons. There is no transport yet: every call fails
-// with code PeerDown, which the duties take as a peer that is cut off.
-type peers struct{}
-
-var _ member.Transport = peers{}
+// peerAddress returns the peer address of a live daemon.
+func (n *Node) peerAddress(vm string) (string, error) {
+	for _, p := range n.members.Peers() {
+		if p.VM == vm {
+			return p.Address, nil
+		}
+	}
+	return "", code.Errorf(code.BadParameter, "no live daemon runs on VM %q", vm)
+}
 
-func (peers) err() error {
-	return code.Errorf(code.PeerDown, "no transport between daemons")
+// sender asks peers about the orders that they sent.
+type sender struct {
+	*Node
 }
 
-// Tell implements member.Transport.
-func (p peers) Tell(string, member.Message) error { return p.err() }
+var _ order.SentProvider = sender{}
 
-// Exchange implements member.Transport.
-func (p peers) Exchange(context.Context, string, member.Message) (member.Message, error) {
-	return member.Message{}, p.err()
+// Sent asks a daemon whether anything it sent under a grant may still arrive.
+func (s sender) Sent(ctx context.Context, daemon, grant string) (order.SentAnswer, error) {
+	address, err := s.peerAddress(daemon)
+	if err != nil {
+		return order.SentAnswer{}, err
+	}
+	a, err := s.peers.Sent(ctx, address, grant)
+	return order.SentAnswer{Instance: a.Instance, State: order.SentState(a.State)}, err
 }
 
-// Document implements member.Transport.
-func (p peers) Document(context.Context, string) (member.Copy, error) {
-	return member.Copy{}, p.err()
+// answerer answers the questions of peers.
+type answerer struct {
+	*Node
 }
 
-// Events returns the time line of a peer.
-func (p peers) Events(context.Context, string, event.Filter) ([]event.Event, error) {
-	return nil, p.err()
-}
+var (
+	_ peer.SentProvider = answerer{}
+	_ peer.DrainHandler = answerer{}
+)
 
-// Sent asks a peer about a grant.
-func (p peers) Sent(context.Context, string, string) (order.SentAnswer, error) {
-	return order.SentAnswer{}, p.err()
+// Sent answers whether orders under a grant can still be sent.
+func (a answerer) Sent(grant string) peer.SentAnswer {
+	s := a.orders.AnswerSent(grant)
+	return peer.SentAnswer{Instance: s.Instance, State: string(s.State)}
 }
 
-// Drain makes a peer leave.
-func (p peers) Drain(context.Context, string) error { return p.err() }
+// Drain makes this daemon leave. A daemon that leaves cannot be asked to stay.
+func (a answerer) Drain(_ context.Context, operator string, leaving bool) error {
+	if !leaving {
+		return code.Errorf(code.BadParameter, "a daemon that leaves cannot stay; start a new one")
+	}
+	a.line.Add(event.Event{Kind: event.OperatorCall, VM: a.config.VM, Text: "drain by " + operator})
+	a.askToLeave()
+	return nil
+}
