rbench: Measure slow engines

A quarter of the engines at an eighth of their speed was not measured. Add the phase, bounded by the best baseline.

--- a/limpetlab/rbench/rbench.go
+++ b/limpetlab/rbench/rbench.go
@@ -88,10 +88,9 @@
 
 // scenario is a load on a world.
 type scenario struct {
-	world   *world
-	popular bool
-	// failing makes half of the engines fail each request.
-	failing   bool
+	world     *world
+	popular   bool
+	fault     fault
 	stretches []stretch
 	policies  []string
 }
@@ -112,7 +111,7 @@
 	}
 	b := &bench{ctx: ctx, config: c, result: Result{Deployment: c.Deployment, Seed: c.Seed, Broken: []string{}}}
 	w := newWorld(d)
-	for _, step := range []func(*world) error{b.calm, b.day, b.overload, b.failing, b.herding} {
+	for _, step := range []func(*world) error{b.calm, b.day, b.overload, b.failing, b.slow, b.herding} {
 		if err := step(w); err != nil {
 			return Result{}, err
 		}
@@ -129,7 +128,7 @@
 		// Each policy gets the same requests.
 		random := rand.New(rand.NewPCG(b.config.Seed, 7))
 		jobs := sc.world.generate(random, sc.popular, sc.stretches)
-		s := newSimulation(sc.world, newRouter(policy, sc.world, b.config.Seed), jobs, sc.failing)
+		s := newSimulation(sc.world, newRouter(policy, sc.world, b.config.Seed), jobs, sc.fault)
 		s.run()
 		b.add(policy, sc, jobs, s.spread.mean())
 	}
--- a/limpetlab/rbench/rbench_test.go
+++ b/limpetlab/rbench/rbench_test.go
@@ -51,7 +51,7 @@
 	stretches := []stretch{{phase: phaseOverload, until: 20 * time.Second, load: constant(1, 1, 0.2)}}
 	jobs := w.generate(random, true, stretches)
 	l := newLimpet(w, 3)
-	s := newSimulation(w, l, jobs, true)
+	s := newSimulation(w, l, jobs, faultFailing)
 	s.run()
 	for _, j := range jobs {
 		require.True(t, j.ended)
--- a/limpetlab/rbench/scenarios.go
+++ b/limpetlab/rbench/scenarios.go
@@ -79,13 +79,24 @@
 func (b *bench) failing(w *world) error {
 	stretches := []stretch{{phase: phaseFailing, until: time.Minute, load: constant(0.2, 0.1, 0)}}
 	policies := append([]string{policyLimpet}, baselines...)
-	if err := b.play(scenario{world: w, failing: true, stretches: stretches, policies: policies}); err != nil {
+	if err := b.play(scenario{world: w, fault: faultFailing, stretches: stretches, policies: policies}); err != nil {
 		return err
 	}
 	b.atMost("failing: sends per request", maxSendsPerRequest, b.find(policyLimpet, phaseFailing, allPriorities).SendsPerRequest)
 	return nil
 }
 
+// slow measures a quarter of the engines at an eighth of their speed.
+func (b *bench) slow(w *world) error {
+	stretches := []stretch{{phase: phaseSlow, until: time.Minute, load: constant(0.2, 0.1, 0)}}
+	policies := append([]string{policyLimpet}, baselines...)
+	if err := b.play(scenario{world: w, fault: faultSlow, stretches: stretches, policies: policies}); err != nil {
+		return err
+	}
+	b.atLeast("slow: attainment per accelerator over the best baseline", restGain, b.gain(phaseSlow))
+	return nil
+}
+
 // herding measures the spread of queue lengths with few and many routers.
 func (b *bench) herding(*world) error {
 	length := 20 * time.Second
--- a/limpetlab/rbench/server.go
+++ b/limpetlab/rbench/server.go
@@ -31,6 +31,8 @@
 type server struct {
 	number  int
 	failing bool
+	// slow divides the speed; 1 is full speed.
+	slow    time.Duration
 	waiting []*job
 	// prompts are the requests in the batch whose prompt is not processed.
 	prompts  []*job
@@ -75,7 +77,7 @@
 	e.prompts = e.prompts[1:]
 	left := j.prompt - e.cache.use(j.chain)*blockTokens
 	d := time.Duration(float64(max(left, 1)) / promptRate * float64(time.Second))
-	s.after(d, event{kind: eventPrompt, job: j, server: e})
+	s.after(d*e.slow, event{kind: eventPrompt, job: j, server: e})
 }
 
 // promptDone begins the generation of tokens.
@@ -83,7 +85,7 @@
 	e.busy = false
 	j.tokensLeft = 0
 	s.after(networkTime, event{kind: eventFirstToken, job: j, server: e})
-	s.after(time.Duration(j.tokens)*tokenTime(e.running), event{kind: eventDone, job: j, server: e})
+	s.after(time.Duration(j.tokens)*tokenTime(e.running)*e.slow, event{kind: eventDone, job: j, server: e})
 	e.advance(s)
 }
 
--- a/limpetlab/rbench/simulation.go
+++ b/limpetlab/rbench/simulation.go
@@ -108,12 +108,36 @@
 // begin is the virtual time at which runs begin.
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// newSimulation returns a simulation of jobs in the order of arrival. Half of the
-// engines, spread over the data centres, fail every request if failing is set.
-func newSimulation(w *world, r router, jobs []*job, failing bool) *simulation {
+// fault is what is wrong with some engines.
+type fault int
+
+// The faults. faultFailing lets half of the engines, spread over the data centres,
+// fail every request; faultSlow slows a quarter of them down.
+const (
+	faultNone fault = iota
+	faultFailing
+	faultSlow
+)
+
+// slowness divides the speed of a slow engine.
+const slowness = 8
+
+// newServer returns the engine with a number.
+func newServer(w *world, n int, f fault) *server {
+	e := &server{number: n, slow: 1}
+	place := n + n/len(w.dataCentres)
+	e.failing = f == faultFailing && place%2 == 0
+	if f == faultSlow && place%4 == 0 {
+		e.slow = slowness
+	}
+	return e
+}
+
+// newSimulation returns a simulation of jobs in the order of arrival.
+func newSimulation(w *world, r router, jobs []*job, f fault) *simulation {
 	s := &simulation{world: w, router: r, now: begin, views: make([]*route.View, len(w.dataCentres))}
 	for n := range w.engines {
-		s.servers = append(s.servers, &server{number: n, failing: failing && (n+n/len(w.dataCentres))%2 == 0})
+		s.servers = append(s.servers, newServer(w, n, f))
 	}
 	for _, j := range jobs {
 		s.at(j.arrived, event{kind: eventArrive, job: j})
--- a/limpetlab/rbench/workload.go
+++ b/limpetlab/rbench/workload.go
@@ -17,6 +17,7 @@
 	phaseDrain    = "drain"
 	phaseAfter    = "after"
 	phaseFailing  = "failing"
+	phaseSlow     = "slow"
 	phaseHerd     = "herd"
 )
 
