rbench: Measure retries in an overload and let half of the engines fail

Failing engines were two thirds of ibeji's, and sends were measured at a moderate load only. Let exactly half fail, spread over the data centres, and add the phase storm: half failing at twice the capacity.

--- a/limpetlab/rbench/rbench_test.go
+++ b/limpetlab/rbench/rbench_test.go
@@ -13,7 +13,7 @@
 func TestRunIsRepeatable(t *testing.T) {
 	run := func() Result {
 		b := &bench{ctx: t.Context(), config: Config{Seed: 1, Quick: true}}
-		require.NoError(t, b.overload(newWorld(deployments["ibeji"])))
+		require.NoError(t, b.slow(newWorld(deployments["ibeji"])))
 		return b.result
 	}
 	first := run()
@@ -64,6 +64,19 @@
 	}
 }
 
+func TestFaultsHitTheirPartOfTheEngines(t *testing.T) {
+	for name, d := range deployments {
+		w := newWorld(d)
+		failing, slow := 0, 0
+		for n := range w.engines {
+			failing += number(newServer(w, n, faultFailing).failing)
+			slow += number(newServer(w, n, faultSlow).slow > 1)
+		}
+		require.Equal(t, w.engines/2, failing, name)
+		require.Equal(t, w.engines/4, slow, name)
+	}
+}
+
 func TestWorldHoldsEverySlot(t *testing.T) {
 	for name, d := range deployments {
 		w := newWorld(d)
--- a/limpetlab/rbench/scenarios.go
+++ b/limpetlab/rbench/scenarios.go
@@ -75,14 +75,22 @@
 	return nil
 }
 
-// failing measures sends with half of the engines failing.
+// failing measures sends with half of the engines failing, at a moderate load and
+// at twice the capacity of all engines.
 func (b *bench) failing(w *world) error {
-	stretches := []stretch{{phase: phaseFailing, until: time.Minute, load: constant(0.2, 0.1, 0)}}
 	policies := append([]string{policyLimpet}, baselines...)
-	if err := b.play(scenario{world: w, fault: faultFailing, stretches: stretches, policies: policies}); err != nil {
-		return err
+	loads := map[string]func(time.Duration) [3]float64{
+		phaseFailing: constant(0.2, 0.1, 0),
+		phaseStorm:   constant(urgentLoad, totalLoad-urgentLoad, 0),
+	}
+	for _, phase := range []string{phaseFailing, phaseStorm} {
+		stretches := []stretch{{phase: phase, until: time.Minute, load: loads[phase]}}
+		if err := b.play(scenario{world: w, fault: faultFailing, stretches: stretches, policies: policies}); err != nil {
+			return err
+		}
+		sends := b.find(policyLimpet, phase, allPriorities).SendsPerRequest
+		b.atMost(phase+": sends per request", maxSendsPerRequest, sends)
 	}
-	b.atMost("failing: sends per request", maxSendsPerRequest, b.find(policyLimpet, phaseFailing, allPriorities).SendsPerRequest)
 	return nil
 }
 
--- a/limpetlab/rbench/simulation.go
+++ b/limpetlab/rbench/simulation.go
@@ -125,7 +125,7 @@
 // newServer returns the engine with a number.
 func newServer(w *world, n int, f fault) *server {
 	e := &server{number: n, slow: 1}
-	place := n + n/len(w.dataCentres)
+	place := n%len(w.dataCentres) + n/len(w.dataCentres)
 	e.failing = f == faultFailing && place%2 == 0
 	if f == faultSlow && place%4 == 0 {
 		e.slow = slowness
--- a/limpetlab/rbench/workload.go
+++ b/limpetlab/rbench/workload.go
@@ -17,6 +17,7 @@
 	phaseDrain    = "drain"
 	phaseAfter    = "after"
 	phaseFailing  = "failing"
+	phaseStorm    = "storm"
 	phaseSlow     = "slow"
 	phaseHerd     = "herd"
 )
