admit,watch,event: Tell of engines that are left out

Nobody saw which engine a daemon had stopped using. Log each ejection and return, add them to the time line, and count them in admit_ejected. A single failure makes an engine less preferred for 10 s only.

--- a/limpetd/admit/backend.go
+++ b/limpetd/admit/backend.go
@@ -117,7 +117,7 @@
 func (b *backend) own(now time.Time, e *route.Engine, daemons int, mayTry bool) route.Own {
 	o := route.Own{
 		Ejected:    b.outlier.ejected(now),
-		Suspect:    b.outlier.failures > 0,
+		Suspect:    b.outlier.suspect(now),
 		Sent:       b.counts.sent,
 		SentTokens: b.counts.tokens,
 		Ended:      b.counts.ended,
--- a/limpetd/admit/outlier.go
+++ b/limpetd/admit/outlier.go
@@ -12,6 +12,8 @@
 	maxEjectTime = 30 * time.Second
 	// ejectedPart is the largest part of a group that is ejected at once.
 	ejectedPart = 0.5
+	// suspectTime is how long a failure makes a server less preferred.
+	suspectTime = 10 * time.Second
 )
 
 // outlier is the record of a backend server. The zero value is ready for use.
@@ -19,12 +21,15 @@
 	failures int
 	times    int
 	until    time.Time
+	// failedAt is the time of the last failure.
+	failedAt time.Time
 }
 
 // failed notes a failure and tells whether the server should be ejected. After
 // an ejection a single failure ejects again.
 func (o *outlier) failed(now time.Time) bool {
 	o.failures++
+	o.failedAt = now
 	return !o.ejected(now) && (o.failures >= failuresInRow || o.times > 0)
 }
 
@@ -41,6 +46,11 @@
 	o.failures = 0
 }
 
+// suspect tells whether the last call failed, lately.
+func (o *outlier) suspect(now time.Time) bool {
+	return o.failures > 0 && now.Sub(o.failedAt) < suspectTime
+}
+
 // ejected tells whether the server is ejected.
 func (o *outlier) ejected(now time.Time) bool {
 	return now.Before(o.until)
--- a/limpetd/admit/queue.go
+++ b/limpetd/admit/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +88,8 @@
 	services *services
 	document *envdoc.Document
 	view     *route.View
+	// ejected are the engines that were ejected at the last step.
+	ejected []string
 }
 
 // New starts admitting until ctx ends.
@@ -148,11 +151,37 @@
 	now := time.Now()
 	q.refresh(now)
 	q.decide(now)
+	q.tellEjected(q.state.Ejected(now))
 	waiting := q.state.Waiting()
 	q.deps.Scope.Gauge("admit_waiting").Update(float64(waiting))
 	return waiting
 }
 
+// tellEjected tells which engines were ejected and which came back since the last
+// step.
+func (q *Queue) tellEjected(ejected []string) {
+	for _, vm := range ejected {
+		if !slices.Contains(q.ejected, vm) {
+			q.tell(event.EngineEjected, vm)
+		}
+	}
+	for _, vm := range q.ejected {
+		if !slices.Contains(ejected, vm) {
+			q.tell(event.EngineRestored, vm)
+		}
+	}
+	q.ejected = ejected
+	q.deps.Scope.Gauge("admit_ejected").Update(float64(len(ejected)))
+}
+
+// tell logs an event of an engine and adds it to the time line.
+func (q *Queue) tell(kind event.Kind, vm string) {
+	q.deps.Log.Warn(string(kind), zap.String("vm", vm))
+	if q.deps.Events != nil {
+		q.deps.Events.Add(event.Event{Kind: kind, VM: vm})
+	}
+}
+
 // refresh takes the document, the number of daemons and the view.
 func (q *Queue) refresh(now time.Time) {
 	if doc, ok := q.deps.Documents.Document(); ok && doc != q.document {
--- a/limpetd/admit/queue_test.go
+++ b/limpetd/admit/queue_test.go
@@ -11,6 +11,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -140,3 +141,30 @@
 		require.NoError(t, q.Wait())
 	})
 }
+
+func TestQueueTellsOfEjectedEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFixture(time.Now(), 16)
+		engines := []route.Engine{testEngine("e1", time.Now(), 16), testEngine("e2", time.Now(), 16)}
+		f.view = route.NewView("a", engines, nil, nil)
+		d := f.deps()
+		d.Events = event.New("d")
+		q := New(ctx, Config{VM: "d", DataCentre: "a"}, d)
+		for range 2 * failuresInRow {
+			ticket, err := q.Admit(ctx, request(time.Now(), "live", 0, time.Minute))
+			require.NoError(t, err)
+			ticket.Release(OutcomeFailed)
+		}
+		time.Sleep(2 * idlePeriod)
+		require.Len(t, d.Events.Select(event.Filter{}), 1, "the floor lets one of two be ejected")
+		time.Sleep(ejectTime)
+		told := d.Events.Select(event.Filter{})
+		require.Len(t, told, 2)
+		require.Equal(t, event.EngineEjected, told[0].Kind)
+		require.Equal(t, event.EngineRestored, told[1].Kind)
+		require.Equal(t, told[0].VM, told[1].VM)
+		cancel()
+		require.NoError(t, q.Wait())
+	})
+}
--- a/limpetd/admit/step.go
+++ b/limpetd/admit/step.go
@@ -77,15 +77,6 @@
 	return decided
 }
 
-// always passes each call.
-func always(time.Time, *Call) bool { return true }
-
-// pressing passes the deferred calls that go before normal ones, lest they miss
-// their deadline.
-func pressing(now time.Time, c *Call) bool {
-	return now.After(c.latest.Add(-pressTime(c.latest.Sub(c.arrived))))
-}
-
 // stepClass tries the waiting calls of a class that pass, those that go first
 // before others. A line whose first call does not pass or finds no room is left.
 func (s *State) stepClass(now time.Time, class route.Class, decided []*Call, passes func(time.Time, *Call) bool) []*Call {
@@ -215,6 +206,17 @@
 	}
 }
 
+// Ejected returns the VMs of the engines that are ejected, in order.
+func (s *State) Ejected(now time.Time) []string {
+	var vms []string
+	for _, b := range s.numbered {
+		if b.outlier.ejected(now) {
+			vms = append(vms, b.vm)
+		}
+	}
+	return vms
+}
+
 // Waiting returns the number of calls that wait.
 func (s *State) Waiting() int {
 	n := 0
--- a/limpetd/event/event.go
+++ b/limpetd/event/event.go
@@ -53,6 +53,8 @@
 	OrderSent       Kind = "order_sent"
 	OrderResolved   Kind = "order_resolved"
 	EngineSetAside  Kind = "engine_set_aside"
+	EngineEjected   Kind = "engine_ejected"
+	EngineRestored  Kind = "engine_restored"
 	RequestArrived  Kind = "request_arrived"
 	RequestSent     Kind = "request_sent"
 	RequestRetried  Kind = "request_retried"
--- a/limpetd/watch/watch.go
+++ b/limpetd/watch/watch.go
@@ -249,7 +249,7 @@
 	if err != nil {
 		w.deps.Scope.Counter("watch_read_errors").Inc(1)
 		if s.failed() {
-			w.deps.Log.Warn("engine_broken", zap.String("vm", vm), zap.Error(err))
+			w.broken(vm, err)
 		}
 		return 0
 	}
@@ -257,6 +257,14 @@
 	return s.cache.after(r.Instance)
 }
 
+// broken tells that an engine cannot be read.
+func (w *Watch) broken(vm string, err error) {
+	w.deps.Log.Warn("engine_broken", zap.String("vm", vm), zap.Error(err))
+	if w.deps.Events != nil {
+		w.deps.Events.Add(event.Event{Kind: event.EngineEjected, VM: vm, Text: "cannot be read"})
+	}
+}
+
 // postpone makes an engine due again.
 func (w *Watch) postpone(vm string) {
 	w.mu.Lock()
