--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -62,7 +62,7 @@
 			u.view.heard[d.VM] = now
 		}
 	}
-	if u.view.suspectSilent(now, near) {
+	if u.view.suspectSilent(now, near, u.period) {
 		u.deps.Scope.Counter("member_suspected").Inc(1)
 		u.nudge()
 	}
@@ -196,7 +196,7 @@
 // wantSync asks for an exchange with a peer that knows other daemons.
 func (u *Duty) wantSync(from Sender, hash uint64, now time.Time) {
 	d, ok := u.view.daemons[from.VM]
-	if ok && (hash == u.view.hash() || now.Sub(u.synced) < SyncPeriod) {
+	if hash == 0 || ok && (hash == u.view.hash() || now.Sub(u.synced) < SyncPeriod) {
 		return
 	}
 	address := d.Address
@@ -318,7 +318,6 @@
 	}
 	u.mu.Lock()
 	changed := u.view.readList(list, time.Now())
-	near, _ := u.view.near()
 	if changed {
 		u.vms = nil
 	}
@@ -326,7 +325,7 @@
 	if changed {
 		u.nudge()
 	}
-	return max(ListPeriod, time.Duration(len(near))*listPeriodPeer)
+	return max(ListPeriod, time.Duration(len(list))*listPeriodEntry)
 }
 
 // Document fetches a document newer than after from one of the peers that have
--- a/limpetd/member/message.go
+++ b/limpetd/member/message.go
@@ -76,7 +76,8 @@
 // Message is what daemons exchange. All but View is left out where it has not
 // changed.
 type Message struct {
-	// View is a hash of the daemon states that the sender knows.
+	// View is a hash of the daemon states that the sender knows; 0 says
+	// nothing.
 	View uint64
 	// Want asks for the VM list in the answer to an exchange.
 	Want    bool
@@ -138,15 +139,15 @@
 	// those of the same data centre are.
 	MeshSize = 64
 	// SilentAfter is how long a near peer may stay silent before it is
-	// suspected.
+	// suspected; in a large environment it is three turns.
 	SilentAfter = 4 * time.Second
 	// SyncPeriod is the least time between two exchanges of all that is known.
 	SyncPeriod = 30 * time.Second
 	// ListPeriod is the least time between two reads of the VM list by a
-	// daemon. It grows by listPeriodPeer with each near peer, since all pass
-	// on what they read.
-	ListPeriod     = 2 * time.Second
-	listPeriodPeer = time.Second
+	// daemon. It grows with the entries of the list, by listPeriodEntry each,
+	// so that the reads of a large list stay few: all pass on what they read.
+	ListPeriod      = 2 * time.Second
+	listPeriodEntry = 150 * time.Millisecond
 	// ListLag is how far the VM list may lag.
 	ListLag = time.Minute
 	// CallTimeout bounds a call to a peer or to the VM list.
@@ -159,7 +160,4 @@
 	// maxNews the largest number of states in a message.
 	relayPeriods = 6
 	maxNews      = 48
-	// spreadSize is the number of near peers that are told demand and use in
-	// a period; the others follow in the next periods.
-	spreadSize = 8
 )
--- a/limpetd/member/spread.go
+++ b/limpetd/member/spread.go
@@ -10,9 +10,20 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 )
 
-// wholeLoadPeriods is the number of periods after which whole reports are sent
-// again.
-const wholeLoadPeriods = 60
+// What goes out how often, in turns of a peer.
+const (
+	// turnSize is the number of near peers that are told in a period.
+	turnSize = 26
+	// bulkSize is the number of near peers beyond which demand and use do not
+	// go out in each turn.
+	bulkSize = 12
+	// wholeLoadTurns is the number of turns after which whole reports are
+	// sent again, viewTurns that after which the hash of the view is, and
+	// bulkTurns that after which demand and use are in a large environment.
+	wholeLoadTurns = 60
+	viewTurns      = 3
+	bulkTurns      = 12
+)
 
 // parcel is a message on its way to a peer.
 type parcel struct {
@@ -27,7 +38,7 @@
 	sequence int64
 	// fixed holds the hashes of Load that the peer knows.
 	fixed map[string]uint64
-	since int
+	turn  int
 }
 
 // spread chooses what to tell whom. It is a pure state like view.
@@ -37,6 +48,7 @@
 	told   map[string]*told
 	links  []string
 	linked time.Time
+	hash   uint64
 	// holder is the VM that is told demand in each period, if any.
 	holder string
 }
@@ -51,55 +63,88 @@
 	delete(s.told, vm)
 }
 
-// round returns the messages of a period.
+// round returns the messages of a period. A small environment is told all in each
+// period; in a large one the near peers take turns.
 func (s *spread) round(v *view, share Share, now time.Time) []parcel {
 	s.period++
 	near, far := v.near()
 	s.link(far, now)
-	hash := v.hash()
+	s.hash = v.hash()
 	relays := s.relays(len(near))
-	turns := max(1, (len(near)+spreadSize-1)/spreadSize)
 	loads := prepare(share.Loads)
+	turns := turnsOf(len(near))
 	var parcels []parcel
 	for i, d := range near {
+		turn := (i+s.period)%turns == 0
+		if !turn && !relays[i] {
+			continue
+		}
 		m := s.changes(v, d, relays[i])
-		m.View = hash
-		m.Loads = s.loads(d, loads)
-		if turn := (i+s.period)%turns == 0; turn || d.VM == s.holder {
-			m.Demand = share.Demand
+		if turn {
+			s.share(&m, d, loads, share, len(near) > bulkSize)
 		}
-		if (i+s.period)%turns == 0 {
-			m.Use = share.Use
+		if turn || !m.empty() {
+			parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 		}
-		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 	}
 	for _, d := range s.linkedTo(far) {
 		m := s.changes(v, d, true)
-		m.View = hash
-		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+		if s.period%viewTurns == 0 {
+			m.View = v.hash()
+		}
+		if !m.empty() {
+			parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+		}
 	}
 	v.age()
 	return parcels
 }
 
+// turnsOf returns in how many periods each of n near peers is told once.
+func turnsOf(n int) int {
+	return max(1, (n+turnSize-1)/turnSize)
+}
+
+// share adds to a message what the daemon has to tell in the peer's turn. What
+// is bulky goes to the daemon that places models, and to others only while it
+// is not known; in a large environment not in each turn.
+func (s *spread) share(m *Message, d Daemon, loads []Load, share Share, crowded bool) {
+	t := s.peer(d)
+	t.turn++
+	m.Loads = s.loads(t, loads)
+	m.View = s.viewOf(t)
+	if crowded && (t.turn+int(xxhash.Sum64String(d.VM)%bulkTurns))%bulkTurns != 0 {
+		return
+	}
+	m.Use = share.Use
+	if s.holder == "" || d.VM == s.holder {
+		m.Demand = share.Demand
+	}
+}
+
+// viewOf returns the hash of the view in some of the peer's turns, else 0.
+func (s *spread) viewOf(t *told) uint64 {
+	if t.turn%viewTurns != 0 {
+		return 0
+	}
+	return s.hash
+}
+
 // urgent returns the messages that carry fresh news at once.
 func (s *spread) urgent(v *view) []parcel {
 	near, far := v.near()
 	relays := s.relays(len(near))
 	own := v.hasOwn()
-	hash := v.hash()
 	var parcels []parcel
 	for i, d := range near {
 		if !own && !relays[i] {
 			continue
 		}
 		m := s.changes(v, d, true)
-		m.View = hash
 		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 	}
 	for _, d := range s.linkedTo(far) {
 		m := s.changes(v, d, true)
-		m.View = hash
 		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 	}
 	return parcels
@@ -211,10 +256,9 @@
 }
 
 // loads returns the reports for a peer, without what it knows.
-func (s *spread) loads(d Daemon, loads []Load) []Load {
-	t := s.peer(d)
-	if t.since++; t.since >= wholeLoadPeriods {
-		t.since, t.fixed = 0, map[string]uint64{}
+func (s *spread) loads(t *told, loads []Load) []Load {
+	if t.turn%wholeLoadTurns == 0 {
+		t.fixed = map[string]uint64{}
 	}
 	known := make([]Load, len(loads))
 	for i, l := range loads {
@@ -227,6 +271,11 @@
 	return known
 }
 
+// empty tells whether a message says nothing.
+func (m *Message) empty() bool {
+	return m.View == 0 && len(m.Daemons)+len(m.Entries)+len(m.Advice)+len(m.Loads)+len(m.Demand)+len(m.Use) == 0
+}
+
 // add puts news into a message, unless it is about the receiver.
 func (v *view) add(m *Message, n news, receiver string) {
 	switch {
--- a/limpetd/member/view.go
+++ b/limpetd/member/view.go
@@ -206,13 +206,14 @@
 }
 
 // suspectSilent suspects near daemons that were not heard.
-func (v *view) suspectSilent(now time.Time, near []Daemon) bool {
+func (v *view) suspectSilent(now time.Time, near []Daemon, period time.Duration) bool {
 	found := false
+	silent := max(SilentAfter, 3*period*time.Duration(turnsOf(len(near))))
 	for _, d := range near {
 		if _, ok := v.heard[d.VM]; !ok {
 			v.heard[d.VM] = now
 		}
-		if d.Suspect || d.Instance == "" || now.Sub(v.heard[d.VM]) < SilentAfter {
+		if d.Suspect || d.Instance == "" || now.Sub(v.heard[d.VM]) < silent {
 			continue
 		}
 		d.Suspect = true
--- a/limpetd/peer/client.go
+++ b/limpetd/peer/client.go
@@ -63,9 +63,12 @@
 	keepaliveTime    = 15 * time.Second
 	keepaliveTimeout = 4 * time.Second
 	bufferBytes      = 4 << 10
-	maxMessageBytes  = 4 << 20
-	maxHeaderBytes   = 8 << 10
-	maxStreams       = 64
+	// windowBytes is the flow control window. It is fixed, since measuring
+	// the bandwidth would cost a ping for most messages.
+	windowBytes     = 64 << 10
+	maxMessageBytes = 4 << 20
+	maxHeaderBytes  = 8 << 10
+	maxStreams      = 64
 )
 
 // The metadata of a call.
@@ -167,6 +170,7 @@
 		grpc.WithTransportCredentials(transport),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithStaticStreamWindowSize(windowBytes), grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
@@ -223,7 +227,10 @@
 // Tell queues m for a peer. An error, with code PeerDown, means that earlier
 // messages to the peer or this one are lost.
 func (c *Client) Tell(address string, m member.Message) error {
-	message := encodeMessage(m, c.stamp())
+	message := encodeMessage(m, event.Stamp{})
+	if len(m.Daemons)+len(m.Entries)+len(m.Advice) > 0 {
+		message.Stamp = encodeStamp(c.stamp())
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l, err := c.link(address)
--- a/limpetd/peer/convert.go
+++ b/limpetd/peer/convert.go
@@ -15,7 +15,10 @@
 
 // encodeMessage returns m as it is sent.
 func encodeMessage(m member.Message, stamp event.Stamp) *peerpb.Message {
-	p := &peerpb.Message{View: m.View, Want: m.Want, Stamp: encodeStamp(stamp)}
+	p := &peerpb.Message{View: m.View, Want: m.Want}
+	if stamp.Wall != 0 {
+		p.Stamp = encodeStamp(stamp)
+	}
 	for _, d := range m.Daemons {
 		p.Daemons = append(p.Daemons, encodeDaemon(d))
 	}
--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -135,6 +135,7 @@
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxConcurrentStreams(maxStreams), grpc.ConnectionTimeout(connectTimeout),
+		grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
 			MaxConnectionIdle: 2 * linkIdle, Time: keepaliveTime, Timeout: keepaliveTimeout,
