relay: Let the way to plain services be dialled by the caller

The connection to a plain service could not be replaced, so a test under fake time, which must not touch real sockets, could not include it. WithDial sets the dial function; the default is unchanged.

--- a/limpetd/relay/relay.go
+++ b/limpetd/relay/relay.go
@@ -103,6 +103,11 @@
 	return func(r *Relay) { r.serviceTime = d }
 }
 
+// WithDial sets how connections to plain services are made.
+func WithDial(dial DialFunc) Option {
+	return func(r *Relay) { r.services = newServiceClient(dial) }
+}
+
 // Relay carries answers. It is safe for concurrent use.
 type Relay struct {
 	deps          Deps
@@ -132,7 +137,7 @@
 		betweenFrames: DefaultBetweenFrames,
 		serviceTime:   DefaultServiceTime,
 		counts:        newCounts(d.Scope),
-		services:      newServiceClient(),
+		services:      newServiceClient(dialTCP),
 	}
 	for _, o := range opts {
 		o(r)
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -67,13 +67,18 @@
 	transport *http.Transport
 }
 
-func newServiceClient() *serviceClient {
-	dialer := &net.Dialer{Timeout: serviceDial}
+// DialFunc makes a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTCP is the DialFunc unless WithDial sets another.
+var dialTCP = (&net.Dialer{Timeout: serviceDial}).DialContext
+
+func newServiceClient(dial DialFunc) *serviceClient {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &serviceClient{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
