--- a/limpetlab/caller/caller.go
+++ b/limpetlab/caller/caller.go
@@ -78,22 +78,36 @@
 	return !a.Whole && a.Code == 0
 }
 
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTransport sets how requests reach the daemons.
+func WithTransport(t http.RoundTripper) Option {
+	return func(c *Client) { c.transport = t }
+}
+
 // Client is a caller.
 type Client struct {
-	transport *http.Transport
+	transport http.RoundTripper
 }
 
 // New returns a caller.
-func New() *Client {
-	return &Client{transport: &http.Transport{
+func New(opts ...Option) *Client {
+	c := &Client{transport: &http.Transport{
 		MaxIdleConnsPerHost: idleConns,
 		DisableCompression:  true,
 	}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Close frees the idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	if t, ok := c.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
 }
 
 // completionBody is a completion request.
--- a/limpetlab/demo/demo.go
+++ b/limpetlab/demo/demo.go
@@ -24,6 +24,7 @@
 	"github.com/limpetlb/limpetlb/limpetlab/engsim"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 	"github.com/limpetlb/limpetlb/limpetlab/fleet"
+	"github.com/limpetlb/limpetlb/limpetlab/judge"
 	"github.com/limpetlb/limpetlb/limpetlab/world"
 )
 
@@ -75,7 +76,7 @@
 	world    *world.World
 	fleet    *fleet.Fleet
 	client   *caller.Client
-	tally    *tally
+	judge    *judge.Judge
 	rand     *rand.Rand
 	begun    time.Time
 }
@@ -127,7 +128,7 @@
 	if err := d.fleet.Apply(ctx, doc); err != nil {
 		return Summary{}, err
 	}
-	d.tally = newTally(doc)
+	d.judge = judge.New(doc)
 	if err := d.awaitReachable(ctx, doc); err != nil {
 		return Summary{}, err
 	}
--- a/limpetlab/demo/faults.go
+++ b/limpetlab/demo/faults.go
@@ -308,7 +308,7 @@
 func (d *demo) revise(ctx context.Context) {
 	doc := d.config.Deployment.Document(2)
 	doc.Models[1].Version = "2"
-	d.tally.declare(doc)
+	d.judge.Declare(doc)
 	go func() {
 		if err := d.fleet.Apply(ctx, doc); err != nil {
 			d.say("revision 2: %v", err)
--- a/limpetlab/demo/load.go
+++ b/limpetlab/demo/load.go
@@ -122,7 +122,7 @@
 		case <-stop:
 			return
 		case <-ticker.C:
-			d.say("%s", d.tally.line())
+			d.say("%s", d.judge.Line())
 		}
 	}
 }
@@ -155,7 +155,7 @@
 		if !a.Lost() {
 			return a
 		}
-		d.tally.broken(name)
+		d.judge.Broken(name)
 	}
 	return a
 }
@@ -171,7 +171,7 @@
 	a := d.try(r, g.EnginePrompt(), func(address string) caller.Answer {
 		return d.client.Generate(ctx, address, g)
 	})
-	d.tally.generation(g, a)
+	d.judge.Generation(g, a)
 }
 
 // book makes a call that must run at most once. Some callers do not wait for
@@ -189,10 +189,10 @@
 		other := rand.New(rand.NewPCG(j.seed, 1))
 		repeats.Go(func() {
 			time.Sleep(wait)
-			d.tally.call(name, d.try(other, name, send))
+			d.judge.Call(name, d.try(other, name, send))
 		})
 	}
-	d.tally.call(name, d.try(r, name, send))
+	d.judge.Call(name, d.try(r, name, send))
 	repeats.Wait()
 }
 
@@ -204,5 +204,5 @@
 		Path: d.config.Deployment.Service + d.config.Deployment.StatusPath + "?call=" + name,
 	}
 	a := d.try(r, name, func(address string) caller.Answer { return d.client.Call(ctx, address, call) })
-	d.tally.call(name, a)
+	d.judge.Call(name, a)
 }
--- a/limpetlab/demo/summary.go
+++ b/limpetlab/demo/summary.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/limpetlb/limpetlb/limpetlab/world"
+	"github.com/limpetlb/limpetlb/limpetlab/judge"
 )
 
 // Summary is the outcome of a demo.
@@ -84,9 +84,7 @@
 func (d *demo) summary(initial int64, elapsed time.Duration) Summary {
 	books := d.world.Books()
 	loads, unloads := books.Loads()
-	t := d.tally
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	v := d.judge.Verdict(books)
 	s := Summary{
 		Deployment:        d.config.Deployment.Name,
 		Seed:              d.config.Seed,
@@ -96,13 +94,13 @@
 		Daemons:           len(d.fleet.Live()),
 		Engines:           len(d.world.Engines),
 		Accelerators:      d.config.Deployment.Accelerators(),
-		Requests:          t.requests,
-		Answered:          t.answered,
-		Refused:           t.refused,
-		Codes:             t.codes,
-		BrokenConnections: t.breaks,
-		WrongAnswers:      t.wrong,
-		Lost:              t.lost,
+		Requests:          v.Requests,
+		Answered:          v.Answered,
+		Refused:           v.Refused,
+		Codes:             v.Codes,
+		BrokenConnections: v.BrokenConnections,
+		WrongAnswers:      v.WrongAnswers,
+		Lost:              v.Lost,
 		MemoryOvercommits: len(books.MemoryOvercommits),
 		Moves:             loads + unloads - initial,
 		InitialMoves:      initial,
@@ -115,46 +113,26 @@
 	for _, call := range doubled {
 		s.Notes = append(s.Notes, fmt.Sprintf("%s ran %d times", call, books.Executions[call]))
 	}
-	s.NotRunButRan = t.notRunButRan(books)
-	s.Notes = append(s.Notes, t.notes...)
-	s.attain(t)
+	s.NotRunButRan = v.NotRunButRan
+	s.Notes = append(s.Notes, v.Notes...)
+	s.attain(v)
 	return s
 }
 
-// notRunButRan counts requests of which a caller was told that they did not
-// run, and that did. A request that was sent several times counts only when
-// each time ended so.
-func (t *tally) notRunButRan(books world.Books) int {
-	n := 0
-	for call := range t.notRun {
-		if !t.maybeRun[call] && books.Executions[call] > 0 {
-			n++
-			t.note("told not run, but ran: %s", call)
-		}
-	}
-	for prompt := range t.prompts {
-		if !t.maybeRun[prompt] && books.Runs(prompt) > 0 {
-			n++
-			t.note("told not run, but ran: %s", prompt[max(0, len(prompt)-30):])
-		}
-	}
-	return n
-}
-
 // attain fills in the attainment.
-func (s *Summary) attain(t *tally) {
+func (s *Summary) attain(v judge.Verdict) {
 	s.AttainmentByPriority = make(map[string]float64)
 	asked, attained := 0, 0
-	for p, n := range t.asked {
-		s.AttainmentByPriority[p] = float64(t.attained[p]) / float64(n)
+	for p, n := range v.Asked {
+		s.AttainmentByPriority[p] = float64(v.Attained[p]) / float64(n)
 		asked += n
-		attained += t.attained[p]
+		attained += v.Attained[p]
 	}
 	if asked > 0 {
 		s.Attainment = float64(attained) / float64(asked)
 	}
 	s.AttainmentPerAccelerator = float64(attained) / float64(s.Accelerators)
-	millis := func(q float64) float64 { return float64(t.first.ValueAtQuantile(q)) / 1000 }
+	millis := func(q float64) float64 { return float64(v.FirstToken.ValueAtQuantile(q)) / 1000 }
 	s.FirstTokenMillis = Percentiles{P50: millis(50), P95: millis(95), P99: millis(99)}
 }
 
--- a/limpetlab/fleet/fleet.go
+++ b/limpetlab/fleet/fleet.go
@@ -117,7 +117,7 @@
 		DataCentre:      dc,
 		Region:          f.world.Region(),
 		Environment:     f.deployment.Name,
-		Stage:           "production",
+		Stage:           "trial",
 		Platform:        f.world.PlatformURL(dc),
 		PlatformPlain:   true,
 		CallerAddress:   loopback,
--- a/limpetlab/world/books.go
+++ b/limpetlab/world/books.go
@@ -36,6 +36,9 @@
 	return loads, unloads
 }
 
+// Executed returns how often a call of the plain service was executed.
+func (b Books) Executed(call string) int { return b.Executions[call] }
+
 // Runs returns how many attempts began for a prompt.
 func (b Books) Runs(prompt string) int {
 	n := 0
