--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -23,6 +23,8 @@
 	minWait = 250 * time.Millisecond
 	// defaultFirstToken is the expectation of a call that has none.
 	defaultFirstToken = 30 * time.Second
+	// backlogTime is how long after a call had to wait the daemon holds back.
+	backlogTime = 4 * time.Second
 	// minAhead is the number of calls ahead from which an arriving call is
 	// refused by the expected wait.
 	minAhead = 4
@@ -47,9 +49,13 @@
 	numbered []*backend
 	backends map[string]*backend
 	hints    *route.Hints
+	// holders is reused between calls.
+	holders []int
 
 	lines   map[target]*line
 	waiting [classes]int
+	// waited is when a call of a class had to wait last.
+	waited  [classes]time.Time
 	delayed []*Call
 	order   int
 }
@@ -99,7 +105,10 @@
 			s.hints.Drop(i)
 		}
 		b.begin(e)
-		b.forget(now, e.At)
+		if now.Sub(b.reserveAt) > reservePeriod {
+			b.lowerReserve(now)
+		}
+		b.recount(now, e.At)
 		s.renew(now, i)
 	}
 }
@@ -131,7 +140,7 @@
 // renew computes what the choice needs to know of an engine.
 func (s *State) renew(now time.Time, number int) {
 	if number >= 0 {
-		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons)
+		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons, s.budget.tokens >= 1)
 	}
 }
 
@@ -281,6 +290,8 @@
 	if l.len() == 0 {
 		l.fullSince, l.granted = now, 0
 	}
+	c.waited = true
+	s.waited[c.class] = now
 	heap.Push(&l.waiting[c.class], c)
 	s.waiting[c.class]++
 }
@@ -307,11 +318,15 @@
 	if s.view == nil {
 		return false
 	}
-	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, s.allowed(now, c), now, s.random)
+	ask := route.Ask{Class: s.allowed(now, c), Waited: c.waited || s.backlog(now, c.class), Now: now}
+	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, ask, s.random)
 	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait {
 		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
 		return true
 	}
+	if c.class == route.ClassUrgent && (verdict == route.VerdictFull || choice.Estimate > c.latest.Sub(now)/4) {
+		s.raiseReserves(now, c)
+	}
 	if verdict != route.VerdictChosen {
 		return false
 	}
@@ -319,6 +334,26 @@
 	return true
 }
 
+// backlog tells whether calls of a class, or a more urgent one, wait or waited a
+// moment ago.
+func (s *State) backlog(now time.Time, class route.Class) bool {
+	for i, n := range s.waiting[:class+1] {
+		if n > 0 || now.Sub(s.waited[i]) < backlogTime {
+			return true
+		}
+	}
+	return false
+}
+
+// raiseReserves keeps more room for urgent calls in the engines that could take
+// one.
+func (s *State) raiseReserves(now time.Time, c *Call) {
+	s.holders = s.view.Holders(&c.Request.Route, s.holders[:0])
+	for _, n := range s.holders {
+		s.numbered[n].raiseReserve(now)
+	}
+}
+
 // allowed returns the class as which a call may enter an engine now.
 func (s *State) allowed(now time.Time, c *Call) route.Class {
 	if c.class == route.ClassDeferred && !now.Before(c.due) {
@@ -332,8 +367,7 @@
 	b := s.backends[choice.VM]
 	c.Choice, c.status, c.sent, c.backend = choice, statusGranted, now, b
 	c.slowness = max(b.slowness.value, 1)
-	b.calls = append(b.calls, c)
-	b.active++
+	b.send(c)
 	s.hints.Sent(c.Request.Route.Prefixes, b.number)
 	if c.Request.Attempt == 0 {
 		s.earn(now)
--- a/limpetd/claim/duty.go
+++ b/limpetd/claim/duty.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -39,20 +38,23 @@
 // lateLoop closes claims that could not be closed at once, and frees those
 // whose insertion was never confirmed. It tries all of them in turn.
 func (s *Claims) lateLoop(ctx context.Context) error {
-	tick := time.NewTicker(lateEvery)
-	defer tick.Stop()
 	var waiting []*lateClaim
+	var tick <-chan time.Time
 	for {
 		arrivals := s.late
 		if len(waiting) >= lateSize {
 			arrivals = nil
 		}
+		if len(waiting) > 0 && tick == nil {
+			tick = time.After(lateEvery)
+		}
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case h := <-arrivals:
 			waiting = append(waiting, &lateClaim{Hold: h})
-		case <-tick.C:
+		case <-tick:
+			tick = nil
 			waiting = s.closeLate(ctx, waiting)
 		}
 	}
@@ -65,7 +67,9 @@
 		c.tries++
 		if !s.closeOne(ctx, c) {
 			left = append(left, c)
+			continue
 		}
+		s.open.Add(-1)
 	}
 	return left
 }
@@ -83,7 +87,7 @@
 // free closes an insertion that was not confirmed as not run. A missing row may
 // still be written by the table, so it is looked for again.
 func (s *Claims) free(ctx context.Context, h *Hold) bool {
-	rows, err := s.get(ctx, h.key)
+	rows, err := s.deps.Table.Get(ctx, h.key)
 	if err != nil || len(rows) == 0 {
 		return false
 	}
@@ -130,7 +134,7 @@
 			return err
 		}
 	}
-	tx := store.Tx{ID: uuid.NewString()}
+	tx := store.Tx{ID: store.NewID()}
 	for _, row := range rows {
 		if len(tx.Writes) < groupSize && s.expired(row) {
 			tx.Require(row.Key, row.Version)
