--- a/limpetlab/caller/caller.go
+++ b/limpetlab/caller/caller.go
@@ -64,6 +64,8 @@
 	// none. Run is what the daemon said of it.
 	Code code.Code
 	Run  code.Run
+	// Backend tells that a backend server itself answered with an error.
+	Backend bool
 	// RetryAfter is when to come back, 0 when it was not said.
 	RetryAfter time.Duration
 	RequestID  string
@@ -75,7 +77,7 @@
 
 // Lost tells that there is neither a whole answer nor an explicit code.
 func (a Answer) Lost() bool {
-	return !a.Whole && a.Code == 0
+	return !a.Whole && a.Code == 0 && !a.Backend
 }
 
 // Option changes a Client.
@@ -248,6 +250,11 @@
 		a.Err = err
 		return
 	}
+	if response.Header.Get("Limpet-Code") == "0" {
+		a.Backend = true
+		a.Run = code.Run(response.Header.Get("Limpet-Run"))
+		return
+	}
 	var e errorBody
 	if err := json.Unmarshal(body, &e); err != nil {
 		a.Err = err
--- a/limpetlab/demo/faults.go
+++ b/limpetlab/demo/faults.go
@@ -284,7 +284,7 @@
 
 // replace starts a daemon in place of one that dies or leaves.
 func (d *demo) replace(ctx context.Context, m *fleet.Member) {
-	next, err := d.fleet.Start(ctx, m.DataCentre)
+	next, err := d.fleet.Join(ctx, m.DataCentre)
 	if err != nil {
 		d.say("replacing %s: %v", m.VM, err)
 		return
--- a/limpetlab/fleet/fleet.go
+++ b/limpetlab/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -37,6 +38,7 @@
 	maxBodyBytes  = 1 << 20
 	bodyTimeout   = 10 * time.Second
 	eventCapacity = 1 << 14
+	readyPause    = 50 * time.Millisecond
 	loopback      = "127.0.0.1:0"
 )
 
@@ -89,8 +91,48 @@
 	return nil
 }
 
-// Start starts a daemon on a new VM of dc.
+// Start starts a daemon on a new VM of dc. It gets requests at once.
 func (f *Fleet) Start(ctx context.Context, dc string) (*Member, error) {
+	m, err := f.launch(ctx, dc)
+	if err == nil {
+		f.add(m)
+	}
+	return m, err
+}
+
+// Join starts a daemon on a new VM of dc. It gets requests once it is ready.
+func (f *Fleet) Join(ctx context.Context, dc string) (*Member, error) {
+	m, err := f.launch(ctx, dc)
+	if err == nil {
+		go f.addReady(ctx, m)
+	}
+	return m, err
+}
+
+// addReady waits until a daemon is ready and then lets it get requests.
+func (f *Fleet) addReady(ctx context.Context, m *Member) {
+	for ctx.Err() == nil {
+		response, err := http.Get("http://" + m.Daemon.CallerAddr() + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				f.add(m)
+				return
+			}
+		}
+		time.Sleep(readyPause)
+	}
+}
+
+// add lets a daemon get requests.
+func (f *Fleet) add(m *Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = append(f.members, m)
+}
+
+// launch starts a daemon on a new VM of dc.
+func (f *Fleet) launch(ctx context.Context, dc string) (*Member, error) {
 	f.mu.Lock()
 	f.started++
 	vm := fmt.Sprintf("entry-%d", f.started)
@@ -103,9 +145,6 @@
 	}
 	m := &Member{VM: vm, DataCentre: dc, Daemon: daemon, Kill: kill}
 	f.world.AddDaemon(vm, dc, daemon.PeerAddr())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.members = append(f.members, m)
 	return m, nil
 }
 
--- /dev/null
+++ b/limpetlab/stand_command.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetlab/deploy"
+	"github.com/limpetlb/limpetlb/limpetlab/engsim"
+	"github.com/limpetlb/limpetlb/limpetlab/world"
+)
+
+// standCommand runs the stand-ins alone.
+type standCommand struct {
+	Deployment string        `help:"Deployment: andesoft or ibeji." enum:"andesoft,ibeji" default:"andesoft"`
+	Platform   string        `help:"Address (ip:port) of the platform in the first data centre." default:"127.0.0.1:7070"`
+	Entry      []string      `help:"Daemons to list, as vm=data-centre=ip:port of the peer interface; repeat for more."`
+	VMLag      time.Duration `help:"Lag of the VM list." default:"2s"`
+	Speed      float64       `help:"Factor by which the weight store is faster than the deployment's." default:"1"`
+	Document   string        `help:"File to write an environment document of the deployment to."`
+}
+
+// Run implements the command. It ends with a signal.
+func (c *standCommand) Run(ctx context.Context) error {
+	d, err := deploy.ByName(c.Deployment)
+	if err != nil {
+		return err
+	}
+	d = d.Faster(c.Speed)
+	w, err := world.Start(ctx, world.Config{
+		Deployment:      d,
+		Engine:          engsim.Config{CacheLag: 500 * time.Millisecond, CacheGap: 17},
+		VMLag:           c.VMLag,
+		PlatformAddress: c.Platform,
+	})
+	if err != nil {
+		return err
+	}
+	defer w.Stop()
+	for _, e := range c.Entry {
+		if err := addEntry(w, e); err != nil {
+			return err
+		}
+	}
+	if c.Document != "" {
+		body, err := deploy.Encode(d.Document(1))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.Document, body, 0o644); err != nil {
+			return err
+		}
+	}
+	for _, dc := range d.DataCentres {
+		fmt.Printf("platform %s %s (books at /books)\n", dc, w.PlatformURL(dc))
+	}
+	for _, e := range w.Engines {
+		fmt.Printf("engine %s http://%s\n", e.VM.ID, e.VM.Address)
+	}
+	for _, s := range w.Services {
+		fmt.Printf("service %s http://%s\n", s.VM.ID, s.VM.Address)
+	}
+	fmt.Printf("caller key %s\n", deploy.Key(deploy.CallerUrgent))
+	<-ctx.Done()
+	return nil
+}
+
+// addEntry lists a daemon given as vm=data-centre=ip:port.
+func addEntry(w *world.World, entry string) error {
+	parts := strings.Split(entry, "=")
+	if len(parts) != 3 {
+		return fmt.Errorf("--entry %q: must be vm=data-centre=ip:port", entry)
+	}
+	w.AddDaemon(parts[0], parts[1], parts[2])
+	return nil
+}
