--- a/limpetlab/demo/faults.go
+++ b/limpetlab/demo/faults.go
@@ -284,7 +284,7 @@
 
 // replace starts a daemon in place of one that dies or leaves.
 func (d *demo) replace(ctx context.Context, m *fleet.Member) {
-	next, err := d.fleet.Start(ctx, m.DataCentre)
+	next, err := d.fleet.Join(ctx, m.DataCentre)
 	if err != nil {
 		d.say("replacing %s: %v", m.VM, err)
 		return
@@ -308,7 +308,7 @@
 func (d *demo) revise(ctx context.Context) {
 	doc := d.config.Deployment.Document(2)
 	doc.Models[1].Version = "2"
-	d.tally.declare(doc)
+	d.judge.Declare(doc)
 	go func() {
 		if err := d.fleet.Apply(ctx, doc); err != nil {
 			d.say("revision 2: %v", err)
