--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -62,7 +62,7 @@
 			u.view.heard[d.VM] = now
 		}
 	}
-	if u.view.suspectSilent(now, near) {
+	if u.view.suspectSilent(now, near, u.period) {
 		u.deps.Scope.Counter("member_suspected").Inc(1)
 		u.nudge()
 	}
@@ -179,25 +179,24 @@
 	}
 }
 
-// complete puts known slots into a report that was sent without them.
+// complete puts back what a report was sent without.
 func (u *Duty) complete(l Load) (report engine.Report, ok bool) {
 	if l.Whole {
-		u.slots[l.Report.VM] = knownSlots{hash: l.SlotsHash, slots: l.Report.Slots}
+		u.fixed[l.Report.VM] = l
 		return l.Report, true
 	}
-	known, ok := u.slots[l.Report.VM]
-	if !ok || known.hash != l.SlotsHash {
-		u.deps.Scope.Counter("member_slots_unknown").Inc(1)
+	known, ok := u.fixed[l.Report.VM]
+	if !ok || known.Hash != l.Hash {
+		u.deps.Scope.Counter("member_load_unknown").Inc(1)
 		return engine.Report{}, false
 	}
-	l.Report.Slots = known.slots
-	return l.Report, true
+	return fill(l.Report, known.Report), true
 }
 
 // wantSync asks for an exchange with a peer that knows other daemons.
 func (u *Duty) wantSync(from Sender, hash uint64, now time.Time) {
 	d, ok := u.view.daemons[from.VM]
-	if ok && (hash == u.view.hash() || now.Sub(u.synced) < SyncPeriod) {
+	if hash == 0 || ok && (hash == u.view.hash() || now.Sub(u.synced) < SyncPeriod) {
 		return
 	}
 	address := d.Address
@@ -319,7 +318,6 @@
 	}
 	u.mu.Lock()
 	changed := u.view.readList(list, time.Now())
-	near, _ := u.view.near()
 	if changed {
 		u.vms = nil
 	}
@@ -327,7 +325,7 @@
 	if changed {
 		u.nudge()
 	}
-	return max(ListPeriod, time.Duration(len(near))*listPeriodPeer)
+	return max(ListPeriod, time.Duration(len(list))*listPeriodEntry)
 }
 
 // Document fetches a document newer than after from one of the peers that have
--- a/limpetd/member/spread.go
+++ b/limpetd/member/spread.go
@@ -8,12 +8,22 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
-	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 )
 
-// wholeLoadPeriods is the number of periods after which slots are sent again
-// although they have not changed.
-const wholeLoadPeriods = 60
+// What goes out how often, in turns of a peer.
+const (
+	// turnSize is the number of near peers that are told in a period.
+	turnSize = 26
+	// bulkSize is the number of near peers beyond which demand and use do not
+	// go out in each turn.
+	bulkSize = 12
+	// wholeLoadTurns is the number of turns after which whole reports are
+	// sent again, viewTurns that after which the hash of the view is, and
+	// bulkTurns that after which demand and use are in a large environment.
+	wholeLoadTurns = 60
+	viewTurns      = 3
+	bulkTurns      = 12
+)
 
 // parcel is a message on its way to a peer.
 type parcel struct {
@@ -26,8 +36,9 @@
 type told struct {
 	instance string
 	sequence int64
-	slots    map[string]uint64
-	since    int
+	// fixed holds the hashes of Load that the peer knows.
+	fixed map[string]uint64
+	turn  int
 }
 
 // spread chooses what to tell whom. It is a pure state like view.
@@ -37,6 +48,7 @@
 	told   map[string]*told
 	links  []string
 	linked time.Time
+	hash   uint64
 	// holder is the VM that is told demand in each period, if any.
 	holder string
 }
@@ -51,55 +63,88 @@
 	delete(s.told, vm)
 }
 
-// round returns the messages of a period.
+// round returns the messages of a period. A small environment is told all in each
+// period; in a large one the near peers take turns.
 func (s *spread) round(v *view, share Share, now time.Time) []parcel {
 	s.period++
 	near, far := v.near()
 	s.link(far, now)
-	hash := v.hash()
+	s.hash = v.hash()
 	relays := s.relays(len(near))
-	turns := max(1, (len(near)+spreadSize-1)/spreadSize)
 	loads := prepare(share.Loads)
+	turns := turnsOf(len(near))
 	var parcels []parcel
 	for i, d := range near {
+		turn := (i+s.period)%turns == 0
+		if !turn && !relays[i] {
+			continue
+		}
 		m := s.changes(v, d, relays[i])
-		m.View = hash
-		m.Loads = s.loads(d, loads)
-		if turn := (i+s.period)%turns == 0; turn || d.VM == s.holder {
-			m.Demand = share.Demand
+		if turn {
+			s.share(&m, d, loads, share, len(near) > bulkSize)
 		}
-		if (i+s.period)%turns == 0 {
-			m.Use = share.Use
+		if turn || !m.empty() {
+			parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 		}
-		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 	}
 	for _, d := range s.linkedTo(far) {
 		m := s.changes(v, d, true)
-		m.View = hash
-		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+		if s.period%viewTurns == 0 {
+			m.View = v.hash()
+		}
+		if !m.empty() {
+			parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
+		}
 	}
 	v.age()
 	return parcels
 }
 
+// turnsOf returns in how many periods each of n near peers is told once.
+func turnsOf(n int) int {
+	return max(1, (n+turnSize-1)/turnSize)
+}
+
+// share adds to a message what the daemon has to tell in the peer's turn. What
+// is bulky goes to the daemon that places models, and to others only while it
+// is not known; in a large environment not in each turn.
+func (s *spread) share(m *Message, d Daemon, loads []Load, share Share, crowded bool) {
+	t := s.peer(d)
+	t.turn++
+	m.Loads = s.loads(t, loads)
+	m.View = s.viewOf(t)
+	if crowded && (t.turn+int(xxhash.Sum64String(d.VM)%bulkTurns))%bulkTurns != 0 {
+		return
+	}
+	m.Use = share.Use
+	if s.holder == "" || d.VM == s.holder {
+		m.Demand = share.Demand
+	}
+}
+
+// viewOf returns the hash of the view in some of the peer's turns, else 0.
+func (s *spread) viewOf(t *told) uint64 {
+	if t.turn%viewTurns != 0 {
+		return 0
+	}
+	return s.hash
+}
+
 // urgent returns the messages that carry fresh news at once.
 func (s *spread) urgent(v *view) []parcel {
 	near, far := v.near()
 	relays := s.relays(len(near))
 	own := v.hasOwn()
-	hash := v.hash()
 	var parcels []parcel
 	for i, d := range near {
 		if !own && !relays[i] {
 			continue
 		}
 		m := s.changes(v, d, true)
-		m.View = hash
 		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 	}
 	for _, d := range s.linkedTo(far) {
 		m := s.changes(v, d, true)
-		m.View = hash
 		parcels = append(parcels, parcel{vm: d.VM, address: d.Address, message: m})
 	}
 	return parcels
@@ -172,45 +217,63 @@
 func (s *spread) peer(d Daemon) *told {
 	t, ok := s.told[d.VM]
 	if !ok || t.instance != d.Instance {
-		t = &told{instance: d.Instance, sequence: -1, slots: map[string]uint64{}}
+		t = &told{instance: d.Instance, sequence: -1, fixed: map[string]uint64{}}
 		s.told[d.VM] = t
 	}
 	return t
 }
 
-// prepare hashes the slots of reports.
+// prepare hashes the parts of reports that seldom change.
 func prepare(reports []engine.Report) []Load {
 	loads := make([]Load, len(reports))
 	for i, r := range reports {
-		loads[i] = Load{Report: r, SlotsHash: hashSlots(r.Slots), Whole: true}
+		loads[i] = Load{Report: r, Hash: hashFixed(r), Whole: true}
 	}
 	return loads
 }
 
-// hashSlots identifies a list of slots.
-func hashSlots(slots []envdoc.Slot) uint64 {
+// hashFixed identifies the part of a report that seldom changes.
+func hashFixed(r engine.Report) uint64 {
 	d := xxhash.New()
-	if err := msgpack.NewEncoder(d).Encode(slots); err != nil {
+	err := msgpack.NewEncoder(d).EncodeMulti(r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots)
+	if err != nil {
 		return 0
 	}
 	return d.Sum64()
 }
 
-// loads returns the reports for a peer, without the slots that it knows.
-func (s *spread) loads(d Daemon, loads []Load) []Load {
-	t := s.peer(d)
-	if t.since++; t.since >= wholeLoadPeriods {
-		t.since, t.slots = 0, map[string]uint64{}
+// cut returns a report without the part that seldom changes.
+func cut(r engine.Report) engine.Report {
+	r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots = "", 0, 0, "", 0, nil
+	return r
+}
+
+// fill puts the part that seldom changes back from an earlier report.
+func fill(r, earlier engine.Report) engine.Report {
+	r.Instance, r.MemoryMB, r.BatchLimit = earlier.Instance, earlier.MemoryMB, earlier.BatchLimit
+	r.Role, r.Fence, r.Slots = earlier.Role, earlier.Fence, earlier.Slots
+	return r
+}
+
+// loads returns the reports for a peer, without what it knows.
+func (s *spread) loads(t *told, loads []Load) []Load {
+	if t.turn%wholeLoadTurns == 0 {
+		t.fixed = map[string]uint64{}
 	}
-	cut := make([]Load, len(loads))
+	known := make([]Load, len(loads))
 	for i, l := range loads {
-		cut[i] = l
-		if known, ok := t.slots[l.Report.VM]; ok && known == l.SlotsHash {
-			cut[i].Whole, cut[i].Report.Slots = false, nil
+		if h, ok := t.fixed[l.Report.VM]; ok && h == l.Hash {
+			l.Whole, l.Report = false, cut(l.Report)
 		}
-		t.slots[l.Report.VM] = l.SlotsHash
+		t.fixed[l.Report.VM] = l.Hash
+		known[i] = l
 	}
-	return cut
+	return known
+}
+
+// empty tells whether a message says nothing.
+func (m *Message) empty() bool {
+	return m.View == 0 && len(m.Daemons)+len(m.Entries)+len(m.Advice)+len(m.Loads)+len(m.Demand)+len(m.Use) == 0
 }
 
 // add puts news into a message, unless it is about the receiver.
--- a/limpetlab/caller/caller.go
+++ b/limpetlab/caller/caller.go
@@ -64,6 +64,8 @@
 	// none. Run is what the daemon said of it.
 	Code code.Code
 	Run  code.Run
+	// Backend tells that a backend server itself answered with an error.
+	Backend bool
 	// RetryAfter is when to come back, 0 when it was not said.
 	RetryAfter time.Duration
 	RequestID  string
@@ -75,25 +77,39 @@
 
 // Lost tells that there is neither a whole answer nor an explicit code.
 func (a Answer) Lost() bool {
-	return !a.Whole && a.Code == 0
+	return !a.Whole && a.Code == 0 && !a.Backend
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTransport sets how requests reach the daemons.
+func WithTransport(t http.RoundTripper) Option {
+	return func(c *Client) { c.transport = t }
 }
 
 // Client is a caller.
 type Client struct {
-	transport *http.Transport
+	transport http.RoundTripper
 }
 
 // New returns a caller.
-func New() *Client {
-	return &Client{transport: &http.Transport{
+func New(opts ...Option) *Client {
+	c := &Client{transport: &http.Transport{
 		MaxIdleConnsPerHost: idleConns,
 		DisableCompression:  true,
 	}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Close frees the idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	if t, ok := c.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
 }
 
 // completionBody is a completion request.
@@ -234,6 +250,11 @@
 		a.Err = err
 		return
 	}
+	if response.Header.Get("Limpet-Code") == "0" {
+		a.Backend = true
+		a.Run = code.Run(response.Header.Get("Limpet-Run"))
+		return
+	}
 	var e errorBody
 	if err := json.Unmarshal(body, &e); err != nil {
 		a.Err = err
