--- a/limpet/cmds/document.go
+++ b/limpet/cmds/document.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -76,6 +77,7 @@
 // applyCommand applies a document.
 type applyCommand struct {
 	File       string        `short:"f" required:"" help:"The document."`
+	Untried    bool          `help:"Let production take a document that was not tried; for emergencies."`
 	Submission string        `help:"Submission id; a repeated call with the same id is harmless. Made when absent."`
 	Wait       bool          `help:"Wait until every live daemon has taken the document up."`
 	WaitFor    time.Duration `help:"Longest time to wait." default:"30s"`
@@ -91,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	s := admin.Submission{ID: c.Submission, File: c.File, Body: string(body)}
+	s := admin.Submission{ID: c.Submission, File: c.File, Body: string(body), Untried: c.Untried}
 	if s.ID == "" {
 		s.ID = uuid.NewString()
 		d.progress("submission %s", s.ID)
@@ -203,7 +205,7 @@
 func notInForce(revision int64, behind []admin.Daemon) error {
 	text := ""
 	for _, m := range behind {
-		text += fmt.Sprintf("\n%s has revision %d, reasons %v", m.VM, m.Revision, m.Reasons)
+		text += fmt.Sprintf("\n%s has revision %d: %s", m.VM, m.Revision, strings.Join(m.Reasons, ", "))
 	}
 	return code.Errorf(code.DocumentNotForce, "revision %d is accepted but not in force on %d daemons:%s", revision, len(behind), text)
 }
--- a/limpetd/admit/call.go
+++ b/limpetd/admit/call.go
@@ -14,6 +14,8 @@
 	Choice route.Choice
 	// Err is the refusal, once the call is refused.
 	Err error
+	// Memo belongs to the user of the State.
+	Memo any
 
 	class   route.Class
 	arrived time.Time
@@ -23,6 +25,8 @@
 	// notBefore is the earliest time of a retry.
 	notBefore time.Time
 	status    status
+	// waited tells that the call waited for room.
+	waited bool
 	// backend is where the call was sent, the times when it was sent and ended.
 	backend     *backend
 	sent, ended time.Time
@@ -30,8 +34,9 @@
 	stalled     bool
 	// slowness is that of the backend when the call was sent.
 	slowness float64
-	// place is the place in the heap, order that of arrival.
-	place, order int
+	// place is the place in the heap, slot that in the backend's flight, order
+	// that of arrival.
+	place, slot, order int
 }
 
 // status is how far a call is.
@@ -45,6 +50,14 @@
 	statusEnded
 )
 
+// Granted tells whether the call was granted and has not ended.
+func (c *Call) Granted() bool { return c.status == statusGranted }
+
+// need returns the prompt tokens that the engine is expected to process.
+func (c *Call) need() int {
+	return c.Request.Route.PromptTokens - c.Choice.CachedTokens
+}
+
 // before tells whether c goes before o in their class.
 func (c *Call) before(o *Call) bool {
 	if c.Request.Route.Rank != o.Request.Route.Rank {
--- a/limpetd/admit/queue.go
+++ b/limpetd/admit/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,18 +88,17 @@
 	services *services
 	document *envdoc.Document
 	view     *route.View
-	// waiters are closed when their call is decided.
-	waiters map[*Call]chan struct{}
+	// ejected are the engines that were ejected at the last step.
+	ejected []string
 }
 
 // New starts admitting until ctx ends.
 func New(ctx context.Context, c Config, d Deps, opts ...Option) *Queue {
 	q := &Queue{
-		config:  c,
-		deps:    d,
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake:    make(chan struct{}, 1),
-		waiters: make(map[*Call]chan struct{}),
+		config: c,
+		deps:   d,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:   make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(q)
@@ -151,11 +151,37 @@
 	now := time.Now()
 	q.refresh(now)
 	q.decide(now)
+	q.tellEjected(q.state.Ejected(now))
 	waiting := q.state.Waiting()
 	q.deps.Scope.Gauge("admit_waiting").Update(float64(waiting))
 	return waiting
 }
 
+// tellEjected tells which engines were ejected and which came back since the last
+// step.
+func (q *Queue) tellEjected(ejected []string) {
+	for _, vm := range ejected {
+		if !slices.Contains(q.ejected, vm) {
+			q.tell(event.EngineEjected, vm)
+		}
+	}
+	for _, vm := range q.ejected {
+		if !slices.Contains(ejected, vm) {
+			q.tell(event.EngineRestored, vm)
+		}
+	}
+	q.ejected = ejected
+	q.deps.Scope.Gauge("admit_ejected").Update(float64(len(ejected)))
+}
+
+// tell logs an event of an engine and adds it to the time line.
+func (q *Queue) tell(kind event.Kind, vm string) {
+	q.deps.Log.Warn(string(kind), zap.String("vm", vm))
+	if q.deps.Events != nil {
+		q.deps.Events.Add(event.Event{Kind: kind, VM: vm})
+	}
+}
+
 // refresh takes the document, the number of daemons and the view.
 func (q *Queue) refresh(now time.Time) {
 	if doc, ok := q.deps.Documents.Document(); ok && doc != q.document {
@@ -172,8 +198,7 @@
 // decide lets the state decide and tells the waiters.
 func (q *Queue) decide(now time.Time) {
 	for _, c := range q.state.Step(now) {
-		if w := q.waiters[c]; w != nil {
-			delete(q.waiters, c)
+		if w, ok := c.Memo.(chan struct{}); ok {
 			close(w)
 		}
 	}
@@ -213,7 +238,7 @@
 		return c, nil
 	}
 	w := make(chan struct{})
-	q.waiters[c] = w
+	c.Memo = w
 	select {
 	case q.wake <- struct{}{}:
 	default:
@@ -225,7 +250,6 @@
 func (q *Queue) giveUp(c *Call, k code.Code) (Ticket, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.waiters, c)
 	if c.status == statusGranted {
 		now := time.Now()
 		q.state.Release(now, c, OutcomeGone)
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -18,11 +18,8 @@
 	maxWaiting = 2000
 	// noEngineWait is how long a call waits for an engine to hold its slot.
 	noEngineWait = 500 * time.Millisecond
-	// minWait is the time that a call may wait even when its expectation is too
-	// short for its prompt.
-	minWait = 250 * time.Millisecond
-	// defaultFirstToken is the expectation of a call that has none.
-	defaultFirstToken = 30 * time.Second
+	// backlogTime is how long after a call had to wait the daemon holds back.
+	backlogTime = 4 * time.Second
 	// minAhead is the number of calls ahead from which an arriving call is
 	// refused by the expected wait.
 	minAhead = 4
@@ -47,9 +44,13 @@
 	numbered []*backend
 	backends map[string]*backend
 	hints    *route.Hints
+	// holders is reused between calls.
+	holders []int
 
 	lines   map[target]*line
 	waiting [classes]int
+	// waited is when a call of a class had to wait last.
+	waited  [classes]time.Time
 	delayed []*Call
 	order   int
 }
@@ -99,7 +100,10 @@
 			s.hints.Drop(i)
 		}
 		b.begin(e)
-		b.forget(now, e.At)
+		if now.Sub(b.reserveAt) > reservePeriod {
+			b.lowerReserve(now)
+		}
+		b.recount(now, e.At)
 		s.renew(now, i)
 	}
 }
@@ -131,7 +135,7 @@
 // renew computes what the choice needs to know of an engine.
 func (s *State) renew(now time.Time, number int) {
 	if number >= 0 {
-		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons)
+		s.own[number] = s.numbered[number].own(now, &s.view.Engines[number], s.daemons, s.budget.tokens >= 1)
 	}
 }
 
@@ -189,55 +193,6 @@
 	s.delayed = append(s.delayed, c)
 }
 
-// classify sets the class of a call and its times.
-func (s *State) classify(c *Call) {
-	r := &c.Request.Route
-	span, deferred := s.deferred[c.Request.Priority]
-	switch {
-	case deferred:
-		c.class = route.ClassDeferred
-		end := c.Request.Deadline
-		if end.IsZero() {
-			end = c.arrived.Add(span)
-		}
-		c.due, c.latest = end.Add(-riseTime(end.Sub(c.arrived))), end
-		return
-	case r.Rank == 0:
-		c.class = route.ClassUrgent
-	default:
-		c.class = route.ClassNormal
-	}
-	c.due = r.Expected
-	if c.due.IsZero() {
-		c.due = c.arrived.Add(defaultFirstToken)
-	}
-	c.latest = c.due.Add(-s.shortest(r))
-	if least := c.arrived.Add(minWait); c.latest.Before(least) {
-		c.latest = least
-	}
-}
-
-const (
-	// risePart is the part of a deferred call's time before its deadline in
-	// which it may use the room of normal calls; maxRise bounds it.
-	risePart = 0.25
-	maxRise  = 30 * time.Minute
-	// pressPart is the part in which it goes before normal calls; maxPress
-	// bounds it.
-	pressPart = 0.05
-	maxPress  = 5 * time.Minute
-)
-
-// riseTime returns how long before its deadline a deferred call rises.
-func riseTime(span time.Duration) time.Duration {
-	return min(max(time.Duration(risePart*float64(span)), 0), maxRise)
-}
-
-// pressTime returns how long before its deadline a deferred call presses.
-func pressTime(span time.Duration) time.Duration {
-	return min(max(time.Duration(pressPart*float64(span)), 0), maxPress)
-}
-
 // shortest returns the time to the first token on an idle engine.
 func (s *State) shortest(r *route.Request) time.Duration {
 	if s.view == nil {
@@ -281,6 +236,8 @@
 	if l.len() == 0 {
 		l.fullSince, l.granted = now, 0
 	}
+	c.waited = true
+	s.waited[c.class] = now
 	heap.Push(&l.waiting[c.class], c)
 	s.waiting[c.class]++
 }
@@ -307,11 +264,15 @@
 	if s.view == nil {
 		return false
 	}
-	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, s.allowed(now, c), now, s.random)
+	ask := route.Ask{Class: s.allowed(now, c), Waited: c.waited || s.backlog(now, c.class), Now: now}
+	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, ask, s.random)
 	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait {
 		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
 		return true
 	}
+	if c.class == route.ClassUrgent && (verdict == route.VerdictFull || choice.Estimate > c.latest.Sub(now)/4) {
+		s.raiseReserves(now, c)
+	}
 	if verdict != route.VerdictChosen {
 		return false
 	}
@@ -319,6 +280,26 @@
 	return true
 }
 
+// backlog tells whether calls of a class, or a more urgent one, wait or waited a
+// moment ago.
+func (s *State) backlog(now time.Time, class route.Class) bool {
+	for i, n := range s.waiting[:class+1] {
+		if n > 0 || now.Sub(s.waited[i]) < backlogTime {
+			return true
+		}
+	}
+	return false
+}
+
+// raiseReserves keeps more room for urgent calls in the engines that could take
+// one.
+func (s *State) raiseReserves(now time.Time, c *Call) {
+	s.holders = s.view.Holders(&c.Request.Route, s.holders[:0])
+	for _, n := range s.holders {
+		s.numbered[n].raiseReserve(now)
+	}
+}
+
 // allowed returns the class as which a call may enter an engine now.
 func (s *State) allowed(now time.Time, c *Call) route.Class {
 	if c.class == route.ClassDeferred && !now.Before(c.due) {
@@ -332,8 +313,7 @@
 	b := s.backends[choice.VM]
 	c.Choice, c.status, c.sent, c.backend = choice, statusGranted, now, b
 	c.slowness = max(b.slowness.value, 1)
-	b.calls = append(b.calls, c)
-	b.active++
+	b.send(c)
 	s.hints.Sent(c.Request.Route.Prefixes, b.number)
 	if c.Request.Attempt == 0 {
 		s.earn(now)
--- a/limpetd/admit/step.go
+++ b/limpetd/admit/step.go
@@ -77,15 +77,6 @@
 	return decided
 }
 
-// always passes each call.
-func always(time.Time, *Call) bool { return true }
-
-// pressing passes the deferred calls that go before normal ones, lest they miss
-// their deadline.
-func pressing(now time.Time, c *Call) bool {
-	return now.After(c.latest.Add(-pressTime(c.latest.Sub(c.arrived))))
-}
-
 // stepClass tries the waiting calls of a class that pass, those that go first
 // before others. A line whose first call does not pass or finds no room is left.
 func (s *State) stepClass(now time.Time, class route.Class, decided []*Call, passes func(time.Time, *Call) bool) []*Call {
@@ -145,8 +136,8 @@
 	if c.status != statusGranted || c.first {
 		return
 	}
-	c.first = true
 	b := c.backend
+	b.firstToken(c)
 	b.outlier.answered()
 	if b.number < 0 {
 		return
@@ -168,7 +159,7 @@
 	}
 	c.status, c.ended = statusEnded, now
 	b := c.backend
-	b.active--
+	b.end(c)
 	switch o {
 	case OutcomeAnswered:
 		b.outlier.answered()
@@ -179,23 +170,18 @@
 	s.renew(now, b.number)
 }
 
-// failed notes a failure of an engine and ejects it, unless too many of its data
-// centre are ejected.
+// failed notes a failure of an engine and ejects it, unless too many are ejected.
 func (s *State) failed(now time.Time, b *backend) {
 	if !b.outlier.failed(now) || b.number < 0 {
 		return
 	}
-	group, ejected := 0, 0
-	for i, other := range s.numbered {
-		if s.view.Engines[i].DataCentre != s.view.Engines[b.number].DataCentre {
-			continue
-		}
-		group++
+	ejected := 0
+	for _, other := range s.numbered {
 		if other.outlier.ejected(now) {
 			ejected++
 		}
 	}
-	if mayEject(ejected, group) {
+	if mayEject(ejected, len(s.numbered)) {
 		b.outlier.eject(now)
 	}
 }
@@ -204,8 +190,8 @@
 // engines, and lets engines back whose ejection is over.
 func (s *State) findStalled(now time.Time) {
 	for i, b := range s.numbered {
-		for _, c := range b.calls {
-			if c.stalled || c.first || c.status != statusGranted || c.class != route.ClassUrgent {
+		for _, c := range b.flight {
+			if c.stalled || c.first || c.class != route.ClassUrgent {
 				continue
 			}
 			wait := now.Sub(c.sent)
@@ -214,12 +200,23 @@
 				s.failed(now, b)
 			}
 		}
-		if s.own[i].Ejected != b.outlier.ejected(now) {
+		if s.own[i].Ejected || b.outlier.times > 0 {
 			s.renew(now, i)
 		}
 	}
 }
 
+// Ejected returns the VMs of the engines that are ejected, in order.
+func (s *State) Ejected(now time.Time) []string {
+	var vms []string
+	for _, b := range s.numbered {
+		if b.outlier.ejected(now) {
+			vms = append(vms, b.vm)
+		}
+	}
+	return vms
+}
+
 // Waiting returns the number of calls that wait.
 func (s *State) Waiting() int {
 	n := 0
--- a/limpetd/event/event.go
+++ b/limpetd/event/event.go
@@ -53,6 +53,8 @@
 	OrderSent       Kind = "order_sent"
 	OrderResolved   Kind = "order_resolved"
 	EngineSetAside  Kind = "engine_set_aside"
+	EngineEjected   Kind = "engine_ejected"
+	EngineRestored  Kind = "engine_restored"
 	RequestArrived  Kind = "request_arrived"
 	RequestSent     Kind = "request_sent"
 	RequestRetried  Kind = "request_retried"
@@ -216,7 +218,7 @@
 
 // Merge joins the events of several processes in causal order.
 func Merge(lines ...[]Event) []Event {
-	var merged []Event
+	merged := []Event{}
 	for _, l := range lines {
 		merged = append(merged, l...)
 	}
--- a/limpetd/route/choose.go
+++ b/limpetd/route/choose.go
@@ -19,15 +19,18 @@
 // Own is what this daemon knows of an engine beyond the view. A slice of Own is
 // in the order of the view's engines.
 type Own struct {
+	// Room is the number of classes that the engine has room for: 0 none, 1
+	// ClassUrgent, 2 also ClassNormal, 3 all. WaitedRoom is the same for requests
+	// that waited for room, of which other daemons have some too.
+	Room, WaitedRoom int
 	// Sent and SentTokens count the requests that this daemon sent after
 	// the report was measured, and their prompt tokens; Ended counts those of
 	// its requests that ended since.
 	Sent, SentTokens, Ended int
-	// Room is the number of classes that the engine has room for: 0 none, 1
-	// ClassUrgent, 2 also ClassNormal, 3 all.
-	Room int
 	// Ejected marks an engine that failed or stalled for this daemon.
 	Ejected bool
+	// Suspect marks an engine that failed the last call of this daemon.
+	Suspect bool
 	// Slowness is the ratio of measured to estimated first tokens, 0 for
 	// unknown.
 	Slowness float64
@@ -35,12 +38,22 @@
 	Hold time.Duration
 }
 
+// Ask says how a request is to be placed.
+type Ask struct {
+	Class Class
+	// Waited tells that the request waited for room.
+	Waited bool
+	Now    time.Time
+}
+
 const (
 	// localSample and remoteSample are the numbers of random candidates that
 	// a choice compares. Few of them keep routers with the same old report from
 	// all choosing the same engine.
 	localSample  = 3
 	remoteSample = 2
+	// maxScan is the number of candidates looked at when the sample has no room.
+	maxScan = 48
 	// defaultPromptRate is used for an engine that has not told its speed, in
 	// tokens a second.
 	defaultPromptRate = 4000
@@ -48,6 +61,14 @@
 	defaultHold = 4 * time.Second
 	// remoteCost is the time that a call to another data centre adds.
 	remoteCost = 2 * time.Millisecond
+	// safeShare is the part of the time left, as a divisor, that an estimate in
+	// the own data centre may take before another one is looked at; spillGain is
+	// how many times shorter the estimate there must be.
+	safeShare = 4
+	spillGain = 2
+	// suspectCost is added to the estimate of an engine that failed the last
+	// call.
+	suspectCost = time.Second
 	// maxAge is the age beyond which a report's queue is not drained further.
 	maxAge = 3 * time.Second
 )
@@ -75,24 +96,29 @@
 	own    []Own
 	hints  *Hints
 	r      *Request
-	class  Class
-	now    time.Time
+	ask    Ask
 	random *rand.Rand
 	full   bool
+	// probes are the known prefixes of the prompt, the shortest first; known
+	// is their number.
+	probes [maxProbes]probe
+	known  int
 }
 
 // Choose chooses an engine for r among those with room for its class. It
 // compares the engines expected to hold the prompt's beginning and a few random
 // ones, first in the own data centre; another data centre is chosen when the
-// own one has no room or misses the expectation and the other one meets it.
+// own one has no room, or endangers the expectation and the other one is clearly
+// quicker.
 // Ejected engines are the last resort. Choose keeps nothing and allocates
 // nothing; hints may be nil.
-func Choose(v *View, own []Own, hints *Hints, r *Request, class Class, now time.Time, random *rand.Rand) (Choice, Verdict) {
+func Choose(v *View, own []Own, hints *Hints, r *Request, ask Ask, random *rand.Rand) (Choice, Verdict) {
 	cs := v.find(r)
 	if cs == nil {
 		return Choice{}, VerdictNone
 	}
-	c := chooser{view: v, own: own, hints: hints, r: r, class: class, now: now, random: random}
+	c := chooser{view: v, own: own, hints: hints, r: r, ask: ask, random: random}
+	c.look()
 	best := c.among(cs, false)
 	if best.candidate == nil && !c.full {
 		best = c.among(cs, true)
@@ -129,22 +155,23 @@
 // among chooses among the local and the remote candidates.
 func (c *chooser) among(cs *candidates, ejected bool) pick {
 	local := c.best(cs.local, localSample, ejected)
-	if local.candidate != nil && c.meets(local.estimate) {
+	if local.candidate != nil && c.safe(local.estimate) {
 		return local
 	}
 	remote := c.best(cs.remote, remoteSample, ejected)
 	if remote.candidate == nil {
 		return local
 	}
-	if local.candidate == nil || c.meets(remote.estimate) {
+	if local.candidate == nil || remote.estimate < local.estimate/spillGain {
 		return remote
 	}
 	return local
 }
 
-// meets tells whether an estimate meets the expectation.
-func (c *chooser) meets(estimate time.Duration) bool {
-	return c.r.Expected.IsZero() || !c.now.Add(estimate).After(c.r.Expected)
+// safe tells whether an estimate leaves enough time to the expectation, since
+// estimates err.
+func (c *chooser) safe(estimate time.Duration) bool {
+	return c.r.Expected.IsZero() || estimate < c.r.Expected.Sub(c.ask.Now)/safeShare
 }
 
 // best returns the candidate with the lowest estimate of a sample of list.
@@ -164,7 +191,7 @@
 	start := c.random.IntN(n)
 	step := 1 + c.random.IntN(n-1)
 	tried := 0
-	for i := range n {
+	for i := range min(n, maxScan) {
 		if tried == sample {
 			break
 		}
@@ -188,7 +215,11 @@
 	if o.Ejected != ejected || c.excluded(x.engine) {
 		return false
 	}
-	if o.Room <= int(c.class) {
+	room := o.Room
+	if c.ask.Waited {
+		room = o.WaitedRoom
+	}
+	if room <= int(c.ask.Class) {
 		c.full = true
 		return false
 	}
--- a/limpetd/watch/watch.go
+++ b/limpetd/watch/watch.go
@@ -13,7 +13,7 @@
 //
 //	w := watch.New(ctx, watch.Config{VM: "vm-a1", DataCentre: "a"}, watch.Deps{...})
 //	view := w.View()
-//	choice, verdict := route.Choose(view, own, hints, &request, class, now, random)
+//	choice, verdict := route.Choose(view, own, hints, &request, ask, random)
 //	err := w.Wait()
 package watch
 
@@ -85,7 +85,10 @@
 	due  chan store.VM
 	view atomic.Pointer[route.View]
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// vms is the VM list that was taken last; order lists its engines by VM.
+	vms     []store.VM
+	order   []string
 	engines map[string]*state
 	mine    map[string]bool
 	// daemons is the number of live entry VMs of the data centre.
@@ -246,7 +249,7 @@
 	if err != nil {
 		w.deps.Scope.Counter("watch_read_errors").Inc(1)
 		if s.failed() {
-			w.deps.Log.Warn("engine_broken", zap.String("vm", vm), zap.Error(err))
+			w.broken(vm, err)
 		}
 		return 0
 	}
@@ -254,6 +257,14 @@
 	return s.cache.after(r.Instance)
 }
 
+// broken tells that an engine cannot be read.
+func (w *Watch) broken(vm string, err error) {
+	w.deps.Log.Warn("engine_broken", zap.String("vm", vm), zap.Error(err))
+	if w.deps.Events != nil {
+		w.deps.Events.Add(event.Event{Kind: event.EngineEjected, VM: vm, Text: "cannot be read"})
+	}
+}
+
 // postpone makes an engine due again.
 func (w *Watch) postpone(vm string) {
 	w.mu.Lock()
