--- a/limpetd/order/fakeengine_test.go
+++ b/limpetd/order/fakeengine_test.go
@@ -135,6 +135,25 @@
 	return ok
 }
 
+func (e *fakeEngine) setFault(fault func(o engine.Order) orderFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = fault
+}
+
+func (e *fakeEngine) setMangle(mangle func(r *engine.Report)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mangle = mangle
+}
+
+// moves counts the slots that came and went.
+func (e *fakeEngine) moves() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loads + e.unloads
+}
+
 // arrivals counts the loads that arrived, twice ones included.
 func (e *fakeEngine) arrivals() int {
 	e.mu.Lock()
--- a/limpetd/order/faketable_test.go
+++ b/limpetd/order/faketable_test.go
@@ -31,8 +31,6 @@
 	rows   map[string]store.Row
 	fault  func(write bool) tableFault
 	writes int
-	// ledgerRows counts rows written under a ledger key.
-	ledgerRows int
 }
 
 func newFakeTable() *fakeTable {
@@ -45,6 +43,13 @@
 	f.fault = fault
 }
 
+// transactions counts those that wrote to the ledger.
+func (f *fakeTable) transactions() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writes
+}
+
 func (f *fakeTable) meet(write bool) tableFault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,7 +122,6 @@
 		}
 		f.rows[w.Key] = store.Row{Key: w.Key, Version: f.rows[w.Key].Version + 1, Writer: tx.ID, Value: w.Value}
 	}
-	f.ledgerRows += ledger
 	if ledger > 0 {
 		f.writes++
 	}
--- a/limpetd/order/world_test.go
+++ b/limpetd/order/world_test.go
@@ -61,6 +61,8 @@
 	paused chan struct{}
 	pmu    sync.Mutex
 	dead   bool
+	// held is not nil while orders wait.
+	held chan struct{}
 }
 
 func newWorld(t testing.TB, engines int, memoryMB int64, fencing store.Fencing) *world {
@@ -156,6 +158,17 @@
 		close(d.paused)
 		d.paused = nil
 	}
+	if d.held != nil {
+		close(d.held)
+		d.held = nil
+	}
+}
+
+// pauseOrders holds back what the daemon sends to engines.
+func (d *fakeDaemon) pauseOrders() {
+	d.pmu.Lock()
+	defer d.pmu.Unlock()
+	d.held = make(chan struct{})
 }
 
 // await returns once the daemon is not paused.
@@ -171,6 +184,12 @@
 // Order implements engine.Orderer. An order of a paused daemon goes out when it
 // wakes.
 func (d *fakeDaemon) Order(ctx context.Context, address string, o engine.Order) (engine.OrderAnswer, error) {
+	d.pmu.Lock()
+	held := d.held
+	d.pmu.Unlock()
+	if held != nil {
+		<-held
+	}
 	d.await()
 	for _, e := range d.engines {
 		if e.vm.Address == address {
@@ -316,6 +335,15 @@
 	return slices.Clone(w.unreached)
 }
 
+// moved counts the slots that came and went on all engines.
+func (w *world) moved() int {
+	n := 0
+	for _, e := range w.engines {
+		n += e.moves()
+	}
+	return n
+}
+
 // replicas counts the engines that hold a slot.
 func (w *world) replicas(slot envdoc.Slot) int {
 	n := 0
