place: Relieve engines by what moves between them, and make room with adapters

A replica for demand was worth only what its engine could take up to a fixed load, so that nothing moved once all were busy; it is now worth half the difference of the loads. A model that moved away to make room kept its old replica because its adapters were there alone: they are copied first.

--- a/limpetd/place/room.go
+++ b/limpetd/place/room.go
@@ -16,7 +16,7 @@
 	if s.evict(k, func(holder, int) bool { return true }, RuleMakeRoom, 0, 0) {
 		return
 	}
-	if s.relocate(k) {
+	if s.freeAdapters(k) || s.relocate(k) {
 		return
 	}
 	if !s.views[k].remote && m.home == s.facts.DataCentre && s.evictRemote(k) {
@@ -220,6 +220,53 @@
 	return true
 }
 
+// freeAdapters copies the adapters that alone keep a surplus replica where it
+// makes room for k, so that it can go in a later plan.
+func (s *stage) freeAdapters(k int) bool {
+	for i := range s.engines {
+		e := &s.engines[i]
+		if !e.Usable || e.Pool != s.models[k].Pool || occupied(s.views[k].current, i) {
+			continue
+		}
+		for _, c := range e.models {
+			h, ok := on(s.views[c].current, i)
+			surplus := ok && h.state == Resident && count(s.views[c].current, Resident) > s.minLocal(c)
+			if surplus && h.memory+e.free+e.soon >= s.models[k].MemoryMB && s.copyAdapters(c, i) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// copyAdapters loads the adapters that only one engine holds on another replica
+// of their model. It returns false when one finds no room.
+func (s *stage) copyAdapters(c, engine int) bool {
+	mv := &s.views[c]
+	for j := range mv.adapters {
+		if _, here := on(mv.adapters[j], engine); !here || s.adapterElsewhere(c, j, engine) {
+			continue
+		}
+		if count(mv.adapters[j], Loading) == 0 && !s.copyAdapter(c, j, engine) {
+			return false
+		}
+	}
+	return true
+}
+
+// copyAdapter loads an adapter on another replica than that of an engine.
+func (s *stage) copyAdapter(c, j, engine int) bool {
+	m, mv := &s.models[c], &s.views[c]
+	for _, h := range mv.current {
+		fits := s.engines[h.engine].free >= m.Adapters[j].MemoryMB
+		if h.engine != engine && h.state == Resident && fits && !occupied(mv.adapters[j], h.engine) {
+			s.load(h.engine, m.adapterSlot(j), m.Adapters[j].MemoryMB, RuleRelocate, 0, 0)
+			return true
+		}
+	}
+	return false
+}
+
 // relocate begins to move a model off an engine to another one, so that there
 // will be room for k. The old replica then is surplus and is given up.
 func (s *stage) relocate(k int) bool {
--- a/limpetd/place/spread.go
+++ b/limpetd/place/spread.go
@@ -9,9 +9,9 @@
 	targetLoad = 0.7
 	// moveCost is the cost of a model's load or unload, in parts of an
 	// engine's capacity, before the document's weight.
-	moveCost = 0.1
+	moveCost = 0.03
 	// adapterCost is that of an adapter.
-	adapterCost = 0.01
+	adapterCost = 0.003
 	// hysteresis is how much a gain has to exceed its cost.
 	hysteresis = 1.25
 	// baseDwell is the least time between loads of a model for demand, at
@@ -121,7 +121,7 @@
 	excess := e.load - targetLoad*e.TokensPerSecond
 	var best relief
 	for _, k := range e.models {
-		if r := s.reliefOf(k, excess); r.gain-r.cost > best.gain-best.cost {
+		if r := s.reliefOf(k, e, excess); r.gain-r.cost > best.gain-best.cost {
 			best = r
 		}
 	}
@@ -143,7 +143,7 @@
 }
 
 // reliefOf returns the best replica to add for a model.
-func (s *stage) reliefOf(k int, excess float64) relief {
+func (s *stage) reliefOf(k int, from *engineView, excess float64) relief {
 	mv := &s.views[k]
 	replicas := count(mv.current, Resident, Loading)
 	if replicas == 0 || count(mv.current, Loading) > 0 || count(mv.old, Resident) > 0 || s.promised(k) {
@@ -165,8 +165,7 @@
 		r.cost = moves * moveCost * float64(1+len(v.models))
 	}
 	target := &s.engines[r.engine]
-	headroom := targetLoad*target.TokensPerSecond - target.load
-	r.tokens = min(share, excess, headroom)
+	r.tokens = min(share, excess, (from.load-target.load)/2)
 	if r.tokens <= 0 {
 		return relief{}
 	}
