--- a/limpetd/order/budget.go
+++ b/limpetd/order/budget.go
@@ -221,11 +221,7 @@
 			s.version, s.own = r.Version, b
 		}
 	}
-	next := Budget{Level: budgetLevel, DataCentre: s.dataCentre, Waiting: waiting, At: now.UnixMilli(), Loans: s.own.Loans}
-	next.Loans = slices.DeleteFunc(slices.Clone(next.Loans), func(l Loan) bool { return now.UnixMilli() >= l.Until })
-	if waiting == 0 && len(next.Loans) == 0 {
-		next.Loans = lend(share, s.rows, s.dataCentre, now)
-	}
+	next := budgetRow(s.own, share, s.rows, waiting, now)
 	asks := waiting > wantAfter
 	asked := s.own.Waiting > wantAfter
 	if asks == asked && !asks && len(next.Loans) == len(s.own.Loans) {
@@ -234,6 +230,17 @@
 	return s.put(ctx, hold, next)
 }
 
+// budgetRow returns a data centre's next row: what it asks for, the loans that
+// still run, and new ones once it uses nothing itself.
+func budgetRow(own Budget, share Limits, rows []Budget, waiting int, now time.Time) Budget {
+	next := Budget{Level: budgetLevel, DataCentre: own.DataCentre, Waiting: waiting, At: now.UnixMilli()}
+	next.Loans = slices.DeleteFunc(slices.Clone(own.Loans), func(l Loan) bool { return now.UnixMilli() >= l.Until })
+	if waiting == 0 && len(next.Loans) == 0 {
+		next.Loans = lend(share, rows, own.DataCentre, now)
+	}
+	return next
+}
+
 // put writes the own row.
 func (s *shares) put(ctx context.Context, hold lease.Hold, b Budget) error {
 	value, err := msgpack.Marshal(b)
