docs,peer: Try again what a peer told, and renew connections hourly

A daemon that is cut off from the table hears once that a peer has a newer document; when that fetch failed it was not tried again. It now is with each poll. Connections between daemons end after an hour, so that renewed certificates come into use.

--- a/limpetd/docs/docs.go
+++ b/limpetd/docs/docs.go
@@ -251,7 +251,7 @@
 	return Scope(u.config.Environment, u.config.Stage)
 }
 
-// Scope names an environment and stage, as member.Config.Environment expects.
+// Scope names an environment and stage, as peer.Config.Environment expects.
 func Scope(environment string, stage Stage) string {
 	return environment + "/" + string(stage)
 }
--- a/limpetd/docs/follow.go
+++ b/limpetd/docs/follow.go
@@ -25,17 +25,20 @@
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	wanted := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
 			u.read(ctx)
+			u.heard(ctx, wanted)
 			timer.Reset(jitter(u.poll, random.Float64()))
 		case <-u.wake:
 			u.read(ctx)
 		case revision := <-newer:
-			u.heard(ctx, revision)
+			wanted = max(wanted, revision)
+			u.heard(ctx, wanted)
 		}
 	}
 }
@@ -120,7 +123,8 @@
 	return u.deps.Objects.Get(ctx, objectKey(digest))
 }
 
-// heard fetches a document that a peer has in force, if it is newer.
+// heard fetches a document that a peer has in force, if it is newer. It is tried
+// again with each poll until a document of that revision is held.
 func (u *Duty) heard(ctx context.Context, revision int64) {
 	held, _ := u.held()
 	if revision <= held || u.refuses(revision) {
--- a/limpetd/member/member_test.go
+++ b/limpetd/member/member_test.go
@@ -212,6 +212,25 @@
 	})
 }
 
+// TestPausedDaemonSuspectsNobody wakes a daemon that heard nothing while it was
+// paused itself.
+func TestPausedDaemonSuspectsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 3, 1)
+		time.Sleep(5 * time.Second)
+		f.block(func(_, to string) bool { return to == "vm-000" })
+		time.Sleep(SilentAfter - 2*DefaultPeriod)
+		for _, d := range []string{"vm-001", "vm-002"} {
+			duties[0].mu.Lock()
+			duties[0].view.heard[d] = time.Now().Add(-time.Minute)
+			duties[0].mu.Unlock()
+		}
+		duties[0].tellPeriod(true)
+		require.Equal(t, 3, duties[0].Daemons())
+	})
+}
+
 // TestGone requires this daemon's own reads of the list, and silence, for the
 // lifetime.
 func TestGone(t *testing.T) {
--- a/limpetd/peer/client.go
+++ b/limpetd/peer/client.go
@@ -57,8 +57,11 @@
 	// full the message is dropped and Tell reports it.
 	tellQueue = 8
 	// linkIdle is how long a connection is kept that carries nothing.
-	linkIdle         = 2 * time.Minute
-	connectTimeout   = 2 * time.Second
+	linkIdle       = 2 * time.Minute
+	connectTimeout = 2 * time.Second
+	// connectionAge is how long a connection lives, so that renewed
+	// certificates come into use everywhere.
+	connectionAge    = time.Hour
 	longestBackoff   = 2 * time.Second
 	keepaliveTime    = 15 * time.Second
 	keepaliveTimeout = 4 * time.Second
--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -138,7 +138,8 @@
 		grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
-			MaxConnectionIdle: 2 * linkIdle, Time: keepaliveTime, Timeout: keepaliveTimeout,
+			MaxConnectionIdle: 2 * linkIdle, MaxConnectionAge: connectionAge, MaxConnectionAgeGrace: connectTimeout,
+			Time: keepaliveTime, Timeout: keepaliveTimeout,
 		}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
 		grpc.UnaryInterceptor(s.admitCall), grpc.StreamInterceptor(s.admitStream),
