--- a/limpetd/admit/outlier.go
+++ b/limpetd/admit/outlier.go
@@ -8,12 +8,12 @@
 	failuresInRow = 2
 	// ejectTime is the time of the first ejection; it doubles with each further
 	// one up to maxEjectTime.
-	ejectTime    = 2 * time.Second
+	ejectTime    = 5 * time.Second
 	maxEjectTime = 30 * time.Second
 	// ejectedPart is the largest part of a group that is ejected at once.
 	ejectedPart = 0.5
 	// suspectTime is how long a failure makes a server less preferred.
-	suspectTime = 10 * time.Second
+	suspectTime = 30 * time.Second
 )
 
 // outlier is the record of a backend server. The zero value is ready for use.
