--- a/limpetd/admit/state_test.go
+++ b/limpetd/admit/state_test.go
@@ -12,6 +12,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/route"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 var testTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/limpetd/batch/batch_test.go
+++ b/limpetd/batch/batch_test.go
@@ -16,6 +16,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
--- a/limpetd/claim/claim_test.go
+++ b/limpetd/claim/claim_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
--- a/limpetd/docs/force_test.go
+++ b/limpetd/docs/force_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 const (
--- a/limpetd/envdoc/decode_test.go
+++ b/limpetd/envdoc/decode_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 // example returns a worked example.
--- a/limpetd/relay/relay_test.go
+++ b/limpetd/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
 	"github.com/limpetlb/limpetlb/limpetd/route"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 const tokens = 8
--- a/limpetd/route/choose.go
+++ b/limpetd/route/choose.go
@@ -195,19 +195,29 @@
 		if tried == sample {
 			break
 		}
-		// Two random places are compared first; the rest of the list follows
-		// in order when these have no room.
-		at := (start + i) % n
-		if i == 1 {
-			at = (start + step) % n
-		}
-		if c.try(&list[at], ejected, &best) {
+		if c.try(&list[(start+offset(i, step))%n], ejected, &best) {
 			tried++
 		}
 	}
 	return best
 }
 
+// offset returns the i-th place to look at, counted from the first: two random
+// places are compared first, and the rest of the list follows in order when
+// these have no room. Each place comes once.
+func offset(i, step int) int {
+	switch {
+	case i == 0:
+		return 0
+	case i == 1:
+		return step
+	case i-1 < step:
+		return i - 1
+	default:
+		return i
+	}
+}
+
 // try compares a candidate with the best so far and tells whether it could be
 // used.
 func (c *chooser) try(x *candidate, ejected bool, best *pick) bool {
--- a/limpetd/route/choose_test.go
+++ b/limpetd/route/choose_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 var testTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -241,3 +242,23 @@
 	require.NotEqual(t, a[0], b[0])
 	require.NotEqual(t, a[1], b[1])
 }
+
+// TestChooseFindsTheOnlyRoom has room on one engine alone, at each place of the
+// list, for many random choices.
+func TestChooseFindsTheOnlyRoom(t *testing.T) {
+	const engines, choices = 12, 50
+	r := &Request{Model: "m000", Version: "1", PromptTokens: 100, Expected: testTime.Add(time.Second)}
+	v := NewView("dc0", fleet(engines, 1), nil, nil)
+	random := rand.New(rand.NewPCG(1, 1))
+	for only := range engines {
+		own := open(engines)
+		for i := range own {
+			own[i].Ejected = i != only
+		}
+		for range choices {
+			c, verdict := Choose(v, own, nil, r, Ask{Class: ClassUrgent, Now: testTime}, random)
+			require.Equal(t, VerdictChosen, verdict)
+			require.Equal(t, v.Engines[only].VM, c.VM)
+		}
+	}
+}
--- a/limpetd/store/commit_test.go
+++ b/limpetd/store/commit_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 // outcome is what a fake table does to one Apply.
