--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -205,6 +205,7 @@
 		{"path with dots", "GET", "/services/app/schedule/../orders", "", nil, code.UnknownPath},
 		{"path with encoded dots", "GET", "/services/app/schedule/%2e%2e/orders", "", nil, code.UnknownPath},
 		{"path with encoded slash", "GET", "/services/app/schedule/..%2forders", "", nil, code.UnknownPath},
+		{"path with encoded slash below", "GET", "/services/app/schedule/a%2fb", "", nil, code.UnknownPath},
 		{"path with double slash", "GET", "/services/app//schedule/1", "", nil, code.UnknownPath},
 		{"service of others", "POST", "/services/app/bookings", "", []string{"Authorization", "Bearer " + otherKey}, code.Forbidden},
 		{"key required", "POST", "/services/app/payments", "", nil, code.KeyRequired},
@@ -343,3 +344,17 @@
 	require.Equal(t, http.StatusOK, b.do(t, "POST", "/v1/batches/"+view.ID+"/cancel", "").status)
 	require.Contains(t, b.do(t, "GET", "/v1/batches/"+view.ID, "").body, `"cancelled"`)
 }
+
+func FuzzDecodeLines(f *testing.F) {
+	f.Add(`{"custom_id":"1","url":"/v1/completions","body":{}}` + "\n" + `{"custom_id":"2"}`)
+	f.Add("{}{}")
+	f.Add("[")
+	f.Fuzz(func(t *testing.T, body string) {
+		items, err := decodeLines([]byte(body))
+		if err != nil {
+			require.Contains(t, []code.Code{code.MalformedBody, code.BadParameter}, code.Of(err))
+			return
+		}
+		require.LessOrEqual(t, len(items), batch.MaxItems)
+	})
+}
