--- a/limpetd/docs/force_test.go
+++ b/limpetd/docs/force_test.go
@@ -70,6 +70,7 @@
 		stale := start(ctx, platform, Trial, "stale", WithPoll(time.Hour))
 		_, err := stale.Apply(ctx, submission("one", 1))
 		require.NoError(t, err)
+		synctest.Wait()
 		other := start(ctx, platform, Trial, "other")
 		_, err = other.Apply(ctx, submission("two", 2))
 		require.NoError(t, err)
