envdoc,member: Count lines as the parser does and order news without clocks

The fuzz target found a fault that was placed beyond the last line: the parser also ends lines at a lone carriage return and at three Unicode separators.

Changes of the VM list were ordered by the clock of whoever read it. A VM only goes from live to leaving to gone and ids are never used again, so the later state now holds whatever the clocks say, and new advice is stamped above what it replaces. The interface between daemons takes 1,024 connections at most.

--- a/limpetd/envdoc/decode.go
+++ b/limpetd/envdoc/decode.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"gopkg.in/yaml.v3"
 
@@ -61,7 +62,7 @@
 
 // Check reads a document and returns its faults in the order of lines.
 func Check(file string, body []byte) (*Document, []Fault) {
-	d := &decoder{file: file, lines: strings.Split(string(body), "\n"), nodes: map[string]*yaml.Node{}, broken: map[string]bool{}}
+	d := &decoder{file: file, lines: splitLines(body), nodes: map[string]*yaml.Node{}, broken: map[string]bool{}}
 	doc := &Document{}
 	root := d.parse(body)
 	if root != nil {
@@ -101,8 +102,20 @@
 	broken map[string]bool
 }
 
+// breakPattern matches what the parser counts as the end of a line.
+var breakPattern = regexp.MustCompile("\r\n|[\r\n\u0085\u2028\u2029]")
+
+// splitLines returns the lines as the parser counts them.
+func splitLines(body []byte) []string {
+	return breakPattern.Split(string(body), -1)
+}
+
 // parse returns the root node, or nil after a fault.
 func (d *decoder) parse(body []byte) *yaml.Node {
+	if !utf8.Valid(body) {
+		d.add(1, 1, "the document is not UTF-8")
+		return nil
+	}
 	parser := yaml.NewDecoder(strings.NewReader(string(body)))
 	var document yaml.Node
 	err := parser.Decode(&document)
@@ -148,7 +161,7 @@
 	}
 	f := Fault{File: d.file, Line: line, Column: column, Text: text}
 	if line >= 1 && line <= len(d.lines) {
-		f.Source = strings.TrimRight(d.lines[line-1], "\r")
+		f.Source = d.lines[line-1]
 	}
 	d.faults = append(d.faults, f)
 }
--- a/limpetd/envdoc/decode_test.go
+++ b/limpetd/envdoc/decode_test.go
@@ -68,6 +68,7 @@
 func TestDecodeRefuses(t *testing.T) {
 	whole := string(example(t, "ibeji.yaml"))
 	for name, c := range map[string]struct{ old, replacement, want string }{
+		"encoding":     {"environment: ibeji", "environment: \xff", "not UTF-8"},
 		"empty":        {whole, "", "the document is empty"},
 		"two":          {"environment: ibeji", "a: 1\n---\nenvironment: ibeji", "only one document"},
 		"syntax":       {"weights:", "weights: [", "y.yaml:"},
@@ -125,7 +126,7 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		doc, faults := Check("f.yaml", body)
 		require.Equal(t, doc == nil, len(faults) > 0)
-		lines := strings.Count(string(body), "\n") + 1
+		lines := len(splitLines(body))
 		for _, f := range faults {
 			require.GreaterOrEqual(t, f.Line, 1)
 			require.LessOrEqual(t, f.Line, lines+1)
--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -53,8 +53,8 @@
 	}
 	now := time.Now()
 	u.mu.Lock()
-	for _, a := range leavingLoads(share.Loads) {
-		u.advise(a)
+	if u.adviseLeaving(share.Loads, now) {
+		u.nudge()
 	}
 	near, _ := u.view.near()
 	if paused {
@@ -106,11 +106,7 @@
 			share.Loads = append(share.Loads, r)
 		}
 	}
-	for _, a := range leavingLoads(share.Loads) {
-		if u.view.learnAdvice(a) {
-			fresh, u.vms = true, nil
-		}
-	}
+	fresh = u.adviseLeaving(share.Loads, now) || fresh
 	u.wantSync(from, m.View, now)
 	u.mu.Unlock()
 	if fresh {
--- a/limpetd/member/member.go
+++ b/limpetd/member/member.go
@@ -246,17 +246,11 @@
 // that it stays.
 func (u *Duty) Drain(vm string, leaving bool) {
 	u.mu.Lock()
-	u.advise(Advice{VM: vm, Leaving: leaving, At: time.Now().UnixMilli()})
-	u.mu.Unlock()
-	u.nudge()
-}
-
-// advise learns what this daemon saw itself.
-func (u *Duty) advise(a Advice) {
-	if u.view.learnAdvice(a) {
-		u.view.tell(news{advice: a.VM, own: true})
+	if u.view.advise(vm, leaving, time.Now()) {
 		u.vms = nil
 	}
+	u.mu.Unlock()
+	u.nudge()
 }
 
 // change changes this daemon's state and tells peers at once if it differs.
@@ -293,13 +287,14 @@
 	}
 }
 
-// leavingLoads returns advice on engines that say that they leave.
-func leavingLoads(loads []engine.Report) []Advice {
-	var advice []Advice
-	for _, r := range loads {
-		if r.Leaving {
-			advice = append(advice, Advice{VM: r.VM, Leaving: true, At: r.At.UnixMilli()})
+// adviseLeaving notes the engines that say that they leave, and tells whether any
+// of it is new.
+func (u *Duty) adviseLeaving(reports []engine.Report, now time.Time) bool {
+	fresh := false
+	for _, r := range reports {
+		if r.Leaving && u.view.advise(r.VM, true, now) {
+			fresh, u.vms = true, nil
 		}
 	}
-	return advice
+	return fresh
 }
--- a/limpetd/member/member_test.go
+++ b/limpetd/member/member_test.go
@@ -212,6 +212,31 @@
 	})
 }
 
+// TestAdviceDespiteClocks takes back a drain that a daemon with a fast clock
+// told, and keeps the later state of the VM list.
+func TestAdviceDespiteClocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 3, 1)
+		engine := store.VM{ID: "engine-1", Kind: store.KindEngine, State: store.StateLive}
+		f.set(append(slices.Clone(f.vms), engine)...)
+		time.Sleep(5 * time.Second)
+		ahead := Advice{VM: "engine-1", Leaving: true, At: time.Now().Add(time.Hour).UnixMilli()}
+		duties[0].Receive(Sender{VM: "vm-001"}, Message{Advice: []Advice{ahead}})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, store.StateLeaving, state(duties[2].VMs(), "engine-1"))
+		duties[1].Drain("engine-1", false)
+		time.Sleep(5 * time.Second)
+		for _, u := range duties {
+			require.Equal(t, store.StateLive, state(u.VMs(), "engine-1"))
+		}
+		leaving := engine
+		leaving.State = store.StateLeaving
+		duties[0].Receive(Sender{VM: "vm-001"}, Message{Entries: []Entry{{VM: leaving}, {VM: engine}}})
+		require.Equal(t, store.StateLeaving, state(duties[0].VMs(), "engine-1"))
+	})
+}
+
 // TestPausedDaemonSuspectsNobody wakes a daemon that heard nothing while it was
 // paused itself.
 func TestPausedDaemonSuspectsNobody(t *testing.T) {
--- a/limpetd/member/message.go
+++ b/limpetd/member/message.go
@@ -39,13 +39,25 @@
 	Suspect bool
 }
 
-// Entry is a change of the VM list that a daemon read.
+// Entry is a change of the VM list that a daemon read. Ids are never used again
+// and a VM goes from live to leaving to gone, so the later state holds whatever
+// the clocks say.
 type Entry struct {
 	VM store.VM
 	// Gone means that the VM is no longer listed.
 	Gone bool
-	// At is when the list was read, in milliseconds since 1970.
-	At int64
+}
+
+// rank orders the states of a VM in time.
+func (e Entry) rank() int {
+	switch {
+	case e.Gone:
+		return 2
+	case e.VM.State == store.StateLeaving:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // Advice tells that a VM which runs no daemon leaves, sooner than the VM list
@@ -53,7 +65,8 @@
 type Advice struct {
 	VM      string
 	Leaving bool
-	// At is when it was seen, in milliseconds since 1970; the latest holds.
+	// At is when it was seen, in milliseconds since 1970, and above that of
+	// the advice that it replaces; the latest holds.
 	At int64
 }
 
--- a/limpetd/member/view.go
+++ b/limpetd/member/view.go
@@ -118,7 +118,7 @@
 // learnEntry takes a change of the VM list that a peer read.
 func (v *view) learnEntry(e Entry) bool {
 	known, ok := v.entries[e.VM.ID]
-	if ok && (known.At >= e.At || known.VM == e.VM && known.Gone == e.Gone) {
+	if ok && known.rank() >= e.rank() {
 		return false
 	}
 	if !ok && e.Gone {
@@ -140,6 +140,16 @@
 	return true
 }
 
+// advise notes what this daemon saw of a VM itself, and tells whether it is new.
+func (v *view) advise(vm string, leaving bool, now time.Time) bool {
+	known := v.advice[vm]
+	if !v.learnAdvice(Advice{VM: vm, Leaving: leaving, At: max(now.UnixMilli(), known.At+1)}) {
+		return false
+	}
+	v.tell(news{advice: vm, own: true})
+	return true
+}
+
 // readList takes a list that this daemon read itself. Its own reads replace
 // whatever peers told.
 func (v *view) readList(list []store.VM, now time.Time) bool {
@@ -149,11 +159,11 @@
 	for _, vm := range list {
 		listed[vm.ID] = true
 		delete(v.absent, vm.ID)
-		changed = v.listed(Entry{VM: vm, At: now.UnixMilli()}) || changed
+		changed = v.listed(Entry{VM: vm}) || changed
 	}
 	for id, e := range v.entries {
 		if !listed[id] && !e.Gone {
-			changed = v.listed(Entry{VM: e.VM, Gone: true, At: now.UnixMilli()}) || changed
+			changed = v.listed(Entry{VM: e.VM, Gone: true}) || changed
 		}
 	}
 	for id := range v.absent {
--- a/limpetd/peer/client.go
+++ b/limpetd/peer/client.go
@@ -72,6 +72,7 @@
 	maxMessageBytes = 4 << 20
 	maxHeaderBytes  = 8 << 10
 	maxStreams      = 64
+	maxConnections  = 1024
 )
 
 // The metadata of a call.
--- a/limpetd/peer/convert.go
+++ b/limpetd/peer/convert.go
@@ -23,7 +23,7 @@
 		p.Daemons = append(p.Daemons, encodeDaemon(d))
 	}
 	for _, e := range m.Entries {
-		p.Entries = append(p.Entries, &peerpb.Entry{Vm: encodeVM(e.VM), Gone: e.Gone, At: e.At})
+		p.Entries = append(p.Entries, &peerpb.Entry{Vm: encodeVM(e.VM), Gone: e.Gone})
 	}
 	for _, a := range m.Advice {
 		p.Advice = append(p.Advice, &peerpb.Advice{Vm: a.VM, Leaving: a.Leaving, At: a.At})
@@ -50,7 +50,7 @@
 		m.Daemons = append(m.Daemons, decodeDaemon(d))
 	}
 	for _, e := range p.GetEntries() {
-		m.Entries = append(m.Entries, member.Entry{VM: decodeVM(e.GetVm()), Gone: e.GetGone(), At: e.GetAt()})
+		m.Entries = append(m.Entries, member.Entry{VM: decodeVM(e.GetVm()), Gone: e.GetGone()})
 	}
 	for _, a := range p.GetAdvice() {
 		m.Advice = append(m.Advice, member.Advice{VM: a.GetVm(), Leaving: a.GetLeaving(), At: a.GetAt()})
--- a/limpetd/peer/peer_test.go
+++ b/limpetd/peer/peer_test.go
@@ -83,7 +83,7 @@
 		Digest: envdoc.Digest(nil), Level: 1, Refused: code.DocumentLevel, Leaving: true, Ready: true, Suspect: true,
 	}
 	return member.Message{
-		View: 1, Want: true, Daemons: []member.Daemon{daemon}, Entries: []member.Entry{{VM: vm, Gone: true, At: 3}},
+		View: 1, Want: true, Daemons: []member.Daemon{daemon}, Entries: []member.Entry{{VM: vm, Gone: true}},
 		Advice: []member.Advice{{VM: "v", Leaving: true, At: 4}}, Loads: []member.Load{{Report: report, Hash: 9, Whole: true}},
 		Demand: []member.ModelDemand{{Model: "m", Adapter: "a", PerSecond: 1, TokensPerSecond: 2, Queued: 3}},
 		Use:    []member.CallerUse{{Caller: "c", PerSecond: 2}},
--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -20,6 +20,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -113,7 +114,7 @@
 	peerpb.RegisterPeerServer(s.server, s)
 	var inner context.Context
 	s.tomb, inner = tomb.WithContext(ctx)
-	s.tomb.Go(func() error { return s.server.Serve(listener) })
+	s.tomb.Go(func() error { return s.server.Serve(netutil.LimitListener(listener, maxConnections)) })
 	s.tomb.Go(func() error {
 		<-inner.Done()
 		s.server.Stop()
