--- a/limpetd/batch/answer.go
+++ b/limpetd/batch/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -72,7 +73,7 @@
 func again(err error, try int, now, deadline time.Time) bool {
 	switch code.Of(err) {
 	case code.CallerLimit, code.QueueFull, code.ShedDeadline, code.NoEngine,
-		code.RetryBudget, code.BackendFailed, code.NoDocument:
+		code.RetryBudget, code.BackendFailed, code.NoDocument, code.Stopping:
 		return now.Before(deadline) || try < maxItemTries
 	case code.StreamBroken, code.AnswerCut, code.EngineError, code.BackendLost:
 		return try < maxItemTries
@@ -86,7 +87,7 @@
 	if try < 6 {
 		d = min(itemBackoff<<(try-1), maxItemBackoff)
 	}
-	return jitter(d)
+	return rand.N(d)
 }
 
 func requestID(j Job, i int) string {
--- a/limpetd/batch/batch.go
+++ b/limpetd/batch/batch.go
@@ -21,7 +21,7 @@
 	// DefaultHoldFor is how long a hold lasts without being renewed.
 	DefaultHoldFor = 30 * time.Second
 	// DefaultPollEvery is the mean time between two looks for jobs.
-	DefaultPollEvery = 5 * time.Second
+	DefaultPollEvery = 15 * time.Second
 	// DefaultSaveEvery is the time between two savings of the answers.
 	DefaultSaveEvery = time.Minute
 	// DefaultJobsAtOnce is the number of jobs that a daemon runs at once.
