relay: Leave an engine that hangs within seconds

Cause: a request to an engine that accepts it and sends nothing waited 60 s and then resumed on the same engine twice. Change: the wait for a first frame follows the expectation of the priority and the length of the prompt, is longer for deferred calls, and a stalled stream is resumed once only. The former test of two resumes stands beside a new one.

--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -96,8 +96,8 @@
 		return err
 	}
 	x.catalog = catalog
-	key, ok := strings.CutPrefix(x.request.Header.Get("Authorization"), "Bearer ")
-	if !ok {
+	scheme, key, _ := strings.Cut(x.request.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
 		return code.Errorf(code.BadKey, "the header Authorization: Bearer is missing")
 	}
 	caller, ok := catalog.CallerByKey(key)
--- a/limpetd/relay/attempt.go
+++ b/limpetd/relay/attempt.go
@@ -35,8 +35,9 @@
 	open := func(ctx context.Context) (engine.Frames, error) {
 		return engines.Generate(ctx, a.choice.Address, q)
 	}
+	patience := a.patience
 	for resumes := 0; ; resumes++ {
-		reason, how, err := a.stream(ctx, open)
+		reason, how, err := a.stream(ctx, open, patience)
 		if err == nil {
 			return reason, how, nil
 		}
@@ -44,6 +45,7 @@
 			return "", how, err
 		}
 		a.relay.counts.resumed.Inc(1)
+		patience = a.patience.resumed()
 		open = func(ctx context.Context) (engine.Frames, error) {
 			return engines.Resume(ctx, a.choice.Address, q.Attempt, a.progress.offset)
 		}
@@ -52,10 +54,10 @@
 
 // stream opens a connection and takes its frames. A stream that stalls is
 // broken; a context that ended otherwise means that the caller has gone.
-func (a *attempt) stream(caller context.Context, open opener) (string, failure, error) {
+func (a *attempt) stream(caller context.Context, open opener, p patience) (string, failure, error) {
 	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
-	stall := time.AfterFunc(a.relay.firstFrame, func() { cancel(errStalled) })
+	stall := time.AfterFunc(p.first, func() { cancel(errStalled) })
 	defer stall.Stop()
 	reason, how, err := a.frames(ctx, open, stall)
 	switch {
@@ -64,9 +66,10 @@
 	case caller.Err() != nil:
 		return "", failedCaller, caller.Err()
 	case errors.Is(context.Cause(ctx), errStalled):
+		a.relay.counts.stalled.Inc(1)
 		a.dispatched = true
 		a.sent = true
-		return "", failedStream, code.Errorf(code.StreamBroken, "engine %s: %w", a.choice.VM, errStalled)
+		return "", failedStall, code.Errorf(code.StreamBroken, "engine %s: %w", a.choice.VM, errStalled)
 	}
 	return "", how, err
 }
@@ -163,7 +166,7 @@
 		a.taken.WriteString(f.Text)
 	}
 	a.progress.offset += f.Tokens
-	stall.Reset(a.relay.betweenFrames)
+	stall.Reset(a.patience.between)
 	return nil
 }
 
--- a/limpetd/relay/generate.go
+++ b/limpetd/relay/generate.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -24,6 +25,7 @@
 	// taken is the text of all tokens taken, for continuing elsewhere.
 	taken    strings.Builder
 	progress progress
+	patience patience
 	attempts int
 	// sent tells that a byte may have reached an engine, answered that an
 	// engine has sent a frame.
@@ -35,7 +37,13 @@
 
 // generate fills out with the answer and returns how it ended.
 func (r *Relay) generate(ctx context.Context, c Call, out *pending) (string, error) {
-	g := &generation{relay: r, call: c, out: out, progress: progress{limit: c.MaxTokens}}
+	g := &generation{
+		relay:    r,
+		call:     c,
+		out:      out,
+		progress: progress{limit: c.MaxTokens},
+		patience: patienceOf(c, time.Now()),
+	}
 	for {
 		ticket, err := r.deps.Admitter.Admit(ctx, g.admission())
 		if err != nil {
--- a/limpetd/relay/progress.go
+++ b/limpetd/relay/progress.go
@@ -73,9 +73,12 @@
 const (
 	// failedBeforeSend: no byte can have reached the engine.
 	failedBeforeSend failure = iota
-	// failedStream: the connection broke, stalled or lost frames; the engine
-	// may still have the attempt.
+	// failedStream: the connection broke or lost frames; the engine may still
+	// have the attempt.
 	failedStream
+	// failedStall: the connection brings no frames. It may be dead while the
+	// engine goes on, so the stream is resumed once.
+	failedStall
 	// failedEngine: the engine itself ended the attempt.
 	failedEngine
 	// failedCaller: the caller has gone or its time is over.
@@ -106,6 +109,8 @@
 		return stepGiveUp
 	case f.failure == failedStream && f.resumes < maxResumes:
 		return stepResume
+	case f.failure == failedStall && f.resumes == 0:
+		return stepResume
 	case f.attempts < maxAttempts:
 		return stepContinue
 	}
--- a/limpetd/relay/relay.go
+++ b/limpetd/relay/relay.go
@@ -32,10 +32,6 @@
 const (
 	// DefaultPendingBytes is the text that waits for a slow caller at most.
 	DefaultPendingBytes = 64 << 10
-	// DefaultFirstFrame is the longest wait for the first frame of an attempt.
-	DefaultFirstFrame = 60 * time.Second
-	// DefaultBetweenFrames is the longest wait for a further frame.
-	DefaultBetweenFrames = 15 * time.Second
 	// DefaultServiceTime bounds one attempt of a call to a plain service.
 	DefaultServiceTime = 30 * time.Second
 	// cancelTimeout bounds the cancelling of an attempt.
@@ -90,14 +86,6 @@
 	return func(r *Relay) { r.pendingBytes = n }
 }
 
-// WithFrameTimes sets the longest waits for the first and for a further frame.
-func WithFrameTimes(first, between time.Duration) Option {
-	return func(r *Relay) {
-		r.firstFrame = first
-		r.betweenFrames = between
-	}
-}
-
 // WithServiceTime bounds one attempt of a call to a plain service.
 func WithServiceTime(d time.Duration) Option {
 	return func(r *Relay) { r.serviceTime = d }
@@ -110,13 +98,11 @@
 
 // Relay carries answers. It is safe for concurrent use.
 type Relay struct {
-	deps          Deps
-	pendingBytes  int
-	firstFrame    time.Duration
-	betweenFrames time.Duration
-	serviceTime   time.Duration
-	counts        counts
-	services      *serviceClient
+	deps         Deps
+	pendingBytes int
+	serviceTime  time.Duration
+	counts       counts
+	services     *serviceClient
 }
 
 // New returns a relay.
@@ -131,13 +117,11 @@
 		d.Events = event.New("", event.WithCapacity(1))
 	}
 	r := &Relay{
-		deps:          d,
-		pendingBytes:  DefaultPendingBytes,
-		firstFrame:    DefaultFirstFrame,
-		betweenFrames: DefaultBetweenFrames,
-		serviceTime:   DefaultServiceTime,
-		counts:        newCounts(d.Scope),
-		services:      newServiceClient(dialTCP),
+		deps:         d,
+		pendingBytes: DefaultPendingBytes,
+		serviceTime:  DefaultServiceTime,
+		counts:       newCounts(d.Scope),
+		services:     newServiceClient(dialTCP),
 	}
 	for _, o := range opts {
 		o(r)
@@ -150,6 +134,7 @@
 	crossed   tally.Counter
 	doubled   tally.Counter
 	gaps      tally.Counter
+	stalled   tally.Counter
 	resumed   tally.Counter
 	continued tally.Counter
 	broken    tally.Counter
@@ -162,6 +147,7 @@
 		crossed:   s.Counter("frames_crossed"),
 		doubled:   s.Counter("frames_doubled"),
 		gaps:      s.Counter("frame_gaps"),
+		stalled:   s.Counter("streams_stalled"),
 		resumed:   s.Counter("streams_resumed"),
 		continued: s.Counter("streams_continued"),
 		broken:    s.Counter("streams_broken"),
--- a/limpetd/relay/relay_test.go
+++ b/limpetd/relay/relay_test.go
@@ -179,6 +179,41 @@
 	})
 }
 
+// TestHungEngineIsLeftWithinSeconds lets the first engine accept the request and
+// send nothing, also when it is asked to resume.
+func TestHungEngineIsLeftWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakes.Engines{Tokens: tokens, Block: true, Script: func(_ int, address string, f []engine.Frame) []engine.Frame {
+			if address == "e1" {
+				return f[:0]
+			}
+			return f
+		}}
+		r := New(Deps{Generator: engines, Admitter: &fakes.Admitter{VMs: []string{"e1", "e2"}}})
+		c := call()
+		began := time.Now()
+		c.Admission.Route.Expected = began.Add(time.Second)
+		var whole Whole
+		require.NoError(t, r.Answer(t.Context(), c, &whole))
+		require.Equal(t, fakes.Text(0, tokens), whole.Text())
+		require.Equal(t, leastPatience+resumedPatience, time.Since(began))
+		require.Equal(t, []string{"r-0"}, engines.Cancelled())
+	})
+}
+
+func TestPatience(t *testing.T) {
+	now := time.Now()
+	c := call()
+	c.Admission.Route.Expected = now.Add(2 * time.Second)
+	c.Admission.Route.PromptTokens = 3000
+	require.Equal(t, patience{first: 11 * time.Second, between: betweenFrames}, patienceOf(c, now))
+	c.Admission.Route.Expected = now.Add(time.Hour)
+	require.Equal(t, mostPatience+3*time.Second, patienceOf(c, now).first)
+	c.Admission.Deadline = now.Add(time.Hour)
+	require.Equal(t, 8*(mostPatience+3*time.Second), patienceOf(c, now).first)
+	require.Equal(t, resumedPatience, patienceOf(c, now).resumed().first)
+}
+
 func TestCallerGoneCancelsAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engines := &fakes.Engines{Tokens: tokens, Script: script(cut(3)), Block: true}
