fleet,conf: Prove operators' calls and TLS over whole daemons

Cause: node had no tests, and keys could come from files only. Change: settings take PEM text too, and never show it in an error; tests over real sockets ask one daemon for the state and the time line of all, drain a daemon through another, and keep a daemon with certificates of another authority out of the members.

--- a/limpetd/conf/conf.go
+++ b/limpetd/conf/conf.go
@@ -41,11 +41,11 @@
 
 	Peers []string `name:"peer" env:"LIMPETD_PEERS" help:"Addresses (ip:port) of peers to ask while the VM list cannot be read; repeat or separate by commas."`
 
-	CallerCertificate string `name:"caller-certificate" env:"LIMPETD_CALLER_CERTIFICATE" help:"File with the PEM certificate chain of the callers' and operators' interfaces."`
-	CallerKey         string `name:"caller-key" env:"LIMPETD_CALLER_KEY" help:"File with the PEM key of the callers' and operators' interfaces."`
-	PeerCertificate   string `name:"peer-certificate" env:"LIMPETD_PEER_CERTIFICATE" help:"File with the PEM certificate chain used between daemons and to the platform."`
-	PeerKey           string `name:"peer-key" env:"LIMPETD_PEER_KEY" help:"File with the PEM key used between daemons and to the platform."`
-	PeerAuthority     string `name:"peer-authority" env:"LIMPETD_PEER_AUTHORITY" help:"File with the PEM certificates that peers and the platform must be signed by."`
+	CallerCertificate string `name:"caller-certificate" env:"LIMPETD_CALLER_CERTIFICATE" help:"File with, or text of, the PEM certificate chain of the callers' and operators' interfaces."`
+	CallerKey         string `name:"caller-key" env:"LIMPETD_CALLER_KEY" help:"File with, or text of, the PEM key of the callers' and operators' interfaces."`
+	PeerCertificate   string `name:"peer-certificate" env:"LIMPETD_PEER_CERTIFICATE" help:"File with, or text of, the PEM certificate chain used between daemons and to the platform."`
+	PeerKey           string `name:"peer-key" env:"LIMPETD_PEER_KEY" help:"File with, or text of, the PEM key used between daemons and to the platform."`
+	PeerAuthority     string `name:"peer-authority" env:"LIMPETD_PEER_AUTHORITY" help:"File with, or text of, the PEM certificates that peers and the platform must be signed by."`
 	CallerPlain       bool   `name:"caller-plain" env:"LIMPETD_CALLER_PLAIN" help:"Serve callers and operators without TLS."`
 	PeerPlain         bool   `name:"peer-plain" env:"LIMPETD_PEER_PLAIN" help:"Speak to daemons without TLS."`
 
@@ -68,6 +68,8 @@
 	MaxPlanPeriod = time.Minute
 	MinBodyBytes  = 1 << 10
 	MaxBodyBytes  = 64 << 20
+	// maxShownPath is the length of the longest path that an error shows.
+	maxShownPath = 200
 )
 
 // Operator is a person or script that may call the operators' interface.
@@ -153,16 +155,27 @@
 
 func (c *Config) checkFiles(k *checker) {
 	if !c.CallerPlain {
-		k.require(isFile(c.CallerCertificate), "caller-certificate", c.CallerCertificate, "a readable file, or set --caller-plain")
-		k.require(isFile(c.CallerKey), "caller-key", c.CallerKey, "a readable file, or set --caller-plain")
+		k.requirePEM(c.CallerCertificate, "caller-certificate", "caller-plain")
+		k.requirePEM(c.CallerKey, "caller-key", "caller-plain")
 	}
 	if !c.PeerPlain {
-		k.require(isFile(c.PeerCertificate), "peer-certificate", c.PeerCertificate, "a readable file, or set --peer-plain")
-		k.require(isFile(c.PeerKey), "peer-key", c.PeerKey, "a readable file, or set --peer-plain")
-		k.require(isFile(c.PeerAuthority), "peer-authority", c.PeerAuthority, "a readable file, or set --peer-plain")
+		k.requirePEM(c.PeerCertificate, "peer-certificate", "peer-plain")
+		k.requirePEM(c.PeerKey, "peer-key", "peer-plain")
+		k.requirePEM(c.PeerAuthority, "peer-authority", "peer-plain")
 	}
 }
 
+// requirePEM notes a fault unless value is PEM text or names a readable file. A
+// value that is neither may be a key gone wrong, so it is not shown when it is
+// longer than a path.
+func (k *checker) requirePEM(value, flag, plain string) {
+	ok := strings.HasPrefix(strings.TrimSpace(value), "-----BEGIN ") || isFile(value)
+	if len(value) > maxShownPath || strings.Contains(value, "\n") {
+		value = "(not shown)"
+	}
+	k.require(ok, flag, value, "a readable file or PEM text, or set --"+plain)
+}
+
 func (c *Config) checkTimes(k *checker) {
 	k.require(c.LeaseTerm >= MinLeaseTerm && c.LeaseTerm <= MaxLeaseTerm, "lease-term", c.LeaseTerm,
 		fmt.Sprintf("%v to %v", MinLeaseTerm, MaxLeaseTerm))
--- /dev/null
+++ b/limpetlab/fleet/operate_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/admin"
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conf"
+	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/keys/certs"
+	"github.com/limpetlb/limpetlb/limpetd/node"
+)
+
+// await asks for the status until it is as wanted.
+func await(t *testing.T, c *admin.Client, wanted func(admin.Status) bool) admin.Status {
+	for {
+		s, err := c.Status(t.Context())
+		if err == nil && wanted(s) {
+			return s
+		}
+		require.NoError(t, t.Context().Err())
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// inForce tells whether n daemons are ready with revision 1.
+func inForce(n int) func(admin.Status) bool {
+	return func(s admin.Status) bool {
+		ready := 0
+		for _, d := range s.Daemons {
+			if d.Ready && d.Revision == 1 {
+				ready++
+			}
+		}
+		return ready == n && len(s.Daemons) == n
+	}
+}
+
+// TestOperatorSeesAndDrainsTheWholeFleet asks one daemon about all, and drains
+// another one through it.
+func TestOperatorSeesAndDrainsTheWholeFleet(t *testing.T) {
+	f, _ := start(t, nil)
+	first, second := f.Live()[0], f.Live()[1]
+	c := admin.NewClient("http://"+first.Daemon.OperatorAddr(), operatorToken)
+	await(t, c, inForce(2))
+
+	events, err := c.Events(t.Context(), event.Filter{}, false)
+	require.NoError(t, err)
+	require.Empty(t, events.Missing)
+	ready := map[string]int{}
+	for i, e := range events.Events {
+		if e.Kind == event.DaemonReady {
+			ready[e.Process]++
+		}
+		if i > 0 {
+			require.False(t, e.At.Before(events.Events[i-1].At), "the time line is in order")
+		}
+	}
+	require.Equal(t, map[string]int{first.VM: 1, second.VM: 1}, ready)
+
+	_, err = admin.NewClient("http://"+first.Daemon.OperatorAddr(), "wrong").Status(t.Context())
+	require.Equal(t, code.BadOperator, code.Of(err))
+
+	require.Equal(t, code.BadParameter, code.Of(c.Drain(t.Context(), "entry-9")))
+	require.NoError(t, c.Drain(t.Context(), second.VM))
+	<-second.Daemon.(*node.Node).Left()
+	require.NoError(t, second.Daemon.Leave(t.Context()))
+	_, err = admin.NewClient("http://"+second.Daemon.OperatorAddr(), operatorToken).Status(t.Context())
+	require.Equal(t, code.PeerDown, code.Of(err))
+	s := await(t, c, func(s admin.Status) bool { return s.LeaseHolder == first.VM })
+	require.Equal(t, first.VM, s.Daemon)
+}
+
+// withTLS returns settings with certificates of an authority on all interfaces.
+func withTLS(t *testing.T, a *certs.Authority, c conf.Config) conf.Config {
+	certificate, key, err := a.Issue("limpetd", "127.0.0.1")
+	require.NoError(t, err)
+	c.CallerPlain, c.PeerPlain = false, false
+	c.CallerCertificate, c.CallerKey = string(certificate), string(key)
+	c.PeerCertificate, c.PeerKey, c.PeerAuthority = string(certificate), string(key), string(a.PEM)
+	return c
+}
+
+// TestDaemonsTrustOnlyTheirAuthority runs two daemons with certificates of one
+// authority and a third one with those of another.
+func TestDaemonsTrustOnlyTheirAuthority(t *testing.T) {
+	ours, err := certs.NewAuthority()
+	require.NoError(t, err)
+	other, err := certs.NewAuthority()
+	require.NoError(t, err)
+	f, _ := start(t, nil)
+	f.Stop()
+	authority := ours
+	f.startFunc = func(ctx context.Context, c conf.Config) (Daemon, error) {
+		return node.New(ctx, withTLS(t, authority, c))
+	}
+	dc := f.deployment.DataCentres[0]
+	first, err := f.Start(t.Context(), dc)
+	require.NoError(t, err)
+	second, err := f.Start(t.Context(), dc)
+	require.NoError(t, err)
+	authority = other
+	stranger, err := f.Start(t.Context(), dc)
+	require.NoError(t, err)
+
+	roots := x509.NewCertPool()
+	require.True(t, roots.AppendCertsFromPEM(ours.PEM))
+	trusting := &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+	c := admin.NewClient("https://"+first.Daemon.OperatorAddr(), operatorToken, admin.WithTLS(trusting))
+	s := await(t, c, func(s admin.Status) bool {
+		known := map[string]bool{}
+		for _, d := range s.Daemons {
+			known[d.VM] = d.Ready
+		}
+		return known[first.VM] && known[second.VM]
+	})
+	for _, d := range s.Daemons {
+		require.NotEqual(t, stranger.VM, d.VM, "a daemon of another authority is no member")
+	}
+	caller := http.Client{Transport: &http.Transport{TLSClientConfig: trusting}}
+	answer, err := caller.Get("https://" + first.Daemon.CallerAddr() + "/readyz")
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	_, err = caller.Get("https://" + stranger.Daemon.CallerAddr() + "/readyz")
+	require.Error(t, err)
+}
