--- a/limpetd/member/member_test.go
+++ b/limpetd/member/member_test.go
@@ -212,6 +212,50 @@
 	})
 }
 
+// TestAdviceDespiteClocks takes back a drain that a daemon with a fast clock
+// told, and keeps the later state of the VM list.
+func TestAdviceDespiteClocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 3, 1)
+		engine := store.VM{ID: "engine-1", Kind: store.KindEngine, State: store.StateLive}
+		f.set(append(slices.Clone(f.vms), engine)...)
+		time.Sleep(5 * time.Second)
+		ahead := Advice{VM: "engine-1", Leaving: true, At: time.Now().Add(time.Hour).UnixMilli()}
+		duties[0].Receive(Sender{VM: "vm-001"}, Message{Advice: []Advice{ahead}})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, store.StateLeaving, state(duties[2].VMs(), "engine-1"))
+		duties[1].Drain("engine-1", false)
+		time.Sleep(5 * time.Second)
+		for _, u := range duties {
+			require.Equal(t, store.StateLive, state(u.VMs(), "engine-1"))
+		}
+		leaving := engine
+		leaving.State = store.StateLeaving
+		duties[0].Receive(Sender{VM: "vm-001"}, Message{Entries: []Entry{{VM: leaving}, {VM: engine}}})
+		require.Equal(t, store.StateLeaving, state(duties[0].VMs(), "engine-1"))
+	})
+}
+
+// TestPausedDaemonSuspectsNobody wakes a daemon that heard nothing while it was
+// paused itself.
+func TestPausedDaemonSuspectsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 3, 1)
+		time.Sleep(5 * time.Second)
+		f.block(func(_, to string) bool { return to == "vm-000" })
+		time.Sleep(SilentAfter - 2*DefaultPeriod)
+		for _, d := range []string{"vm-001", "vm-002"} {
+			duties[0].mu.Lock()
+			duties[0].view.heard[d] = time.Now().Add(-time.Minute)
+			duties[0].mu.Unlock()
+		}
+		duties[0].tellPeriod(true)
+		require.Equal(t, 3, duties[0].Daemons())
+	})
+}
+
 // TestGone requires this daemon's own reads of the list, and silence, for the
 // lifetime.
 func TestGone(t *testing.T) {
