order: Send under a grant only, order roles, and read less

A holder whose first write to a row failed sent what the row charged although no grant named it, so that nobody would have asked it before a release; it now waits for the grant (TestNoOrderWithoutGrant, with its mutant). An engine in another role is ordered back. A daemon without the lease reads only the rows of engines that it may restore, by key: all 86 rows of 6.2 KB each 10 s would have cost 54 KB a second, the rows it may restore among 51 daemons cost about 4 KB. Plans are made at most four times a plan period.

--- a/limpetd/order/aside_test.go
+++ b/limpetd/order/aside_test.go
@@ -91,7 +91,9 @@
 				require.Empty(t, w.missing())
 				require.Zero(t, w.engines[0].arrivals())
 				require.Equal(t, c.code, d.duty.Status().Engines[0].SetAside)
-				require.Equal(t, c.value, w.table.rows[key].Value)
+				rows, err := w.table.Get(t.Context(), key)
+				require.NoError(t, err)
+				require.Equal(t, c.value, rows[0].Value)
 			})
 		})
 	}
--- a/limpetd/order/books.go
+++ b/limpetd/order/books.go
@@ -75,6 +75,29 @@
 	return nil
 }
 
+// copyRows reads the rows of some engines, for a daemon without the lease. The
+// copy may not be written on. On an error the old copy stays.
+func (b *books) copyRows(ctx context.Context, engines []string, now time.Time) error {
+	copies := map[string]*book{}
+	for part := range slices.Chunk(engines, scanLimit) {
+		keys := make([]string, len(part))
+		for i, vm := range part {
+			keys[i] = b.prefix + vm
+		}
+		rows, err := b.table.Get(ctx, keys...)
+		if err != nil {
+			return err
+		}
+		for _, r := range rows {
+			vm := ledger.EngineOf(b.prefix, r.Key)
+			row, err := ledger.Decode(vm, r.Value)
+			copies[vm] = &book{row: row, version: r.Version, fault: err}
+		}
+	}
+	b.copies, b.read, b.fresh = copies, now, false
+	return nil
+}
+
 // engines returns the engines that have a row, sorted.
 func (b *books) engines() []string {
 	vms := make([]string, 0, len(b.copies))
--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -12,6 +12,13 @@
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
+const (
+	// rolePause is the time between role orders to an engine: its reports lag.
+	rolePause = 5 * time.Second
+	// roleGrant is the grant of role orders, which no row names.
+	roleGrant = "role"
+)
+
 // pending is a charge that waits for an order.
 type pending struct {
 	known  *knowledge
@@ -23,9 +30,13 @@
 // dispatch sends the orders that charges wait for: loads under any grant that
 // names this daemon, unloads only while it holds the lease.
 func (l *loop) dispatch(ctx context.Context, hold lease.Hold, mine bool, now time.Time) {
+	if mine {
+		l.roles(ctx, hold, now)
+	}
 	for _, p := range l.pending(now) {
 		a := l.attempt(slotKey{p.known.vm.ID, p.charge.Slot})
-		if a.running || now.Before(a.next) {
+		named := p.row.Current().Allows(l.duty.config.VM)
+		if !named || a.running || now.Before(a.next) {
 			continue
 		}
 		if mine && l.fence(ctx, p, hold, now) {
@@ -37,12 +48,30 @@
 			}
 			continue
 		}
-		if mine || l.restores(p, now) {
+		if mine || l.restores(now) {
 			l.load(ctx, p, hold, mine, a, now)
 		}
 	}
 }
 
+// roles orders engines that report another role to serve all parts of a request,
+// as the document declares no other. Such an order takes no memory, so it needs
+// no charge, and a late one has the same effect.
+func (l *loop) roles(ctx context.Context, hold lease.Hold, now time.Time) {
+	for _, v := range l.vms {
+		k := l.known[v.ID]
+		if k == nil || !k.usable(now) || k.report.Role == "" || k.report.Role == engine.RoleMixed {
+			continue
+		}
+		a := l.attempt(slotKey{v.ID, envdoc.Slot{}})
+		if a.running || now.Before(a.next) {
+			continue
+		}
+		a.next = now.Add(rolePause)
+		l.send(ctx, k, roleGrant, engine.Order{ID: newID(), Kind: engine.OrderRole, Role: engine.RoleMixed, Fence: hold.Fence})
+	}
+}
+
 // pending lists the charges of usable engines that wait for an order, in the
 // order in which they were made.
 func (l *loop) pending(now time.Time) []pending {
@@ -88,10 +117,7 @@
 // restores tells whether a daemon without a trusted lease loads a charge: it
 // held the lease last, or the table has been away for so long that no holder
 // may be able to.
-func (l *loop) restores(p pending, now time.Time) bool {
-	if !p.row.Current().Allows(l.duty.config.VM) {
-		return false
-	}
+func (l *loop) restores(now time.Time) bool {
 	away := now.Sub(l.duty.keeper.Seen()) >= 2*l.duty.config.LeaseTerm
 	return away || l.duty.keeper.Row().VM == l.duty.config.VM
 }
--- a/limpetd/order/draft.go
+++ b/limpetd/order/draft.go
@@ -65,7 +65,7 @@
 		return g
 	}
 	duty := d.loop.duty
-	g := ledger.Grant{ID: newID(), Senders: append([]string{duty.config.VM}, d.restorers(vm)...)}
+	g := ledger.Grant{ID: newID(), Senders: append([]string{duty.config.VM}, d.loop.restorersBeside(vm)...)}
 	duty.mu.Lock()
 	duty.gate.Own(g.ID)
 	duty.mu.Unlock()
@@ -73,16 +73,23 @@
 	return g
 }
 
-// restorers chooses live daemons of the data centre by rendezvous hashing.
-func (d *draft) restorers(vm string) []string {
+// restorersBeside chooses the daemons that may restore an engine besides this one.
+func (l *loop) restorersBeside(vm string) []string {
+	own := func(o string) bool { return o == l.duty.config.VM }
+	chosen := slices.DeleteFunc(l.restorers(vm, restorers+1), own)
+	return chosen[:min(restorers, len(chosen))]
+}
+
+// restorers chooses n live daemons of the data centre by rendezvous hashing.
+func (l *loop) restorers(vm string, n int) []string {
 	var candidates []string
-	for _, v := range d.loop.vms {
-		if v.Kind == store.KindEntry && v.DataCentre == d.loop.duty.config.DataCentre && v.State == store.StateLive && v.ID != d.loop.duty.config.VM {
+	for _, v := range l.vms {
+		if v.Kind == store.KindEntry && v.DataCentre == l.duty.config.DataCentre && v.State == store.StateLive {
 			candidates = append(candidates, v.ID)
 		}
 	}
 	var chosen []string
-	for len(chosen) < restorers && len(candidates) > 0 {
+	for len(chosen) < n && len(candidates) > 0 {
 		c := rendezvous.New(candidates, xxhash.Sum64String).Lookup(vm)
 		chosen = append(chosen, c)
 		candidates = slices.DeleteFunc(candidates, func(o string) bool { return o == c })
--- a/limpetd/order/engines.go
+++ b/limpetd/order/engines.go
@@ -37,6 +37,8 @@
 	report   engine.Report
 	received time.Time
 	reported bool
+	// listed are the slots of the report.
+	listed map[envdoc.Slot]bool
 	// instance is the engine process known last, replaced the one before.
 	instance string
 	replaced string
@@ -158,10 +160,14 @@
 		k.fault = nil
 	}
 	k.report, k.received, k.reported = r, received, true
+	k.listed = make(map[envdoc.Slot]bool, len(r.Slots))
+	for _, s := range r.Slots {
+		k.listed[s] = true
+	}
 	k.process(r.Instance, now)
 	k.learn(r)
 	for slot, instance := range k.done {
-		if instance != r.Instance || slices.Contains(r.Slots, slot) {
+		if instance != r.Instance || k.listed[slot] {
 			delete(k.absent, slot)
 			continue
 		}
@@ -216,7 +222,7 @@
 	if k.done[slot] == k.instance {
 		return true
 	}
-	return k.report.Instance == k.instance && slices.Contains(k.report.Slots, slot)
+	return k.report.Instance == k.instance && k.listed[slot]
 }
 
 // confirmed notes the answer to an order that was carried out for a charge with
--- a/limpetd/order/fakeengine_test.go
+++ b/limpetd/order/fakeengine_test.go
@@ -51,6 +51,7 @@
 	unloads  int
 	mangle   func(r *engine.Report)
 	world    *world
+	role     engine.Role
 }
 
 func (e *fakeEngine) instance() string { return fmt.Sprintf("%s#%d", e.vm.ID, e.lives) }
@@ -92,6 +93,8 @@
 	}
 	a.Fence = e.fence
 	switch o.Kind {
+	case engine.OrderRole:
+		e.role = o.Role
 	case engine.OrderLoad:
 		if _, ok := e.slots[o.Slot]; !ok {
 			e.loads++
@@ -167,7 +170,7 @@
 	e.sequence++
 	r := engine.Report{
 		VM: e.vm.ID, Instance: e.instance(), Sequence: e.sequence, At: time.Now(),
-		MemoryMB: e.vm.MemoryMB, UsedMB: min(e.used(), e.vm.MemoryMB), BatchLimit: 8, Role: engine.RoleMixed,
+		MemoryMB: e.vm.MemoryMB, UsedMB: min(e.used(), e.vm.MemoryMB), BatchLimit: 8, Role: e.role,
 	}
 	for s := range e.slots {
 		r.Slots = append(r.Slots, s)
--- a/limpetd/order/faketable_test.go
+++ b/limpetd/order/faketable_test.go
@@ -31,6 +31,8 @@
 	rows   map[string]store.Row
 	fault  func(write bool) tableFault
 	writes int
+	// ledgerDown fails the writes of ledger rows alone.
+	ledgerDown bool
 }
 
 func newFakeTable() *fakeTable {
@@ -43,6 +45,12 @@
 	f.fault = fault
 }
 
+func (f *fakeTable) setLedgerDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ledgerDown = down
+}
+
 // transactions counts those that wrote to the ledger.
 func (f *fakeTable) transactions() int {
 	f.mu.Lock()
@@ -116,6 +124,11 @@
 		if strings.Contains(w.Key, "/ledger/") {
 			ledger++
 		}
+	}
+	if ledger > 0 && f.ledgerDown {
+		return code.Errorf(code.StoreDown, "table is down")
+	}
+	for _, w := range tx.Writes {
 		if w.Delete {
 			delete(f.rows, w.Key)
 			continue
--- a/limpetd/order/loop.go
+++ b/limpetd/order/loop.go
@@ -18,6 +18,10 @@
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
+// plansPerPeriod is how often a plan may be made in a plan period, when orders
+// end.
+const plansPerPeriod = 4
+
 // loop is the state of the duty's goroutine.
 type loop struct {
 	duty    *Duty
@@ -40,6 +44,8 @@
 	shares     *shares
 	limiter    *rate.Limiter
 	document   *envdoc.Document
+	planned    time.Time
+	plannedFor *envdoc.Document
 	releasable time.Time
 	retry      time.Time
 }
@@ -191,20 +197,21 @@
 
 // read reads the ledger when the copy is stale.
 func (l *loop) read(ctx context.Context, mine bool, now time.Time) {
-	stale := !l.books.fresh || now.Sub(l.books.read) > CopyPeriod
-	if mine {
-		stale = !l.books.fresh
+	stale := !l.books.fresh
+	if !mine {
+		stale = now.Sub(l.books.read) > CopyPeriod
 	}
 	if !stale || now.Before(l.retry) {
 		return
 	}
-	if err := l.books.refresh(ctx, now); err != nil {
+	refresh := l.books.refresh
+	if !mine {
+		refresh = l.copyRows
+	}
+	if err := refresh(ctx, now); err != nil {
 		l.backOff(now, "ledger_unread", err)
 		return
 	}
-	if !mine {
-		l.books.fresh = false
-	}
 	for _, vm := range l.books.engines() {
 		if err := l.books.copies[vm].fault; err != nil {
 			if k := l.known[vm]; k != nil {
@@ -214,6 +221,29 @@
 	}
 }
 
+// copyRows reads the rows of the engines that this daemon may have to restore: a
+// daemon without the lease keeps no others.
+func (l *loop) copyRows(ctx context.Context, now time.Time) error {
+	var engines []string
+	for _, v := range l.vms {
+		if v.Kind != store.KindEngine || v.DataCentre != l.duty.config.DataCentre {
+			continue
+		}
+		// The holder leaves itself out, and may know other daemons.
+		chosen := l.restorers(v.ID, 2*restorers)
+		if slices.Contains(chosen, l.duty.config.VM) || l.held(v.ID) {
+			engines = append(engines, v.ID)
+		}
+	}
+	return l.books.copyRows(ctx, engines, now)
+}
+
+// held tells whether the copy of an engine's row names this daemon.
+func (l *loop) held(vm string) bool {
+	b, ok := l.books.copies[vm]
+	return ok && b.row.Current().Allows(l.duty.config.VM)
+}
+
 // backOff puts the next call to the table off.
 func (l *loop) backOff(now time.Time, what string, err error) {
 	l.retry = now.Add(time.Second)
@@ -235,7 +265,7 @@
 	d.release()
 	d.grant()
 	d.forget()
-	if l.document != nil && l.informed(now) {
+	if l.document != nil && l.informed(now) && l.due(now) {
 		l.plan(d, now)
 	}
 	if err := l.commit(ctx, hold, d.changes(), now); err != nil {
@@ -261,9 +291,15 @@
 	return err
 }
 
-// plan makes a plan, at each plan period and when the document changed, and
-// takes its moves into the draft.
+// due tells whether it is time to plan: the document changed, or the last plan is
+// a part of the period old.
+func (l *loop) due(now time.Time) bool {
+	return l.document != l.plannedFor || now.Sub(l.planned) >= l.duty.config.PlanPeriod/plansPerPeriod
+}
+
+// plan makes a plan and takes its moves into the draft.
 func (l *loop) plan(d *draft, now time.Time) {
+	l.planned, l.plannedFor = now, l.document
 	facts := l.facts(d, now)
 	plan := l.planner.Plan(facts)
 	l.duty.mu.Lock()
--- a/limpetd/order/rules_test.go
+++ b/limpetd/order/rules_test.go
@@ -89,6 +89,47 @@
 	require.Empty(t, w.missing())
 }
 
+// TestNoOrderWithoutGrant lets a daemon take the lease and not a row: it may not
+// send what the row charges, since nobody would ask it about that.
+func TestNoOrderWithoutGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 2400, store.FencingIgnores)
+		defer w.stop()
+		first := w.start("vm-1")
+		w.run(5 * time.Second)
+		first.pauseOrders()
+		w.declare(renamed("old"))
+		w.run(5 * time.Second)
+		w.table.setLedgerDown(true)
+		w.kill(first, true)
+		w.engines[0].restart()
+		before := w.total()
+		second := w.start("vm-2")
+		w.run(30 * time.Second)
+		require.True(t, second.duty.Status().Mine)
+		require.Equal(t, before, w.total())
+		w.table.setLedgerDown(false)
+		w.run(10 * time.Second)
+		require.Empty(t, w.missing())
+	})
+}
+
+// TestRoleChange requires that an engine in another role is ordered back.
+func TestRoleChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 2400, store.FencingRefuses)
+		defer w.stop()
+		w.start("vm-1")
+		w.engines[0].mu.Lock()
+		w.engines[0].role = engine.RoleDecode
+		w.engines[0].mu.Unlock()
+		w.run(20 * time.Second)
+		w.engines[0].mu.Lock()
+		defer w.engines[0].mu.Unlock()
+		require.Equal(t, engine.RoleMixed, w.engines[0].role)
+	})
+}
+
 // TestLostUnloadKeepsCharge loses unloads: the memory stays charged until one is
 // confirmed.
 func TestLostUnloadKeepsCharge(t *testing.T) {
--- a/limpetd/order/send.go
+++ b/limpetd/order/send.go
@@ -156,7 +156,7 @@
 	case r.err != nil:
 		a.failed(now)
 	case r.answer.Status == engine.OrderDone:
-		*a = attempt{serial: a.serial}
+		*a = attempt{serial: a.serial, next: a.next}
 		if k != nil {
 			k.confirmed(r.charge, r.order, r.answer, now)
 		}
