--- a/limpetd/docs/apply_test.go
+++ b/limpetd/docs/apply_test.go
@@ -189,6 +189,7 @@
 		require.NoError(t, err)
 		require.Equal(t, code.DocumentNotTried, code.Of(<-errs))
 		require.Len(t, platform.heads, 2)
+		require.Empty(t, platform.promoted)
 	})
 }
 
--- a/limpetd/docs/fake_test.go
+++ b/limpetd/docs/fake_test.go
@@ -26,7 +26,10 @@
 	// of coming writes that fail before their effect, likewise unanswered.
 	lose, refuse int
 	delay        time.Duration
-	heads        []Head
+	// heads are those that trial had, promoted those of production with the
+	// one that trial had at the time.
+	heads    []Head
+	promoted [][2]Head
 }
 
 var (
@@ -101,7 +104,7 @@
 			if err != nil {
 				return err
 			}
-			t.heads = append(t.heads, h)
+			t.keep(w.Key, h)
 		}
 	}
 	if t.lose > 0 {
@@ -111,6 +114,15 @@
 	return nil
 }
 
+// keep notes a head for the checker.
+func (t *table) keep(key string, h Head) {
+	if key == headKey(Scope("andesoft", Trial)) {
+		t.heads = append(t.heads, h)
+		return
+	}
+	t.promoted = append(t.promoted, [2]Head{h, t.heads[len(t.heads)-1]})
+}
+
 func (t *table) set(change func(*table)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/limpetd/docs/force_test.go
+++ b/limpetd/docs/force_test.go
@@ -129,8 +129,10 @@
 	ctx      context.Context
 	platform *table
 	daemons  []*served
-	names    int
-	answers  []Accepted
+	// production is a daemon of the other stage.
+	production *Duty
+	names      int
+	answers    []Accepted
 }
 
 // begin starts a daemon.
@@ -184,6 +186,9 @@
 	for i, head := range h.platform.heads {
 		require.Equal(h.t, int64(i+1), head.Revision)
 	}
+	for _, p := range h.platform.promoted {
+		require.Equal(h.t, p[1].Digest, p[0].Digest, "production has what trial had not in force")
+	}
 	for _, a := range h.answers {
 		require.Equal(h.t, h.platform.heads[a.Revision-1].Digest, a.Digest)
 	}
@@ -210,11 +215,28 @@
 	}
 }
 
+// promote promotes what a daemon has in force, perhaps no longer the newest.
+func (h *history) promote(s *served) {
+	_, digest, ok := s.duty.InForce()
+	if !ok {
+		return
+	}
+	h.names++
+	before := len(h.platform.promoted)
+	_, err := h.production.Promote(h.ctx, Promotion{ID: fmt.Sprintf("p%d", h.names), Digest: digest, Operator: "ana"})
+	if code.RunOf(err) == code.RunNo {
+		require.Len(h.t, h.platform.promoted, before, "refused and done: %v", err)
+	}
+	if err == nil {
+		require.Len(h.t, h.platform.promoted, before+1)
+	}
+}
+
 // step lets one thing happen.
 func (h *history) step() {
 	i := rapid.IntRange(0, len(h.daemons)-1).Draw(h.t, "who")
 	s := h.daemons[i]
-	switch rapid.SampledFrom([]string{"apply", "apply", "cut", "heal", "restart", "outage", "meet", "wait"}).Draw(h.t, "step") {
+	switch rapid.SampledFrom([]string{"apply", "apply", "cut", "heal", "restart", "outage", "meet", "wait", "promote"}).Draw(h.t, "step") {
 	case "apply":
 		h.apply()
 	case "cut":
@@ -227,6 +249,8 @@
 	case "outage":
 		down := rapid.Bool().Draw(h.t, "down")
 		h.platform.set(func(t *table) { t.down = down })
+	case "promote":
+		h.promote(s)
 	case "meet":
 		h.meet(rapid.IntRange(0, len(h.daemons)).Draw(h.t, "apart"))
 	case "wait":
@@ -245,6 +269,7 @@
 			for range 4 {
 				h.daemons = append(h.daemons, h.begin())
 			}
+			h.production = start(ctx, h.platform, Production, "production")
 			for range rapid.IntRange(5, 40).Draw(r, "steps") {
 				h.step()
 				h.check()
