member,peer: Try unheard VMs seldom and measure memory

An entry VM of another environment or stage is in the VM list and never heard; it was told each period and refused it. It is now tried in every tenth turn.

--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -88,7 +88,7 @@
 		if err := u.deps.Peers.Tell(p.address, p.message); err != nil {
 			u.deps.Scope.Counter("member_tell_failed").Inc(1)
 			u.mu.Lock()
-			u.spread.reset(p.vm)
+			u.spread.forget(p.vm)
 			u.mu.Unlock()
 		}
 	}
--- a/limpetd/member/fake_test.go
+++ b/limpetd/member/fake_test.go
@@ -23,6 +23,8 @@
 	blocked func(from, to string) bool
 	tells   int
 	reads   int
+	// unanswered counts messages to VMs without a duty.
+	unanswered int
 }
 
 // listing is the VM list as it was from a time on.
@@ -78,12 +80,15 @@
 // Tell loses messages silently, as a network does.
 func (p port) Tell(address string, m Message) error {
 	u, ok := p.to(address)
-	if !ok {
-		return nil
-	}
 	p.f.mu.Lock()
 	p.f.tells++
+	if u == nil {
+		p.f.unanswered++
+	}
 	p.f.mu.Unlock()
+	if !ok {
+		return nil
+	}
 	from := p.sender()
 	time.AfterFunc(p.f.delay, func() { u.Receive(from, m) })
 	return nil
--- a/limpetd/member/member_test.go
+++ b/limpetd/member/member_test.go
@@ -212,6 +212,25 @@
 	})
 }
 
+// TestUnheardVMsAreTriedSeldom lists VMs whose daemons belong to another
+// environment.
+func TestUnheardVMsAreTriedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 3, 1)
+		f.set(append(slices.Clone(f.vms), entryVM("trial-1", "dc-0", ""), entryVM("trial-2", "dc-0", ""))...)
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		before := f.unanswered
+		f.mu.Unlock()
+		time.Sleep(100 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.InDelta(t, 3*2*100/unheardTurns, f.unanswered-before, 6)
+		require.Equal(t, 3, duties[0].Daemons())
+	})
+}
+
 // TestAdviceDespiteClocks takes back a drain that a daemon with a fast clock
 // told, and keeps the later state of the VM list.
 func TestAdviceDespiteClocks(t *testing.T) {
--- a/limpetd/member/spread.go
+++ b/limpetd/member/spread.go
@@ -17,6 +17,9 @@
 	// bulkSize is the number of near peers beyond which demand and use do not
 	// go out in each turn.
 	bulkSize = 12
+	// unheardTurns is the number of turns after which a listed VM that nobody
+	// has heard is tried again.
+	unheardTurns = 10
 	// wholeLoadTurns is the number of turns after which whole reports are
 	// sent again, viewTurns that after which the hash of the view is, and
 	// bulkTurns that after which demand and use are in a large environment.
@@ -39,6 +42,8 @@
 	// fixed holds the hashes of Load that the peer knows.
 	fixed map[string]uint64
 	turn  int
+	// tries counts the turns of a VM that nobody has heard.
+	tries int
 }
 
 // spread chooses what to tell whom. It is a pure state like view.
@@ -58,9 +63,11 @@
 	return &spread{random: random, told: map[string]*told{}}
 }
 
-// reset forgets what a peer was told, after a message to it may be lost.
-func (s *spread) reset(vm string) {
-	delete(s.told, vm)
+// forget makes a peer be told all again, after a message to it may be lost.
+func (s *spread) forget(vm string) {
+	if t, ok := s.told[vm]; ok {
+		t.sequence, t.fixed = -1, map[string]uint64{}
+	}
 }
 
 // round returns the messages of a period. A small environment is told all in each
@@ -75,7 +82,7 @@
 	turns := turnsOf(len(near))
 	var parcels []parcel
 	for i, d := range near {
-		turn := (i+s.period)%turns == 0
+		turn := (i+s.period)%turns == 0 && s.worth(d)
 		if !turn && !relays[i] {
 			continue
 		}
@@ -100,6 +107,17 @@
 	return parcels
 }
 
+// worth tells whether a peer is told in its turn. A listed VM that nobody has
+// heard may run a daemon of another environment: it is tried now and then.
+func (s *spread) worth(d Daemon) bool {
+	if d.Instance != "" {
+		return true
+	}
+	t := s.peer(d)
+	t.tries++
+	return t.tries%unheardTurns == 1
+}
+
 // turnsOf returns in how many periods each of n near peers is told once.
 func turnsOf(n int) int {
 	return max(1, (n+turnSize-1)/turnSize)
--- a/limpetd/peer/cost_test.go
+++ b/limpetd/peer/cost_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -166,6 +167,16 @@
 	// and IP.
 	payload, wire float64
 	processor     time.Duration
+	// memory is the heap and the stacks in use, in bytes.
+	memory uint64
+}
+
+// memory returns the heap and stacks in use.
+func memory() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
 }
 
 // measure lets one daemon tell a fleet for some periods. All connections lead to
@@ -219,6 +230,7 @@
 		payload:   payload,
 		wire:      payload + 2*segmentBytes*float64(segments.Load()-parts)/n,
 		processor: time.Duration(float64(usage(t)-before) / n),
+		memory:    memory(),
 	}
 }
 
@@ -245,6 +257,7 @@
 			b.ReportMetric(c.payload, "payload_bytes/period")
 			b.ReportMetric(c.wire, "wire_bytes/period")
 			b.ReportMetric(float64(c.processor.Microseconds()), "cpu_us/period")
+			b.ReportMetric(float64(c.memory)/1e6, "memory_mb")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
