relay: Give a continued answer time for its next token

Cause: an answer that broke after its first token was due was admitted again with that time, and shed as too late; the demand did not know its length. Change: each further attempt has the time that the call had when it arrived, and the tokens taken count as prompt; the admission is told the length asked for. Conclusion: the test of a hung engine fails without it.

--- a/limpetd/fakes/engine.go
+++ b/limpetd/fakes/engine.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/admit"
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -15,7 +16,8 @@
 	"github.com/limpetlb/limpetlb/limpetd/route"
 )
 
-// Admitter admits to the first backend server that is not excluded.
+// Admitter admits to the first backend server that is not excluded, unless the
+// first token is due already.
 type Admitter struct {
 	// VMs are ids that are addresses too; Versions are what engines hold,
 	// "1" where none is given.
@@ -32,6 +34,9 @@
 	if ctx.Err() != nil {
 		return nil, code.Errorf(code.CallerGone, "gone")
 	}
+	if e := r.Route.Expected; !e.IsZero() && time.Now().After(e) {
+		return nil, code.Errorf(code.ShedDeadline, "too late")
+	}
 	for _, vm := range a.VMs {
 		version := a.Versions[vm]
 		if version == "" {
--- a/limpetd/relay/catalog.go
+++ b/limpetd/relay/catalog.go
@@ -138,9 +138,10 @@
 	}
 	call := Call{
 		Admission: admit.Request{
-			ID:       id,
-			Caller:   c.Name,
-			Priority: p.Name,
+			ID:        id,
+			Caller:    c.Name,
+			Priority:  p.Name,
+			MaxTokens: g.MaxTokens,
 			Route: route.Request{
 				Model:        slot.Model,
 				Adapter:      slot.Adapter,
--- a/limpetd/relay/generate.go
+++ b/limpetd/relay/generate.go
@@ -26,6 +26,7 @@
 	taken    strings.Builder
 	progress progress
 	patience patience
+	arrived  time.Time
 	attempts int
 	// sent tells that a byte may have reached an engine, answered that an
 	// engine has sent a frame.
@@ -37,12 +38,14 @@
 
 // generate fills out with the answer and returns how it ended.
 func (r *Relay) generate(ctx context.Context, c Call, out *pending) (string, error) {
+	now := time.Now()
 	g := &generation{
 		relay:    r,
 		call:     c,
 		out:      out,
 		progress: progress{limit: c.MaxTokens},
-		patience: patienceOf(c, time.Now()),
+		patience: patienceOf(c, now),
+		arrived:  now,
 	}
 	for {
 		ticket, err := r.deps.Admitter.Admit(ctx, g.admission())
@@ -62,10 +65,16 @@
 	}
 }
 
-// admission describes the next attempt.
+// admission describes the next attempt. A further one has the time to its first
+// token that the call had when it arrived, since a caller that waits for the
+// rest of its answer is not to be shed.
 func (g *generation) admission() admit.Request {
 	a := g.call.Admission
 	a.Attempt = g.attempts
+	a.Route.PromptTokens += g.progress.offset
+	if g.attempts > 0 && !a.Route.Expected.IsZero() {
+		a.Route.Expected = a.Route.Expected.Add(time.Since(g.arrived))
+	}
 	return a
 }
 
