member: Keep a VM in the list until an own read lacks it

A VM that a peer found missing left the merged list at once, on the word of a peer whose read may be wrong, while releases may be built on its absence. It is now leaving, so it gets no new work, until this daemon's own read lacks it.

--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -314,9 +314,7 @@
 	}
 	u.mu.Lock()
 	changed := u.view.readList(list, time.Now())
-	if changed {
-		u.vms = nil
-	}
+	u.vms = nil
 	u.mu.Unlock()
 	if changed {
 		u.nudge()
--- a/limpetd/member/member_test.go
+++ b/limpetd/member/member_test.go
@@ -231,6 +231,25 @@
 	})
 }
 
+// TestGoneByHearsay has a peer tell that a listed VM is gone: it gets no new work
+// until this daemon's own read, and is never left out of the list.
+func TestGoneByHearsay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 30, 1)
+		time.Sleep(20 * time.Second)
+		gone := Entry{VM: f.vms[3], Gone: true}
+		duties[0].Receive(Sender{VM: "vm-001"}, Message{Entries: []Entry{gone}})
+		require.Equal(t, store.StateLeaving, state(duties[0].VMs(), "vm-003"))
+		for range 300 {
+			require.NotEmpty(t, state(duties[0].VMs(), "vm-003"))
+			require.False(t, duties[0].Gone("vm-003", time.Second))
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, store.StateLive, state(duties[0].VMs(), "vm-003"))
+	})
+}
+
 // TestAdviceDespiteClocks takes back a drain that a daemon with a fast clock
 // told, and keeps the later state of the VM list.
 func TestAdviceDespiteClocks(t *testing.T) {
--- a/limpetd/member/view.go
+++ b/limpetd/member/view.go
@@ -203,7 +203,7 @@
 func (v *view) gone(vm string, lifetime time.Duration, now time.Time) bool {
 	since, ok := v.absent[vm]
 	if !ok {
-		if e, known := v.entries[vm]; !v.read.IsZero() && (!known || e.Gone) {
+		if _, known := v.entries[vm]; !v.read.IsZero() && !known {
 			v.absent[vm] = v.read
 		}
 		return false
@@ -330,15 +330,16 @@
 	return near, far
 }
 
-// vms returns the VM list with what peers told sooner, in the order of ids.
+// vms returns the VM list with what peers told sooner, in the order of ids. A VM
+// that only peers found missing is leaving until this daemon's own read lacks it.
 func (v *view) vms() []store.VM {
 	var vms []store.VM
 	for id, e := range v.entries {
-		if e.Gone {
+		if _, absent := v.absent[id]; e.Gone && absent {
 			continue
 		}
 		vm := e.VM
-		if v.daemons[id].Leaving || v.advice[id].Leaving {
+		if e.Gone || v.daemons[id].Leaving || v.advice[id].Leaving {
 			vm.State = store.StateLeaving
 		}
 		vms = append(vms, vm)
