gate: Measure the memory of an open stream

Cause: the capacity of a daemon depends on what an open stream takes. Change: a benchmark that holds streams open.

--- a/limpetd/gate/bench_test.go
+++ b/limpetd/gate/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -93,3 +95,35 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 }
+
+// BenchmarkOpenStreams holds streams open and reports the memory of one in the
+// daemon and its caller's connection, without the connection to an engine.
+func BenchmarkOpenStreams(b *testing.B) {
+	engines := &fakes.Engines{Tokens: 3, Block: true, Script: func(_ int, _ string, f []engine.Frame) []engine.Frame { return f[:1] }}
+	r := relay.New(relay.Deps{Generator: engines, Admitter: &fakes.Admitter{VMs: []string{"e1"}}})
+	g := New(Config{}, Deps{Documents: documents{document()}, Relay: r})
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = g.Server()
+	s.Start()
+	defer s.Close()
+	before := memory()
+	var conns []net.Conn
+	for b.Loop() {
+		conns = append(conns, (&bench{url: s.URL}).openStream(b))
+	}
+	for g.Inflight() < b.N {
+		runtime.Gosched()
+	}
+	b.ReportMetric(float64(memory()-before)/float64(b.N), "bytes/stream")
+	for _, c := range conns {
+		require.NoError(b, c.Close())
+	}
+}
+
+// memory returns the bytes in use by heap and stacks.
+func memory() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -247,7 +247,7 @@
 )
 
 // openStream sends a streamed request and returns the connection unread.
-func (b *bench) openStream(t *testing.T) net.Conn {
+func (b *bench) openStream(t testing.TB) net.Conn {
 	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 	require.NoError(t, err)
 	body := fmt.Sprintf(`{"model":"m","prompt":"p","stream":true,"max_tokens":%d}`, wire.MaxMaxTokens)
