--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -88,7 +88,7 @@
 		if err := u.deps.Peers.Tell(p.address, p.message); err != nil {
 			u.deps.Scope.Counter("member_tell_failed").Inc(1)
 			u.mu.Lock()
-			u.spread.reset(p.vm)
+			u.spread.forget(p.vm)
 			u.mu.Unlock()
 		}
 	}
@@ -314,9 +314,7 @@
 	}
 	u.mu.Lock()
 	changed := u.view.readList(list, time.Now())
-	if changed {
-		u.vms = nil
-	}
+	u.vms = nil
 	u.mu.Unlock()
 	if changed {
 		u.nudge()
