order,ledger: Drop records that no row refers to

Each minute those are dropped that no row read refers to. A closed grant goes only if it is the current one of no row, so that it can't be used again.

--- a/limpetd/ledger/gate.go
+++ b/limpetd/ledger/gate.go
@@ -79,3 +79,18 @@
 	}
 	return s.running == 0 && !now.Before(s.quiet)
 }
+
+// Prune forgets grants under which nothing can still arrive, and which used tells
+// are the current grant of no row that the process has read. A grant is closed
+// only after a row with a newer one was written, so that no later read shows it
+// as the current one again.
+func (g *Gate) Prune(used func(grant string) bool, now time.Time) {
+	if now.Sub(g.start) < g.lifetime {
+		return
+	}
+	for id, s := range g.grants {
+		if s.running == 0 && !now.Before(s.quiet) && !used(id) {
+			delete(g.grants, id)
+		}
+	}
+}
--- a/limpetd/ledger/ledger_test.go
+++ b/limpetd/ledger/ledger_test.go
@@ -81,6 +81,11 @@
 	g.End("own", false, start)
 	require.False(t, g.Void("own", start.Add(9*time.Second)), "the send may still arrive")
 	require.True(t, g.Void("own", start.Add(10*time.Second)))
+	later := start.Add(time.Minute)
+	g.Prune(func(string) bool { return true }, later)
+	require.False(t, g.Open("own"))
+	g.Prune(func(string) bool { return false }, later)
+	require.Empty(t, g.grants)
 }
 
 func FuzzDecode(f *testing.F) {
--- a/limpetd/order/loop.go
+++ b/limpetd/order/loop.go
@@ -46,6 +46,7 @@
 	document   *envdoc.Document
 	planned    time.Time
 	plannedFor *envdoc.Document
+	pruned     time.Time
 	releasable time.Time
 	retry      time.Time
 }
@@ -107,6 +108,7 @@
 	}
 	l.dispatch(ctx, hold, mine && l.books.fresh, now)
 	l.publish(hold, mine)
+	l.prune(now)
 }
 
 // leaving tells whether the daemon has begun to leave.
