order: Draw leaving and cut-off daemons too

The random machine now has daemons leave with too little time and cuts them off from each other. Run: go test -run UnderFaults ./order -rapid.checks=500, 500 scripts for each of three machines, ok.

--- a/limpetd/order/machine_test.go
+++ b/limpetd/order/machine_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"testing"
@@ -99,7 +100,7 @@
 func (m *machine) kinds() []func(a action) {
 	kinds := []func(a action){
 		m.tableFault, m.orderFault, m.pauseOne, m.resumeAll, m.killOne,
-		m.declareNext, m.restartDaemon, m.clearFaults,
+		m.declareNext, m.restartDaemon, m.clearFaults, m.leaveOne, m.cutPeers,
 	}
 	if m.harsh {
 		kinds = append(kinds, m.restartEngine, m.loseReports)
@@ -180,6 +181,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	clear(m.lost)
+	m.cut = false
 }
 
 func (m *machine) pick(a action) *fakeDaemon { return m.daemons[a.Daemon%len(m.daemons)] }
@@ -206,6 +208,23 @@
 	m.start(d.vm)
 }
 
+// leaveOne has a daemon leave, with too little time for what it has sent.
+func (m *machine) leaveOne(a action) {
+	d := m.pick(a)
+	d.resume()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.Times)*time.Second)
+	defer cancel()
+	_ = d.duty.Leave(ctx)
+	m.killOne(a)
+}
+
+// cutPeers keeps daemons from asking each other.
+func (m *machine) cutPeers(action) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = true
+}
+
 func (m *machine) restartEngine(a action) { m.engines[a.Engine].restart() }
 
 func (m *machine) loseReports(a action) {
--- a/limpetd/order/world_test.go
+++ b/limpetd/order/world_test.go
@@ -39,6 +39,8 @@
 	lost    map[string]bool
 	daemons []*fakeDaemon
 	born    int
+	// cut tells that daemons don't reach each other.
+	cut bool
 	// unreached are unloads that took the last replica of a model away.
 	unreached []string
 }
@@ -203,7 +205,7 @@
 func (d *fakeDaemon) Sent(_ context.Context, daemon, grant string) (SentAnswer, error) {
 	d.mu.Lock()
 	i := slices.IndexFunc(d.daemons, func(o *fakeDaemon) bool { return o.vm == daemon && !o.dead })
-	if i < 0 {
+	if i < 0 || d.cut {
 		d.mu.Unlock()
 		return SentAnswer{}, code.Errorf(code.PeerDown, "%s does not answer", daemon)
 	}
