docs: Hand on no document older than the one in force

A daemon too old for the document in force still held the one before and handed it to peers; a new daemon that found the table away could have served by it. It now refuses with document_level.

--- a/limpetd/docs/docs.go
+++ b/limpetd/docs/docs.go
@@ -232,14 +232,18 @@
 	return u.changed
 }
 
-// Copy returns the document in force as peers fetch it; the error has code
-// NoDocument.
+// Copy returns the document in force as peers fetch it. The error has code
+// PeerUntrusted for another environment or stage, NoDocument, or DocumentLevel
+// while the document in force needs a newer daemon.
 func (u *Duty) Copy(environment string) (member.Copy, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if environment != u.scope() {
 		return member.Copy{}, code.Errorf(code.PeerUntrusted, "this daemon keeps documents of %s", u.scope())
 	}
+	if u.lacking {
+		return member.Copy{}, code.Errorf(code.DocumentLevel, "revision %d of %s needs a newer daemon than this", u.tooNew, u.scope())
+	}
 	if u.current.doc == nil {
 		return member.Copy{}, code.Errorf(code.NoDocument, "no document of %s is in force", u.scope())
 	}
--- a/limpetd/docs/level_test.go
+++ b/limpetd/docs/level_test.go
@@ -121,6 +121,8 @@
 		require.False(t, ok)
 		require.Equal(t, code.DocumentLevel, code.Of(old.Unready()))
 		require.ErrorContains(t, old.Unready(), "revision 2 needs feature level 2, this daemon has 1")
+		_, err = old.Copy(old.scope())
+		require.Equal(t, code.DocumentLevel, code.Of(err), "an older document is not handed on")
 		old.Take(1, envdoc.Digest(document(1, "one")), document(1, "one"))
 		require.Error(t, old.Unready())
 		_, err = current.Apply(ctx, submission("three", 3))
