--- a/limpetlab/fleet/operate_test.go
+++ b/limpetlab/fleet/operate_test.go
@@ -129,6 +129,6 @@
 	require.NoError(t, err)
 	require.NoError(t, answer.Body.Close())
 	require.Equal(t, http.StatusOK, answer.StatusCode)
-	_, err = caller.Get("https://" + stranger.Daemon.CallerAddr() + "/readyz")
+	_, err = caller.Get("https://" + stranger.Daemon.CallerAddr() + "/readyz") //nolint:bodyclose // the call fails
 	require.Error(t, err)
 }
