--- a/limpetd/batch/fault_test.go
+++ b/limpetd/batch/fault_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
--- a/limpetd/gate/once_test.go
+++ b/limpetd/gate/once_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 // conduct is what a service does with a call.
--- a/limpetd/order/machine_test.go
+++ b/limpetd/order/machine_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
