--- a/limpetd/member/member_test.go
+++ b/limpetd/member/member_test.go
@@ -212,6 +212,44 @@
 	})
 }
 
+// TestUnheardVMsAreTriedSeldom lists VMs whose daemons belong to another
+// environment.
+func TestUnheardVMsAreTriedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 3, 1)
+		f.set(append(slices.Clone(f.vms), entryVM("trial-1", "dc-0", ""), entryVM("trial-2", "dc-0", ""))...)
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		before := f.unanswered
+		f.mu.Unlock()
+		time.Sleep(100 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.InDelta(t, 3*2*100/unheardTurns, f.unanswered-before, 6)
+		require.Equal(t, 3, duties[0].Daemons())
+	})
+}
+
+// TestGoneByHearsay has a peer tell that a listed VM is gone: it gets no new work
+// until this daemon's own read, and is never left out of the list.
+func TestGoneByHearsay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric()
+		duties := f.fleet(t.Context(), 30, 1)
+		time.Sleep(20 * time.Second)
+		gone := Entry{VM: f.vms[3], Gone: true}
+		duties[0].Receive(Sender{VM: "vm-001"}, Message{Entries: []Entry{gone}})
+		require.Equal(t, store.StateLeaving, state(duties[0].VMs(), "vm-003"))
+		for range 300 {
+			require.NotEmpty(t, state(duties[0].VMs(), "vm-003"))
+			require.False(t, duties[0].Gone("vm-003", time.Second))
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, store.StateLive, state(duties[0].VMs(), "vm-003"))
+	})
+}
+
 // TestAdviceDespiteClocks takes back a drain that a daemon with a fast clock
 // told, and keeps the later state of the VM list.
 func TestAdviceDespiteClocks(t *testing.T) {
