member: Repeat to near daemons what this daemon found itself

A message can be lost unnoticed while a connection breaks, and each near daemon was told this daemon's own changes once. They are now told three times.

--- a/limpetd/member/spread.go
+++ b/limpetd/member/spread.go
@@ -17,6 +17,10 @@
 	// bulkSize is the number of near peers beyond which demand and use do not
 	// go out in each turn.
 	bulkSize = 12
+	// ownRepeats is how often a peer is told again what this daemon found or
+	// changed itself, since messages can be lost without notice while a
+	// connection breaks.
+	ownRepeats = 2
 	// unheardTurns is the number of turns after which a listed VM that nobody
 	// has heard is tried again.
 	unheardTurns = 10
@@ -42,6 +46,8 @@
 	// fixed holds the hashes of Load that the peer knows.
 	fixed map[string]uint64
 	turn  int
+	// repeats is how often this daemon's own state is still to be repeated.
+	repeats int
 	// tries counts the turns of a VM that nobody has heard.
 	tries int
 }
@@ -212,7 +218,10 @@
 	t := s.peer(d)
 	var m Message
 	if t.sequence != v.self.Sequence {
-		t.sequence = v.self.Sequence
+		t.sequence, t.repeats = v.self.Sequence, ownRepeats
+		m.Daemons = append(m.Daemons, v.self)
+	} else if t.repeats > 0 {
+		t.repeats--
 		m.Daemons = append(m.Daemons, v.self)
 	}
 	if d.Suspect {
@@ -220,7 +229,7 @@
 	}
 	for i := len(v.news) - 1; i >= 0; i-- {
 		n := v.news[i]
-		if !relay && (!n.own || n.left < relayPeriods) {
+		if !relay && (!n.own || n.left < relayPeriods-ownRepeats) {
 			continue
 		}
 		v.add(&m, n, d.VM)
