--- a/limpetlab/matrix/work.go
+++ b/limpetlab/matrix/work.go
@@ -69,7 +69,7 @@
 	for _, at := range []time.Duration{leaveAt, leaveAgainAt} {
 		r.at(at, func() {
 			d := r.someDaemon()
-			r.visit(func() { r.stream(d) })
+			r.visit(func() { r.stream(d, at) })
 			time.Sleep(repeatAfter)
 			r.leave(d)
 		})
@@ -132,8 +132,8 @@
 	return d.left
 }
 
-// stream asks a daemon for a long answer.
-func (r *rig) stream(d *daemon) {
+// stream asks a daemon for a long answer, at a time of the load.
+func (r *rig) stream(d *daemon, at time.Duration) {
 	m := r.deployment.Document(1).Models[0]
 	g := caller.Generation{
 		Key: deploy.Key(deploy.CallerUrgent), Model: m.Name, Stream: true,
@@ -141,7 +141,7 @@
 	}
 	slot := envdoc.Slot{Model: m.Name, Version: m.Version}
 	for n := 0; ; n++ {
-		g.Prompt = fmt.Sprintf("stream %d", n)
+		g.Prompt = fmt.Sprintf("stream at %v, %d", at, n)
 		if _, tokens := engsim.Answer(slot, g.Prompt, streamTokens); tokens == streamTokens {
 			break
 		}
