order: Take no report from before an unload for a later load

Cause: a load report lags. After the unload of an adapter was confirmed and the adapter charged on the same engine anew, the last report still listed it, so the plan took the new charge for resident and gave the other replica up. For a second no engine held the adapter.

Ruled out: the engine stand-in (it drops adapters only with the last version of the model) and the plan itself (it drops the old replica only beside a resident one).

Change: a report measured before the confirmed unload is no evidence that the slot is there. A daemon that takes the lease over within the lag of a report did not see the confirmation and is not covered.

--- a/limpetd/order/engines.go
+++ b/limpetd/order/engines.go
@@ -44,6 +44,9 @@
 	done map[envdoc.Slot]string
 	// gone are the confirmed unloads, by order id.
 	gone map[string]bool
+	// unloaded is when the unload of a slot was confirmed; a report measured
+	// before is no evidence of a later load.
+	unloaded map[envdoc.Slot]time.Time
 	// stray is since when slots without a charge were reported.
 	stray map[envdoc.Slot]time.Time
 	// absent is since when a confirmed slot is missing from reports.
@@ -62,12 +65,13 @@
 // newKnowledge returns what is known of an engine that never reported.
 func newKnowledge(vm store.VM) *knowledge {
 	return &knowledge{
-		vm:     vm,
-		done:   map[envdoc.Slot]string{},
-		gone:   map[string]bool{},
-		stray:  map[envdoc.Slot]time.Time{},
-		absent: map[envdoc.Slot]time.Time{},
-		tokens: defaultTokens * float64(max(1, vm.Accelerators)),
+		vm:       vm,
+		done:     map[envdoc.Slot]string{},
+		gone:     map[string]bool{},
+		unloaded: map[envdoc.Slot]time.Time{},
+		stray:    map[envdoc.Slot]time.Time{},
+		absent:   map[envdoc.Slot]time.Time{},
+		tokens:   defaultTokens * float64(max(1, vm.Accelerators)),
 	}
 }
 
@@ -216,6 +220,9 @@
 	if k.done[slot] == k.instance {
 		return true
 	}
+	if gone, ok := k.unloaded[slot]; ok && !k.received.After(gone) {
+		return false
+	}
 	return k.report.Instance == k.instance && slices.Contains(k.report.Slots, slot)
 }
 
@@ -229,6 +236,7 @@
 		delete(k.absent, o.Slot)
 	case engine.OrderUnload:
 		k.gone[charge] = true
+		k.unloaded[o.Slot] = now
 		delete(k.done, o.Slot)
 		delete(k.absent, o.Slot)
 	}
