--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -53,8 +53,8 @@
 	}
 	now := time.Now()
 	u.mu.Lock()
-	for _, a := range leavingLoads(share.Loads) {
-		u.advise(a)
+	if u.adviseLeaving(share.Loads, now) {
+		u.nudge()
 	}
 	near, _ := u.view.near()
 	if paused {
@@ -88,7 +88,7 @@
 		if err := u.deps.Peers.Tell(p.address, p.message); err != nil {
 			u.deps.Scope.Counter("member_tell_failed").Inc(1)
 			u.mu.Lock()
-			u.spread.reset(p.vm)
+			u.spread.forget(p.vm)
 			u.mu.Unlock()
 		}
 	}
@@ -106,11 +106,7 @@
 			share.Loads = append(share.Loads, r)
 		}
 	}
-	for _, a := range leavingLoads(share.Loads) {
-		if u.view.learnAdvice(a) {
-			fresh, u.vms = true, nil
-		}
-	}
+	fresh = u.adviseLeaving(share.Loads, now) || fresh
 	u.wantSync(from, m.View, now)
 	u.mu.Unlock()
 	if fresh {
@@ -318,9 +314,7 @@
 	}
 	u.mu.Lock()
 	changed := u.view.readList(list, time.Now())
-	if changed {
-		u.vms = nil
-	}
+	u.vms = nil
 	u.mu.Unlock()
 	if changed {
 		u.nudge()
--- a/limpetd/member/view.go
+++ b/limpetd/member/view.go
@@ -118,7 +118,7 @@
 // learnEntry takes a change of the VM list that a peer read.
 func (v *view) learnEntry(e Entry) bool {
 	known, ok := v.entries[e.VM.ID]
-	if ok && (known.At >= e.At || known.VM == e.VM && known.Gone == e.Gone) {
+	if ok && known.rank() >= e.rank() {
 		return false
 	}
 	if !ok && e.Gone {
@@ -140,6 +140,16 @@
 	return true
 }
 
+// advise notes what this daemon saw of a VM itself, and tells whether it is new.
+func (v *view) advise(vm string, leaving bool, now time.Time) bool {
+	known := v.advice[vm]
+	if !v.learnAdvice(Advice{VM: vm, Leaving: leaving, At: max(now.UnixMilli(), known.At+1)}) {
+		return false
+	}
+	v.tell(news{advice: vm, own: true})
+	return true
+}
+
 // readList takes a list that this daemon read itself. Its own reads replace
 // whatever peers told.
 func (v *view) readList(list []store.VM, now time.Time) bool {
@@ -149,11 +159,11 @@
 	for _, vm := range list {
 		listed[vm.ID] = true
 		delete(v.absent, vm.ID)
-		changed = v.listed(Entry{VM: vm, At: now.UnixMilli()}) || changed
+		changed = v.listed(Entry{VM: vm}) || changed
 	}
 	for id, e := range v.entries {
 		if !listed[id] && !e.Gone {
-			changed = v.listed(Entry{VM: e.VM, Gone: true, At: now.UnixMilli()}) || changed
+			changed = v.listed(Entry{VM: e.VM, Gone: true}) || changed
 		}
 	}
 	for id := range v.absent {
@@ -193,7 +203,7 @@
 func (v *view) gone(vm string, lifetime time.Duration, now time.Time) bool {
 	since, ok := v.absent[vm]
 	if !ok {
-		if e, known := v.entries[vm]; !v.read.IsZero() && (!known || e.Gone) {
+		if _, known := v.entries[vm]; !v.read.IsZero() && !known {
 			v.absent[vm] = v.read
 		}
 		return false
@@ -320,15 +330,16 @@
 	return near, far
 }
 
-// vms returns the VM list with what peers told sooner, in the order of ids.
+// vms returns the VM list with what peers told sooner, in the order of ids. A VM
+// that only peers found missing is leaving until this daemon's own read lacks it.
 func (v *view) vms() []store.VM {
 	var vms []store.VM
 	for id, e := range v.entries {
-		if e.Gone {
+		if _, absent := v.absent[id]; e.Gone && absent {
 			continue
 		}
 		vm := e.VM
-		if v.daemons[id].Leaving || v.advice[id].Leaving {
+		if e.Gone || v.daemons[id].Leaving || v.advice[id].Leaving {
 			vm.State = store.StateLeaving
 		}
 		vms = append(vms, vm)
--- a/limpetd/order/faketable_test.go
+++ b/limpetd/order/faketable_test.go
@@ -31,8 +31,8 @@
 	rows   map[string]store.Row
 	fault  func(write bool) tableFault
 	writes int
-	// ledgerRows counts rows written under a ledger key.
-	ledgerRows int
+	// ledgerDown fails the writes of ledger rows alone.
+	ledgerDown bool
 }
 
 func newFakeTable() *fakeTable {
@@ -45,6 +45,19 @@
 	f.fault = fault
 }
 
+func (f *fakeTable) setLedgerDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ledgerDown = down
+}
+
+// transactions counts those that wrote to the ledger.
+func (f *fakeTable) transactions() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writes
+}
+
 func (f *fakeTable) meet(write bool) tableFault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -111,13 +124,17 @@
 		if strings.Contains(w.Key, "/ledger/") {
 			ledger++
 		}
+	}
+	if ledger > 0 && f.ledgerDown {
+		return code.Errorf(code.StoreDown, "table is down")
+	}
+	for _, w := range tx.Writes {
 		if w.Delete {
 			delete(f.rows, w.Key)
 			continue
 		}
 		f.rows[w.Key] = store.Row{Key: w.Key, Version: f.rows[w.Key].Version + 1, Writer: tx.ID, Value: w.Value}
 	}
-	f.ledgerRows += ledger
 	if ledger > 0 {
 		f.writes++
 	}
