--- a/limpetlab/rbench/scenarios.go
+++ b/limpetlab/rbench/scenarios.go
@@ -17,6 +17,8 @@
 	urgentAttainment = 0.95
 	urgentLoad       = 0.7
 	totalLoad        = 2
+	// deferredAttainment is the part of deferred work that makes its deadline.
+	deferredAttainment = 1
 	// maxSendsPerRequest bounds sends with half of the engines failing.
 	maxSendsPerRequest = 1.1
 	// recoveryTime is the time after an overload in which attainment is back.
@@ -36,6 +38,10 @@
 	}
 	b.atLeast("burst: attainment per accelerator over the best baseline", burstGain, b.gain(phaseBurst))
 	b.atLeast("rest: attainment per accelerator over the best baseline", restGain, b.gain(phaseRest))
+	night := priorities[len(priorities)-1].name
+	for _, phase := range []string{phaseBurst, phaseRest} {
+		b.atLeast(phase+": deferred work by its deadline", deferredAttainment, b.find(policyLimpet, phase, night).Attainment)
+	}
 	return nil
 }
 
