admit: Spill plain calls to other data centres

A server of the own data centre took every call, however many it had, while those of other data centres idled: andesoft has one server of the app service in each. One of another data centre now counts eight calls more.

--- a/limpetd/admit/service.go
+++ b/limpetd/admit/service.go
@@ -10,7 +10,7 @@
 )
 
 // services chooses backend servers of plain services: the one with the fewest
-// calls of this daemon in flight, in the own data centre if one works there.
+// calls of this daemon in flight, rather in the own data centre.
 type services struct {
 	dataCentre string
 	random     *rand.Rand
@@ -70,8 +70,8 @@
 	return true
 }
 
-// compare tells whether a goes before b: one that is not ejected, then one of the
-// own data centre, then the one with fewer calls in flight.
+// compare tells whether a goes before b: one that is not ejected, then the one with
+// fewer calls in flight, with a handicap for other data centres.
 func (s *services) compare(now time.Time, a, b *store.VM) int {
 	if b == nil {
 		return -1
@@ -80,10 +80,16 @@
 	if d := number(x.outlier.ejected(now)) - number(y.outlier.ejected(now)); d != 0 {
 		return d
 	}
-	if d := number(a.DataCentre != s.dataCentre) - number(b.DataCentre != s.dataCentre); d != 0 {
-		return d
-	}
-	return x.outstanding - y.outstanding
+	return s.cost(a, x) - s.cost(b, y)
+}
+
+// remoteCalls is the number of calls in flight by which a server of the own data
+// centre may exceed one of another.
+const remoteCalls = 8
+
+// cost returns the calls in flight, with a handicap for other data centres.
+func (s *services) cost(vm *store.VM, x *server) int {
+	return x.outstanding + remoteCalls*number(vm.DataCentre != s.dataCentre)
 }
 
 // number returns 1 for true.
--- a/limpetd/admit/service_test.go
+++ b/limpetd/admit/service_test.go
@@ -43,12 +43,19 @@
 func TestServiceTakesTheLeastOutstandingOfTheOwnDataCentre(t *testing.T) {
 	serviceQueue(t, func(ctx context.Context, q *Queue, _ *fixture) {
 		count := make(map[string]int)
-		for range 10 {
-			ticket, err := q.AdmitService(ctx, ServiceRequest{Pool: "booking"})
-			require.NoError(t, err)
-			count[ticket.Choice().VM]++
+		send := func(n int) {
+			for range n {
+				ticket, err := q.AdmitService(ctx, ServiceRequest{Pool: "booking"})
+				require.NoError(t, err)
+				count[ticket.Choice().VM]++
+			}
 		}
+		send(10)
 		require.Equal(t, map[string]int{"s0": 5, "s1": 5}, count)
+		send(30)
+		require.Equal(t, 40, count["s0"]+count["s1"]+count["s2"]+count["s3"])
+		require.Equal(t, remoteCalls, count["s0"]-count["s2"], "a full data centre spills")
+		require.Equal(t, remoteCalls, count["s1"]-count["s3"])
 	})
 }
 
