order: Test that loads keep to the budgets

Loads of models and adapters in transit are counted at the engines: with a budget of 2 models at once and 3 adapters no more ever ran, and all 270 slots became resident. Mutation: without the number at once TestBudgetsHold fails.

--- a/limpetd/order/fakeengine_test.go
+++ b/limpetd/order/fakeengine_test.go
@@ -210,6 +210,10 @@
 	if o.Slot.Adapter != "" {
 		load /= 100
 	}
+	if o.Kind == engine.OrderLoad {
+		e.world.inTransit(o.Slot, 1)
+		defer e.world.inTransit(o.Slot, -1)
+	}
 	select {
 	case <-ctx.Done():
 		time.AfterFunc(time.Second, func() { e.carryOut(o) })
--- a/limpetd/order/rules_test.go
+++ b/limpetd/order/rules_test.go
@@ -242,6 +242,28 @@
 	})
 }
 
+// TestBudgetsHold requires that loads keep to the weight store's rate and number,
+// and adapters to their number in transit.
+func TestBudgetsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 90000, store.FencingIgnores)
+		defer w.stop()
+		for _, e := range w.engines {
+			e.loadTime = 5 * time.Second
+		}
+		w.start("vm-1")
+		doc := document(30, 8, 2000, "1")
+		doc.Budgets = envdoc.Budgets{LoadsPerSecond: 0.5, LoadsAtOnce: 2, AdaptersInTransit: 3}
+		w.run(5 * time.Second)
+		w.declare(doc)
+		w.run(3 * time.Minute)
+		models, adapters := w.most()
+		require.Equal(t, 2, models)
+		require.Equal(t, 3, adapters)
+		require.Empty(t, w.missing())
+	})
+}
+
 // TestTableWrites counts the ledger's transactions for each move.
 func TestTableWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/limpetd/order/world_test.go
+++ b/limpetd/order/world_test.go
@@ -41,6 +41,9 @@
 	born    int
 	// cut tells that daemons don't reach each other.
 	cut bool
+	// models and adapters count the loads under way: of models, of adapters, and the most
+	// of each.
+	models, adapters, mostModels, mostAdapters int
 	// unreached are unloads that took the last replica of a model away.
 	unreached []string
 }
@@ -295,6 +298,26 @@
 	return doc
 }
 
+// inTransit counts a load that begins or ends.
+func (w *world) inTransit(slot envdoc.Slot, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slot.Adapter == "" {
+		w.models += n
+		w.mostModels = max(w.mostModels, w.models)
+		return
+	}
+	w.adapters += n
+	w.mostAdapters = max(w.mostAdapters, w.adapters)
+}
+
+// most returns the most models and adapters that were loaded at once.
+func (w *world) most() (models, adapters int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mostModels, w.mostAdapters
+}
+
 // overcommitted returns the first engine that ever held more than it has.
 func (w *world) overcommitted() string {
 	for _, e := range w.engines {
