batch: Let daemons die without a last word in tests

Cause: a daemon that was ended in a test still handed its job over, so the tests of its death showed a leaving; the test of leaving depended on when a job was saved, and passed without the saving at hand-over now and then. Change: a dying daemon loses the table first; the test of leaving saves only at the hand-over and waits for the first answers.

--- a/limpetd/batch/batch_test.go
+++ b/limpetd/batch/batch_test.go
@@ -73,14 +73,16 @@
 	table    store.Table
 	objects  *fakes.Objects
 	answerer *answerer
-	n        int
+	// saveEvery is the time between two savings of a job's answers.
+	saveEvery time.Duration
+	n         int
 }
 
 // daemon starts a daemon; stop ends it as its death would.
 func (w *world) daemon(t *testing.T, table store.Table) (d *Duty, stop func()) {
 	w.n++
 	ctx, cancel := context.WithCancel(t.Context())
-	d = New(ctx, Config{VM: "vm", Instance: fmt.Sprint("i", w.n), Environment: "test", JobsAtOnce: 1, SaveEvery: 10 * time.Second}, Deps{
+	d = New(ctx, Config{VM: "vm", Instance: fmt.Sprint("i", w.n), Environment: "test", JobsAtOnce: 1, PollEvery: 5 * time.Second, SaveEvery: w.saveEvery}, Deps{
 		Table: table, Objects: w.objects, Answerer: w.answerer, Documents: documents{},
 	})
 	return d, func() {
@@ -97,6 +99,13 @@
 	return s
 }
 
+// done returns the number of generations that have ended.
+func (a *answerer) done() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.ended)
+}
+
 // ended waits until a job has ended.
 func ended(t *testing.T, d *Duty, id string) Job {
 	for range 10000 {
@@ -124,7 +133,7 @@
 
 func inWorld(t *testing.T, table *fakes.Table, f func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		f(t, &world{table: table, objects: &fakes.Objects{}, answerer: &answerer{}})
+		f(t, &world{table: table, objects: &fakes.Objects{}, answerer: &answerer{}, saveEvery: 10 * time.Second})
 	})
 }
 
--- a/limpetd/batch/fault_test.go
+++ b/limpetd/batch/fault_test.go
@@ -54,10 +54,13 @@
 
 func TestDeathOfTheHolderRepeatsOnlyWhatWasNotSaved(t *testing.T) {
 	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
-		first, die := w.daemon(t, w.table)
+		first, die := w.mortal(t)
 		j, err := first.Submit(t.Context(), submission(items))
 		require.NoError(t, err)
-		time.Sleep(3*itemTime + itemTime/2)
+		for w.answerer.done() == 0 {
+			time.Sleep(time.Second)
+		}
+		time.Sleep(itemTime + itemTime/2)
 		second, stop := w.daemon(t, w.table)
 		defer stop()
 		die()
@@ -108,6 +111,24 @@
 	return c.Table.Get(ctx, keys...)
 }
 
+// Scan returns rows by prefix.
+func (c *cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	if err := c.down(); err != nil {
+		return nil, err
+	}
+	return c.Table.Scan(ctx, prefix, after, limit)
+}
+
+// mortal starts a daemon that dies without a last word to the table.
+func (w *world) mortal(t *testing.T) (d *Duty, die func()) {
+	cut := &cutTable{Table: w.table}
+	d, stop := w.daemon(t, cut)
+	return d, func() {
+		cut.set(true)
+		stop()
+	}
+}
+
 // TestResultIsWrittenOnceWhenAHolderWasCutOff cuts the holder off until another
 // daemon has taken the job over and ended it.
 func TestResultIsWrittenOnceWhenAHolderWasCutOff(t *testing.T) {
@@ -134,11 +155,14 @@
 
 func TestLeavingHandsTheJobOver(t *testing.T) {
 	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		w.saveEvery = time.Hour
 		first, stop := w.daemon(t, w.table)
 		defer stop()
 		j, err := first.Submit(t.Context(), submission(items))
 		require.NoError(t, err)
-		time.Sleep(itemTime + itemTime/2)
+		for w.answerer.done() == 0 {
+			time.Sleep(time.Second)
+		}
 		require.NoError(t, first.Leave(t.Context()))
 		held, err := first.Get(t.Context(), "app", j.ID)
 		require.NoError(t, err)
@@ -168,13 +192,13 @@
 			return fakes.None
 		}}
 		inWorld(t, table, func(t *testing.T, w *world) {
-			last, stop := w.daemon(t, w.table)
+			last, stop := w.mortal(t)
 			j, err := last.Submit(t.Context(), submission(items))
 			require.NoError(t, err)
 			for _, seconds := range lives {
 				time.Sleep(time.Duration(seconds) * time.Second)
 				stop()
-				last, stop = w.daemon(t, w.table)
+				last, stop = w.mortal(t)
 			}
 			defer func() { stop() }()
 			got := ended(t, last, j.ID)
