--- a/limpetd/order/engines.go
+++ b/limpetd/order/engines.go
@@ -37,6 +37,8 @@
 	report   engine.Report
 	received time.Time
 	reported bool
+	// listed are the slots of the report.
+	listed map[envdoc.Slot]bool
 	// instance is the engine process known last, replaced the one before.
 	instance string
 	replaced string
@@ -44,6 +46,9 @@
 	done map[envdoc.Slot]string
 	// gone are the confirmed unloads, by order id.
 	gone map[string]bool
+	// unloaded is when the unload of a slot was confirmed; a report measured
+	// before is no evidence of a later load.
+	unloaded map[envdoc.Slot]time.Time
 	// stray is since when slots without a charge were reported.
 	stray map[envdoc.Slot]time.Time
 	// absent is since when a confirmed slot is missing from reports.
@@ -62,12 +67,13 @@
 // newKnowledge returns what is known of an engine that never reported.
 func newKnowledge(vm store.VM) *knowledge {
 	return &knowledge{
-		vm:     vm,
-		done:   map[envdoc.Slot]string{},
-		gone:   map[string]bool{},
-		stray:  map[envdoc.Slot]time.Time{},
-		absent: map[envdoc.Slot]time.Time{},
-		tokens: defaultTokens * float64(max(1, vm.Accelerators)),
+		vm:       vm,
+		done:     map[envdoc.Slot]string{},
+		gone:     map[string]bool{},
+		unloaded: map[envdoc.Slot]time.Time{},
+		stray:    map[envdoc.Slot]time.Time{},
+		absent:   map[envdoc.Slot]time.Time{},
+		tokens:   defaultTokens * float64(max(1, vm.Accelerators)),
 	}
 }
 
@@ -158,10 +164,14 @@
 		k.fault = nil
 	}
 	k.report, k.received, k.reported = r, received, true
+	k.listed = make(map[envdoc.Slot]bool, len(r.Slots))
+	for _, s := range r.Slots {
+		k.listed[s] = true
+	}
 	k.process(r.Instance, now)
 	k.learn(r)
 	for slot, instance := range k.done {
-		if instance != r.Instance || slices.Contains(r.Slots, slot) {
+		if instance != r.Instance || k.listed[slot] {
 			delete(k.absent, slot)
 			continue
 		}
@@ -216,7 +226,10 @@
 	if k.done[slot] == k.instance {
 		return true
 	}
-	return k.report.Instance == k.instance && slices.Contains(k.report.Slots, slot)
+	if gone, ok := k.unloaded[slot]; ok && !k.received.After(gone) {
+		return false
+	}
+	return k.report.Instance == k.instance && k.listed[slot]
 }
 
 // confirmed notes the answer to an order that was carried out for a charge with
@@ -229,6 +242,7 @@
 		delete(k.absent, o.Slot)
 	case engine.OrderUnload:
 		k.gone[charge] = true
+		k.unloaded[o.Slot] = now
 		delete(k.done, o.Slot)
 		delete(k.absent, o.Slot)
 	}
