relay: Hand no crossed answer of a service on

Cause: a backend server that answers late or twice on a kept connection could have its answer taken for that to the next call. Change: calls carry the request id; an answer that names another one ends the call as backend_lost and closes the kept connections. Conclusion: the crossed answer is not handed on; services that do not repeat the header cannot be checked.

--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -24,7 +24,7 @@
 
 // Names of headers and trailers.
 const (
-	headerRequestID = "Limpet-Request-Id"
+	headerRequestID = relay.RequestIDHeader
 	headerCode      = "Limpet-Code"
 	headerRun       = relay.RunHeader
 	headerPriority  = "Limpet-Priority"
--- a/limpetd/relay/relay.go
+++ b/limpetd/relay/relay.go
@@ -139,19 +139,22 @@
 	continued tally.Counter
 	broken    tally.Counter
 	cancelled tally.Counter
+	// answersCrossed counts answers of plain services to other requests.
+	answersCrossed tally.Counter
 }
 
 func newCounts(s tally.Scope) counts {
 	s = s.SubScope("relay")
 	return counts{
-		crossed:   s.Counter("frames_crossed"),
-		doubled:   s.Counter("frames_doubled"),
-		gaps:      s.Counter("frame_gaps"),
-		stalled:   s.Counter("streams_stalled"),
-		resumed:   s.Counter("streams_resumed"),
-		continued: s.Counter("streams_continued"),
-		broken:    s.Counter("streams_broken"),
-		cancelled: s.Counter("attempts_cancelled"),
+		crossed:        s.Counter("frames_crossed"),
+		doubled:        s.Counter("frames_doubled"),
+		gaps:           s.Counter("frame_gaps"),
+		stalled:        s.Counter("streams_stalled"),
+		resumed:        s.Counter("streams_resumed"),
+		continued:      s.Counter("streams_continued"),
+		broken:         s.Counter("streams_broken"),
+		answersCrossed: s.Counter("answers_crossed"),
+		cancelled:      s.Counter("attempts_cancelled"),
 	}
 }
 
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -24,6 +24,9 @@
 // server that refuses a call states "no" in it.
 const RunHeader = "Limpet-Run"
 
+// RequestIDHeader is the header with the request id, in calls and in answers.
+const RequestIDHeader = "Limpet-Request-Id"
+
 // Bounds of the connections to plain services.
 const (
 	// serviceIdle is how long an unused connection is kept. It is shorter
@@ -182,12 +185,20 @@
 	choice := t.Choice()
 	r.deps.Events.Add(event.Event{Kind: event.RequestSent, Request: c.Admission.ID, VM: choice.VM})
 	attempt, cancel := context.WithTimeout(ctx, r.serviceTime)
-	response, sent, err := r.services.send(attempt, choice.Address, c) //nolint:bodyclose // the caller closes the held body
+	response, sent, err := r.services.send(attempt, choice.Address, c)
 	if err != nil {
 		cancel()
 		t.Release(serviceOutcome(ctx))
 		return nil, sent, r.serviceError(ctx, c, choice.VM, sent, err)
 	}
+	if crossed(response, c.Admission.ID) {
+		r.counts.answersCrossed.Inc(1)
+		_ = response.Body.Close()
+		r.services.transport.CloseIdleConnections()
+		cancel()
+		t.Release(admit.OutcomeFailed)
+		return nil, true, r.serviceError(ctx, c, choice.VM, true, errCrossed)
+	}
 	t.FirstToken()
 	body := &heldBody{ReadCloser: response.Body, cancel: cancel, ticket: t, caller: ctx}
 	if response.StatusCode >= http.StatusBadGateway {
@@ -201,6 +212,16 @@
 	}, true, nil
 }
 
+// errCrossed ends a call that got the answer to another one.
+var errCrossed = errors.New("the answer names another request")
+
+// crossed tells whether an answer belongs to another request. A backend server
+// that repeats the request id in its answers is protected against that.
+func crossed(a *http.Response, request string) bool {
+	named := a.Header.Get(RequestIDHeader)
+	return named != "" && named != request
+}
+
 // RunOfAnswer states whether the call ran that a backend server answered. A
 // refusal counts as not run only where the server says so itself; after another
 // fault of the server it is not known.
--- a/limpetd/relay/service_test.go
+++ b/limpetd/relay/service_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -207,3 +208,30 @@
 	require.NoError(t, err)
 	require.Equal(t, body, got)
 }
+
+// TestCrossedAnswerIsNotHandedOn lets a service answer with the answer to
+// another request.
+func TestCrossedAnswerIsNotHandedOn(t *testing.T) {
+	names := []string{"r", "other", "", "r"}
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if names[calls] != "" {
+			w.Header().Set(RequestIDHeader, names[calls])
+		}
+		calls++
+	}))
+	defer server.Close()
+	admitter := &fakes.Admitter{VMs: []string{strings.TrimPrefix(server.URL, "http://")}}
+	r := New(Deps{Admitter: admitter})
+	for i, name := range names {
+		_, err := forward(t.Context(), r, serviceCall("POST", "x"))
+		if name == "other" {
+			require.Equal(t, code.BackendLost, code.Of(err), i)
+			require.Equal(t, code.RunUnknown, code.RunOf(err), i)
+			continue
+		}
+		require.NoError(t, err, i)
+	}
+	require.Equal(t, len(names), calls)
+	require.Zero(t, admitter.Open())
+}
