reach: Ask other data centres for engines

Beyond 64 daemons load reports are told within the data centre only, so that a request for a model resident elsewhere ended with no_engine, and nothing could spill. Admission now has reach ask one daemon of each other data centre when the own engines leave no room in time; the answers go into the view, and the request waits meanwhile, up to its expectation.

--- a/limpetd/admit/queue.go
+++ b/limpetd/admit/queue.go
@@ -40,6 +40,16 @@
 	VMs() []store.VM
 }
 
+// Seeker learns of engines in other data centres that do not tell their reports
+// here.
+type Seeker interface {
+	// Seek asks for engines that hold slots. It does not wait.
+	Seek(slots []envdoc.Slot)
+	// Sought returns the slots for which an answer is awaited. The caller must
+	// not change it.
+	Sought() map[envdoc.Slot]bool
+}
+
 // Config says which daemon admits.
 type Config struct {
 	// VM and DataCentre are those of this daemon.
@@ -47,12 +57,13 @@
 	DataCentre string
 }
 
-// Deps are what a Queue needs. Log, Events and Scope may be nil.
+// Deps are what a Queue needs. Seeker, Log, Events and Scope may be nil.
 type Deps struct {
 	Documents DocumentProvider
 	Views     ViewProvider
 	Peers     PeerCounter
 	VMs       VMProvider
+	Seeker    Seeker
 	Log       *zap.Logger
 	Events    *event.Line
 	Scope     tally.Scope
@@ -149,6 +160,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
+	if q.deps.Seeker != nil {
+		// This comes before the view is read, so that the view holds the answers
+		// that are not awaited any more.
+		q.state.SetSought(q.deps.Seeker.Sought())
+	}
 	q.refresh(now)
 	q.decide(now)
 	q.tellEjected(q.state.Ejected(now))
@@ -202,6 +218,15 @@
 			close(w)
 		}
 	}
+	q.seek()
+}
+
+// seek asks other data centres for what the state wants.
+func (q *Queue) seek() {
+	wanted := q.state.Wanted()
+	if q.deps.Seeker != nil && len(wanted) > 0 {
+		q.deps.Seeker.Seek(wanted)
+	}
 }
 
 // Admit blocks until an engine has room for the call. It returns an error with a
@@ -234,6 +259,7 @@
 	now := time.Now()
 	q.refresh(now)
 	c := q.state.Offer(now, r)
+	q.seek()
 	if c.status != statusWaiting {
 		return c, nil
 	}
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -47,6 +47,10 @@
 	// holders is reused between calls.
 	holders []int
 
+	// wanted are the slots for which engines of other data centres are looked
+	// for since Wanted; sought those for which an answer is awaited.
+	wanted, sought map[envdoc.Slot]bool
+
 	lines   map[target]*line
 	waiting [classes]int
 	// waited is when a call of a class had to wait last.
@@ -67,6 +71,7 @@
 		demand:   newDemand(),
 		backends: make(map[string]*backend),
 		hints:    route.NewHints(),
+		wanted:   make(map[envdoc.Slot]bool),
 		lines:    make(map[target]*line),
 	}
 }
@@ -266,7 +271,8 @@
 	}
 	ask := route.Ask{Class: s.allowed(now, c), Waited: c.waited || s.backlog(now, c.class), Now: now}
 	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, ask, s.random)
-	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait {
+	s.want(now, c, choice, verdict)
+	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait && !s.sought[slotOf(c)] {
 		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
 		return true
 	}
--- a/limpetd/member/member.go
+++ b/limpetd/member/member.go
@@ -189,6 +189,22 @@
 	return peers
 }
 
+// Far returns the daemons that are not told load reports and tell none here: in
+// an environment of more than MeshSize daemons those of other data centres, else
+// none. Daemons that leave, are suspected or were never heard are left out.
+func (u *Duty) Far() []Peer {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, distant := u.view.near()
+	var far []Peer
+	for _, d := range distant {
+		if d.Instance != "" && !d.Leaving && !d.Suspect {
+			far = append(far, Peer{VM: d.VM, Instance: d.Instance, DataCentre: d.DataCentre, Region: d.Region, Address: d.Address, Ready: d.Ready})
+		}
+	}
+	return far
+}
+
 // Gone tells whether this daemon's own reads of the VM list have lacked a VM, and
 // nobody heard it here, for its connection lifetime and at least ListLag. False
 // may mean that it is not known yet.
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -38,6 +38,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
 	"github.com/limpetlb/limpetlb/limpetd/peer"
+	"github.com/limpetlb/limpetlb/limpetd/reach"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetd/watch"
@@ -70,6 +71,7 @@
 	members              *member.Duty
 	docs                 *docs.Duty
 	watch                *watch.Watch
+	reach                *reach.Reach
 	queue                *admit.Queue
 	relay                *relay.Relay
 	claims               *claim.Claims
@@ -187,8 +189,12 @@
 	n.watch = watch.New(ctx, watch.Config{VM: c.VM, DataCentre: c.DataCentre}, watch.Deps{
 		VMs: n.members, Reporter: n.engines, Log: log, Events: events, Scope: metric,
 	})
+	n.reach = reach.New(ctx, reach.Deps{
+		Peers: n.members, Questions: n.peers, Answers: n.watch, Engines: n.watch, Log: log, Scope: metric,
+	})
 	n.queue = admit.New(ctx, admit.Config{VM: c.VM, DataCentre: c.DataCentre}, admit.Deps{
-		Documents: n.docs, Views: n.watch, Peers: n.members, VMs: n.members, Log: log, Events: events, Scope: metric,
+		Documents: n.docs, Views: n.watch, Peers: n.members, VMs: n.members, Seeker: n.reach,
+		Log: log, Events: events, Scope: metric,
 	})
 	n.relay = relay.New(relay.Deps{
 		Generator: n.engines, Admitter: n.queue, Log: log, Events: events, Scope: metric,
@@ -304,7 +310,7 @@
 func (n *Node) Wait() error {
 	err := n.tomb.Wait()
 	for _, w := range []waiter{
-		n.orders, n.batches, n.claims, n.queue, n.watch, n.docs, n.members, n.peerServer, n.peers, n.callerKeys, n.peerKeys,
+		n.orders, n.batches, n.claims, n.queue, n.reach, n.watch, n.docs, n.members, n.peerServer, n.peers, n.callerKeys, n.peerKeys,
 	} {
 		if e := w.Wait(); e != nil && !errors.Is(e, context.Canceled) {
 			err = errors.Join(err, e)
--- a/limpetd/peer/client.go
+++ b/limpetd/peer/client.go
@@ -20,6 +20,8 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/peer/peerpb"
@@ -329,6 +331,24 @@
 	return SentAnswer{Instance: a.GetInstance(), State: a.GetState()}, nil
 }
 
+// Holders asks a daemon which engines of its data centre hold slots. The reports
+// list no other slots.
+func (c *Client) Holders(ctx context.Context, address string, slots []envdoc.Slot) ([]engine.Report, error) {
+	stub, ctx, err := c.peer(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	a, err := stub.Holders(ctx, &peerpb.HoldersRequest{Slots: encodeSlots(slots)})
+	if err != nil {
+		return nil, failed(address, err)
+	}
+	var reports []engine.Report
+	for _, l := range a.GetLoads() {
+		reports = append(reports, decodeLoad(l).Report)
+	}
+	return reports, nil
+}
+
 // Events fetches events of a daemon's time line.
 func (c *Client) Events(ctx context.Context, address string, f event.Filter) ([]event.Event, error) {
 	stub, ctx, err := c.peer(ctx, address)
--- a/limpetd/peer/convert.go
+++ b/limpetd/peer/convert.go
@@ -144,12 +144,26 @@
 	}
 	r.Instance, r.MemoryMB, r.BatchLimit = f.GetInstance(), f.GetMemoryMb(), int(f.GetBatchLimit())
 	r.Role, r.Fence = engine.Role(f.GetRole()), f.GetFence()
-	for _, s := range f.GetSlots() {
-		r.Slots = append(r.Slots, envdoc.Slot{Model: s.GetModel(), Adapter: s.GetAdapter(), Version: s.GetVersion()})
-	}
+	r.Slots = decodeSlots(f.GetSlots())
 	return member.Load{Report: r, Hash: p.GetHash(), Whole: true}
 }
 
+func encodeSlots(slots []envdoc.Slot) []*peerpb.Slot {
+	encoded := make([]*peerpb.Slot, len(slots))
+	for i, s := range slots {
+		encoded[i] = &peerpb.Slot{Model: s.Model, Adapter: s.Adapter, Version: s.Version}
+	}
+	return encoded
+}
+
+func decodeSlots(encoded []*peerpb.Slot) []envdoc.Slot {
+	var slots []envdoc.Slot
+	for _, s := range encoded {
+		slots = append(slots, envdoc.Slot{Model: s.GetModel(), Adapter: s.GetAdapter(), Version: s.GetVersion()})
+	}
+	return slots
+}
+
 func encodeStamp(s event.Stamp) *peerpb.Stamp {
 	return &peerpb.Stamp{Wall: s.Wall, Logical: s.Logical}
 }
--- a/limpetd/peer/cost_test.go
+++ b/limpetd/peer/cost_test.go
@@ -179,6 +179,17 @@
 	return m.HeapInuse + m.StackInuse
 }
 
+// newSecrets returns certificates for both ends of a connection.
+func newSecrets(ctx context.Context, t testing.TB) *keys.Duty {
+	a, err := certs.NewAuthority()
+	require.NoError(t, err)
+	certificate, key, err := a.Issue(keys.PeerName)
+	require.NoError(t, err)
+	secrets, err := keys.New(ctx, keys.Config{Certificate: keys.Secret(certificate), Key: keys.Secret(key), Authority: keys.Secret(a.PEM)}, keys.Deps{})
+	require.NoError(t, err)
+	return secrets
+}
+
 // measure lets one daemon tell a fleet for some periods. All connections lead to
 // one receiver, so that the process does what one daemon does: send to all near
 // peers, and receive from as many. The bytes of a daemon are twice those of the
@@ -187,12 +198,7 @@
 func measure(t testing.TB, near, all, periods int, placed bool) cost {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	a, err := certs.NewAuthority()
-	require.NoError(t, err)
-	certificate, key, err := a.Issue(keys.PeerName)
-	require.NoError(t, err)
-	secrets, err := keys.New(ctx, keys.Config{Certificate: keys.Secret(certificate), Key: keys.Secret(key), Authority: keys.Secret(a.PEM)}, keys.Deps{})
-	require.NoError(t, err)
+	secrets := newSecrets(ctx, t)
 	vms := fleet(near+1, all)
 
 	receiver := member.New(ctx, member.Config{VM: vms[1].ID, Instance: "receiver", Address: vms[1].Address},
--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -30,6 +30,8 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/peer/peerpb"
@@ -59,6 +61,11 @@
 	Sent(grant string) SentAnswer
 }
 
+// HolderProvider answers which engines of its data centre hold slots.
+type HolderProvider interface {
+	Holders(slots []envdoc.Slot) ([]engine.Report, error)
+}
+
 // EventProvider selects events of the time line. It is implemented by event.Line.
 type EventProvider interface {
 	Select(f event.Filter) []event.Event
@@ -82,6 +89,7 @@
 	Members   MemberHandler
 	Documents DocumentProvider
 	Sent      SentProvider
+	Holders   HolderProvider
 	Line      EventProvider
 	Drain     DrainHandler
 	Log       *zap.Logger
@@ -276,6 +284,22 @@
 	return &peerpb.Ack{}, nil
 }
 
+// Holders implements the service.
+func (s *Server) Holders(_ context.Context, r *peerpb.HoldersRequest) (*peerpb.HoldersAnswer, error) {
+	if s.deps.Holders == nil {
+		return nil, unserved()
+	}
+	reports, err := s.deps.Holders.Holders(decodeSlots(r.GetSlots()))
+	if err != nil {
+		return nil, refused(err)
+	}
+	a := &peerpb.HoldersAnswer{}
+	for _, report := range reports {
+		a.Loads = append(a.Loads, encodeLoad(member.Load{Report: report, Whole: true}))
+	}
+	return a, nil
+}
+
 // observe takes note of the time of another process.
 func (s *Server) observe(p *peerpb.Stamp) {
 	if s.deps.Events != nil && p != nil {
--- a/limpetd/route/choose.go
+++ b/limpetd/route/choose.go
@@ -171,7 +171,7 @@
 // safe tells whether an estimate leaves enough time to the expectation, since
 // estimates err.
 func (c *chooser) safe(estimate time.Duration) bool {
-	return c.r.Expected.IsZero() || estimate < c.r.Expected.Sub(c.ask.Now)/safeShare
+	return c.r.Safe(estimate, c.ask.Now)
 }
 
 // best returns the candidate with the lowest estimate of a sample of list.
--- a/limpetd/route/request.go
+++ b/limpetd/route/request.go
@@ -29,6 +29,12 @@
 	Exclude []string
 }
 
+// Safe tells whether an estimate of the first token leaves enough time to the
+// expectation, since estimates err.
+func (r *Request) Safe(estimate time.Duration, now time.Time) bool {
+	return r.Expected.IsZero() || estimate < r.Expected.Sub(now)/safeShare
+}
+
 // Choice is a chosen backend server.
 type Choice struct {
 	VM         string
--- a/limpetd/watch/refresh.go
+++ b/limpetd/watch/refresh.go
@@ -33,10 +33,15 @@
 		w.takeVMs(vms, now)
 		w.choose(vms)
 	}
-	w.view.Store(route.NewView(w.config.DataCentre, w.list(now), w.cache(now), w.view.Load()))
+	w.renew(now)
 	return w.dueEngines(now)
 }
 
+// renew makes a new view.
+func (w *Watch) renew(now time.Time) {
+	w.view.Store(route.NewView(w.config.DataCentre, w.list(now), w.cache(now), w.view.Load()))
+}
+
 // takeVMs adds new engines and forgets those that are no longer listed.
 func (w *Watch) takeVMs(vms []store.VM, now time.Time) {
 	listed := make(map[string]bool, len(w.engines))
@@ -111,6 +116,9 @@
 		if !s.known {
 			continue
 		}
+		if s.farSlots != nil {
+			s.listFar(now)
+		}
 		engines = append(engines, route.Engine{
 			VM:         id,
 			Address:    s.vm.Address,
--- a/limpetd/watch/state.go
+++ b/limpetd/watch/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -43,6 +44,9 @@
 	due     time.Time
 	reading bool
 	cache   cache
+	// farSlots are the slots that answers of another data centre told, with the
+	// time; nil when the newest report is whole.
+	farSlots map[envdoc.Slot]time.Time
 }
 
 // take takes a report that is newer than the known one and tells whether it was.
@@ -62,7 +66,7 @@
 		r.Slots = s.report.Slots
 	}
 	s.known, s.read, s.report, s.received = true, read, r, now
-	s.at = measured(r.At, now)
+	s.at, s.farSlots = measured(r.At, now), nil
 	s.promptRate = max(s.promptRate*rateDecay, r.PromptTokensPerSecond)
 	return true
 }
