--- a/limpetd/lease/lease_test.go
+++ b/limpetd/lease/lease_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
--- a/limpetd/ledger/ledger_test.go
+++ b/limpetd/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 )
 
 func slot(i int) envdoc.Slot { return envdoc.Slot{Model: fmt.Sprint("m", i), Version: "1"} }
--- a/limpetd/place/place_test.go
+++ b/limpetd/place/place_test.go
@@ -11,6 +11,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/member"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
