--- /dev/null
+++ b/limpetd/order/bench_test.go
@@ -0,0 +1,59 @@
+package order
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
+	"github.com/limpetlb/limpetlb/limpetd/ledger"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// BenchmarkStep is what the holder does in a plan period at rest: 86 engines, 900
+// models, 2,700 adapters, all resident.
+func BenchmarkStep(b *testing.B) {
+	w := newWorld(b, 86, 320000, store.FencingIgnores)
+	d := w.start("vm-1")
+	w.kill(d, false)
+	doc := document(900, 3, 10000, "1")
+	l := d.duty.loop
+	l.document = doc
+	for i, e := range w.engines {
+		l.books.copies[e.vm.ID] = &book{row: fill(b, doc, e, i, len(w.engines)), version: 1}
+	}
+	l.books.fresh = true
+	now := time.Now()
+	for b.Loop() {
+		for _, e := range w.engines {
+			w.reports[e.vm.ID] = lagged{e.report(), now}
+		}
+		l.observe(now)
+		l.decide(b.Context(), lease.Hold{Key: "fence"}, now)
+		require.Empty(b, l.pending(now))
+		now = now.Add(time.Second)
+	}
+	require.Zero(b, w.table.transactions())
+}
+
+// fill charges an engine with its part of the models and loads them.
+func fill(b *testing.B, doc *envdoc.Document, e *fakeEngine, part, parts int) ledger.Row {
+	r := ledger.Row{Engine: e.vm.ID, MemoryMB: e.vm.MemoryMB}
+	add := func(slot envdoc.Slot, memoryMB int64) {
+		var err error
+		r, err = r.Charge(slot, memoryMB, fmt.Sprint("order-", slot), time.Now())
+		require.NoError(b, err)
+		e.slots[slot] = memoryMB
+	}
+	for k := part; k < len(doc.Models); k += parts {
+		m := doc.Models[k]
+		add(envdoc.Slot{Model: m.Name, Version: m.Version}, m.MemoryMB)
+		for _, a := range m.Adapters {
+			add(envdoc.Slot{Model: m.Name, Adapter: a.Name, Version: a.Version}, a.MemoryMB)
+		}
+	}
+	return r
+}
