--- /dev/null
+++ b/limpetd/order/lag_test.go
@@ -0,0 +1,34 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// TestReportFromBeforeUnloadIsNoEvidence: reports lag, so one that still lists
+// a slot after its unload says nothing of a later load.
+func TestReportFromBeforeUnloadIsNoEvidence(t *testing.T) {
+	slot := envdoc.Slot{Model: "m", Adapter: "a", Version: "1"}
+	now := time.Unix(1000, 0)
+	k := newKnowledge(store.VM{ID: "engine-1"})
+	report := func(sequence int64, measured time.Time) {
+		k.accept(engine.Report{
+			Instance: "i", Sequence: sequence, At: measured, MemoryMB: 1, Slots: []envdoc.Slot{slot},
+		}, measured, measured)
+	}
+	report(1, now)
+	require.True(t, k.resident(slot, now))
+	now = now.Add(2 * time.Second)
+	k.confirmed("1", engine.Order{Kind: engine.OrderUnload, Slot: slot}, engine.OrderAnswer{Instance: "i"}, now)
+	require.False(t, k.resident(slot, now))
+	report(2, now.Add(-time.Second))
+	require.False(t, k.resident(slot, now))
+	report(3, now.Add(time.Second))
+	require.True(t, k.resident(slot, now))
+}
