life: Tie duties to a context without a race

Cause: tomb.WithContext goes on changing the tomb without its lock after it has started the goroutine that kills it. Change: life.WithContext makes the context first. Ruled out: Tomb.Context alone, since some duties wait for Dying. After: 2,000 starts under an ending context without a race.

--- a/limpetd/admit/queue.go
+++ b/limpetd/admit/queue.go
@@ -15,6 +15,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
@@ -111,7 +112,7 @@
 	}
 	q.state = NewState(c.VM, q.random)
 	q.services = newServices(c.DataCentre, q.random)
-	q.tomb, ctx = tomb.WithContext(ctx)
+	q.tomb, ctx = life.WithContext(ctx)
 	q.tomb.Go(func() error { return q.run(ctx) })
 	return q
 }
--- a/limpetd/batch/batch.go
+++ b/limpetd/batch/batch.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -165,7 +166,7 @@
 	for _, o := range opts {
 		o(d)
 	}
-	t, ctx := tomb.WithContext(ctx)
+	t, ctx := life.WithContext(ctx)
 	d.tomb = t
 	t.Go(func() error {
 		for range d.config.JobsAtOnce {
--- a/limpetd/claim/claim.go
+++ b/limpetd/claim/claim.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -139,7 +140,7 @@
 	for _, o := range opts {
 		o(s)
 	}
-	t, ctx := tomb.WithContext(ctx)
+	t, ctx := life.WithContext(ctx)
 	s.tomb = t
 	t.Go(func() error {
 		for range committers {
--- a/limpetd/docs/docs.go
+++ b/limpetd/docs/docs.go
@@ -34,6 +34,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -162,7 +163,7 @@
 		o(u)
 	}
 	var inner context.Context
-	u.tomb, inner = tomb.WithContext(ctx)
+	u.tomb, inner = life.WithContext(ctx)
 	u.tomb.Go(func() error { return u.follow(inner) })
 	return u
 }
--- a/limpetd/keys/keys.go
+++ b/limpetd/keys/keys.go
@@ -30,6 +30,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 )
 
 // PeerName is the DNS name in the certificate of a daemon.
@@ -127,7 +128,7 @@
 		o(u)
 	}
 	var inner context.Context
-	u.tomb, inner = tomb.WithContext(ctx)
+	u.tomb, inner = life.WithContext(ctx)
 	if !config.Plain {
 		m, err := u.read()
 		if err != nil {
--- a/limpetd/lease/keeper.go
+++ b/limpetd/lease/keeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -59,7 +60,7 @@
 
 // New starts to compete for the lease of a data centre.
 func New(ctx context.Context, environment, dataCentre string, c Config, d Deps, opts ...Option) *Keeper {
-	t, ctx := tomb.WithContext(ctx)
+	t, ctx := life.WithContext(ctx)
 	k := &Keeper{
 		tomb:     t,
 		deps:     d,
--- /dev/null
+++ b/limpetd/life/life_test.go
@@ -0,0 +1,37 @@
+package life
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestParentEndsMeanwhile ends the parent while the tomb is made; the race
+// detector checks it.
+func TestParentEndsMeanwhile(t *testing.T) {
+	const times = 2000
+	for range times {
+		parent, cancel := context.WithCancel(t.Context())
+		go cancel()
+		b, ctx := WithContext(parent)
+		b.Go(func() error {
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		require.ErrorIs(t, b.Wait(), context.Canceled)
+	}
+}
+
+// TestErrorEndsTheOthers lets one goroutine fail.
+func TestErrorEndsTheOthers(t *testing.T) {
+	failure := errors.New("failure")
+	b, ctx := WithContext(t.Context())
+	b.Go(func() error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	b.Go(func() error { return failure })
+	require.ErrorIs(t, b.Wait(), failure)
+}
--- a/limpetd/member/member.go
+++ b/limpetd/member/member.go
@@ -30,6 +30,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -124,7 +125,7 @@
 	})
 	u.spread = newSpread(u.random)
 	var inner context.Context
-	u.tomb, inner = tomb.WithContext(ctx)
+	u.tomb, inner = life.WithContext(ctx)
 	u.tomb.Go(func() error { return u.tellPeers(inner) })
 	u.tomb.Go(func() error { return u.readList(inner) })
 	u.tomb.Go(func() error { return u.syncPeers(inner) })
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/gate"
 	"github.com/limpetlb/limpetlb/limpetd/keys"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
 	"github.com/limpetlb/limpetlb/limpetd/peer"
@@ -119,7 +120,7 @@
 	}
 	inner, cancel := context.WithCancel(ctx)
 	n.cancel = cancel
-	n.tomb, inner = tomb.WithContext(inner)
+	n.tomb, inner = life.WithContext(inner)
 	if err := n.connect(inner); err != nil {
 		cancel()
 		n.listeners.close()
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -34,6 +34,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/ledger"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/place"
 	"github.com/limpetlb/limpetlb/limpetd/store"
@@ -184,7 +185,7 @@
 	if c.PlanPeriod == 0 {
 		c.PlanPeriod = DefaultPlanPeriod
 	}
-	t, ctx := tomb.WithContext(ctx)
+	t, ctx := life.WithContext(ctx)
 	o := &Duty{
 		config:       c,
 		deps:         d,
--- a/limpetd/peer/client.go
+++ b/limpetd/peer/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/peer/peerpb"
 )
@@ -118,7 +119,7 @@
 	for _, o := range opts {
 		o(c)
 	}
-	c.tomb, c.ctx = tomb.WithContext(ctx)
+	c.tomb, c.ctx = life.WithContext(ctx)
 	c.tomb.Go(func() error { return c.sweep() })
 	return c
 }
--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -31,6 +31,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/peer/peerpb"
 )
@@ -113,7 +114,7 @@
 	s.server = grpc.NewServer(s.options()...)
 	peerpb.RegisterPeerServer(s.server, s)
 	var inner context.Context
-	s.tomb, inner = tomb.WithContext(ctx)
+	s.tomb, inner = life.WithContext(ctx)
 	s.tomb.Go(func() error { return s.server.Serve(netutil.LimitListener(listener, maxConnections)) })
 	s.tomb.Go(func() error {
 		<-inner.Done()
--- a/limpetd/watch/watch.go
+++ b/limpetd/watch/watch.go
@@ -30,6 +30,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -117,7 +118,7 @@
 		w.deps.Scope = tally.NoopScope
 	}
 	w.view.Store(route.NewView(c.DataCentre, nil, nil, nil))
-	w.tomb, ctx = tomb.WithContext(ctx)
+	w.tomb, ctx = life.WithContext(ctx)
 	w.tomb.Go(func() error { return w.schedule(ctx) })
 	for range readers {
 		w.tomb.Go(func() error { return w.read(ctx) })
--- a/limpetlab/engsim/engsim.go
+++ b/limpetlab/engsim/engsim.go
@@ -27,6 +27,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 )
@@ -120,12 +121,12 @@
 	wake chan struct{}
 
 	mu    sync.Mutex
-	life  *life
+	life  *instance
 	books books
 }
 
-// life is the state of one instance; a restart begins a new one.
-type life struct {
+// instance is the state of one process; a restart begins a new one.
+type instance struct {
 	id     string
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -149,7 +150,7 @@
 
 // New starts an engine. Its goroutines end with ctx.
 func New(ctx context.Context, c Config, weights LoaderProvider, opts ...Option) *Engine {
-	t, ctx := tomb.WithContext(ctx)
+	t, ctx := life.WithContext(ctx)
 	e := &Engine{
 		config:  c.defaults(),
 		weights: weights,
@@ -173,7 +174,7 @@
 // begin starts a life. e.mu is held.
 func (e *Engine) begin(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	e.life = &life{
+	e.life = &instance{
 		id:          store.NewID(),
 		ctx:         ctx,
 		cancel:      cancel,
--- a/limpetlab/engsim/order.go
+++ b/limpetlab/engsim/order.go
@@ -198,7 +198,7 @@
 }
 
 // loaded ends the load of a slot in the life l.
-func (e *Engine) loaded(l *life, slot envdoc.Slot, err error) {
+func (e *Engine) loaded(l *instance, slot envdoc.Slot, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.life != l {
@@ -262,7 +262,7 @@
 }
 
 // used returns the memory of resident slots and loads under way.
-func (l *life) used() int64 {
+func (l *instance) used() int64 {
 	var used int64
 	for _, r := range l.resident {
 		used += r.memory
@@ -274,12 +274,12 @@
 }
 
 // holdsModel tells whether any version of a model is resident.
-func (l *life) holdsModel(model string) bool {
+func (l *instance) holdsModel(model string) bool {
 	return l.base(model) != nil
 }
 
 // base returns the residence of a model in any version, nil when there is none.
-func (l *life) base(model string) *residence {
+func (l *instance) base(model string) *residence {
 	for s, r := range l.resident {
 		if s.Model == model && s.Adapter == "" {
 			return r
