route: Index the slots of fresh engines at once

Cause: when a slot changes, the view's index is made anew. Change: the first health fills the index itself; only the later one needs a map of its own.

--- a/limpetd/route/view.go
+++ b/limpetd/route/view.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -169,30 +170,31 @@
 // add adds the engines of one health to the lists that have none yet of a
 // better health.
 func (x *index) add(dataCentre string, engines []Engine, health Health) {
-	exact := make(map[envdoc.Slot]*candidates)
-	named := make(map[name]*candidates)
+	to := x
+	if len(x.exact) > 0 {
+		to = &index{exact: make(map[envdoc.Slot]*candidates), named: make(map[name]*candidates)}
+	}
 	for i := range engines {
 		e := &engines[i]
 		if e.Health != health || e.Report.Role == engine.RoleDecode {
 			continue
 		}
+		local := e.DataCentre == dataCentre
 		for _, s := range e.Report.Slots {
 			c := candidate{engine: int32(i), slot: s}
-			local := e.DataCentre == dataCentre
-			if x.exact[s] == nil {
-				exact[s] = exact[s].with(c, local)
+			if to == x || x.exact[s] == nil {
+				to.exact[s] = to.exact[s].with(c, local)
 			}
-			if n := (name{s.Model, s.Adapter}); x.named[n] == nil {
-				named[n] = named[n].with(c, local)
+			if n := (name{s.Model, s.Adapter}); to == x || x.named[n] == nil {
+				to.named[n] = to.named[n].with(c, local)
 			}
 		}
 	}
-	for s, c := range exact {
-		x.exact[s] = c
-	}
-	for n, c := range named {
-		x.named[n] = c
+	if to == x {
+		return
 	}
+	maps.Copy(x.exact, to.exact)
+	maps.Copy(x.named, to.named)
 }
 
 // with returns the candidates with c added.
--- a/limpetlab/bench_command.go
+++ b/limpetlab/bench_command.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetlab/pbench"
 	"github.com/limpetlb/limpetlb/limpetlab/rbench"
+	"github.com/limpetlb/limpetlb/limpetlab/scale"
 )
 
 // benchCommand holds the benches.
@@ -14,6 +15,7 @@
 	Placement placementBench `cmd:"" help:"Measure placement against greedy and static placement."`
 	Requests  requestsBench  `cmd:"" help:"Measure routing and admission against other policies."`
 	All       allBench       `cmd:"" help:"Run all benches for both deployments."`
+	Capacity  capacityBench  `cmd:"" help:"Measure what each role costs at several sizes."`
 	Report    reportBench    `cmd:"" help:"Write a page with the figures of all benches by policy."`
 }
 
@@ -57,6 +59,21 @@
 	return conclude(r, r.Broken)
 }
 
+// capacityBench measures what each role costs.
+type capacityBench struct {
+	Runs int  `help:"Runs of which the median is taken." default:"5"`
+	JSON bool `help:"Print one JSON object (always done; accepted for uniformity)."`
+}
+
+// Run implements the command.
+func (c *capacityBench) Run(ctx context.Context) error {
+	r, err := scale.Run(ctx, scale.Config{Start: startNode, Runs: c.Runs})
+	if err != nil {
+		return err
+	}
+	return printJSON(r)
+}
+
 // allBench runs all benches.
 type allBench struct {
 	benchFlags
