order: Copy the ledger rows of restorers each 30 s

Cause: a daemon without the lease reads the rows of the engines that it may have to restore. At the target size these are about 7 rows of 41 charges, 58.3 KB with envelope and JSON, each 10 s: 5.8 KB of the 18 KB a second for control, and 36 of the table's reads a second. Change: CopyPeriod is 30 s. What a restore without the table may do rests on grants, not on the age of the copy; a slot loaded in the last 30 s before a cut may stay unrestored until the table is back, where it was 10 s.

--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -126,7 +126,7 @@
 	// ReportLifetime is how old the last report of a usable engine may be.
 	ReportLifetime = 15 * time.Second
 	// CopyPeriod is how often a daemon without the lease reads the ledger.
-	CopyPeriod = 10 * time.Second
+	CopyPeriod = 30 * time.Second
 	// startGrace is how long a daemon that starts waits for engines that have
 	// not reported before it plans without them.
 	startGrace = 5 * time.Second
