place: Add a red test for an engine that is full to the last MB

Its adapters find no room beside it, the old version elsewhere may not go before they serve, and the plan ends there for good, though the data centre has memory for all that is declared.

--- /dev/null
+++ b/limpetd/place/full_test.go
@@ -0,0 +1,44 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+)
+
+// TestFullEngineMakesRoomForAdapters: the declared version of c came to an
+// engine that it fills to the last megabyte, so that no adapter has room beside
+// it. There is memory enough for all that is declared, so a plan must not end
+// here.
+func TestFullEngineMakesRoomForAdapters(t *testing.T) {
+	now := time.Unix(10000, 0)
+	doc := &envdoc.Document{Weights: envdoc.Weights{Attainment: 8, Moves: 2}, Budgets: envdoc.Budgets{LoadsPerSecond: 14, LoadsAtOnce: 14, AdaptersInTransit: 110}}
+	memory := map[string]int64{"a": 14_000, "b": 20_000, "c": 26_000, "d": 32_000}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		version := "1"
+		if name == "c" {
+			version = "2"
+		}
+		doc.Models = append(doc.Models, envdoc.Model{
+			Name: name, Version: version, Pool: "pool", MemoryMB: memory[name],
+			Adapters: []envdoc.Adapter{{Name: name + "-1", Version: "1", MemoryMB: 180}},
+		})
+	}
+	held := func(model, adapter, version string, mb int64) Slot {
+		return Slot{Slot: envdoc.Slot{Model: model, Adapter: adapter, Version: version}, MemoryMB: mb, State: Resident, Since: now.Add(-time.Hour)}
+	}
+	engine := func(vm string, slots ...Slot) Engine {
+		return Engine{VM: vm, Pool: "pool", MemoryMB: 60_000, Usable: true, TokensPerSecond: 1000, Slots: slots}
+	}
+	plan := NewPlanner().Plan(Facts{
+		Now: now, Document: doc, DataCentre: "dc",
+		Engines: []Engine{
+			engine("engine-1", held("c", "", "1", 26_000), held("c", "c-1", "1", 180), held("d", "", "1", 32_000), held("d", "d-1", "1", 180)),
+			engine("engine-2", held("a", "", "1", 14_000), held("b", "", "1", 20_000), held("c", "", "2", 26_000)),
+		},
+	})
+	require.NotEmpty(t, plan.Moves, "blocked: %v", plan.Blocked)
+}
