scale: Measure known prefixes too

Cause: the index of cached prefixes is the largest part of a view's memory, and a name was declared twice. Change: a row for the memory of prefixes; the batch of calls is called timeOf.

--- a/limpetlab/scale/clock.go
+++ b/limpetlab/scale/clock.go
@@ -19,19 +19,19 @@
 func perCall(work func()) float64 {
 	runtime.GC()
 	n := 1
-	best := batch(n, work)
+	best := timeOf(n, work)
 	for best < leastTime {
 		n *= 2
-		best = batch(n, work)
+		best = timeOf(n, work)
 	}
 	for range batches - 1 {
-		best = min(best, batch(n, work))
+		best = min(best, timeOf(n, work))
 	}
 	return float64(best) / float64(n) / float64(time.Microsecond)
 }
 
-// batch returns the processor time of n calls.
-func batch(n int, work func()) time.Duration {
+// timeOf returns the processor time of n calls.
+func timeOf(n int, work func()) time.Duration {
 	before := processor()
 	for range n {
 		work()
--- a/limpetlab/scale/routing.go
+++ b/limpetlab/scale/routing.go
@@ -21,6 +21,9 @@
 	promptSize  = 4096
 	batchLimit  = 64
 	expectation = 1700 * time.Millisecond
+	// readPrefixes is the number of prefixes of the engines that a daemon reads:
+	// two daemons read each engine, which tells 8,192 at most.
+	readPrefixes = 2 * NearEngines * 8192 / NearDaemons
 	// watchTime is how long a watch runs to measure its processor time.
 	watchTime = 2 * time.Second
 )
@@ -32,6 +35,7 @@
 		{"router", "choice of an engine", "us", "engines", engines, target, once(choice)},
 		{"router", "new view, same slots", "us", "engines", engines, target, once(newView)},
 		{"router", "new view, slots changed", "us", "engines", engines, target, once(newIndex)},
+		{"router", "known prefixes", "bytes", "prefixes", []int{8192, 16384, readPrefixes}, readPrefixes, once(prefixes)},
 		{"admission", "admission of a request", "us", "engines", engines, target, once(offer)},
 		{"admission", "taking a view", "us", "engines", engines, target, once(setView)},
 		{"admission", "step with waiting requests", "us", "waiting", []int{100, 300, 900}, 900, once(step)},
@@ -110,6 +114,18 @@
 	return perCall(func() { route.Choose(view, own, nil, &r, route.Ask{Now: now}, random) })
 }
 
+// prefixes returns the memory of a view's cached prefixes.
+func prefixes(n int) float64 {
+	list, random := engineList(NearEngines), newRandom()
+	return held(func() any {
+		c := make(route.Cache, n)
+		for i := range n {
+			c[random.Uint64()] = []string{engineVM(i % NearEngines)}
+		}
+		return []any{c, route.NewView(here, list, c, nil)}
+	})
+}
+
 func newView(n int) float64 {
 	list := engineList(n)
 	view := route.NewView(here, list, nil, nil)
