--- a/limpetlab/scale/traffic.go
+++ b/limpetlab/scale/traffic.go
@@ -89,8 +89,11 @@
 	}
 	c := &counter{Listener: l}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(c) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(c)
+	}()
 	return c, func() {
 		_ = s.Close()
 		<-ended
