member: Let a false rumour that a VM is gone die out

Daemons that had read the list again, and so knew better, learned the error anew from those that had not; the rumour could go round for minutes, and the VM got no work. Change: for ten minutes after an own read has contradicted that a VM is gone, peers are not believed on it; own reads are. A VM that is really gone then shows by the next own read and by failing calls. Ruled out: to believe nothing of peers on a contradicted VM, since a leaving VM must be avoided within 3 s.

--- a/limpetd/member/message.go
+++ b/limpetd/member/message.go
@@ -163,6 +163,9 @@
 	listPeriodEntry = 150 * time.Millisecond
 	// ListLag is how far the VM list may lag.
 	ListLag = time.Minute
+	// denyFor is how long peers are not believed that a VM is gone after an
+	// own read has listed it.
+	denyFor = 10 * ListLag
 	// CallTimeout bounds a call to a peer or to the VM list.
 	CallTimeout = 2 * time.Second
 	// remoteLinks is the number of daemons outside the near ones that are
--- a/limpetd/member/view.go
+++ b/limpetd/member/view.go
@@ -24,6 +24,8 @@
 	// read when it read the list last.
 	absent map[string]time.Time
 	read   time.Time
+	// denied is when an own read last contradicted that a VM is gone.
+	denied map[string]time.Time
 	// news is what has to be passed on.
 	news []news
 	// fresh means that sum, nearby and distant are those of the present.
@@ -49,7 +51,7 @@
 	v := &view{
 		self:    self,
 		daemons: map[string]Daemon{self.VM: self}, entries: map[string]Entry{}, advice: map[string]Advice{},
-		heard: map[string]time.Time{}, absent: map[string]time.Time{},
+		heard: map[string]time.Time{}, absent: map[string]time.Time{}, denied: map[string]time.Time{},
 	}
 	return v
 }
@@ -121,7 +123,7 @@
 	if ok && known.rank() >= e.rank() {
 		return false
 	}
-	if !ok && e.Gone {
+	if e.Gone && (!ok || v.denies(e.VM.ID)) {
 		return false
 	}
 	v.entries[e.VM.ID] = e
@@ -171,6 +173,11 @@
 			delete(v.absent, id)
 		}
 	}
+	for id := range v.denied {
+		if !listed[id] {
+			delete(v.denied, id)
+		}
+	}
 	for id := range v.entries {
 		v.miss(id, listed, now)
 	}
@@ -184,6 +191,9 @@
 func (v *view) listed(e Entry) bool {
 	known, ok := v.entries[e.VM.ID]
 	v.entries[e.VM.ID] = e
+	if known.Gone && !e.Gone {
+		v.denied[e.VM.ID] = v.read
+	}
 	if ok && known.VM == e.VM && known.Gone == e.Gone {
 		return false
 	}
@@ -191,6 +201,14 @@
 	return true
 }
 
+// denies tells whether an own read contradicted lately that a VM is gone. Without
+// it, daemons that have read the list again would learn the error anew from those
+// that have not.
+func (v *view) denies(vm string) bool {
+	at, ok := v.denied[vm]
+	return ok && v.read.Sub(at) < denyFor
+}
+
 // miss notes since when a VM is not listed.
 func (v *view) miss(id string, listed map[string]bool, now time.Time) {
 	if _, ok := v.absent[id]; !ok && !listed[id] {
