order: Release for a VM that is gone only when reads confirm it

Cause: grants and rows of a VM were released when it was missing from the merged view for a time. That view is advice and freezes while the list can't be read, so one read that lacked the VM was enough.

--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -211,7 +211,7 @@
 		VM: c.VM, Instance: n.instance, DataCentre: c.DataCentre, Environment: scope,
 		LeaseTerm: c.LeaseTerm, PlanPeriod: c.PlanPeriod,
 	}, order.Deps{
-		Table: n.platform, Orderer: n.engines, Documents: n.docs, VMs: n.members, Reports: n.watch,
+		Table: n.platform, Orderer: n.engines, Documents: n.docs, VMs: n.members, Gone: n.members, Reports: n.watch,
 		Demand: n.shares, Sent: sender{n}, Log: log, Events: events, Scope: metric,
 	})
 	n.gate = gate.New(gate.Config{MaxBodyBytes: c.MaxBody, BodyTime: c.BodyTimeout}, gate.Deps{
--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -243,8 +243,7 @@
 			}
 			continue
 		}
-		since, missing := l.missing[vm]
-		if missing && now.Sub(since) >= GoneAfter+l.duty.lifetime {
+		if l.gone(vm, now) {
 			continue
 		}
 		if i := l.inquiries[question{g.ID, vm}]; i == nil || !i.settled {
--- a/limpetd/order/draft.go
+++ b/limpetd/order/draft.go
@@ -181,8 +181,7 @@
 func (d *draft) forget() {
 	l := d.loop
 	for _, vm := range l.books.engines() {
-		since, missing := l.missing[vm]
-		if missing && d.now.Sub(since) >= GoneAfter+l.duty.lifetime {
+		if l.gone(vm, d.now) {
 			d.removed[vm] = true
 			delete(d.rows, vm)
 			delete(l.known, vm)
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -51,6 +51,12 @@
 	VMs() []store.VM
 }
 
+// GoneProvider tells whether reads of the VM list have lacked a VM for a time.
+// False may mean that it is not known.
+type GoneProvider interface {
+	Gone(vm string, lifetime time.Duration) bool
+}
+
 // ReportProvider returns the last report of an engine and when it came.
 type ReportProvider interface {
 	Report(vm string) (r engine.Report, received time.Time, ok bool)
@@ -91,12 +97,15 @@
 	Orderer   engine.Orderer
 	Documents DocumentProvider
 	VMs       VMProvider
-	Reports   ReportProvider
-	Demand    DemandProvider
-	Sent      SentProvider
-	Log       *zap.Logger
-	Events    *event.Line
-	Scope     tally.Scope
+	// Gone confirms that a VM is gone before anything is released for it; nil
+	// leaves it to VMs.
+	Gone    GoneProvider
+	Reports ReportProvider
+	Demand  DemandProvider
+	Sent    SentProvider
+	Log     *zap.Logger
+	Events  *event.Line
+	Scope   tally.Scope
 }
 
 // Config describes the daemon and its data centre.
--- a/limpetd/order/question.go
+++ b/limpetd/order/question.go
@@ -42,7 +42,7 @@
 	if q.vm == l.duty.config.VM {
 		return l.duty.AnswerSent(q.grant).State == SentNever
 	}
-	if since, missing := l.missing[q.vm]; missing && now.Sub(since) >= GoneAfter+l.duty.lifetime {
+	if l.gone(q.vm, now) {
 		return true
 	}
 	i := l.inquiries[q]
@@ -79,6 +79,16 @@
 	i.next = now.Add(questionPause)
 }
 
+// gone tells whether a VM has been gone long enough that nothing of it can arrive
+// any more: it is missing from the VM list, and the reads of the list confirm it.
+func (l *loop) gone(vm string, now time.Time) bool {
+	since, missing := l.missing[vm]
+	if !missing || now.Sub(since) < GoneAfter+l.duty.lifetime {
+		return false
+	}
+	return l.duty.deps.Gone == nil || l.duty.deps.Gone.Gone(vm, l.duty.lifetime)
+}
+
 // watchSenders notes since when VMs are missing from the VM list. A list that
 // lacks this daemon tells nothing.
 func (l *loop) watchSenders(vms []store.VM, now time.Time) {
