place: Give up a changed version that leaves no room for adapters

Cause: a changed version was loaded wherever the model alone fitted. Where it filled an engine to the last MB, adapters of the other models there found no room, and the plan ended with declared adapters unreachable (TestFullEngineMakesRoomForAdapters, known red). Change: a changed version is loaded only where its adapters and those that the engine still owes fit; where one stands in the way and the old version serves all, the changed one is unloaded and comes again when there is room. Ruled out: to give up the old version first, since its adapter would be unreachable for as long as a model load takes.

--- a/limpetd/place/adapters.go
+++ b/limpetd/place/adapters.go
@@ -77,9 +77,61 @@
 	if s.evict(k, func(holder, int) bool { return true }, RuleMakeRoom, 0, 0) {
 		return
 	}
+	if s.undoChange(k, m.Adapters[j].MemoryMB) {
+		return
+	}
 	s.block(m.adapterSlot(j), code.MemoryExceeded, "no engine that holds the model has room")
 }
 
+// undoChange gives up a changed version on an engine that holds the model and
+// lacks memory for an adapter, if the old version still serves all that the
+// changed one would. The change comes again when it leaves room.
+func (s *stage) undoChange(k int, memoryMB int64) bool {
+	for _, host := range s.views[k].current {
+		e := &s.engines[host.engine]
+		for _, c := range e.models {
+			h, ok := on(s.views[c].current, host.engine)
+			undone := ok && h.state == Resident && e.free+e.soon+h.memory >= memoryMB
+			if undone && s.oldServes(c) && !s.changed(c) {
+				s.drop(c, h, RuleMakeRoom, 0, 0)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// oldServes tells whether a resident old version serves a model and each of its
+// adapters that is resident anywhere.
+func (s *stage) oldServes(c int) bool {
+	mv := &s.views[c]
+	for _, o := range mv.old {
+		if o.state != Resident {
+			continue
+		}
+		all := true
+		for j := range mv.adapters {
+			if _, here := on(mv.adapters[j], o.engine); !here && count(mv.adapters[j], Resident) > 0 {
+				all = false
+			}
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
+// changed tells whether the declared version serves with all adapters.
+func (s *stage) changed(c int) bool {
+	for j := range s.views[c].adapters {
+		if !s.adapterServes(c, j) {
+			return false
+		}
+	}
+	return count(s.views[c].current, Resident) > 0
+}
+
 // dropOrphans unloads adapters on engines that hold no version of the model.
 func (s *stage) dropOrphans(k int, holders []holder) {
 	mv := &s.views[k]
--- a/limpetd/place/full_test.go
+++ b/limpetd/place/full_test.go
@@ -33,12 +33,25 @@
 	engine := func(vm string, slots ...Slot) Engine {
 		return Engine{VM: vm, Pool: "pool", MemoryMB: 60_000, Usable: true, TokensPerSecond: 1000, Slots: slots}
 	}
-	plan := NewPlanner().Plan(Facts{
+	facts := Facts{
 		Now: now, Document: doc, DataCentre: "dc",
 		Engines: []Engine{
 			engine("engine-1", held("c", "", "1", 26_000), held("c", "c-1", "1", 180), held("d", "", "1", 32_000), held("d", "d-1", "1", 180)),
 			engine("engine-2", held("a", "", "1", 14_000), held("b", "", "1", 20_000), held("c", "", "2", 26_000)),
 		},
-	})
+	}
+	p := NewPlanner()
+	plan := p.Plan(facts)
 	require.NotEmpty(t, plan.Moves, "blocked: %v", plan.Blocked)
+	require.Equal(t, Unload, plan.Moves[0].Kind)
+	require.Equal(t, envdoc.Slot{Model: "c", Version: "2"}, plan.Moves[0].Slot, "the old version serves c with its adapter")
+
+	facts.Engines[1].Slots = facts.Engines[1].Slots[:2]
+	facts.Now = now.Add(time.Second)
+	var loads []string
+	for _, m := range p.Plan(facts).Moves {
+		require.Equal(t, Load, m.Kind)
+		loads = append(loads, m.Slot.String())
+	}
+	require.ElementsMatch(t, []string{"a/a-1@1", "b/b-1@1"}, loads, "the changed version waits until it leaves room")
 }
--- a/limpetd/place/planner.go
+++ b/limpetd/place/planner.go
@@ -200,17 +200,36 @@
 // place loads a model, or makes room for it.
 func (s *stage) place(k int, rule Rule) {
 	m := &s.models[k]
-	for _, memory := range []int64{m.groupMB, m.MemoryMB} {
-		if e := s.choose(k, memory); e >= 0 {
-			s.loadModel(k, e, rule, 0, 0)
-			delete(s.planner.relocations, m.Name)
-			return
-		}
+	e := s.choose(k, m.groupMB)
+	switch {
+	case rule == RuleVersion && e >= 0 && s.engines[e].free < m.groupMB+s.owed(e):
+		e = -1
+	case rule != RuleVersion && e < 0:
+		e = s.choose(k, m.MemoryMB)
+	}
+	if e >= 0 {
+		s.loadModel(k, e, rule, 0, 0)
+		delete(s.planner.relocations, m.Name)
+		return
 	}
 	s.pressed[m.Pool] = true
 	s.makeRoom(k, rule)
 }
 
+// owed is the memory that an engine has to keep for adapters of its models that
+// are held nowhere. A changed version must not take it: the old one serves.
+func (s *stage) owed(engine int) int64 {
+	var owed int64
+	for _, k := range s.engines[engine].models {
+		for j := range s.views[k].adapters {
+			if !s.adapterHeld(k, j) {
+				owed += s.models[k].Adapters[j].MemoryMB
+			}
+		}
+	}
+	return owed
+}
+
 // choose returns the usable engine with room for a model that is loaded least
 // and has the most memory free, or -1.
 func (s *stage) choose(k int, memoryMB int64) int {
