--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -51,6 +51,12 @@
 	VMs() []store.VM
 }
 
+// GoneProvider tells whether reads of the VM list have lacked a VM for a time.
+// False may mean that it is not known.
+type GoneProvider interface {
+	Gone(vm string, lifetime time.Duration) bool
+}
+
 // ReportProvider returns the last report of an engine and when it came.
 type ReportProvider interface {
 	Report(vm string) (r engine.Report, received time.Time, ok bool)
@@ -91,12 +97,15 @@
 	Orderer   engine.Orderer
 	Documents DocumentProvider
 	VMs       VMProvider
-	Reports   ReportProvider
-	Demand    DemandProvider
-	Sent      SentProvider
-	Log       *zap.Logger
-	Events    *event.Line
-	Scope     tally.Scope
+	// Gone confirms that a VM is gone before anything is released for it; nil
+	// leaves it to VMs.
+	Gone    GoneProvider
+	Reports ReportProvider
+	Demand  DemandProvider
+	Sent    SentProvider
+	Log     *zap.Logger
+	Events  *event.Line
+	Scope   tally.Scope
 }
 
 // Config describes the daemon and its data centre.
@@ -127,7 +136,7 @@
 	// ReportLifetime is how old the last report of a usable engine may be.
 	ReportLifetime = 15 * time.Second
 	// CopyPeriod is how often a daemon without the lease reads the ledger.
-	CopyPeriod = 10 * time.Second
+	CopyPeriod = 30 * time.Second
 	// startGrace is how long a daemon that starts waits for engines that have
 	// not reported before it plans without them.
 	startGrace = 5 * time.Second
