--- a/limpetlab/matrix/rig.go
+++ b/limpetlab/matrix/rig.go
@@ -28,7 +28,7 @@
 	environment = "lab"
 	enginesADC  = 2
 	daemonsADC  = 2
-	engineMB    = 62_000
+	engineMB    = 60_000
 	models      = 4
 	adapters    = 4
 	listLag     = 2 * time.Second
