node: Be ready once the engines have reported

Change: it waits for a report of each live engine of its data centre, 5 s at most, so that one dead engine keeps no daemon out.

--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -33,6 +33,8 @@
 	DocumentLevel Code = 1004
 	// NoMembers means that the daemon has not seen the VM list yet.
 	NoMembers Code = 1005
+	// NoReports means that an engine has not reported yet.
+	NoReports Code = 1006
 )
 
 // Codes of requests.
@@ -141,6 +143,7 @@
 	{BadSetting, "bad_setting", http.StatusInternalServerError, RunNo, "A flag or environment variable is refused.", "Correct each setting that the message names."},
 	{DocumentLevel, "document_level", http.StatusServiceUnavailable, RunNo, "The document in force needs a newer daemon.", "Upgrade the daemons that `limpet status` names."},
 	{NoMembers, "no_members", http.StatusServiceUnavailable, RunNo, "The daemon has not seen the VM list yet.", "Check that the platform's VM list answers."},
+	{NoReports, "no_reports", http.StatusServiceUnavailable, RunNo, "The daemon started just now and has not seen the load of each engine yet.", "None needed; the daemon is ready within 5 s."},
 
 	{MalformedBody, "malformed_body", http.StatusBadRequest, RunNo, "The body is not the JSON that the call takes.", "Correct the body at the place that the message names."},
 	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, RunNo, "The body exceeds the limit.", "Send a shorter body."},
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -57,6 +57,7 @@
 type Node struct {
 	config   conf.Config
 	instance string
+	started  time.Time
 	log      *zap.Logger
 	line     *event.Line
 	metrics  metrics
@@ -107,6 +108,7 @@
 	n := &Node{
 		config:   c,
 		instance: uuid.NewString(),
+		started:  time.Now(),
 		log:      zap.NewNop(),
 		line:     event.New(c.VM, event.WithCapacity(c.EventCapacity)),
 		metrics:  newMetrics(c.VM),
@@ -227,12 +229,32 @@
 	if err := n.docs.Unready(); err != nil {
 		reasons = append(reasons, code.Of(err))
 	}
-	if !n.members.Listed() {
+	switch {
+	case !n.members.Listed():
 		reasons = append(reasons, code.NoMembers)
+	case !n.reported() && time.Since(n.started) < reportGrace:
+		reasons = append(reasons, code.NoReports)
 	}
 	return reasons
 }
 
+// reportGrace is how long after its start a daemon waits for the first reports
+// of engines. Afterwards it serves what it can.
+const reportGrace = 5 * time.Second
+
+// reported tells whether each live engine of the data centre has reported.
+func (n *Node) reported() bool {
+	for _, v := range n.members.VMs() {
+		if v.Kind != store.KindEngine || v.DataCentre != n.config.DataCentre || v.State != store.StateLive {
+			continue
+		}
+		if _, _, ok := n.watch.Report(v.ID); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // followPeriod is the time between two looks at the daemon's own state.
 const followPeriod = 200 * time.Millisecond
 
