admin,node: Drain backend servers too, and take it back

Cause: the operators' page and the members know the drain of an engine or a plain service, the operators' interface refused it.

--- a/limpet/cmds/cmds.go
+++ b/limpet/cmds/cmds.go
@@ -75,7 +75,7 @@
 	Status   statusCommand   `cmd:"" help:"Show daemons, document and engines."`
 	Plan     planCommand     `cmd:"" help:"Show what placement would move next, and why."`
 	Events   eventsCommand   `cmd:"" help:"Show the time line over all daemons."`
-	Drain    drainCommand    `cmd:"" help:"Make a daemon leave."`
+	Drain    drainCommand    `cmd:"" help:"Make a VM leave."`
 	Codes    codesCommand    `cmd:"" help:"List the result codes."`
 }
 
--- a/limpet/cmds/show.go
+++ b/limpet/cmds/show.go
@@ -7,6 +7,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/admin"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 )
@@ -145,9 +146,10 @@
 	return code.Code(c).String()
 }
 
-// drainCommand makes a daemon leave.
+// drainCommand makes a VM leave.
 type drainCommand struct {
-	VM string `arg:"" help:"VM of the daemon."`
+	VM   string `arg:"" help:"VM of a daemon or of a backend server."`
+	Stay bool   `help:"Take the drain of a backend server back."`
 }
 
 // drained is the result of a drain call.
@@ -156,19 +158,23 @@
 	Leaving bool   `json:"leaving"`
 }
 
-// Run asks the daemon to leave.
+// Run asks that the VM leaves.
 func (c *drainCommand) Run(d *Deps) error {
 	client, err := d.client()
 	if err != nil {
 		return err
 	}
-	if err := client.Drain(d.ctx, c.VM); err != nil {
+	if err := client.Drain(d.ctx, admin.Drain{VM: c.VM, Stay: c.Stay}); err != nil {
 		return err
 	}
 	if d.json {
-		return d.printJSON(drained{VM: c.VM, Leaving: true})
+		return d.printJSON(drained{VM: c.VM, Leaving: !c.Stay})
 	}
-	_, err = fmt.Fprintf(d.streams.Out, "%s is leaving\n", c.VM)
+	what := "is leaving"
+	if c.Stay {
+		what = "stays"
+	}
+	_, err = fmt.Fprintf(d.streams.Out, "%s %s\n", c.VM, what)
 	return err
 }
 
--- a/limpetd/admin/client.go
+++ b/limpetd/admin/client.go
@@ -109,9 +109,9 @@
 	return e, err
 }
 
-// Drain makes the daemon on a VM leave.
-func (k *Client) Drain(ctx context.Context, vm string) error {
-	return k.post(ctx, "drain", Drain{VM: vm}, &Drain{})
+// Drain makes a VM leave, or takes the drain of a backend server back.
+func (k *Client) Drain(ctx context.Context, d Drain) error {
+	return k.post(ctx, "drain", d, &Drain{})
 }
 
 func (k *Client) post(ctx context.Context, path string, in, out any) error {
--- a/limpetd/admin/message.go
+++ b/limpetd/admin/message.go
@@ -117,8 +117,10 @@
 	Message string `json:"message"`
 }
 
-// Drain asks a daemon to leave.
+// Drain asks that a VM leaves.
 type Drain struct {
-	// VM is the VM of the daemon.
+	// VM runs a daemon or is a backend server.
 	VM string `json:"vm"`
+	// Stay takes back the drain of a backend server.
+	Stay bool `json:"stay,omitempty"`
 }
--- a/limpetd/admin/server.go
+++ b/limpetd/admin/server.go
@@ -43,9 +43,9 @@
 	Events(ctx context.Context, f event.Filter, local bool) (Events, error)
 }
 
-// Drainer makes a daemon leave.
+// Drainer makes a VM leave.
 type Drainer interface {
-	Drain(ctx context.Context, operator, vm string) error
+	Drain(ctx context.Context, operator string, d Drain) error
 }
 
 // Deps is what a Server depends on.
@@ -169,7 +169,7 @@
 	if err := readJSON(r, &m); err != nil {
 		return nil, err
 	}
-	return m, s.deps.Drainer.Drain(r.Context(), operator, m.VM)
+	return m, s.deps.Drainer.Drain(r.Context(), operator, m)
 }
 
 func (s *Server) events(r *http.Request, _ string) (any, error) {
--- a/limpetd/node/operate.go
+++ b/limpetd/node/operate.go
@@ -190,14 +190,28 @@
 	return admin.Events{Events: merged, Missing: missing}, nil
 }
 
-// Drain makes this daemon or a peer leave.
-func (o operate) Drain(ctx context.Context, operator, vm string) error {
-	if vm == o.config.VM {
-		return answerer(o).Drain(ctx, operator, true)
+// Drain makes this daemon, a peer or a backend server leave.
+func (o operate) Drain(ctx context.Context, operator string, d admin.Drain) error {
+	if d.VM == o.config.VM {
+		return answerer(o).Drain(ctx, operator, !d.Stay)
 	}
-	address, err := o.peerAddress(vm)
+	if o.isBackendServer(d.VM) {
+		o.members.Drain(d.VM, !d.Stay)
+		return nil
+	}
+	address, err := o.peerAddress(d.VM)
 	if err != nil {
 		return err
 	}
-	return o.peers.Drain(ctx, address, operator, true)
+	return o.peers.Drain(ctx, address, operator, !d.Stay)
+}
+
+// isBackendServer tells whether a listed VM runs no daemon.
+func (o operate) isBackendServer(vm string) bool {
+	for _, v := range o.members.VMs() {
+		if v.ID == vm {
+			return v.Kind != store.KindEntry
+		}
+	}
+	return false
 }
--- a/limpetd/node/peers.go
+++ b/limpetd/node/peers.go
@@ -16,7 +16,7 @@
 			return p.Address, nil
 		}
 	}
-	return "", code.Errorf(code.BadParameter, "no live daemon runs on VM %q", vm)
+	return "", code.Errorf(code.BadParameter, "VM %q runs no live daemon and is no listed backend server", vm)
 }
 
 // sender asks peers about the orders that they sent.
