scale: Measure lone claims and reads of the lease

Cause: a daemon of the target size has 5.3 requests a second, so its claims are alone, and the lease's reads were reckoned, not measured. Change: claims of one caller; reading both rows of the lease.

--- a/limpetlab/scale/traffic.go
+++ b/limpetlab/scale/traffic.go
@@ -42,6 +42,7 @@
 		{"watcher", "reading a report", "us", "slots", charges, SlotsPerEngine, reportTime},
 		{"watcher", "reading cache events", "bytes", "events", []int{0, 5, eventsASecond}, eventsASecond, cacheBytes},
 		{"documents", "reading a row", "bytes", "bytes of the value", []int{70, 140, headRowBytes}, headRowBytes, smallBytes},
+		{"lease", "reading both rows", "bytes", "bytes of a value", []int{70, leaseRowBytes, 280}, leaseRowBytes, pairBytes},
 		{"orders", "reading ledger rows", "bytes", "rows", []int{1, 2, copiedRows}, copiedRows, copyBytes},
 		{"batch", "a look at open jobs", "bytes", "open jobs", []int{10, 25, openJobs}, openJobs, lookBytes},
 	}
@@ -206,6 +207,11 @@
 	return rowsBytes(ctx, 1, valueBytes)
 }
 
+// pairBytes returns the bytes of reading two rows with small values.
+func pairBytes(ctx context.Context, valueBytes int) (float64, error) {
+	return rowsBytes(ctx, 2, valueBytes)
+}
+
 // copyBytes returns the bytes of reading the ledger rows of engines.
 func copyBytes(ctx context.Context, rows int) (float64, error) {
 	return rowsBytes(ctx, rows, len(encoded(SlotsPerEngine)))
@@ -230,5 +236,8 @@
 	return list + rows, err
 }
 
-// headRowBytes is the size of a head row's value.
-const headRowBytes = 280
+// The sizes of the values of a head row and of a lease's rows.
+const (
+	headRowBytes  = 280
+	leaseRowBytes = 140
+)
--- a/limpetlab/scale/writing.go
+++ b/limpetlab/scale/writing.go
@@ -16,12 +16,12 @@
 	// tableTime is what the table takes for a transaction.
 	tableTime = 5 * time.Millisecond
 	// claimsEach is the number of calls that a caller makes.
-	claimsEach = 20
+	claimsEach = 40
 )
 
 // writing measures claims.
 func writing() []measure {
-	callers := []int{8, 32, 128}
+	callers := []int{1, 8, 32, 128}
 	return []measure{
 		{"claims", "transactions a call", "transactions", "calls at once", callers, callers[0], claimed},
 		{"claims", "a claimed and closed call", "us", "calls at once", callers, callers[0], claimTime},
