--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,15 @@
 MODULES := limpetd limpet limpetlab
 GOLANGCI := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test format lint vet seeds unit alone known-red bench generate mutants
+.PHONY: build test format lint vet seeds pages unit alone known-red bench generate mutants
 
 # build compiles the three programs into bin/.
 build:
 	go build -o bin/ ./limpetd ./limpet ./limpetlab
 
-# test is the gate: formatter, linter, vet, each module alone, all tests.
-test: format lint vet seeds alone unit known-red bench
+# test is the gate: formatter, linter, vet, seeds, pages, each module alone, all
+# tests, the quick benches.
+test: format lint vet seeds pages alone unit known-red bench
 
 format:
 	@out=$$(gofmt -l $(MODULES)); test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
@@ -25,6 +26,10 @@
 seeds:
 	@bash .ci/seeds
 
+# pages checks links and that each metric is described.
+pages:
+	@bash .ci/pages
+
 # alone builds each module without the workspace.
 alone:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go build ./...) || exit 1; done
