peer: Ask which models a data centre holds

Beyond 64 daemons reports stay within a data centre, so placement does not learn what others hold. The question Placed carries the digest of the document in force. Its answer has two bits for each model: held, and held with all adapters. A daemon with another document answers that it does not know.

--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/hex"
 	"errors"
 	"io"
 	"net"
@@ -67,6 +68,12 @@
 	Holders(slots []envdoc.Slot) ([]engine.Report, error)
 }
 
+// PlacedProvider answers which models of the document with a digest engines of
+// its data centre hold.
+type PlacedProvider interface {
+	Placed(digest string) (member.Placed, error)
+}
+
 // EventProvider selects events of the time line. It is implemented by event.Line.
 type EventProvider interface {
 	Select(f event.Filter) []event.Event
@@ -91,6 +98,7 @@
 	Documents DocumentProvider
 	Sent      SentProvider
 	Holders   HolderProvider
+	Placed    PlacedProvider
 	Line      EventProvider
 	Drain     DrainHandler
 	Log       *zap.Logger
@@ -301,6 +309,18 @@
 	return a, nil
 }
 
+// Placed implements the service.
+func (s *Server) Placed(_ context.Context, r *peerpb.PlacedRequest) (*peerpb.PlacedAnswer, error) {
+	if s.deps.Placed == nil {
+		return nil, unserved()
+	}
+	p, err := s.deps.Placed.Placed(hex.EncodeToString(r.GetDigest()))
+	if err != nil {
+		return nil, refused(err)
+	}
+	return &peerpb.PlacedAnswer{Known: p.Known, Models: p.Models, Whole: p.Whole, Complete: p.Complete}, nil
+}
+
 // observe takes note of the time of another process.
 func (s *Server) observe(p *peerpb.Stamp) {
 	if s.deps.Events != nil && p != nil {
