place: Make room for a model that is home to a full data centre

Only the home of a model that no data centre held made room for it, by giving up a model that is held at its home. A data centre that is the home of more than fits had none to give up, and its neighbour never gave up any: the model was held nowhere.

The data centres now keep a model in an order, its home first. One may give up a model that one before it holds, with all adapters if it has any itself, so two never give up the same model for each other. The home makes room at once, each successor 20 s later, only while it is known what all data centres hold. Several models may go for one.

--- a/limpetd/place/facts.go
+++ b/limpetd/place/facts.go
@@ -73,6 +73,12 @@
 	DataCentre string
 	// Models are those resident there, sorted.
 	Models []string
+	// Whole are those of them that are there with all their adapters, sorted.
+	Whole []string
+	// Unknown tells that it may hold more.
+	Unknown bool
+	// At is when the data centre told it.
+	At time.Time
 }
 
 // Facts are all that a plan depends on, besides the planner's memory of demand.
--- a/limpetd/place/index.go
+++ b/limpetd/place/index.go
@@ -25,8 +25,10 @@
 type index struct {
 	document *envdoc.Document
 	centres  string
-	models   []declared
-	byName   map[string]int
+	// names are the data centres, sorted.
+	names  []string
+	models []declared
+	byName map[string]int
 	// largestMB is the largest model of each pool.
 	largestMB map[string]int64
 	// order lists models by home and size, the data centre's own ones first.
@@ -38,6 +40,7 @@
 	x := &index{
 		document:  doc,
 		centres:   strings.Join(centres, "\n"),
+		names:     slices.Compact(slices.Clone(centres)),
 		models:    make([]declared, len(doc.Models)),
 		byName:    make(map[string]int, len(doc.Models)),
 		largestMB: map[string]int64{},
--- a/limpetd/place/planner.go
+++ b/limpetd/place/planner.go
@@ -23,6 +23,8 @@
 	demands demands
 	// loaded is when a model last got a replica for demand.
 	loaded map[string]time.Time
+	// lacking is since when no data centre is known to hold a model.
+	lacking map[string]time.Time
 	// relocations are the models that wait for another to move away.
 	relocations map[string]relocation
 	// promises are the models that get memory freed for them, by engine.
@@ -47,6 +49,7 @@
 	return &Planner{
 		demands:     demands{needs: map[demandKey]*need{}},
 		loaded:      map[string]time.Time{},
+		lacking:     map[string]time.Time{},
 		relocations: map[string]relocation{},
 		promises:    map[string]promise{},
 	}
@@ -84,6 +87,7 @@
 	}
 	p.index = newIndex(f.Document, f.DataCentre, centres)
 	p.relocations = map[string]relocation{}
+	p.lacking = map[string]time.Time{}
 }
 
 // stage is a plan in the making.
@@ -149,6 +153,7 @@
 // reach places the models that lack replicas: first those that no data centre
 // has, then those that this one lacks, then by minimum, then changed versions.
 func (s *stage) reach() {
+	s.noteLacking()
 	for _, k := range s.order {
 		if !s.views[k].remote && !s.held(k) {
 			s.place(k, RuleReachable)
--- a/limpetd/place/room.go
+++ b/limpetd/place/room.go
@@ -19,7 +19,7 @@
 	if s.freeAdapters(k) || s.relocate(k) {
 		return
 	}
-	if !s.views[k].remote && m.home == s.facts.DataCentre && s.evictRemote(k) {
+	if !s.views[k].remote && s.turn(k) && s.evictKept(k) {
 		return
 	}
 	if rule == RuleVersion {
@@ -309,25 +309,3 @@
 	h, ok := on(s.views[c].current, engine)
 	return ok && h.state == Resident && count(s.views[c].current, Loading) == 0
 }
-
-// evictRemote gives up a model that its home data centre holds, so that one
-// that no data centre holds gets its place.
-func (s *stage) evictRemote(k int) bool {
-	m := &s.models[k]
-	for i := range s.engines {
-		e := &s.engines[i]
-		if !e.Usable || e.Pool != m.Pool {
-			continue
-		}
-		for _, c := range e.models {
-			h, ok := on(s.views[c].current, i)
-			guest := s.models[c].home != s.facts.DataCentre && s.views[c].atHome
-			if !ok || !guest || h.state != Resident || h.memory+e.free+e.soon < m.MemoryMB {
-				continue
-			}
-			s.drop(c, h, RuleMakeRoom, 0, 0)
-			return true
-		}
-	}
-	return false
-}
--- a/limpetd/place/view.go
+++ b/limpetd/place/view.go
@@ -40,8 +40,11 @@
 	burst       bool
 	// remote tells that another data centre holds the model.
 	remote bool
-	// atHome tells that the model's home data centre holds it.
-	atHome bool
+	// kept tells that a data centre holds the model that comes before this one
+	// in keeping it.
+	kept bool
+	// keptWhole tells that one holds it with all its adapters.
+	keptWhole bool
 }
 
 // view is the projection that a plan works on.
@@ -129,16 +132,24 @@
 func (v *view) addRemotes() {
 	for _, r := range v.facts.Remotes {
 		for _, name := range r.Models {
-			k, ok := v.byName[name]
-			if !ok {
-				continue
+			if k, ok := v.byName[name]; ok {
+				v.views[k].remote = true
+				v.views[k].kept = v.views[k].kept || v.before(k, r.DataCentre)
+			}
+		}
+		for _, name := range r.Whole {
+			if k, ok := v.byName[name]; ok {
+				v.views[k].keptWhole = v.views[k].keptWhole || v.before(k, r.DataCentre)
 			}
-			v.views[k].remote = true
-			v.views[k].atHome = v.views[k].atHome || v.models[k].home == r.DataCentre
 		}
 	}
 }
 
+// before tells whether a data centre comes before this one in keeping a model.
+func (v *view) before(k int, dataCentre string) bool {
+	return v.rank(k, dataCentre) < v.rank(k, v.facts.DataCentre)
+}
+
 // count returns the number of holders in one of the states.
 func count(holders []holder, states ...State) int {
 	n := 0
