--- a/limpetd/reach/reach.go
+++ b/limpetd/reach/reach.go
@@ -32,6 +32,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/place"
 )
 
 // FarProvider gives the daemons that tell no load reports here.
@@ -60,6 +61,12 @@
 	Questions QuestionProvider
 	Answers   AnswerReceiver
 	Engines   EngineProvider
+	// Documents, Placing, Placed and Resident are for the questions which
+	// models are held elsewhere; all or none are nil.
+	Documents DocumentProvider
+	Placing   PlacingProvider
+	Placed    PlacedProvider
+	Resident  ResidentProvider
 	Log       *zap.Logger
 	Scope     tally.Scope
 }
@@ -112,6 +119,8 @@
 	any    bool
 	// links are the daemons asked, by data centre.
 	links map[string]link
+	// placed are the last answers which models data centres hold.
+	placed map[string]place.Remote
 }
 
 // link is the daemon of a data centre that is asked until a time.
@@ -130,6 +139,7 @@
 		asks:    rate.NewLimiter(bytesPerSecond, burstBytes),
 		answers: rate.NewLimiter(bytesPerSecond, burstBytes),
 		links:   make(map[string]link),
+		placed:  make(map[string]place.Remote),
 		wake:    make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -144,6 +154,9 @@
 	r.book = newBook(r.random)
 	r.tomb, ctx = tomb.WithContext(ctx)
 	r.tomb.Go(func() error { return r.run(ctx) })
+	if r.deps.Documents != nil {
+		r.tomb.Go(func() error { return r.runPlaced(ctx) })
+	}
 	return r
 }
 
@@ -219,10 +232,10 @@
 	}
 }
 
-// askDue asks each data centre what it is to be asked.
-func (r *Reach) askDue(ctx context.Context) {
-	daemons := make(map[string][]member.Peer)
-	var centres []string
+// far returns the daemons that tell no reports here by data centre, and the data
+// centres, sorted.
+func (r *Reach) far() (daemons map[string][]member.Peer, centres []string) {
+	daemons = make(map[string][]member.Peer)
 	for _, p := range r.deps.Peers.Far() {
 		if len(daemons[p.DataCentre]) == 0 {
 			centres = append(centres, p.DataCentre)
@@ -230,6 +243,12 @@
 		daemons[p.DataCentre] = append(daemons[p.DataCentre], p)
 	}
 	sort.Strings(centres)
+	return daemons, centres
+}
+
+// askDue asks each data centre what it is to be asked.
+func (r *Reach) askDue(ctx context.Context) {
+	daemons, centres := r.far()
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -276,15 +295,21 @@
 	r.asks.ReserveN(now, reportBytes*len(reports))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.links[q.centre]; err == nil && !l.used {
+	r.noteLink(now, q.centre, err)
+	r.book.done(now, q, found(q.slots, reports))
+}
+
+// noteLink charges a connection that was used first, and leaves a daemon that
+// did not answer.
+func (r *Reach) noteLink(now time.Time, centre string, err error) {
+	if l := r.links[centre]; err == nil && !l.used {
 		r.asks.ReserveN(now, linkBytes)
 		l.used = true
-		r.links[q.centre] = l
+		r.links[centre] = l
 	}
 	if err != nil {
-		delete(r.links, q.centre)
+		delete(r.links, centre)
 	}
-	r.book.done(now, q, found(q.slots, reports))
 }
 
 // found returns the slots that reports hold in any version.
--- a/limpetd/watch/far.go
+++ b/limpetd/watch/far.go
@@ -9,6 +9,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/route"
+	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
 const (
@@ -37,6 +38,29 @@
 	return reports
 }
 
+// Resident returns the slots that engines of the own data centre hold, without
+// versions. It is complete if all live engines have reported lately. The map is
+// the caller's.
+func (w *Watch) Resident() (slots map[envdoc.Slot]bool, complete bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	slots, complete = make(map[envdoc.Slot]bool), true
+	for _, s := range w.engines {
+		if s.vm.DataCentre != w.config.DataCentre || s.vm.State != store.StateLive {
+			continue
+		}
+		if !s.known || s.health(now) != route.HealthFresh {
+			complete = false
+			continue
+		}
+		for _, slot := range s.report.Slots {
+			slots[envdoc.Slot{Model: slot.Model, Adapter: slot.Adapter}] = true
+		}
+	}
+	return slots, complete
+}
+
 // holding returns some of the fresh engines of the own data centre with a slot
 // that fits, each with its first such slot.
 func (w *Watch) holding(now time.Time, fits func(envdoc.Slot) bool) []engine.Report {
