order: Place by what other data centres tell

Facts join the reports with the answers that reach keeps. An answer older than 30 s, and one that is missing, make a data centre unknown; so does a live engine without a report where reports are shared.

The check before an unload is sent took back the unload of each last replica of the data centre, also of one that another data centre holds, so that planning gave it up again and again and never got the memory. It now lets it go while a data centre that comes before this one is known to keep the model, or all its adapters for an adapter.

--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -193,7 +193,8 @@
 		VMs: n.members, Reporter: n.engines, Log: log, Events: events, Scope: metric,
 	})
 	n.reach = reach.New(ctx, reach.Deps{
-		Peers: n.members, Questions: n.peers, Answers: n.watch, Engines: n.watch, Log: log, Scope: metric,
+		Peers: n.members, Questions: n.peers, Answers: n.watch, Engines: n.watch,
+		Documents: n.docs, Placing: n.shares, Placed: n.peers, Resident: n.watch, Log: log, Scope: metric,
 	})
 	n.queue = admit.New(ctx, admit.Config{VM: c.VM, DataCentre: c.DataCentre}, admit.Deps{
 		Documents: n.docs, Views: n.watch, Peers: n.members, VMs: n.members, Seeker: n.reach,
@@ -214,7 +215,7 @@
 		LeaseTerm: c.LeaseTerm, PlanPeriod: c.PlanPeriod,
 	}, order.Deps{
 		Table: n.platform, Orderer: n.engines, Documents: n.docs, VMs: n.members, Gone: n.members, Reports: n.watch,
-		Demand: n.shares, Sent: sender{n}, Log: log, Events: events, Scope: metric,
+		Remotes: n.reach, Demand: n.shares, Sent: sender{n}, Log: log, Events: events, Scope: metric,
 	})
 	n.gate = gate.New(gate.Config{MaxBodyBytes: c.MaxBody, BodyTime: c.BodyTimeout}, gate.Deps{
 		Documents: n.docs, Relay: n.relay, Claims: n.claims, Batches: n.batches, Ready: n,
--- a/limpetd/node/shares.go
+++ b/limpetd/node/shares.go
@@ -74,3 +74,9 @@
 	}
 	return o.Status().Holder
 }
+
+// Placing tells whether this daemon places the models of its data centre.
+func (s *shares) Placing() bool {
+	_, _, o, ok := s.duties()
+	return ok && o.Status().Mine
+}
--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -199,7 +199,7 @@
 }
 
 // last tells whether the slot is the last resident one of a declared model or
-// adapter in the data centre.
+// adapter in the data centre, and no other data centre keeps the model.
 func (l *loop) last(p pending, now time.Time) bool {
 	slot := p.charge.Slot
 	if l.document == nil || !declares(l.document, slot) || !p.known.resident(slot, now) {
@@ -217,7 +217,7 @@
 			}
 		}
 	}
-	return true
+	return !l.planner.Yields(slot, l.duty.config.DataCentre, l.remotes(now))
 }
 
 // declares tells whether a document declares the model or adapter of a slot.
--- a/limpetd/order/facts.go
+++ b/limpetd/order/facts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/ledger"
@@ -20,41 +19,14 @@
 		Saturated:  l.models >= l.shares.limits.AtOnce,
 	}
 	for _, v := range l.vms {
-		if v.Kind != store.KindEngine {
-			continue
-		}
-		if v.DataCentre == f.DataCentre {
+		if v.Kind == store.KindEngine && v.DataCentre == f.DataCentre {
 			f.Engines = append(f.Engines, l.engineFacts(d, v, now))
-			continue
 		}
-		f.Remotes = l.addRemote(f.Remotes, v, now)
 	}
-	slices.SortFunc(f.Remotes, func(a, b place.Remote) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	f.Remotes = l.remotes(now)
 	return f
 }
 
-// addRemote adds what an engine of another data centre reports.
-func (l *loop) addRemote(remotes []place.Remote, v store.VM, now time.Time) []place.Remote {
-	i := slices.IndexFunc(remotes, func(r place.Remote) bool { return r.DataCentre == v.DataCentre })
-	if i < 0 {
-		remotes = append(remotes, place.Remote{DataCentre: v.DataCentre})
-		i = len(remotes) - 1
-	}
-	report, received, ok := l.duty.deps.Reports.Report(v.ID)
-	if !ok || v.State != store.StateLive || now.Sub(received) > ReportLifetime {
-		return remotes
-	}
-	r := &remotes[i]
-	for _, s := range report.Slots {
-		if s.Adapter == "" {
-			r.Models = append(r.Models, s.Model)
-		}
-	}
-	slices.Sort(r.Models)
-	r.Models = slices.Compact(r.Models)
-	return remotes
-}
-
 // engineFacts returns what placement knows of an engine.
 func (l *loop) engineFacts(d *draft, v store.VM, now time.Time) place.Engine {
 	k := l.known[v.ID]
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -67,6 +67,13 @@
 	Demand() []member.ModelDemand
 }
 
+// RemotesProvider tells what other data centres hold, with the time of each
+// answer, sorted by name; the time is zero for one that is not known. Those that
+// tell their reports here are left out.
+type RemotesProvider interface {
+	Remotes() []place.Remote
+}
+
 // SentState is what a daemon answers about orders it was allowed to send.
 type SentState string
 
@@ -101,6 +108,8 @@
 	// leaves it to VMs.
 	Gone    GoneProvider
 	Reports ReportProvider
+	// Remotes may be nil.
+	Remotes RemotesProvider
 	Demand  DemandProvider
 	Sent    SentProvider
 	Log     *zap.Logger
@@ -135,6 +144,8 @@
 	OrderTimeout = 60 * time.Second
 	// ReportLifetime is how old the last report of a usable engine may be.
 	ReportLifetime = 15 * time.Second
+	// RemoteLifetime is how long it counts what another data centre told.
+	RemoteLifetime = 30 * time.Second
 	// CopyPeriod is how often a daemon without the lease reads the ledger.
 	CopyPeriod = 30 * time.Second
 	// startGrace is how long a daemon that starts waits for engines that have
--- /dev/null
+++ b/limpetd/order/remotes.go
@@ -0,0 +1,88 @@
+package order
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/place"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// remotes returns what the other data centres hold, by reports and answers, in
+// the order of names.
+func (l *loop) remotes(now time.Time) []place.Remote {
+	var remotes []place.Remote
+	slots := make(map[string]map[envdoc.Slot]bool)
+	for _, v := range l.vms {
+		if v.Kind != store.KindEngine || v.DataCentre == l.duty.config.DataCentre {
+			continue
+		}
+		if slots[v.DataCentre] == nil {
+			slots[v.DataCentre] = make(map[envdoc.Slot]bool)
+			remotes = append(remotes, place.Remote{DataCentre: v.DataCentre})
+		}
+		if v.State == store.StateLive && !l.addReported(slots[v.DataCentre], v.ID, now) {
+			i := slices.IndexFunc(remotes, func(r place.Remote) bool { return r.DataCentre == v.DataCentre })
+			remotes[i].Unknown = true
+		}
+	}
+	for i := range remotes {
+		r := &remotes[i]
+		models, whole := place.Held(l.document, slots[r.DataCentre])
+		r.Models, r.Whole = l.names(models), l.names(whole)
+	}
+	l.addTold(remotes, now)
+	for i := range remotes {
+		r := &remotes[i]
+		slices.Sort(r.Models)
+		slices.Sort(r.Whole)
+		r.Models, r.Whole = slices.Compact(r.Models), slices.Compact(r.Whole)
+	}
+	slices.SortFunc(remotes, func(a, b place.Remote) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	return remotes
+}
+
+// names returns the models of the document that are marked.
+func (l *loop) names(marked []bool) []string {
+	var names []string
+	for k, is := range marked {
+		if is {
+			names = append(names, l.document.Models[k].Name)
+		}
+	}
+	return names
+}
+
+// addReported adds the slots of an engine that has reported lately.
+func (l *loop) addReported(slots map[envdoc.Slot]bool, vm string, now time.Time) bool {
+	report, received, ok := l.duty.deps.Reports.Report(vm)
+	if !ok || now.Sub(received) > ReportLifetime {
+		return false
+	}
+	for _, s := range report.Slots {
+		slots[envdoc.Slot{Model: s.Model, Adapter: s.Adapter}] = true
+	}
+	return true
+}
+
+// addTold adds what data centres told that do not share their reports.
+func (l *loop) addTold(remotes []place.Remote, now time.Time) {
+	if l.duty.deps.Remotes == nil {
+		return
+	}
+	for _, told := range l.duty.deps.Remotes.Remotes() {
+		i := slices.IndexFunc(remotes, func(r place.Remote) bool { return r.DataCentre == told.DataCentre })
+		if i < 0 {
+			continue
+		}
+		r := &remotes[i]
+		r.At, r.Unknown = told.At, true
+		if now.Sub(told.At) <= RemoteLifetime {
+			r.Unknown = told.Unknown
+			r.Models = append(r.Models, told.Models...)
+			r.Whole = append(r.Whole, told.Whole...)
+		}
+	}
+}
--- /dev/null
+++ b/limpetd/order/remotes_test.go
@@ -0,0 +1,81 @@
+package order
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/place"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+)
+
+// told is what the other data centres tell.
+type told struct{ remotes []place.Remote }
+
+func (o *told) Remotes() []place.Remote { return o.remotes }
+
+func TestRemotesJoinReportsAndAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0, 0, store.FencingIgnores)
+		slot := func(model, adapter string) envdoc.Slot {
+			return envdoc.Slot{Model: model, Adapter: adapter, Version: "0"}
+		}
+		doc := &envdoc.Document{Models: []envdoc.Model{{Name: "a", Adapters: []envdoc.Adapter{{Name: "x"}}}, {Name: "b"}, {Name: "c"}}}
+		now := time.Now()
+		w.reports["e2"] = lagged{engine.Report{Slots: []envdoc.Slot{slot("a", ""), slot("b", "")}}, now}
+		o := &told{}
+		l := &loop{duty: &Duty{config: Config{DataCentre: testCentre}, deps: Deps{Reports: w, Remotes: o}}, document: doc, vms: []store.VM{
+			{ID: "e1", Kind: store.KindEngine, DataCentre: testCentre, State: store.StateLive},
+			{ID: "e3", Kind: store.KindEngine, DataCentre: "dc3", State: store.StateLive},
+			{ID: "e2", Kind: store.KindEngine, DataCentre: "dc2", State: store.StateLive},
+		}}
+		require.Equal(t, []place.Remote{
+			{DataCentre: "dc2", Models: []string{"a", "b"}, Whole: []string{"b"}}, {DataCentre: "dc3", Unknown: true},
+		}, l.remotes(now))
+
+		o.remotes = []place.Remote{
+			{DataCentre: "dc2", Unknown: true}, {DataCentre: "dc3", Models: []string{"c", "a"}, Whole: []string{"c", "a"}, At: now},
+			{DataCentre: "unlisted", At: now},
+		}
+		got := l.remotes(now.Add(ReportLifetime))
+		require.Equal(t, place.Remote{DataCentre: "dc3", Models: []string{"a", "c"}, Whole: []string{"a", "c"}, At: now}, got[1])
+		require.True(t, got[0].Unknown, "a few slots that answers told are not all")
+		require.Len(t, got, 2)
+		got = l.remotes(now.Add(RemoteLifetime + time.Millisecond))
+		require.Equal(t, place.Remote{DataCentre: "dc3", Unknown: true, At: now}, got[1])
+	})
+}
+
+// TestLastReplicaYields requires that a last replica is unloaded only while
+// another data centre is known to keep its model.
+func TestLastReplicaYields(t *testing.T) {
+	p := place.NewPlanner()
+	doc := document(12, 0, 10, "1")
+	remote := place.Remote{DataCentre: "dc2"}
+	for _, m := range doc.Models {
+		remote.Models = append(remote.Models, m.Name)
+	}
+	at := func(centre string, held ...string) place.Remote {
+		return place.Remote{DataCentre: centre, Models: held}
+	}
+	require.False(t, p.Yields(envdoc.Slot{Model: doc.Models[0].Name}, testCentre, nil), "nothing was planned yet")
+	p.Plan(place.Facts{Document: doc, DataCentre: testCentre, Remotes: []place.Remote{remote}})
+	yields := 0
+	for _, m := range doc.Models {
+		slot := envdoc.Slot{Model: m.Name, Version: "1"}
+		here := p.Yields(slot, testCentre, []place.Remote{at("dc2", m.Name)})
+		there := p.Yields(slot, "dc2", []place.Remote{at(testCentre, m.Name)})
+		require.NotEqual(t, here, there, "exactly one of both yields")
+		require.False(t, p.Yields(slot, testCentre, []place.Remote{at("dc2")}))
+		slot.Adapter = "x"
+		require.False(t, p.Yields(slot, testCentre, []place.Remote{at("dc2", m.Name)}), "its adapters are not known to be there")
+		if here {
+			yields++
+		}
+	}
+	require.Positive(t, yields)
+}
