--- a/limpetd/peer/holders_test.go
+++ b/limpetd/peer/holders_test.go
@@ -34,6 +34,23 @@
 	return reports, h.refuses
 }
 
+// metered returns a client of a server over mutual TLS on loopback, whose bytes and
+// segments are counted.
+func metered(ctx context.Context, t *testing.T, deps ServerDeps, bytes, segments *atomic.Int64) (client *Client, address string) {
+	secrets := newSecrets(ctx, t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	config := Config{Environment: "e/production", VM: "entry-vm-000", Instance: "0b54a7a2-39c5-4d0c-9a57-0f3ad4ad4ad4"}
+	deps.TLS = secrets.PeerServer()
+	NewServer(ctx, config, listener, deps)
+	client = NewClient(ctx, config, ClientDeps{TLS: secrets.PeerClient()}, WithDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		return &counted{Conn: conn, bytes: bytes, segments: segments}, err
+	}))
+	return client, listener.Addr().String()
+}
+
 // TestBytesOfAQuestion measures what a question for engines and its answer cost
 // on the wire, and requires that the figures by which package reach limits itself
 // cover it: 300 bytes, 60 for each slot, 160 for each report,
@@ -41,19 +58,10 @@
 func TestBytesOfAQuestion(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	secrets := newSecrets(ctx, t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	config := Config{Environment: "e/production", VM: "entry-vm-000", Instance: "0b54a7a2-39c5-4d0c-9a57-0f3ad4ad4ad4"}
 	answers := &holding{}
 	const linkBytes = 6 << 10
-	NewServer(ctx, config, listener, ServerDeps{TLS: secrets.PeerServer(), Holders: answers})
 	var bytes, segments atomic.Int64
-	client := NewClient(ctx, config, ClientDeps{TLS: secrets.PeerClient()}, WithDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", address)
-		return &counted{Conn: conn, bytes: &bytes, segments: &segments}, err
-	}))
+	client, address := metered(ctx, t, ServerDeps{Holders: answers}, &bytes, &segments)
 	for _, x := range []struct {
 		slots int
 		holds bool
@@ -64,7 +72,7 @@
 		}
 		answers.holds = x.holds
 		ask := func() int {
-			got, err := client.Holders(ctx, listener.Addr().String(), slots)
+			got, err := client.Holders(ctx, address, slots)
 			require.NoError(t, err)
 			want, _ := answers.Holders(slots)
 			require.Len(t, got, len(want))
@@ -89,6 +97,6 @@
 		require.LessOrEqual(t, each, float64(300+60*x.slots+160*reports/questions))
 	}
 	answers.refuses = code.Errorf(code.QueueFull, "too many")
-	_, err = client.Holders(ctx, listener.Addr().String(), nil)
+	_, err := client.Holders(ctx, address, nil)
 	require.Equal(t, code.QueueFull, code.Of(err))
 }
--- a/limpetd/peer/placed_test.go
+++ b/limpetd/peer/placed_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -34,23 +33,13 @@
 func TestBytesOfAPlacedQuestion(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	secrets := newSecrets(ctx, t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	const mapBytes, questions = 113, 50
-	config := Config{Environment: "e/production", VM: "entry-vm-000", Instance: "0b54a7a2-39c5-4d0c-9a57-0f3ad4ad4ad4"}
 	p := &placing{digest: strings.Repeat("a7", 32), answer: member.Placed{
 		Known: true, Complete: true, Models: bytes.Repeat([]byte{0xa5}, mapBytes), Whole: bytes.Repeat([]byte{0x24}, mapBytes),
 	}}
-	NewServer(ctx, config, listener, ServerDeps{TLS: secrets.PeerServer(), Placed: p})
 	var payload, segments atomic.Int64
-	client := NewClient(ctx, config, ClientDeps{TLS: secrets.PeerClient()}, WithDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", address)
-		return &counted{Conn: conn, bytes: &payload, segments: &segments}, err
-	}))
-	address := listener.Addr().String()
-	_, err = client.Placed(ctx, address, p.digest)
+	client, address := metered(ctx, t, ServerDeps{Placed: p}, &payload, &segments)
+	_, err := client.Placed(ctx, address, p.digest)
 	require.NoError(t, err)
 	before := payload.Load() + segmentBytes*segments.Load()
 	for range questions {
