place: Say once when a changed version serves

The rule that an old replica can go repeated the check of the rule that gives up a changed version: resident, with all adapters. One function says it now; behaviour stays, the tests of the package pass with the race detector.

--- a/limpetd/place/adapters.go
+++ b/limpetd/place/adapters.go
@@ -166,14 +166,9 @@
 func (s *stage) replaced(k, engine int) bool {
 	m, mv := &s.models[k], &s.views[k]
 	current := count(mv.current, Resident)
-	if current == 0 {
+	if !s.changed(k) {
 		return false
 	}
-	for j := range mv.adapters {
-		if !s.adapterServes(k, j) {
-			return false
-		}
-	}
 	if _, both := on(mv.current, engine); !both && !s.adaptersElsewhere(k, engine) {
 		return false
 	}
