bound: Judge the bounds of both benches by one rule

Cause: the placement and the requests bench each had the bound, the list and the comparison. They differed: a figure that is no number broke a bound of the one and met a bound of the other. The names of broken bounds of the requests bench now show figure and target too.

--- a/limpetlab/pbench/pbench.go
+++ b/limpetlab/pbench/pbench.go
@@ -14,9 +14,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetlab/bound"
 	"github.com/limpetlb/limpetlb/limpetlab/deploy"
 )
 
@@ -46,23 +46,14 @@
 	UnreachableModelSeconds float64 `json:"unreachable_model_seconds"`
 }
 
-// Bound is a target and what was measured.
-type Bound struct {
-	Name     string  `json:"name"`
-	Target   float64 `json:"target"`
-	Measured float64 `json:"measured"`
-	Broken   bool    `json:"broken"`
-}
-
 // Result holds a row for each policy, and the bounds; Broken names those that are
 // not met.
 type Result struct {
-	Deployment string   `json:"deployment"`
-	Seed       uint64   `json:"seed"`
-	Hours      float64  `json:"hours"`
-	Rows       []Row    `json:"rows"`
-	Bounds     []Bound  `json:"bounds"`
-	Broken     []string `json:"broken"`
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	Hours      float64 `json:"hours"`
+	Rows       []Row   `json:"rows"`
+	bound.List
 }
 
 // The policies.
@@ -92,7 +83,7 @@
 	if c.Quick {
 		length = quickDay
 	}
-	r := Result{Deployment: c.Deployment, Seed: c.Seed, Hours: length.Hours(), Broken: []string{}}
+	r := Result{Deployment: c.Deployment, Seed: c.Seed, Hours: length.Hours(), List: bound.New()}
 	for _, policy := range []string{PolicyLimpetlb, PolicyGreedy, PolicyStatic} {
 		row, err := measure(ctx, d, policy, c.Seed, length)
 		if err != nil {
@@ -107,9 +98,9 @@
 // judge compares the rows with the targets.
 func (r *Result) judge() {
 	own, greedy := r.Rows[0], r.Rows[1]
-	r.most("moves of greedy", movesTarget, ratio(float64(own.Moves), float64(greedy.Moves)))
-	r.least("attainment of greedy", 1, ratio(own.AttainmentPerAccelerator, greedy.AttainmentPerAccelerator))
-	r.most("unreachable model seconds", 0, own.UnreachableModelSeconds)
+	r.AtMost("moves of greedy", movesTarget, ratio(float64(own.Moves), float64(greedy.Moves)))
+	r.AtLeast("attainment of greedy", 1, ratio(own.AttainmentPerAccelerator, greedy.AttainmentPerAccelerator))
+	r.AtMost("unreachable model seconds", 0, own.UnreachableModelSeconds)
 }
 
 // ratio returns a/b, 0 for 0/0.
@@ -120,21 +111,6 @@
 	return a / b
 }
 
-func (r *Result) most(name string, target, measured float64) {
-	r.add(Bound{Name: name, Target: target, Measured: measured, Broken: !(measured <= target)})
-}
-
-func (r *Result) least(name string, target, measured float64) {
-	r.add(Bound{Name: name, Target: target, Measured: measured, Broken: !(measured >= target)})
-}
-
-func (r *Result) add(b Bound) {
-	r.Bounds = append(r.Bounds, b)
-	if b.Broken {
-		r.Broken = append(r.Broken, fmt.Sprintf("%s: %.4g, target %.4g", b.Name, b.Measured, b.Target))
-	}
-}
-
 // measure lets a policy run over the demand.
 func measure(ctx context.Context, d deploy.Deployment, policy string, seed uint64, length time.Duration) (Row, error) {
 	doc := d.Document(1)
--- a/limpetlab/rbench/rbench.go
+++ b/limpetlab/rbench/rbench.go
@@ -16,6 +16,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/limpetlb/limpetlb/limpetlab/bound"
 )
 
 // Config says what is measured.
@@ -44,21 +46,12 @@
 	QueueSpread float64 `json:"queue_spread,omitempty"`
 }
 
-// Bound is a target and what was measured.
-type Bound struct {
-	Name     string  `json:"name"`
-	Target   float64 `json:"target"`
-	Measured float64 `json:"measured"`
-	Broken   bool    `json:"broken"`
-}
-
 // Result holds all rows and bounds; Broken names the bounds not met.
 type Result struct {
-	Deployment string   `json:"deployment"`
-	Seed       uint64   `json:"seed"`
-	Rows       []Row    `json:"rows"`
-	Bounds     []Bound  `json:"bounds"`
-	Broken     []string `json:"broken"`
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
+	Rows       []Row  `json:"rows"`
+	bound.List
 }
 
 // The names of the policies.
@@ -109,7 +102,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	b := &bench{ctx: ctx, config: c, result: Result{Deployment: c.Deployment, Seed: c.Seed, Broken: []string{}}}
+	b := &bench{ctx: ctx, config: c, result: Result{Deployment: c.Deployment, Seed: c.Seed, List: bound.New()}}
 	w := newWorld(d)
 	for _, step := range []func(*world) error{b.calm, b.day, b.overload, b.failing, b.slow, b.herding} {
 		if err := step(w); err != nil {
--- a/limpetlab/rbench/scenarios.go
+++ b/limpetlab/rbench/scenarios.go
@@ -36,11 +36,11 @@
 	if err := b.play(scenario{world: w, popular: true, stretches: w.day(random, length), policies: policies}); err != nil {
 		return err
 	}
-	b.atLeast("burst: attainment per accelerator over the best baseline", burstGain, b.gain(phaseBurst))
-	b.atLeast("rest: attainment per accelerator over the best baseline", restGain, b.gain(phaseRest))
+	b.result.AtLeast("burst: attainment per accelerator over the best baseline", burstGain, b.gain(phaseBurst))
+	b.result.AtLeast("rest: attainment per accelerator over the best baseline", restGain, b.gain(phaseRest))
 	night := priorities[len(priorities)-1].name
 	for _, phase := range []string{phaseBurst, phaseRest} {
-		b.atLeast(phase+": deferred work by its deadline", deferredAttainment, b.find(policyLimpet, phase, night).Attainment)
+		b.result.AtLeast(phase+": deferred work by its deadline", deferredAttainment, b.find(policyLimpet, phase, night).Attainment)
 	}
 	return nil
 }
@@ -56,7 +56,7 @@
 	if err := b.play(scenario{world: w, popular: true, stretches: stretches, policies: policies}); err != nil {
 		return err
 	}
-	b.atLeast("calm: attainment per accelerator over the best baseline", restGain, b.gain(phaseCalm))
+	b.result.AtLeast("calm: attainment per accelerator over the best baseline", restGain, b.gain(phaseCalm))
 	return nil
 }
 
@@ -75,9 +75,9 @@
 		return err
 	}
 	urgent := b.find(policyLimpet, phaseOverload, priorities[0].name).Attainment
-	b.atLeast("overload: attainment of urgent work", urgentAttainment, urgent)
+	b.result.AtLeast("overload: attainment of urgent work", urgentAttainment, urgent)
 	was := b.find(policyLimpet, phaseBefore, allPriorities).Attainment
-	b.atLeast("overload: attainment 10 s after its end", was, b.find(policyLimpet, phaseAfter, allPriorities).Attainment)
+	b.result.AtLeast("overload: attainment 10 s after its end", was, b.find(policyLimpet, phaseAfter, allPriorities).Attainment)
 	return nil
 }
 
@@ -95,7 +95,7 @@
 			return err
 		}
 		sends := b.find(policyLimpet, phase, allPriorities).SendsPerRequest
-		b.atMost(phase+": sends per request", maxSendsPerRequest, sends)
+		b.result.AtMost(phase+": sends per request", maxSendsPerRequest, sends)
 	}
 	return nil
 }
@@ -107,7 +107,7 @@
 	if err := b.play(scenario{world: w, fault: faultSlow, stretches: stretches, policies: policies}); err != nil {
 		return err
 	}
-	b.atLeast("slow: attainment per accelerator over the best baseline", restGain, b.gain(phaseSlow))
+	b.result.AtLeast("slow: attainment per accelerator over the best baseline", restGain, b.gain(phaseSlow))
 	return nil
 }
 
@@ -125,7 +125,7 @@
 			return err
 		}
 		worst := b.find(policyLeastLoaded, phase, allPriorities).QueueSpread
-		b.atMost(phase+": queue spread, at most that of least loaded", worst, b.find(policyLimpet, phase, allPriorities).QueueSpread)
+		b.result.AtMost(phase+": queue spread, at most that of least loaded", worst, b.find(policyLimpet, phase, allPriorities).QueueSpread)
 	}
 	return nil
 }
@@ -149,21 +149,3 @@
 	}
 	return Row{}
 }
-
-// atLeast adds a lower bound.
-func (b *bench) atLeast(name string, target, measured float64) {
-	b.bound(Bound{Name: name, Target: target, Measured: measured, Broken: measured < target})
-}
-
-// atMost adds an upper bound.
-func (b *bench) atMost(name string, target, measured float64) {
-	b.bound(Bound{Name: name, Target: target, Measured: measured, Broken: measured > target})
-}
-
-// bound adds a bound.
-func (b *bench) bound(x Bound) {
-	b.result.Bounds = append(b.result.Bounds, x)
-	if x.Broken {
-		b.result.Broken = append(b.result.Broken, x.Name)
-	}
-}
