batch: Store the result before the job ends

Cause: put returned the key of the result together with the error of the object store, and finish took the key as proof that the result was stored. When the object store was away for the put and the table for nothing, or when both came back between two tries, the next try wrote only the row: a batch that was done and had no result for ever.

Ruled out: a second holder's key (the digest names the content), a sweeper (there is no deletion), the checker reading during the outage (the error was "no object", 60 polls long), the race detector (seen without).

Change: put returns no key with an error, so the result is written again.

The new test failed before.

--- a/limpetd/batch/fault_test.go
+++ b/limpetd/batch/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -215,3 +216,33 @@
 		})
 	})
 }
+
+// TestResultIsStoredBeforeTheJobEnds takes the object store away while the
+// result is due, with the table there.
+func TestResultIsStoredBeforeTheJobEnds(t *testing.T) {
+	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
+		var down atomic.Bool
+		w.objects.Fault = func() fakes.Fault {
+			if down.Load() {
+				return fakes.Down
+			}
+			return fakes.None
+		}
+		d, stop := w.daemon(t, w.table)
+		defer stop()
+		j, err := d.Submit(t.Context(), submission(1))
+		require.NoError(t, err)
+		for held := j; held.State == StateQueued; time.Sleep(time.Second) {
+			held, err = d.Get(t.Context(), "app", j.ID)
+			require.NoError(t, err)
+		}
+		down.Store(true)
+		time.Sleep(2 * itemTime)
+		got, err := d.Get(t.Context(), "app", j.ID)
+		require.NoError(t, err)
+		require.False(t, got.Final(), "the job ended without its result")
+		down.Store(false)
+		require.Equal(t, StateDone, ended(t, d, j.ID).State)
+		requireWhole(t, d, j.ID, 1)
+	})
+}
--- a/limpetd/batch/hold.go
+++ b/limpetd/batch/hold.go
@@ -107,7 +107,8 @@
 	return nil
 }
 
-// put writes the lines so far to the object store and returns their key.
+// put writes the lines so far to the object store and returns their key; none
+// with an error.
 func (d *Duty) put(ctx context.Context, h *hold, kind string) (string, error) {
 	body, err := json.Marshal(h.sorted())
 	if err != nil {
@@ -115,7 +116,10 @@
 	}
 	digest := sha256.Sum256(body)
 	key := objectKey(d.config.Environment, kind, hex.EncodeToString(digest[:]))
-	return key, d.deps.Objects.Put(ctx, key, body)
+	if err := d.deps.Objects.Put(ctx, key, body); err != nil {
+		return "", err
+	}
+	return key, nil
 }
 
 // save writes the lines so far, for a later holder, and returns their key; the
