watch: Read an engine by one daemon where there are many

Cause: beyond 26 daemons in a data centre each daemon reads 3.3 engines, since two daemons read each, and tells the reports to 51 others: half of the bytes of loads and of reads are for the second reader. Ruled out: one reader everywhere (small data centres can afford two, and lose a reader more often than not with half of their daemons).

Change: one reader beyond 26 daemons. Daemons that help out for a silent reader go on while their own reads are the newest. Before, an engine whose readers were both silent was stale again each 4 s until the VM list dropped a reader; with one reader that would be usual.

Not measured: the choice of an engine with reports older by a third of a turn.

--- a/limpetd/peer/cost_test.go
+++ b/limpetd/peer/cost_test.go
@@ -32,10 +32,10 @@
 	// change, and documentPeriods that after which a document does.
 	fixedPeriods    = 60
 	documentPeriods = 125
-	// readEngines is the number of engines that a daemon of 52 reads when two
-	// daemons read each of 86, rounded up, and engineSlots that of the slots
-	// of each when 900 models with 3 adapters are held once.
-	readEngines = 4
+	// readEngines is the number of engines that a daemon of 52 reads when one
+	// daemon reads each of 86, rounded up, and engineSlots that of the slots of
+	// each when 900 models with 3 adapters are held once.
+	readEngines = 2
 	engineSlots = 41
 )
 
@@ -85,10 +85,10 @@
 		s.Loads = append(s.Loads, r)
 	}
 	for k := range 30 {
-		s.Demand = append(s.Demand, member.ModelDemand{Model: fmt.Sprintf("programme-%02d", k), PerSecond: 0.2, TokensPerSecond: 60, Queued: 1})
+		s.Demand = append(s.Demand, member.ModelDemand{Model: fmt.Sprintf("programme-%02d", k), PerSecond: 0.2 + float64(l.rounds%17*k)/100, TokensPerSecond: 60 + float64(l.rounds%13*k), Queued: k % 3})
 	}
 	for k := range 10 {
-		s.Use = append(s.Use, member.CallerUse{Caller: fmt.Sprintf("caller-%02d", k), PerSecond: 0.5})
+		s.Use = append(s.Use, member.CallerUse{Caller: fmt.Sprintf("caller-%02d", k), PerSecond: 0.5 + float64(l.rounds%11*k)/100})
 	}
 	return s
 }
--- a/limpetd/watch/refresh.go
+++ b/limpetd/watch/refresh.go
@@ -20,6 +20,10 @@
 	// extraReaders is the number of daemons that read an engine without news,
 	// besides those chosen.
 	extraReaders = 3
+	// pairedDaemons is the number of daemons of a data centre up to which two
+	// read each engine. Beyond it one does, and tells so many others that a
+	// second reader costs more than a late takeover.
+	pairedDaemons = 26
 )
 
 // refresh takes the VM list if it changed, renews the view and returns the engines that are
@@ -89,6 +93,8 @@
 // engineReaders chooses the daemons that read an engine.
 type engineReaders struct {
 	table *rendezvous.Rendezvous
+	// paired tells that each engine has a second reader.
+	paired bool
 }
 
 // newReaders chooses among daemons; all of them when there are none.
@@ -96,7 +102,7 @@
 	if len(daemons) == 0 {
 		return engineReaders{}
 	}
-	return engineReaders{table: rendezvous.New(daemons, xxhash.Sum64String)}
+	return engineReaders{table: rendezvous.New(daemons, xxhash.Sum64String), paired: len(daemons) <= pairedDaemons}
 }
 
 // has tells whether daemon reads engine. Two independent choices may fall on the
@@ -105,7 +111,7 @@
 	if r.table == nil {
 		return true
 	}
-	return r.table.Lookup(engine) == daemon || r.table.Lookup("second/"+engine) == daemon
+	return r.table.Lookup(engine) == daemon || r.paired && r.table.Lookup("second/"+engine) == daemon
 }
 
 // list returns the engines for the view.
@@ -168,7 +174,8 @@
 			continue
 		}
 		s.due = now.Add(w.period - time.Duration(rand.Int64N(int64(w.period/4)+1)))
-		if !w.mine[id] && !w.helps(s, now) {
+		s.helping = !w.mine[id] && w.helps(s, now)
+		if !w.mine[id] && !s.helping {
 			continue
 		}
 		s.reading = true
@@ -178,8 +185,11 @@
 }
 
 // helps tells whether this daemon reads an engine that others are chosen for,
-// because there is no news of it.
+// because there is no news of it. It goes on while its own reads are the newest.
 func (w *Watch) helps(s *state, now time.Time) bool {
+	if s.helping && s.read && s.health(now) == route.HealthFresh {
+		return true
+	}
 	if s.vm.DataCentre != w.config.DataCentre || s.health(now) != route.HealthStale {
 		return false
 	}
--- a/limpetd/watch/state.go
+++ b/limpetd/watch/state.go
@@ -43,6 +43,8 @@
 	// due is when the engine is read next; reading that it is being read.
 	due     time.Time
 	reading bool
+	// helping tells that this daemon reads the engine in place of others.
+	helping bool
 	cache   cache
 	// farSlots are the slots that answers of another data centre told, with the
 	// time; nil when the newest report is whole.
--- a/limpetd/watch/watch.go
+++ b/limpetd/watch/watch.go
@@ -1,9 +1,9 @@
 // Package watch reads the load reports and cache events of engines and keeps
 // the view that the choice of an engine is made from.
 //
-// An engine is read by one or two daemons of its data centre, chosen by
-// rendezvous hashing over the live entry VMs, and by every daemon that sees no
-// entry VM. What the others need is passed on by peers: Loads gives the reports
+// An engine is read by one or two daemons of its data centre, by one where there
+// are many. They are chosen by rendezvous hashing over the live entry VMs; a daemon
+// that sees no entry VM reads all. What the others need is passed on by peers: Loads gives the reports
 // that this daemon read, Receive takes theirs. The newest report of an engine
 // wins. An engine of the own data centre without news is read by others too. An
 // engine that cannot be read, or is leaving, is left out of the view at once;
--- a/limpetd/watch/watch_test.go
+++ b/limpetd/watch/watch_test.go
@@ -189,6 +189,66 @@
 	})
 }
 
+func TestOneReaderWhereThereAreManyDaemons(t *testing.T) {
+	for _, daemons := range []int{pairedDaemons, pairedDaemons + 1} {
+		var ids []string
+		for i := range daemons {
+			ids = append(ids, fmt.Sprint("d", i))
+		}
+		chosen := newReaders(ids)
+		pairs := 0
+		for e := range 100 {
+			readers := 0
+			for _, id := range ids {
+				if chosen.has(fmt.Sprint("e", e), id) {
+					readers++
+				}
+			}
+			require.Positive(t, readers)
+			pairs += readers - 1
+		}
+		require.Equal(t, daemons <= pairedDaemons, pairs > 50)
+		require.Equal(t, daemons > pairedDaemons, pairs == 0)
+	}
+}
+
+// TestTakeoverFromASilentReader lets three of many listed daemons run. They keep
+// the news of all engines, whose chosen readers are silent, without a break.
+func TestTakeoverFromASilentReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(pairedDaemons+10, 6)
+		var watches []*Watch
+		for i := range 3 {
+			w, stop := start(t, c, fmt.Sprint("d", i))
+			defer stop()
+			watches = append(watches, w)
+		}
+		stale := 0
+		for round := range 120 {
+			time.Sleep(time.Second)
+			if round%2 == 0 {
+				continue
+			}
+			for i, w := range watches {
+				for _, e := range w.View().Engines {
+					if round > 60 && e.Health != route.HealthFresh {
+						stale++
+					}
+				}
+				for k, other := range watches {
+					if i != k {
+						other.Receive(fmt.Sprint("d", i), w.Loads())
+					}
+				}
+			}
+		}
+		for _, w := range watches {
+			require.Len(t, w.View().Engines, 6)
+		}
+		require.Zero(t, stale)
+	})
+}
+
 func TestNewestReportWins(t *testing.T) {
 	at := time.Date(2026, 1, 1, 0, 0, 10, 0, time.UTC)
 	report := func(instance string, sequence int64, at time.Time) engine.Report {
