order: Measure a step with reports as the watch gives them

The watch keeps the list of slots while a report names the same ones.

Change: the bench makes the reports once and counts sequence and time on.

--- a/limpetd/order/bench_test.go
+++ b/limpetd/order/bench_test.go
@@ -14,7 +14,8 @@
 )
 
 // BenchmarkStep is what the holder does in a plan period at rest: 86 engines, 900
-// models, 2,700 adapters, all resident.
+// models, 2,700 adapters, all resident. Reports keep the list of slots while it
+// does not change, as package watch gives them.
 func BenchmarkStep(b *testing.B) {
 	w := newWorld(b, 86, 320000, store.FencingIgnores)
 	d := w.start("vm-1")
@@ -26,10 +27,15 @@
 		l.books.copies[e.vm.ID] = &book{row: fill(b, doc, e, i, len(w.engines)), version: 1}
 	}
 	l.books.fresh = true
+	for _, e := range w.engines {
+		w.reports[e.vm.ID] = lagged{report: e.report()}
+	}
 	now := time.Now()
 	for b.Loop() {
-		for _, e := range w.engines {
-			w.reports[e.vm.ID] = lagged{e.report(), now}
+		for vm, r := range w.reports {
+			r.report.Sequence++
+			r.report.At, r.at = now, now
+			w.reports[vm] = r
 		}
 		l.observe(now)
 		l.decide(b.Context(), lease.Hold{Key: "fence"}, now)
