lab: Draw the benches over time by policy

Package chart draws; ticks are round, the legend stands apart. Ruled out: the series in the JSON of `bench`, which would grow by some thousand lines that nobody reads.

--- a/limpetlab/bench_report.go
+++ b/limpetlab/bench_report.go
@@ -2,23 +2,15 @@
 
 import (
 	"context"
+	_ "embed"
 	"fmt"
-	"maps"
+	"html/template"
 	"os"
 	"path/filepath"
 	"slices"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-)
-
-// Sizes of the charts.
-const (
-	chartWidth  = 24 * vg.Centimeter
-	chartHeight = 10 * vg.Centimeter
-	barWidth    = 7 * vg.Length(1)
+	"github.com/limpetlb/limpetlb/limpetlab/bound"
+	"github.com/limpetlb/limpetlb/limpetlab/chart"
 )
 
 // reportBench writes a page of charts.
@@ -27,11 +19,30 @@
 	Directory string `help:"Directory to write the page to." default:"bench-report"`
 }
 
-// bar is a figure of a policy in a group.
-type bar struct {
-	policy string
-	group  string
-	value  float64
+// reportPage is the template of the page.
+//
+//go:embed bench_report.html
+var reportPage string
+
+// pageData is what the page shows.
+type pageData struct {
+	allResult
+	// Command is the command that makes the page again.
+	Command string
+	Bounds  []pageBound
+	Charts  []pageChart
+}
+
+// pageBound is a bound of a bench.
+type pageBound struct {
+	Deployment, Bench string
+	bound.Bound
+}
+
+// pageChart is a chart of the page.
+type pageChart struct {
+	File, Title string
+	panels      []chart.Panel
 }
 
 // Run implements the command.
@@ -40,89 +51,72 @@
 	if err != nil {
 		return err
 	}
+	return c.report(all)
+}
+
+// report writes the charts and the page, and prints the name of the page.
+func (c *reportBench) report(all allResult) error {
 	if err := os.MkdirAll(c.Directory, 0o755); err != nil {
 		return err
 	}
-	page := "<!doctype html><meta charset=\"utf-8\"><title>limpetlb benches</title>\n<h1>Benches by policy</h1>\n"
-	charts := all.charts()
-	for _, name := range slices.Sorted(maps.Keys(charts)) {
-		file := name + ".svg"
-		if err := draw(filepath.Join(c.Directory, file), name, charts[name]); err != nil {
+	data := pageData{allResult: all, Command: c.command(), Bounds: all.bounds(), Charts: all.charts()}
+	for _, ch := range data.Charts {
+		if err := chart.Draw(filepath.Join(c.Directory, ch.File), ch.Title, ch.panels); err != nil {
 			return err
 		}
-		page += fmt.Sprintf("<p><img src=%q alt=%q></p>\n", file, name)
 	}
 	index := filepath.Join(c.Directory, "index.html")
-	if err := os.WriteFile(index, []byte(page), 0o644); err != nil {
+	if err := data.write(index); err != nil {
 		return err
 	}
 	fmt.Println(index)
 	return nil
 }
 
-// charts returns the bars of each chart by its name.
-func (a allResult) charts() map[string][]bar {
-	charts := make(map[string][]bar)
-	for _, p := range a.Placement {
-		for _, r := range p.Rows {
-			charts["placement-attainment"] = append(charts["placement-attainment"], bar{r.Policy, p.Deployment, r.AttainmentPerAccelerator})
-			charts["placement-moves"] = append(charts["placement-moves"], bar{r.Policy, p.Deployment, float64(r.Moves)})
-		}
+// command returns the command line of the report.
+func (c *reportBench) command() string {
+	line := fmt.Sprintf("go run ./limpetlab bench report --seed %d --directory %s", c.Seed, c.Directory)
+	if c.Quick {
+		line += " --quick"
 	}
-	for _, q := range a.Requests {
-		name := "requests-attainment-" + q.Deployment
-		for _, r := range q.Rows {
-			charts[name] = append(charts[name], bar{r.Policy, r.Phase + " " + r.Priority, r.Attainment})
-		}
-	}
-	return charts
+	return line
 }
 
-// draw writes a chart with a group of bars for each group and one for each
-// policy in it.
-func draw(file, title string, bars []bar) error {
-	p := plot.New()
-	p.Title.Text = title
-	p.Legend.Top = true
-	var groups, policies []string
-	for _, b := range bars {
-		groups = appendNew(groups, b.group)
-		policies = appendNew(policies, b.policy)
+// write writes the page to a file.
+func (d pageData) write(file string) error {
+	page, err := template.New("report").Parse(reportPage)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
 	}
-	for i, policy := range policies {
-		values := make(plotter.Values, len(groups))
-		for _, b := range bars {
-			if b.policy == policy {
-				values[index(groups, b.group)] = b.value
-			}
+	if err := page.Execute(f, d); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// bounds returns the bounds of all benches.
+func (a allResult) bounds() []pageBound {
+	var list []pageBound
+	for i, d := range deployments {
+		for _, b := range a.Placement[i].Bounds {
+			list = append(list, pageBound{Deployment: d, Bench: "placement", Bound: b})
 		}
-		chart, err := plotter.NewBarChart(values, barWidth)
-		if err != nil {
-			return err
+		for _, b := range a.Requests[i].Bounds {
+			list = append(list, pageBound{Deployment: d, Bench: "requests", Bound: b})
 		}
-		chart.Color = plotutil.Color(i)
-		chart.Offset = barWidth * vg.Length(2*i-len(policies)+1) / 2
-		p.Add(chart)
-		p.Legend.Add(policy, chart)
 	}
-	p.NominalX(groups...)
-	return p.Save(chartWidth, chartHeight, file)
+	return list
 }
 
 // appendNew appends a name that is not in the list yet.
 func appendNew(list []string, name string) []string {
-	if index(list, name) >= 0 {
+	if slices.Contains(list, name) {
 		return list
 	}
 	return append(list, name)
 }
-
-// index returns the place of a name in the list, -1 for none.
-func index(list []string, name string) int {
-	for i, n := range list {
-		if n == name {
-			return i
-		}
-	}
-	return -1
-}
--- a/limpetlab/bound/bound.go
+++ b/limpetlab/bound/bound.go
@@ -14,7 +14,9 @@
 
 // Bound is a target and what was measured.
 type Bound struct {
-	Name     string  `json:"name"`
+	Name string `json:"name"`
+	// Least tells that the target is the least value, not the most.
+	Least    bool    `json:"least"`
 	Target   float64 `json:"target"`
 	Measured float64 `json:"measured"`
 	Broken   bool    `json:"broken"`
@@ -38,7 +40,7 @@
 
 // AtLeast adds a lower bound. A figure that is no number breaks it.
 func (l *List) AtLeast(name string, target, measured float64) {
-	l.add(Bound{Name: name, Target: target, Measured: measured, Broken: !(measured >= target)})
+	l.add(Bound{Name: name, Least: true, Target: target, Measured: measured, Broken: !(measured >= target)})
 }
 
 func (l *List) add(b Bound) {
--- a/limpetlab/pbench/pbench.go
+++ b/limpetlab/pbench/pbench.go
@@ -53,6 +53,8 @@
 	Seed       uint64  `json:"seed"`
 	Hours      float64 `json:"hours"`
 	Rows       []Row   `json:"rows"`
+	// Series has an entry for each policy, in the order of the rows.
+	Series []Series `json:"-"`
 	bound.List
 }
 
@@ -85,11 +87,12 @@
 	}
 	r := Result{Deployment: c.Deployment, Seed: c.Seed, Hours: length.Hours(), List: bound.New()}
 	for _, policy := range []string{PolicyLimpetlb, PolicyGreedy, PolicyStatic} {
-		row, err := measure(ctx, d, policy, c.Seed, length)
+		row, series, err := measure(ctx, d, policy, c.Seed, length)
 		if err != nil {
 			return Result{}, err
 		}
 		r.Rows = append(r.Rows, row)
+		r.Series = append(r.Series, series)
 	}
 	r.judge()
 	return r, nil
@@ -112,18 +115,18 @@
 }
 
 // measure lets a policy run over the demand.
-func measure(ctx context.Context, d deploy.Deployment, policy string, seed uint64, length time.Duration) (Row, error) {
+func measure(ctx context.Context, d deploy.Deployment, policy string, seed uint64, length time.Duration) (Row, Series, error) {
 	doc := d.Document(1)
 	demand := newDemand(d, doc, seed)
 	var sites []*site
 	for _, dc := range d.DataCentres {
 		sites = append(sites, newSite(d, doc, dc, newPolicy(policy, demand)))
 	}
-	t := tally{models: len(doc.Models)}
+	t := tally{models: len(doc.Models), sampler: newSampler(length)}
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for at := time.Duration(0); at < warmUp+length; at += step {
 		if err := ctx.Err(); err != nil {
-			return Row{}, err
+			return Row{}, Series{}, err
 		}
 		demand.advance(at)
 		for i, s := range sites {
@@ -136,7 +139,7 @@
 			t.begin(sites)
 		}
 	}
-	return t.row(policy, sites, d, length), nil
+	return t.row(policy, d, length), Series{Policy: policy, Points: t.sampler.points}, nil
 }
 
 // tally sums what the sites reached.
@@ -144,24 +147,33 @@
 	models      int
 	asked, met  float64
 	unreachable float64
-	moves       int
-	modelMoves  int
+	// firstMoves and firstModelMoves are those of the first placement.
+	firstMoves, firstModelMoves int
+	moves, modelMoves           int
+	sampler                     *sampler
 }
 
 // begin leaves out what the first placement took.
 func (t *tally) begin(sites []*site) {
 	for _, s := range sites {
-		t.moves -= s.moves
-		t.modelMoves -= s.modelMoves
+		t.firstMoves += s.moves
+		t.firstModelMoves += s.modelMoves
 	}
 }
 
 // add takes in a step.
 func (t *tally) add(sites []*site, doc *envdocDocument) {
+	asked, met := 0.0, 0.0
+	t.moves, t.modelMoves = -t.firstMoves, -t.firstModelMoves
 	for _, s := range sites {
-		t.asked += s.asked
-		t.met += s.met
+		asked += s.asked
+		met += s.met
+		t.moves += s.moves
+		t.modelMoves += s.modelMoves
 	}
+	t.asked += asked
+	t.met += met
+	t.sampler.add(asked, met, t.moves)
 	for _, m := range doc.Models {
 		held := false
 		for _, s := range sites {
@@ -174,11 +186,7 @@
 }
 
 // row returns the figures.
-func (t *tally) row(policy string, sites []*site, d deploy.Deployment, length time.Duration) Row {
-	for _, s := range sites {
-		t.moves += s.moves
-		t.modelMoves += s.modelMoves
-	}
+func (t *tally) row(policy string, d deploy.Deployment, length time.Duration) Row {
 	return Row{
 		Policy:                   policy,
 		AttainmentPerAccelerator: t.met / length.Seconds() / float64(d.Accelerators()),
--- a/limpetlab/pbench/pbench_test.go
+++ b/limpetlab/pbench/pbench_test.go
@@ -20,6 +20,9 @@
 				t.Logf("%+v", row)
 			}
 			require.Empty(t, r.Broken)
+			for i, s := range r.Series {
+				checkSeries(t, r.Rows[i], s, r.Hours)
+			}
 		})
 	}
 }
@@ -27,9 +30,26 @@
 // TestSameSeed requires that a seed gives the same figures twice.
 func TestSameSeed(t *testing.T) {
 	t.Parallel()
-	first, err := measure(t.Context(), deploy.Andesoft(), PolicyLimpetlb, 7, 10*time.Minute)
+	first, points, err := measure(t.Context(), deploy.Andesoft(), PolicyLimpetlb, 7, 10*time.Minute)
 	require.NoError(t, err)
-	second, err := measure(t.Context(), deploy.Andesoft(), PolicyLimpetlb, 7, 10*time.Minute)
+	second, again, err := measure(t.Context(), deploy.Andesoft(), PolicyLimpetlb, 7, 10*time.Minute)
 	require.NoError(t, err)
 	require.Equal(t, first, second)
+	require.Equal(t, points, again)
+}
+
+// checkSeries requires that a series covers the time and ends as its row does.
+func checkSeries(t *testing.T, row Row, s Series, hours float64) {
+	require.Equal(t, row.Policy, s.Policy)
+	require.LessOrEqual(t, len(s.Points), maxPoints)
+	require.Greater(t, len(s.Points), maxPoints/2)
+	last := s.Points[len(s.Points)-1]
+	require.InDelta(t, hours, last.Hours, 1e-9)
+	require.Equal(t, row.Moves, last.Moves)
+	moves := 0
+	for _, p := range s.Points {
+		require.GreaterOrEqual(t, p.Moves, moves)
+		require.LessOrEqual(t, p.Attainment, 1.0)
+		moves = p.Moves
+	}
 }
--- a/limpetlab/rbench/rbench.go
+++ b/limpetlab/rbench/rbench.go
@@ -51,6 +51,8 @@
 	Deployment string `json:"deployment"`
 	Seed       uint64 `json:"seed"`
 	Rows       []Row  `json:"rows"`
+	// Series has an entry for each policy in each scenario.
+	Series []Series `json:"-"`
 	bound.List
 }
 
@@ -81,6 +83,7 @@
 
 // scenario is a load on a world.
 type scenario struct {
+	name      string
 	world     *world
 	popular   bool
 	fault     fault
@@ -124,6 +127,7 @@
 		s := newSimulation(sc.world, newRouter(policy, sc.world, b.config.Seed), jobs, sc.fault)
 		s.run()
 		b.add(policy, sc, jobs, s.spread.mean())
+		b.result.Series = append(b.result.Series, series(sc, policy, jobs))
 	}
 	return nil
 }
@@ -144,23 +148,21 @@
 // addRow adds a row, if there are requests for it.
 func (b *bench) addRow(policy string, sc scenario, phase, priority string, jobs []*job, spread float64) {
 	r := Row{Policy: policy, Phase: phase, Priority: priority, QueueSpread: spread}
-	attained, sends, sent := 0, 0, 0
+	var c count
 	for _, j := range jobs {
 		if j.phase != phase || priority != allPriorities && j.priority.name != priority {
 			continue
 		}
-		r.Requests++
-		sends += j.sends
-		sent += number(j.sends > 0)
-		attained += number(j.attained && j.ended)
+		c.add(j)
 	}
-	if r.Requests == 0 {
+	if c.requests == 0 {
 		return
 	}
-	r.Attainment = float64(attained) / float64(r.Requests)
+	r.Requests = c.requests
+	r.Attainment = c.attainment()
 	accelerators := float64(sc.world.engines * acceleratorsAnEngine)
-	r.AttainmentPerAccelerator = float64(attained) / span(sc.stretches, phase).Seconds() / accelerators
-	r.SendsPerRequest = float64(sends) / float64(max(sent, 1))
+	r.AttainmentPerAccelerator = float64(c.attained) / span(sc.stretches, phase).Seconds() / accelerators
+	r.SendsPerRequest = c.sendsPerRequest()
 	b.result.Rows = append(b.result.Rows, r)
 }
 
--- a/limpetlab/rbench/rbench_test.go
+++ b/limpetlab/rbench/rbench_test.go
@@ -11,17 +11,27 @@
 )
 
 func TestRunIsRepeatable(t *testing.T) {
-	run := func() Result {
+	run := func() *bench {
 		b := &bench{ctx: t.Context(), config: Config{Seed: 1, Quick: true}}
 		require.NoError(t, b.slow(newWorld(deployments["ibeji"])))
-		return b.result
+		return b
 	}
-	first := run()
-	require.Equal(t, first, run())
+	b := run()
+	first := b.result
+	require.Equal(t, first, run().result)
 	for _, r := range first.Rows {
 		require.LessOrEqual(t, r.Attainment, 1.0)
 		require.GreaterOrEqual(t, r.SendsPerRequest, 1.0, "%+v", r)
 	}
+	require.Len(t, first.Series, len(baselines)+1)
+	for _, s := range first.Series {
+		require.LessOrEqual(t, len(s.Points), maxPoints)
+		requests := 0
+		for _, p := range s.Points {
+			requests += p.Requests
+		}
+		require.Equal(t, b.find(s.Policy, phaseSlow, allPriorities).Requests, requests)
+	}
 }
 
 func TestRunUnknownDeployment(t *testing.T) {
--- a/limpetlab/rbench/scenarios.go
+++ b/limpetlab/rbench/scenarios.go
@@ -33,7 +33,7 @@
 	}
 	random := rand.New(rand.NewPCG(b.config.Seed, 3))
 	policies := append([]string{policyLimpet}, baselines...)
-	if err := b.play(scenario{world: w, popular: true, stretches: w.day(random, length), policies: policies}); err != nil {
+	if err := b.play(scenario{name: "day", world: w, popular: true, stretches: w.day(random, length), policies: policies}); err != nil {
 		return err
 	}
 	b.result.AtLeast("burst: attainment per accelerator over the best baseline", burstGain, b.gain(phaseBurst))
@@ -53,7 +53,7 @@
 	}
 	policies := append([]string{policyLimpet}, baselines...)
 	stretches := []stretch{{phase: phaseCalm, until: length, load: restLoad(length)}}
-	if err := b.play(scenario{world: w, popular: true, stretches: stretches, policies: policies}); err != nil {
+	if err := b.play(scenario{name: phaseCalm, world: w, popular: true, stretches: stretches, policies: policies}); err != nil {
 		return err
 	}
 	b.result.AtLeast("calm: attainment per accelerator over the best baseline", restGain, b.gain(phaseCalm))
@@ -71,7 +71,7 @@
 		{phase: phaseAfter, from: end + recoveryTime, until: end + 3*recoveryTime, load: before},
 	}
 	policies := append([]string{policyLimpet}, baselines...)
-	if err := b.play(scenario{world: w, stretches: stretches, policies: policies}); err != nil {
+	if err := b.play(scenario{name: phaseOverload, world: w, stretches: stretches, policies: policies}); err != nil {
 		return err
 	}
 	urgent := b.find(policyLimpet, phaseOverload, priorities[0].name).Attainment
@@ -91,7 +91,7 @@
 	}
 	for _, phase := range []string{phaseFailing, phaseStorm} {
 		stretches := []stretch{{phase: phase, until: time.Minute, load: loads[phase]}}
-		if err := b.play(scenario{world: w, fault: faultFailing, stretches: stretches, policies: policies}); err != nil {
+		if err := b.play(scenario{name: phase, world: w, fault: faultFailing, stretches: stretches, policies: policies}); err != nil {
 			return err
 		}
 		sends := b.find(policyLimpet, phase, allPriorities).SendsPerRequest
@@ -104,7 +104,7 @@
 func (b *bench) slow(w *world) error {
 	stretches := []stretch{{phase: phaseSlow, until: time.Minute, load: constant(0.2, 0.1, 0)}}
 	policies := append([]string{policyLimpet}, baselines...)
-	if err := b.play(scenario{world: w, fault: faultSlow, stretches: stretches, policies: policies}); err != nil {
+	if err := b.play(scenario{name: phaseSlow, world: w, fault: faultSlow, stretches: stretches, policies: policies}); err != nil {
 		return err
 	}
 	b.result.AtLeast("slow: attainment per accelerator over the best baseline", restGain, b.gain(phaseSlow))
@@ -121,7 +121,7 @@
 		phase := fmt.Sprintf("%s_%d", phaseHerd, routers)
 		stretches := []stretch{{phase: phase, until: length, load: constant(0.7, 0, 0)}}
 		policies := []string{policyLimpet, policyRoundRobin, policyLeastLoaded, policyTwoChoices}
-		if err := b.play(scenario{world: newWorld(herd(routers)), stretches: stretches, policies: policies}); err != nil {
+		if err := b.play(scenario{name: phase, world: newWorld(herd(routers)), stretches: stretches, policies: policies}); err != nil {
 			return err
 		}
 		worst := b.find(policyLeastLoaded, phase, allPriorities).QueueSpread
