--- a/limpetlab/bench_charts.go
+++ b/limpetlab/bench_charts.go
@@ -20,8 +20,12 @@
 	axisSeconds    = "time (s)"
 )
 
-// priorityUrgent is the most urgent priority of the requests bench.
-const priorityUrgent = "live"
+// The priorities of the requests bench that are compared and drawn: all, and
+// the most urgent one.
+const (
+	priorityAll    = "all"
+	priorityUrgent = "live"
+)
 
 // charts returns the charts of both benches: for each deployment placement over
 // the day, the phases of the requests bench as bars, and each of its scenarios
@@ -104,7 +108,7 @@
 
 // phaseChart draws the attainment of each phase, of all and of urgent requests.
 func phaseChart(r rbench.Result) pageChart {
-	all := phasePanel(r, "all")
+	all := phasePanel(r, priorityAll)
 	all.Y = axisAttainment
 	urgent := phasePanel(r, priorityUrgent)
 	urgent.X, urgent.Y = "phase", axisUrgent
