--- a/limpetlab/demo/demo.go
+++ b/limpetlab/demo/demo.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetlab/caller"
@@ -39,6 +40,8 @@
 	FaultStore     Fault = "store"
 	FaultLeave     Fault = "leave"
 	FaultMixed     Fault = "mixed"
+	// FaultFreeze needs daemons that are fleet.Freezer.
+	FaultFreeze Fault = "freeze"
 )
 
 // Config says what to run.
@@ -72,13 +75,19 @@
 type demo struct {
 	config   Config
 	switches *fault.Switch
-	chance   *chance
-	world    *world.World
-	fleet    *fleet.Fleet
-	client   *caller.Client
-	judge    *judge.Judge
-	rand     *rand.Rand
-	begun    time.Time
+	// frozen are the daemons that are stopped.
+	frozen []*fleet.Member
+	// stops counts how often one was stopped.
+	stops int
+	// failedLeaves counts daemons that left with an error.
+	failedLeaves atomic.Int64
+	chance       *chance
+	world        *world.World
+	fleet        *fleet.Fleet
+	client       *caller.Client
+	judge        *judge.Judge
+	rand         *rand.Rand
+	begun        time.Time
 }
 
 // Run runs the demo to its end. An error means that it could not run; broken
--- a/limpetlab/demo/faults.go
+++ b/limpetlab/demo/faults.go
@@ -107,7 +107,7 @@
 		step()
 	}
 	d.chance.set()
-	d.restore()
+	d.restore(ctx)
 }
 
 // pause waits for d; false when ctx ends first.
@@ -167,6 +167,16 @@
 			nothing,
 			nothing,
 		}
+	case FaultFreeze:
+		return []func(){
+			func() { d.freeze(ctx, dcs[0]) },
+			func() { d.restartEngine(dcs[0]) },
+			func() { d.chance.set(orderRules()...) },
+			func() { d.thaw(ctx) },
+			func() { d.freeze(ctx, dcs[1]) },
+			func() { d.restartEngine(dcs[1]) },
+			nothing,
+		}
 	case FaultMixed:
 		return d.mixed(ctx)
 	}
@@ -272,6 +282,7 @@
 	go func() {
 		if err := m.Daemon.Leave(ctx); err != nil {
 			d.say("%s left: %v", m.VM, err)
+			d.failLeave(ctx)
 		}
 		m.Kill()
 		d.world.List.Remove(m.VM)
@@ -279,6 +290,14 @@
 	}()
 }
 
+// failLeave counts a daemon that did not leave in good order, but for one that
+// the end of the demo cuts short.
+func (d *demo) failLeave(ctx context.Context) {
+	if ctx.Err() == nil {
+		d.failedLeaves.Add(1)
+	}
+}
+
 // balancerLag is how long the balancer sends requests to a daemon that leaves.
 const balancerLag = 500 * time.Millisecond
 
@@ -293,7 +312,8 @@
 }
 
 // restore ends all faults.
-func (d *demo) restore() {
+func (d *demo) restore(ctx context.Context) {
+	d.thaw(ctx)
 	for _, dc := range d.config.Deployment.DataCentres {
 		if err := d.world.Heal(dc); err != nil {
 			d.say("heal %s: %v", dc, err)
--- a/limpetlab/demo/summary.go
+++ b/limpetlab/demo/summary.go
@@ -30,8 +30,13 @@
 	// caller then asked another daemon.
 	BrokenConnections int `json:"broken_connections"`
 
-	// WrongAnswers, Lost, Doubled, MemoryOvercommits and NotRunButRan must
-	// be zero.
+	// Stops counts daemons that were stopped and woken later.
+	Stops int `json:"stops"`
+
+	// FailedLeaves counts daemons that left with an error, such as requests
+	// cut off. It, WrongAnswers, Lost, Doubled, MemoryOvercommits and
+	// NotRunButRan must be zero.
+	FailedLeaves      int      `json:"failed_leaves"`
 	WrongAnswers      int      `json:"wrong_answers"`
 	Lost              int      `json:"lost"`
 	Doubled           int      `json:"doubled"`
@@ -72,6 +77,7 @@
 		{"doubled", s.Doubled},
 		{"memory_overcommits", s.MemoryOvercommits},
 		{"not_run_but_ran", s.NotRunButRan},
+		{"failed_leaves", s.FailedLeaves},
 	} {
 		if c.count > 0 {
 			broken = append(broken, fmt.Sprintf("%s is %d", c.name, c.count))
@@ -99,6 +105,8 @@
 		Refused:           v.Refused,
 		Codes:             v.Codes,
 		BrokenConnections: v.BrokenConnections,
+		Stops:             d.stops,
+		FailedLeaves:      int(d.failedLeaves.Load()),
 		WrongAnswers:      v.WrongAnswers,
 		Lost:              v.Lost,
 		MemoryOvercommits: len(books.MemoryOvercommits),
@@ -150,6 +158,7 @@
 	line("doubled", s.Doubled)
 	line("memory overcommits", s.MemoryOvercommits)
 	line("told not run, but ran", s.NotRunButRan)
+	line("left with an error", s.FailedLeaves)
 	line("moves", s.Moves)
 	line("attainment", fmt.Sprintf("%.3f", s.Attainment))
 	line("attainment per accelerator", fmt.Sprintf("%.2f", s.AttainmentPerAccelerator))
--- a/limpetlab/fleet/fleet.go
+++ b/limpetlab/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/conf"
+	"github.com/limpetlb/limpetlb/limpetd/docs"
 	"github.com/limpetlb/limpetlb/limpetlab/deploy"
 	"github.com/limpetlb/limpetlb/limpetlab/world"
 )
@@ -51,6 +52,12 @@
 	Leave(ctx context.Context) error
 }
 
+// Freezer is a daemon that can be stopped and woken, unaware of the time between.
+type Freezer interface {
+	Freeze() error
+	Thaw() error
+}
+
 // StartFunc starts a daemon, which dies at once when ctx ends.
 type StartFunc func(ctx context.Context, c conf.Config) (Daemon, error)
 
@@ -104,13 +111,13 @@
 func (f *Fleet) Join(ctx context.Context, dc string) (*Member, error) {
 	m, err := f.launch(ctx, dc)
 	if err == nil {
-		go f.addReady(ctx, m)
+		go f.AddReady(ctx, m)
 	}
 	return m, err
 }
 
-// addReady waits until a daemon is ready and then lets it get requests.
-func (f *Fleet) addReady(ctx context.Context, m *Member) {
+// AddReady waits until a daemon is ready and then lets it get requests.
+func (f *Fleet) AddReady(ctx context.Context, m *Member) {
 	for ctx.Err() == nil {
 		response, err := http.Get("http://" + m.Daemon.CallerAddr() + "/readyz")
 		if err == nil {
@@ -156,7 +163,7 @@
 		DataCentre:      dc,
 		Region:          f.world.Region(),
 		Environment:     f.deployment.Name,
-		Stage:           "trial",
+		Stage:           string(docs.Trial),
 		Platform:        f.world.PlatformURL(dc),
 		PlatformPlain:   true,
 		CallerAddress:   loopback,
@@ -175,6 +182,9 @@
 	}
 }
 
+// Scope returns the environment and stage of the daemons' rows.
+func (f *Fleet) Scope() string { return docs.Scope(f.deployment.Name, docs.Trial) }
+
 // Live returns the daemons that get requests.
 func (f *Fleet) Live() []*Member {
 	f.mu.Lock()
