matrix: Fix what happens in a cell by its seed

Cause: two runs of a cell differed. Jitter came from the source of the process (batch, claim, watch, order, lease, store.Commit), sums and lists followed the order of maps (demand of peers, engines in watch), ids of instances and submissions were random, and messages of the same moment of fake time arrived in the order of goroutines.

Ruled out: one processor alone (cells still parted at time 0).

Change: package random makes sources that goroutines share; the duties take one by WithRandom. Pauses of Commit follow from the rows of its transaction. The matrix gives each part of a daemon its source and each message a time of its own, and nothing leaves a daemon that has died: before, a dying daemon could still hand its batch over. Outcome has a trace, and cells run in parallel. The test of watch.Holders gives its Watch a source.

--- a/limpetd/admit/demand.go
+++ b/limpetd/admit/demand.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -84,7 +86,9 @@
 func (d *demand) sum(now time.Time, own []member.ModelDemand, counts func(daemon string) bool) []member.ModelDemand {
 	sums := make(map[target]member.ModelDemand)
 	addDemand(sums, own)
-	for daemon, t := range d.told {
+	// In the order of names, since a sum of fractions depends on its order.
+	for _, daemon := range slices.Sorted(maps.Keys(d.told)) {
+		t := d.told[daemon]
 		if now.Sub(t.at) <= toldFor && counts(daemon) {
 			addDemand(sums, t.demand)
 		}
--- a/limpetd/batch/answer.go
+++ b/limpetd/batch/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -62,7 +61,7 @@
 			return
 		}
 		select {
-		case <-time.After(backoff(try)):
+		case <-time.After(d.backoff(try)):
 		case <-ctx.Done():
 		}
 	}
@@ -82,12 +81,12 @@
 }
 
 // backoff is the wait after a try, with full jitter.
-func backoff(try int) time.Duration {
-	d := maxItemBackoff
+func (d *Duty) backoff(try int) time.Duration {
+	longest := maxItemBackoff
 	if try < 6 {
-		d = min(itemBackoff<<(try-1), maxItemBackoff)
+		longest = min(itemBackoff<<(try-1), maxItemBackoff)
 	}
-	return rand.N(d)
+	return time.Duration(d.random.Int64N(int64(longest)))
 }
 
 func requestID(j Job, i int) string {
--- a/limpetd/batch/batch.go
+++ b/limpetd/batch/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -121,6 +123,12 @@
 	return func(d *Duty) { d.now = now }
 }
 
+// WithRandom sets the source of random pauses and choices. It must be safe for
+// concurrent use, as those of package random are.
+func WithRandom(r *rand.Rand) Option {
+	return func(d *Duty) { d.random = r }
+}
+
 // Duty keeps the batches of callers and runs jobs. It is safe for concurrent
 // use.
 type Duty struct {
@@ -128,6 +136,7 @@
 	deps     Deps
 	catalogs *relay.Catalogs
 	now      func() time.Time
+	random   *rand.Rand
 	tomb     *tomb.Tomb
 	// leaving is closed when no further job is taken and running ones are
 	// handed over.
@@ -157,6 +166,7 @@
 		deps:     deps,
 		catalogs: relay.NewCatalogs(deps.Documents),
 		now:      time.Now,
+		random:   random.New(),
 		leaving:  make(chan struct{}),
 		accepted: scope.Counter("jobs_accepted"),
 		taken:    scope.Counter("jobs_taken"),
@@ -170,14 +180,22 @@
 	d.tomb = t
 	t.Go(func() error {
 		for range d.config.JobsAtOnce {
-			t.Go(func() error { return d.runLoop(ctx) })
+			own := d.source()
+			t.Go(func() error { return d.runLoop(ctx, own) })
 		}
-		t.Go(func() error { return d.sweepLoop(ctx) })
+		own := d.source()
+		t.Go(func() error { return d.sweepLoop(ctx, own) })
 		return nil
 	})
 	return d
 }
 
+// source returns a source of its own for a goroutine, so that what it draws does
+// not depend on others.
+func (d *Duty) source() *rand.Rand {
+	return rand.New(rand.NewPCG(d.random.Uint64(), d.random.Uint64()))
+}
+
 // Wait returns when all goroutines have ended.
 func (d *Duty) Wait() error {
 	err := d.tomb.Wait()
--- a/limpetd/batch/run.go
+++ b/limpetd/batch/run.go
@@ -9,37 +9,33 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
-// jitter returns a time between half of d and one and a half of d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
 // runLoop takes one job after the other.
-func (d *Duty) runLoop(ctx context.Context) error {
+func (d *Duty) runLoop(ctx context.Context, own *rand.Rand) error {
 	for {
 		select {
 		case <-d.tomb.Dying():
 			return nil
 		case <-d.leaving:
 			return nil
-		case <-time.After(jitter(d.config.PollEvery)):
+		case <-time.After(random.Around(own, d.config.PollEvery)):
 		}
-		for ctx.Err() == nil && d.runNext(ctx) {
+		for ctx.Err() == nil && d.runNext(ctx, own) {
 		}
 	}
 }
 
 // runNext takes and runs a job; false when none ran to its end.
-func (d *Duty) runNext(ctx context.Context) bool {
+func (d *Duty) runNext(ctx context.Context, own *rand.Rand) bool {
 	select {
 	case <-d.leaving:
 		return false
 	default:
 	}
-	h, err := d.take(ctx)
+	h, err := d.take(ctx, own)
 	if err != nil {
 		d.deps.Log.Info("batch_take_failed", zap.Int("code", int(code.Of(err))), zap.Error(err))
 	}
@@ -53,7 +49,7 @@
 
 // take takes one of the open jobs. It begins at a random one, so that daemons
 // seldom try for the same.
-func (d *Duty) take(ctx context.Context) (*hold, error) {
+func (d *Duty) take(ctx context.Context, own *rand.Rand) (*hold, error) {
 	open, err := d.deps.Table.Scan(ctx, openPrefix(d.config.Environment), "", openPage)
 	if err != nil || len(open) == 0 {
 		return nil, err
@@ -66,7 +62,7 @@
 	if err != nil || len(rows) == 0 {
 		return nil, err
 	}
-	first := rand.IntN(len(rows))
+	first := own.IntN(len(rows))
 	for i := range rows {
 		row := rows[(first+i)%len(rows)]
 		j, err := decodeJob(row)
@@ -214,7 +210,7 @@
 			return
 		}
 		select {
-		case <-time.After(jitter(storeRetry)):
+		case <-time.After(random.Around(d.random, storeRetry)):
 		case <-ctx.Done():
 		}
 	}
--- a/limpetd/batch/sweep.go
+++ b/limpetd/batch/sweep.go
@@ -2,23 +2,25 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
 // sweepLoop deletes the rows of batches that ended long ago.
-func (d *Duty) sweepLoop(ctx context.Context) error {
+func (d *Duty) sweepLoop(ctx context.Context, own *rand.Rand) error {
 	for {
 		select {
 		case <-d.tomb.Dying():
 			return nil
 		case <-d.leaving:
 			return nil
-		case <-time.After(jitter(sweepEvery)):
+		case <-time.After(random.Around(own, sweepEvery)):
 			if err := d.sweep(ctx); err != nil {
 				d.deps.Log.Info("batch_sweep_failed", zap.Int("code", int(code.Of(err))), zap.Error(err))
 			}
--- a/limpetd/claim/claim.go
+++ b/limpetd/claim/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -91,11 +93,18 @@
 	return func(c *Claims) { c.now = now }
 }
 
+// WithRandom sets the source of random pauses and choices. It must be safe for
+// concurrent use, as those of package random are.
+func WithRandom(r *rand.Rand) Option {
+	return func(c *Claims) { c.random = r }
+}
+
 // Claims claims keyed calls. It is safe for concurrent use.
 type Claims struct {
 	config Config
 	deps   Deps
 	now    func() time.Time
+	random *rand.Rand
 	tomb   *tomb.Tomb
 	// writes joins calls with the committers. When it is full a claim is
 	// refused as not run and a closing goes to late.
@@ -130,6 +139,7 @@
 		config:   c.withDefaults(),
 		deps:     d,
 		now:      time.Now,
+		random:   random.New(),
 		writes:   make(chan *write, queueSize),
 		late:     make(chan *Hold, lateSize),
 		groups:   scope.Counter("group_commits"),
--- a/limpetd/claim/duty.go
+++ b/limpetd/claim/duty.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -24,11 +24,6 @@
 	sweepStartBytes = 4
 )
 
-// jitter returns a time between half of d and one and a half of d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
 // lateClaim is a claim that is to be closed.
 type lateClaim struct {
 	*Hold
@@ -109,7 +104,7 @@
 		select {
 		case <-s.tomb.Dying():
 			return nil
-		case <-time.After(jitter(s.config.SweepEvery)):
+		case <-time.After(random.Around(s.random, s.config.SweepEvery)):
 			if err := s.sweep(ctx); err != nil {
 				s.deps.Log.Info("claim_sweep_failed", zap.Int("code", int(code.Of(err))), zap.Error(err))
 			}
@@ -121,7 +116,7 @@
 func (s *Claims) sweep(ctx context.Context) error {
 	start := make([]byte, sweepStartBytes)
 	for i := range start {
-		start[i] = byte(rand.N(256))
+		start[i] = byte(s.random.IntN(256))
 	}
 	p := prefix(s.config.Environment)
 	rows, err := s.deps.Table.Scan(ctx, p, p+hex.EncodeToString(start), sweepPage)
--- a/limpetd/lease/keeper.go
+++ b/limpetd/lease/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -40,6 +41,12 @@
 	return func(k *Keeper) { k.changed = changed }
 }
 
+// WithRandom sets the source of random pauses and choices. It must be safe for
+// concurrent use, as those of package random are.
+func WithRandom(r *rand.Rand) Option {
+	return func(k *Keeper) { k.random = r }
+}
+
 // Keeper takes and renews the lease of a data centre.
 type Keeper struct {
 	tomb     *tomb.Tomb
@@ -49,6 +56,7 @@
 	leaseKey string
 	fenceKey string
 	term     time.Duration
+	random   *rand.Rand
 
 	mu      sync.Mutex
 	machine *Machine
@@ -69,6 +77,7 @@
 		leaseKey: Key(environment, dataCentre),
 		fenceKey: FenceKey(environment, dataCentre),
 		term:     c.Term,
+		random:   random.New(),
 		machine:  NewMachine(c),
 	}
 	for _, o := range opts {
@@ -154,7 +163,7 @@
 	period := k.term / pollsPerTerm
 	for {
 		k.step(ctx)
-		pause := period - time.Duration(rand.Int64N(int64(period)/4+1))
+		pause := period - time.Duration(k.random.Int64N(int64(period)/4+1))
 		select {
 		case <-ctx.Done():
 			return
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,6 +38,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/place"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
@@ -169,6 +171,12 @@
 	return func(o *Duty) { o.orderTimeout = d }
 }
 
+// WithRandom sets the source of random pauses and choices. It must be safe for
+// concurrent use, as those of package random are.
+func WithRandom(r *rand.Rand) Option {
+	return func(o *Duty) { o.random = r }
+}
+
 // Duty is the placement duty of a daemon.
 type Duty struct {
 	config       Config
@@ -177,6 +185,7 @@
 	keeper       *lease.Keeper
 	lifetime     time.Duration
 	orderTimeout time.Duration
+	random       *rand.Rand
 
 	// results holds the ends of sends and questions; its size is that of all
 	// that may run at once, so that a sender never waits.
@@ -212,6 +221,7 @@
 		tomb:         t,
 		lifetime:     ConnectionLifetime,
 		orderTimeout: OrderTimeout,
+		random:       random.New(),
 		results:      make(chan result, maxRunning),
 		kick:         make(chan struct{}, 1),
 	}
@@ -223,7 +233,7 @@
 	o.keeper = lease.New(ctx, c.Environment, c.DataCentre,
 		lease.Config{VM: c.VM, Instance: c.Instance, Term: c.LeaseTerm},
 		lease.Deps{Table: d.Table, Log: d.Log, Events: d.Events, Scope: d.Scope},
-		lease.WithEligible(o.eligible), lease.WithChanged(o.wake))
+		lease.WithEligible(o.eligible), lease.WithChanged(o.wake), lease.WithRandom(o.random))
 	t.Go(func() error {
 		o.loop.run(ctx)
 		return o.keeper.Wait()
--- a/limpetd/order/send.go
+++ b/limpetd/order/send.go
@@ -54,10 +54,10 @@
 }
 
 // failed sets the pause before the next order.
-func (a *attempt) failed(now time.Time) {
+func (a *attempt) failed(now time.Time, random *rand.Rand) {
 	pause := min(firstBackoff<<min(a.failures, 10), lastBackoff)
 	a.failures++
-	a.next = now.Add(pause/2 + time.Duration(rand.Int64N(int64(pause))))
+	a.next = now.Add(pause/2 + time.Duration(random.Int64N(int64(pause))))
 }
 
 // result is the end of a send or of a question.
@@ -154,14 +154,14 @@
 	k := l.known[r.key.engine]
 	switch {
 	case r.err != nil:
-		a.failed(now)
+		a.failed(now, l.duty.random)
 	case r.answer.Status == engine.OrderDone:
 		*a = attempt{serial: a.serial, next: a.next}
 		if k != nil {
 			k.confirmed(r.charge, r.order, r.answer, now)
 		}
 	case r.answer.Status == engine.OrderFenced:
-		a.failed(now)
+		a.failed(now, l.duty.random)
 		a.serial++
 		r.err = code.Errorf(code.OrderRefused, "engine %s refused fence %d, has %d", r.key.engine, r.order.Fence, r.answer.Fence)
 		if r.answer.Fence > r.order.Fence {
@@ -169,7 +169,7 @@
 			l.duty.keeper.Doubt()
 		}
 	default:
-		a.failed(now)
+		a.failed(now, l.duty.random)
 		a.refusals++
 		a.serial++
 		r.err = code.Errorf(code.OrderRefused, "engine %s refused: %s", r.key.engine, r.answer.Reason)
--- a/limpetd/store/commit.go
+++ b/limpetd/store/commit.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
-	"crypto/rand"
-	mathrand "math/rand/v2"
+	cryptorand "crypto/rand"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/limpetlb/limpetlb/limpetd/code"
 )
 
@@ -17,7 +20,7 @@
 
 // NewID returns an id for a transaction or another thing that must be unique.
 func NewID() string {
-	return rand.Text()
+	return cryptorand.Text()
 }
 
 // Commit applies tx and finds out what became of it when the table does not
@@ -32,6 +35,7 @@
 	guarded := len(guards(tx)) > 0
 	unsure := false
 	wait := commitFirstWait
+	random := pauses(tx)
 	var err error
 	for range commitTries {
 		err = t.Apply(ctx, tx)
@@ -45,7 +49,7 @@
 		case !unsure:
 			return err
 		}
-		if !guarded || !sleep(ctx, wait) {
+		if !guarded || !sleep(ctx, wait/2+time.Duration(random.Int64N(int64(wait)))) {
 			break
 		}
 		wait *= 2
@@ -107,10 +111,20 @@
 	return r.Version == c.Version || r.Version == c.Version+1
 }
 
-// sleep waits for wait with jitter; false when ctx ends first.
+// pauses returns the source of the pauses before tx is sent again. They follow
+// from the rows and versions of tx, so that those of different rows are spread
+// and a run in fake time repeats itself.
+func pauses(tx Tx) *rand.Rand {
+	d := xxhash.New()
+	for _, c := range tx.Conditions {
+		_, _ = fmt.Fprintln(d, c.Key, c.Version)
+	}
+	return rand.New(rand.NewPCG(d.Sum64(), uint64(len(tx.Writes))))
+}
+
+// sleep waits for wait; false when ctx ends first.
 func sleep(ctx context.Context, wait time.Duration) bool {
-	jittered := wait/2 + mathrand.N(wait)
-	timer := time.NewTimer(jittered)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/limpetd/watch/far.go
+++ b/limpetd/watch/far.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -75,7 +74,8 @@
 			found = append(found, r)
 		}
 	}
-	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	slices.SortFunc(found, func(a, b engine.Report) int { return strings.Compare(a.VM, b.VM) })
+	w.random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
 	slices.SortStableFunc(found, func(a, b engine.Report) int { return crowd(a) - crowd(b) })
 	return found[:min(len(found), holdersEach)]
 }
--- a/limpetd/watch/far_test.go
+++ b/limpetd/watch/far_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -58,7 +59,7 @@
 }
 
 func TestHoldersNamesAFewWithRoom(t *testing.T) {
-	w := &Watch{config: Config{VM: "d0", DataCentre: "a"}, engines: make(map[string]*state)}
+	w := &Watch{config: Config{VM: "d0", DataCentre: "a"}, random: random.New(), engines: make(map[string]*state)}
 	now := time.Now()
 	add := func(id, centre string, running int, slots ...envdoc.Slot) {
 		s := &state{vm: store.VM{ID: id, DataCentre: centre, State: store.StateLive}}
--- a/limpetd/watch/refresh.go
+++ b/limpetd/watch/refresh.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -153,7 +152,8 @@
 	}
 	w.cacheBuilt = now
 	c := make(route.Cache)
-	for id, s := range w.engines {
+	for _, id := range w.order {
+		s := w.engines[id]
 		s.cache.changed = false
 		for p := range s.cache.prefixes {
 			c[p] = append(c[p], id)
@@ -165,7 +165,8 @@
 // dueEngines returns the engines that are due and marks them as being read.
 func (w *Watch) dueEngines(now time.Time) []store.VM {
 	var due []store.VM
-	for id, s := range w.engines {
+	for _, id := range w.order {
+		s := w.engines[id]
 		if !w.mine[id] {
 			// Others read it; their reports tell whether it works.
 			s.failures = 0
@@ -173,7 +174,7 @@
 		if s.reading || now.Before(s.due) {
 			continue
 		}
-		s.due = now.Add(w.period - time.Duration(rand.Int64N(int64(w.period/4)+1)))
+		s.due = now.Add(w.period - time.Duration(w.random.Int64N(int64(w.period/4)+1)))
 		s.helping = !w.mine[id] && w.helps(s, now)
 		if !w.mine[id] && !s.helping {
 			continue
@@ -196,5 +197,5 @@
 	if now.Sub(s.listed) < staleAfter {
 		return false
 	}
-	return rand.IntN(max(w.daemons, 1)) < extraReaders
+	return w.random.IntN(max(w.daemons, 1)) < extraReaders
 }
--- a/limpetd/watch/watch.go
+++ b/limpetd/watch/watch.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -64,6 +66,12 @@
 	return func(w *Watch) { w.period = d }
 }
 
+// WithRandom sets the source of random pauses and choices. It must be safe for
+// concurrent use, as those of package random are.
+func WithRandom(r *rand.Rand) Option {
+	return func(w *Watch) { w.random = r }
+}
+
 const (
 	// defaultPeriod is the time between two reads of an engine.
 	defaultPeriod = time.Second
@@ -80,6 +88,7 @@
 	config Config
 	deps   Deps
 	period time.Duration
+	random *rand.Rand
 	tomb   *tomb.Tomb
 	// due carries engines to the readers. When it is full the engine is due
 	// again at the next renewal of the view.
@@ -104,6 +113,7 @@
 		config:  c,
 		deps:    d,
 		period:  defaultPeriod,
+		random:  random.New(),
 		due:     make(chan store.VM, readers),
 		engines: make(map[string]*state),
 		mine:    make(map[string]bool),
--- a/limpetlab/matrix/check.go
+++ b/limpetlab/matrix/check.go
@@ -228,12 +228,19 @@
 	return r.violations
 }
 
-// Run runs a cell and returns the promises that did not hold. It must run in
-// fake time.
-func Run(t contextProvider, c Cell, seed uint64) []string {
+// Outcome is what a cell gave.
+type Outcome struct {
+	// Violations are the promises that did not hold.
+	Violations []string
+	// Trace is what happened, a line for each event, in order.
+	Trace []string
+}
+
+// Run runs a cell. It must run in fake time.
+func Run(t contextProvider, c Cell, seed uint64) Outcome {
 	r := newRig(t.Context(), c, seed)
 	r.script()
 	violations := r.verdict()
 	r.end()
-	return violations
+	return Outcome{Violations: violations, Trace: r.trace.sorted()}
 }
--- a/limpetlab/matrix/daemon.go
+++ b/limpetlab/matrix/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/gate"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetd/watch"
@@ -37,6 +39,8 @@
 	// new work.
 	leaveGrace = 3 * time.Second
 	drainTime  = 60 * time.Second
+	// wakeTime is the time between two that go on after a pause.
+	wakeTime   = time.Microsecond
 	drainPause = 100 * time.Millisecond
 )
 
@@ -66,6 +70,7 @@
 
 	mu       sync.Mutex
 	paused   chan struct{}
+	waiting  int
 	leaving  time.Time
 	gone     bool
 	left     bool
@@ -78,39 +83,55 @@
 func newDaemon(r *rig, vm, dataCentre string) *daemon {
 	ctx, cancel := context.WithCancel(r.ctx)
 	d := &daemon{
-		rig: r, vm: vm, instance: vm + "-" + store.NewID()[:4], dataCentre: dataCentre,
+		rig: r, vm: vm, instance: vm + "-1", dataCentre: dataCentre,
 		ctx: ctx, cancel: cancel, started: time.Now(), up: make(chan struct{}),
 	}
 	d.peers = newPeers(d)
+	apart()
 	log, events, scope := nopLog, nopEvents, tally.NoopScope
 	table, engines := platform{d}, engines{d}
 	d.docs = docs.New(ctx,
 		docs.Config{Environment: environment, Stage: docs.Production, VM: vm, Instance: d.instance},
-		docs.Deps{Table: table, Objects: objects{table}, Peers: d.peers, Log: log, Events: events, Scope: scope})
+		docs.Deps{Table: table, Objects: objects{table}, Peers: d.peers, Log: log, Events: events, Scope: scope},
+		docs.WithSeed(r.seed))
+	apart()
 	d.watch = watch.New(ctx, watch.Config{VM: vm, DataCentre: dataCentre},
-		watch.Deps{VMs: d, Reporter: engines, Log: log, Events: events, Scope: scope})
+		watch.Deps{VMs: d, Reporter: engines, Log: log, Events: events, Scope: scope},
+		watch.WithRandom(d.random("watch")))
+	apart()
 	d.queue = admit.New(ctx, admit.Config{VM: vm, DataCentre: dataCentre},
-		admit.Deps{Documents: d.docs, Views: d.watch, Peers: d.peers, VMs: d, Log: log, Events: events, Scope: scope})
+		admit.Deps{Documents: d.docs, Views: d.watch, Peers: d.peers, VMs: d, Log: log, Events: events, Scope: scope},
+		admit.WithRandom(d.random("admit")))
 	d.relay = relay.New(relay.Deps{Generator: engines, Admitter: d.queue, Log: log, Events: events, Scope: scope},
 		relay.WithDial(r.services.dial(d)))
+	apart()
 	d.claims = claim.New(ctx, claim.Config{Environment: environment},
-		claim.Deps{Table: table, Log: log, Events: events, Scope: scope})
+		claim.Deps{Table: table, Log: log, Events: events, Scope: scope},
+		claim.WithRandom(d.random("claim")))
+	apart()
 	d.batch = batch.New(ctx,
 		batch.Config{VM: vm, Instance: d.instance, Environment: environment, HoldFor: holdTime, PollEvery: batchPeriod},
-		batch.Deps{Table: table, Objects: objects{table}, Answerer: d.relay, Documents: d.docs, Log: log, Events: events, Scope: scope})
+		batch.Deps{Table: table, Objects: objects{table}, Answerer: d.relay, Documents: d.docs, Log: log, Events: events, Scope: scope},
+		batch.WithRandom(d.random("batch")))
+	apart()
 	d.order = order.New(ctx,
 		order.Config{VM: vm, Instance: d.instance, DataCentre: dataCentre, Environment: environment, LeaseTerm: leaseTerm, PlanPeriod: planPeriod},
 		order.Deps{
 			Table: table, Orderer: engines, Documents: d.docs, VMs: d, Reports: d.watch, Demand: demand{d.queue},
 			Sent: d.peers, Log: log, Events: events, Scope: scope,
 		},
-		order.WithConnectionLifetime(lifetime), order.WithOrderTimeout(orderWait))
+		order.WithConnectionLifetime(lifetime), order.WithOrderTimeout(orderWait), order.WithRandom(d.random("order")))
 	d.gate = gate.New(gate.Config{}, gate.Deps{
 		Documents: d.docs, Relay: d.relay, Claims: d.claims, Batches: d.batch, Log: log, Events: events, Scope: scope,
 	})
 	return d
 }
 
+// random returns the source of a part of the daemon; it follows from the seed.
+func (d *daemon) random(part string) *rand.Rand {
+	return random.Seeded(d.rig.seed, d.vm+"/"+part)
+}
+
 // demand is the demand of the data centre.
 type demand struct{ queue *admit.Queue }
 
@@ -144,6 +165,9 @@
 	if leaving {
 		steps = append(steps, Leave)
 	}
+	if len(steps) > 0 {
+		d.rig.trace.note("%s steps %v", d.vm, steps)
+	}
 	return d.rig.trap.hit(d, steps...)
 }
 
@@ -156,6 +180,7 @@
 	}
 	paused := make(chan struct{})
 	d.paused = paused
+	d.waiting = 0
 	d.rig.after(t, func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -164,13 +189,17 @@
 	})
 }
 
-// await returns once the daemon is not paused.
+// await returns once the daemon is not paused. Those that wait go on one after
+// the other.
 func (d *daemon) await() {
 	d.mu.Lock()
 	paused := d.paused
+	d.waiting++
+	place := d.waiting
 	d.mu.Unlock()
 	if paused != nil {
 		<-paused
+		time.Sleep(time.Duration(place) * wakeTime)
 	}
 }
 
--- a/limpetlab/matrix/matrix_test.go
+++ b/limpetlab/matrix/matrix_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -30,7 +31,7 @@
 }
 
 func TestMatrix(t *testing.T) {
-	ran, passed := 0, 0
+	var ran, passed atomic.Int64
 	reasons := make(map[string][]string)
 	for _, c := range selected() {
 		if r := c.Impossible(); r != "" {
@@ -38,17 +39,20 @@
 			continue
 		}
 		t.Run(c.Name(), func(t *testing.T) {
-			ran++
+			t.Parallel()
+			ran.Add(1)
 			synctest.Test(t, func(t *testing.T) {
-				require.Empty(t, Run(t, c, *seed))
+				require.Empty(t, Run(t, c, *seed).Violations)
 			})
-			passed++
+			passed.Add(1)
 		})
 	}
-	t.Logf("%d cells in the matrix: %d run, %d passed", len(Singles())+len(Pairs()), ran, passed)
-	for _, r := range sorted(reasons) {
-		t.Logf("can't occur: %s: %s", strings.Join(reasons[r], ", "), r)
-	}
+	t.Cleanup(func() {
+		t.Logf("%d cells in the matrix: %d run, %d passed", len(Singles())+len(Pairs()), ran.Load(), passed.Load())
+		for _, r := range sorted(reasons) {
+			t.Logf("can't occur: %s: %s", strings.Join(reasons[r], ", "), r)
+		}
+	})
 }
 
 // sorted returns the keys in order.
@@ -60,3 +64,34 @@
 	sort.Strings(keys)
 	return keys
 }
+
+// diagonal returns a cell for each step, with a fault of its own.
+func diagonal() []Cell {
+	var cells []Cell
+	for i, s := range Steps {
+		cells = append(cells, Cell{Step: s, Faults: []Fault{Faults[i]}})
+	}
+	return cells
+}
+
+// TestCellRepeats runs cells twice: the seed fixes all that happens.
+func TestCellRepeats(t *testing.T) {
+	for _, c := range diagonal() {
+		t.Run(c.Name(), func(t *testing.T) {
+			t.Parallel()
+			var outcomes []Outcome
+			for range 2 {
+				synctest.Test(t, func(t *testing.T) {
+					outcomes = append(outcomes, Run(t, c, *seed))
+				})
+			}
+			first, again := outcomes[0], outcomes[1]
+			require.Equal(t, first.Violations, again.Violations)
+			for i, line := range first.Trace {
+				require.Less(t, i, len(again.Trace), "the second run ends before %q", line)
+				require.Equal(t, line, again.Trace[i], "the runs part at line %d", i)
+			}
+			require.Len(t, again.Trace, len(first.Trace))
+		})
+	}
+}
--- a/limpetlab/matrix/operate.go
+++ b/limpetlab/matrix/operate.go
@@ -11,7 +11,6 @@
 	"github.com/limpetlb/limpetlb/limpetd/docs"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
-	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetlab/deploy"
 )
 
@@ -59,9 +58,17 @@
 	return ctx.Err()
 }
 
+// submissionID returns a new id, the same ones in each run of the cell.
+func (r *rig) submissionID() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.submissions++
+	return fmt.Sprintf("submission-%d", r.submissions)
+}
+
 // apply applies a document to trial.
 func (r *rig) apply(ctx context.Context, body []byte) (docs.Accepted, error) {
-	s := docs.Submission{ID: store.NewID(), File: "lab.yaml", Body: body, Operator: "operator"}
+	s := docs.Submission{ID: r.submissionID(), File: "lab.yaml", Body: body, Operator: "operator"}
 	for {
 		d := r.trialDaemon()
 		accepted, err := d.docs.Apply(ctx, s)
@@ -74,7 +81,7 @@
 
 // promote promotes a tried document.
 func (r *rig) promote(ctx context.Context, digest string) error {
-	p := docs.Promotion{ID: store.NewID(), Digest: digest, Operator: "operator"}
+	p := docs.Promotion{ID: r.submissionID(), Digest: digest, Operator: "operator"}
 	for {
 		d := r.someDaemon()
 		accepted, err := d.docs.Promote(ctx, p)
@@ -94,6 +101,7 @@
 func (r *rig) race() {
 	for _, version := range []string{"race-1", "race-2"} {
 		r.visit(func() {
+			r.lag("race", version)
 			err := r.operate(func(d *envdoc.Document) { d.Models[2].Version = version })
 			if err != nil && r.ctx.Err() == nil {
 				r.violate("document: an operator in a race did not get through: %v", err)
--- a/limpetlab/matrix/peers.go
+++ b/limpetlab/matrix/peers.go
@@ -95,6 +95,7 @@
 	if vm == p.d.vm {
 		return p.d.order.AnswerSent(grant), nil
 	}
+	p.d.rig.lag(p.d.vm, "sent", vm)
 	for _, o := range p.reachable() {
 		if o.vm == vm {
 			return o.order.AnswerSent(grant), nil
--- a/limpetlab/matrix/port.go
+++ b/limpetlab/matrix/port.go
@@ -11,6 +11,9 @@
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 )
 
+// errDead is what a daemon that has died is told: nothing leaves it any more.
+var errDead = code.Errorf(code.StoreDown, "the daemon has died")
+
 // platform is the platform as a daemon reaches it.
 type platform struct{ d *daemon }
 
@@ -20,9 +23,13 @@
 )
 
 // enter waits while the daemon is paused and returns the fault of a read.
-func (p platform) enter(ctx context.Context, steps ...Step) (context.Context, context.CancelFunc, error) {
+func (p platform) enter(ctx context.Context, key string, steps ...Step) (context.Context, context.CancelFunc, error) {
+	p.d.rig.lag(p.d.vm, "read", key)
 	p.d.await()
 	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
+	if p.d.dead() {
+		return ctx, cancel, errDead
+	}
 	a := p.d.hit(steps...)
 	p.d.await()
 	switch {
@@ -45,7 +52,7 @@
 	if len(keys) > 0 && strings.HasPrefix(keys[0], "documents/") {
 		steps = append(steps, TakeUp)
 	}
-	ctx, cancel, err := p.enter(ctx, steps...)
+	ctx, cancel, err := p.enter(ctx, strings.Join(keys, " "), steps...)
 	defer cancel()
 	if err != nil {
 		return nil, err
@@ -57,7 +64,7 @@
 
 // Scan implements store.Table.
 func (p platform) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
-	ctx, cancel, err := p.enter(ctx)
+	ctx, cancel, err := p.enter(ctx, prefix+after)
 	defer cancel()
 	if err != nil {
 		return nil, err
@@ -69,7 +76,11 @@
 
 // Apply implements store.Table.
 func (p platform) Apply(ctx context.Context, tx store.Tx) error {
+	p.d.rig.lag(p.d.vm, "apply", tx.Writes[0].Key)
 	p.d.await()
+	if p.d.dead() {
+		return errDead
+	}
 	a := p.d.hit(stepsOf(tx)...)
 	p.d.await()
 	if p.d.cut() {
@@ -78,6 +89,7 @@
 	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
 	defer cancel()
 	t := p.d.rig.table
+	p.d.rig.trace.note("%s applies %s", p.d.vm, tx.Writes[0].Key)
 	err := p.deliver(ctx, a, func(ctx context.Context) error { return t.Apply(ctx, tx) })
 	p.d.await()
 	return err
@@ -137,7 +149,7 @@
 
 // Put implements store.Objects.
 func (o objects) Put(ctx context.Context, key string, body []byte) error {
-	ctx, cancel, err := o.enter(ctx)
+	ctx, cancel, err := o.enter(ctx, "put "+key)
 	defer cancel()
 	if err != nil {
 		return err
@@ -151,7 +163,7 @@
 	if strings.HasPrefix(key, "documents/") {
 		steps = append(steps, TakeUp)
 	}
-	ctx, cancel, err := o.enter(ctx, steps...)
+	ctx, cancel, err := o.enter(ctx, key, steps...)
 	defer cancel()
 	if err != nil {
 		return nil, err
@@ -179,12 +191,14 @@
 
 // Order implements engine.Orderer.
 func (e engines) Order(ctx context.Context, address string, o engine.Order) (engine.OrderAnswer, error) {
+	e.d.rig.lag(e.d.vm, "order", address, o.Kind, o.Slot)
 	e.d.ordered()
 	a := e.d.hit(Order)
 	if err := e.reach(address); err != nil {
 		return engine.OrderAnswer{}, err
 	}
 	fleet := e.d.rig.fleet
+	e.d.rig.trace.note("%s orders %s %s %v", e.d.vm, address, o.Kind, o.Slot)
 	unknown := code.Errorf(code.OrderUnknown, "no answer")
 	again := func() { _, _ = fleet.Order(context.Background(), address, o) }
 	switch a.Kind {
@@ -207,11 +221,13 @@
 
 // Generate implements engine.Generator.
 func (e engines) Generate(ctx context.Context, address string, r engine.Request) (engine.Frames, error) {
+	e.d.rig.lag(e.d.vm, "generate", address, r.Prompt)
 	a := e.d.hit(Dispatch)
 	if err := e.reach(address); err != nil {
 		return nil, err
 	}
 	lost := code.Errorf(code.BackendLost, "no answer")
+	e.d.rig.trace.note("%s sends %s %q", e.d.vm, address, r.Prompt)
 	if a.Kind == fault.Drop {
 		return nil, lost
 	}
@@ -226,7 +242,7 @@
 		_ = frames.Close()
 		return nil, lost
 	}
-	return &trapFrames{Frames: frames, d: e.d, address: address}, nil
+	return &trapFrames{Frames: frames, d: e.d, address: address, prompt: r.Prompt}, nil
 }
 
 // Resume implements engine.Generator.
@@ -251,6 +267,7 @@
 
 // Report implements engine.Reporter.
 func (e engines) Report(ctx context.Context, address string) (engine.Report, error) {
+	e.d.rig.lag(e.d.vm, "report", address)
 	if err := e.reach(address); err != nil {
 		return engine.Report{}, err
 	}
@@ -259,6 +276,7 @@
 
 // CacheEvents implements engine.Reporter.
 func (e engines) CacheEvents(ctx context.Context, address string, after int64) ([]engine.CacheEvent, error) {
+	e.d.rig.lag(e.d.vm, "cache", address)
 	if err := e.reach(address); err != nil {
 		return nil, err
 	}
@@ -270,6 +288,7 @@
 	engine.Frames
 	d       *daemon
 	address string
+	prompt  string
 	queued  []engine.Frame
 }
 
@@ -284,6 +303,7 @@
 	if err != nil {
 		return frame, err
 	}
+	f.d.rig.lag(f.address, f.prompt)
 	a := f.d.hit(Relay)
 	if f.d.dead() || f.d.cutFrom(f.address) {
 		return engine.Frame{}, code.Errorf(code.BackendLost, "the stream broke")
--- a/limpetlab/matrix/rig.go
+++ b/limpetlab/matrix/rig.go
@@ -47,6 +47,8 @@
 // rig runs a cell: stand-ins, daemons, operators and callers.
 type rig struct {
 	cell       Cell
+	seed       uint64
+	trace      *trace
 	deployment deploy.Deployment
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -68,16 +70,18 @@
 	work    sync.WaitGroup
 	outside sync.WaitGroup
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	daemons    []*daemon
-	ended      []*daemon
-	trial      *daemon
-	names      int
-	cuts       map[string]int
-	ready      bool
-	accepted   []acceptance
-	violations []string
+	mu      sync.Mutex
+	random  *rand.Rand
+	daemons []*daemon
+	ended   []*daemon
+	trial   *daemon
+	names   int
+	// submissions counts those of operators.
+	submissions int
+	cuts        map[string]int
+	ready       bool
+	accepted    []acceptance
+	violations  []string
 }
 
 // acceptance is an accepted document.
@@ -94,7 +98,7 @@
 	d.DataCentres, d.Models, d.Adapters, d.EngineMB = dataCentres, models, adapters, engineMB
 	d = d.Faster(10)
 	r := &rig{
-		cell: c, deployment: d, ctx: ctx, cancel: cancel,
+		cell: c, seed: seed, trace: newTrace(), deployment: d, ctx: ctx, cancel: cancel,
 		switches: fault.NewSwitch(),
 		fleet:    engsim.NewFleet(),
 		weights:  weight.New(d.Store),
@@ -130,6 +134,7 @@
 				VM: id, MemoryMB: engineMB, Fencing: fencings[n%len(fencings)], StepBase: stepTime,
 				CacheLag: time.Second, CacheGap: cacheGap, ReportEvery: reportTime,
 			}
+			apart()
 			e := engsim.New(r.ctx, c, r.weights)
 			r.engines = append(r.engines, e)
 			r.fleet.Add(id, e)
@@ -154,10 +159,11 @@
 // document matters here.
 func (r *rig) newTrial() *daemon {
 	ctx, cancel := context.WithCancel(r.ctx)
-	d := &daemon{rig: r, vm: "trial-1", instance: store.NewID(), dataCentre: dataCentres[0], ctx: ctx, cancel: cancel, trial: true}
+	d := &daemon{rig: r, vm: "trial-1", instance: "trial-1", dataCentre: dataCentres[0], ctx: ctx, cancel: cancel, trial: true}
 	d.docs = docs.New(ctx,
 		docs.Config{Environment: environment, Stage: docs.Trial, VM: d.vm, Instance: d.instance},
-		docs.Deps{Table: platform{d}, Objects: objects{platform{d}}, Log: nopLog, Events: nopEvents})
+		docs.Deps{Table: platform{d}, Objects: objects{platform{d}}, Log: nopLog, Events: nopEvents},
+		docs.WithSeed(r.seed))
 	return d
 }
 
@@ -236,6 +242,7 @@
 	r.daemons = append(r.daemons, d)
 	r.mu.Unlock()
 	close(d.up)
+	apart()
 	r.spawn(d.peers.share)
 }
 
--- a/limpetlab/matrix/trap.go
+++ b/limpetlab/matrix/trap.go
@@ -153,7 +153,10 @@
 		r.cutOff(d.dataCentre, outageTime)
 	case VMLeaves:
 		t.lasting(leaseTerm)
-		r.visit(func() { r.leave(d) })
+		r.visit(func() {
+			r.lag("leave", d.vm)
+			r.leave(d)
+		})
 	case Race:
 		t.lasting(0)
 		r.race()
--- a/limpetlab/matrix/work.go
+++ b/limpetlab/matrix/work.go
@@ -90,6 +90,7 @@
 func (r *rig) at(d time.Duration, f func()) {
 	r.visit(func() {
 		sleep(r.ctx, d)
+		r.lag("at", d)
 		f()
 	})
 }
@@ -98,7 +99,10 @@
 func (r *rig) burst() {
 	burst := r.intn(math.MaxInt32)
 	for n := range burstRequests {
-		r.visit(func() { r.generateFrom(fmt.Sprintf("burst %d %d", burst, n), 0, nil, 0) })
+		r.visit(func() {
+			r.lag("burst", n)
+			r.generateFrom(fmt.Sprintf("burst %d %d", burst, n), 0, nil, 0)
+		})
 	}
 }
 
@@ -106,13 +110,16 @@
 // breaks, first through a given one.
 func (r *rig) try(name string, first *daemon, send func(address string) caller.Answer) caller.Answer {
 	var a caller.Answer
-	for range tries {
+	for i := range tries {
+		r.lag("try", name, i)
 		d := first
 		if d == nil {
 			d = r.someDaemon()
 		}
 		first = nil
+		r.lag("call", name, i)
 		a = send(d.vm)
+		r.trace.note("%s answers %q: whole %v, code %v", d.vm, name, a.Whole, a.Code)
 		if !a.Lost() {
 			return a
 		}
