--- a/limpetd/order/remotes.go
+++ b/limpetd/order/remotes.go
@@ -23,8 +23,12 @@
 			slots[v.DataCentre] = make(map[envdoc.Slot]bool)
 			remotes = append(remotes, place.Remote{DataCentre: v.DataCentre})
 		}
-		if v.State == store.StateLive && !l.addReported(slots[v.DataCentre], v.ID, now) {
-			i := slices.IndexFunc(remotes, func(r place.Remote) bool { return r.DataCentre == v.DataCentre })
+		if v.State != store.StateLive {
+			continue
+		}
+		i := slices.IndexFunc(remotes, func(r place.Remote) bool { return r.DataCentre == v.DataCentre })
+		remotes[i].Engines = append(remotes[i].Engines, place.Memory{Pool: v.Pool, MemoryMB: v.MemoryMB})
+		if !l.addReported(slots[v.DataCentre], v.ID, now) {
 			remotes[i].Unknown = true
 		}
 	}
--- a/limpetd/order/remotes_test.go
+++ b/limpetd/order/remotes_test.go
@@ -30,11 +30,12 @@
 		o := &told{}
 		l := &loop{duty: &Duty{config: Config{DataCentre: testCentre}, deps: Deps{Reports: w, Remotes: o}}, document: doc, vms: []store.VM{
 			{ID: "e1", Kind: store.KindEngine, DataCentre: testCentre, State: store.StateLive},
-			{ID: "e3", Kind: store.KindEngine, DataCentre: "dc3", State: store.StateLive},
-			{ID: "e2", Kind: store.KindEngine, DataCentre: "dc2", State: store.StateLive},
+			{ID: "e3", Kind: store.KindEngine, DataCentre: "dc3", State: store.StateLive, Pool: "p", MemoryMB: 3},
+			{ID: "e2", Kind: store.KindEngine, DataCentre: "dc2", State: store.StateLive, Pool: "p", MemoryMB: 2},
 		}}
+		two, three := []place.Memory{{Pool: "p", MemoryMB: 2}}, []place.Memory{{Pool: "p", MemoryMB: 3}}
 		require.Equal(t, []place.Remote{
-			{DataCentre: "dc2", Models: []string{"a", "b"}, Whole: []string{"b"}}, {DataCentre: "dc3", Unknown: true},
+			{DataCentre: "dc2", Models: []string{"a", "b"}, Whole: []string{"b"}, Engines: two}, {DataCentre: "dc3", Unknown: true, Engines: three},
 		}, l.remotes(now))
 
 		o.remotes = []place.Remote{
@@ -42,11 +43,11 @@
 			{DataCentre: "unlisted", At: now},
 		}
 		got := l.remotes(now.Add(ReportLifetime))
-		require.Equal(t, place.Remote{DataCentre: "dc3", Models: []string{"a", "c"}, Whole: []string{"a", "c"}, At: now}, got[1])
+		require.Equal(t, place.Remote{DataCentre: "dc3", Models: []string{"a", "c"}, Whole: []string{"a", "c"}, Engines: three, At: now}, got[1])
 		require.True(t, got[0].Unknown, "a few slots that answers told are not all")
 		require.Len(t, got, 2)
 		got = l.remotes(now.Add(RemoteLifetime + time.Millisecond))
-		require.Equal(t, place.Remote{DataCentre: "dc3", Unknown: true, At: now}, got[1])
+		require.Equal(t, place.Remote{DataCentre: "dc3", Unknown: true, Engines: three, At: now}, got[1])
 	})
 }
 
--- a/limpetd/place/adapters.go
+++ b/limpetd/place/adapters.go
@@ -36,48 +36,45 @@
 	return false
 }
 
-// placeAdapter loads an adapter beside its model.
+// placeAdapter loads an adapter beside its model, where memory is kept for it.
 func (s *stage) placeAdapter(k, j int) {
-	m, mv := &s.models[k], &s.views[k]
-	memory := m.Adapters[j].MemoryMB
-	hosts := mv.current
-	if count(mv.current, Resident) == 0 {
-		hosts = mv.old
-	}
-	best, resident := -1, false
-	for _, h := range hosts {
-		if h.state != Resident || occupied(mv.adapters[j], h.engine) {
-			continue
-		}
-		resident = true
-		e := &s.engines[h.engine]
-		if e.free >= memory && (best < 0 || e.free > s.engines[best].free) {
-			best = h.engine
-		}
-	}
-	if best >= 0 {
-		s.load(best, m.adapterSlot(j), memory, RuleAdapter, 0, 0)
+	mv := &s.views[k]
+	memory := s.models[k].Adapters[j].MemoryMB
+	e := mv.owedOn[j]
+	if e >= 0 && s.serves(k, e) {
+		s.loadAdapter(k, j, e, RuleAdapter, 0, 0)
 		return
 	}
-	if resident && count(mv.current, Loading) == 0 {
+	for _, h := range mv.old {
+		changes := count(mv.current, Resident) == 0
+		if changes && h.state == Resident && !occupied(mv.adapters[j], h.engine) && s.engines[h.engine].room() >= memory {
+			s.load(h.engine, s.models[k].adapterSlot(j), memory, RuleAdapter, 0, 0)
+			return
+		}
+	}
+	if e < 0 && count(mv.current, Loading) == 0 && count(mv.current, Resident)+count(mv.old, Resident) > 0 {
 		s.hostAdapter(k, j)
 	}
 }
 
 // hostAdapter finds room for an adapter whose model's engines are full: a
-// further replica of the model on an engine with room for both.
+// further replica of the model on an engine with room for both, or else what
+// makes room beside a replica or for a further one.
 func (s *stage) hostAdapter(k, j int) {
 	m := &s.models[k]
-	memory := m.MemoryMB + m.Adapters[j].MemoryMB
 	s.pressed[m.Pool] = true
-	if e := s.choose(k, memory); e >= 0 {
+	w := want{model: k, adapterMB: m.Adapters[j].MemoryMB}
+	if e := s.choose(k, m.MemoryMB+w.adapterMB); e >= 0 {
 		s.loadModel(k, e, RuleAdapter, 0, 0)
 		return
 	}
-	if s.evict(k, func(holder, int) bool { return true }, RuleMakeRoom, 0, 0) {
+	if s.awaits(w) || s.evict(w, anyReplica, RuleMakeRoom, 0, 0) {
+		return
+	}
+	if s.undoChange(k, w.adapterMB) || s.freeAdapters(w) || s.relocate(w) {
 		return
 	}
-	if s.undoChange(k, m.Adapters[j].MemoryMB) {
+	if !s.views[k].remoteWhole && s.turn(s.planner.partial, k) && s.evictKept(w) {
 		return
 	}
 	s.block(m.adapterSlot(j), code.MemoryExceeded, "no engine that holds the model has room")
@@ -91,7 +88,7 @@
 		e := &s.engines[host.engine]
 		for _, c := range e.models {
 			h, ok := on(s.views[c].current, host.engine)
-			undone := ok && h.state == Resident && e.free+e.soon+h.memory >= memoryMB
+			undone := ok && h.state == Resident && e.room()+e.soon+h.memory >= memoryMB
 			if undone && s.oldServes(c) && !s.changed(c) {
 				s.drop(c, h, RuleMakeRoom, 0, 0)
 				return true
--- a/limpetd/place/facts.go
+++ b/limpetd/place/facts.go
@@ -77,10 +77,19 @@
 	Whole []string
 	// Unknown tells that it may hold more.
 	Unknown bool
+	// Engines are its engines. Where memory is scarce, data centres that know
+	// each other's engines share the models out by them.
+	Engines []Memory
 	// At is when the data centre told it.
 	At time.Time
 }
 
+// Memory is that of an engine of a pool.
+type Memory struct {
+	Pool     string
+	MemoryMB int64
+}
+
 // Facts are all that a plan depends on, besides the planner's memory of demand.
 type Facts struct {
 	Now        time.Time
--- a/limpetd/place/held.go
+++ b/limpetd/place/held.go
@@ -28,11 +28,17 @@
 }
 
 // rank is the place of a data centre in the order in which data centres keep a
-// model: its home first, then the ones that follow it by name.
+// model: its home first, then the ones that follow it by name. The order depends
+// on nothing but names, so that all data centres agree on it at any time.
 func (x *index) rank(k int, dataCentre string) int {
-	home, _ := slices.BinarySearch(x.names, x.models[k].home)
-	own, _ := slices.BinarySearch(x.names, dataCentre)
-	return (own - home + len(x.names)) % len(x.names)
+	return x.after(x.models[k].home, dataCentre)
+}
+
+// after counts the steps by name from one data centre to another.
+func (x *index) after(from, to string) int {
+	first, _ := slices.BinarySearch(x.names, from)
+	own, _ := slices.BinarySearch(x.names, to)
+	return (own - first + len(x.names)) % len(x.names)
 }
 
 // Yields tells whether a data centre that comes before this one in keeping a
@@ -53,40 +59,60 @@
 	})
 }
 
-// noteLacking notes since when no data centre is known to hold a model. While
-// it is unknown what one holds, nothing counts as lacking.
+// noteLacking notes since when no data centre is known to hold a model, and to
+// hold it with all adapters. While it is unknown what one holds, nothing counts
+// as lacking.
 func (s *stage) noteLacking() {
-	unknown := slices.ContainsFunc(s.facts.Remotes, func(r Remote) bool { return r.Unknown })
+	unknown := s.unknown()
 	for k := range s.models {
-		name := s.models[k].Name
-		_, noted := s.planner.lacking[name]
-		switch lacks := !unknown && !s.views[k].remote && !s.held(k); {
-		case !lacks:
-			delete(s.planner.lacking, name)
-		case !noted:
-			s.planner.lacking[name] = s.facts.Now
-		}
+		mv := &s.views[k]
+		s.note(s.planner.lacking, k, !unknown && !mv.remote && !s.held(k))
+		s.note(s.planner.partial, k, !unknown && !mv.remoteWhole && !s.heldWhole(k))
+	}
+}
+
+// note keeps since when a model lacks.
+func (s *stage) note(since map[string]time.Time, k int, lacks bool) {
+	name := s.models[k].Name
+	_, noted := since[name]
+	switch {
+	case !lacks:
+		delete(since, name)
+	case !noted:
+		since[name] = s.facts.Now
 	}
 }
 
 // turn tells whether it is this data centre's turn to give models up for one
-// that no data centre holds: at once at home, later elsewhere.
-func (s *stage) turn(k int) bool {
-	rank := s.rank(k, s.facts.DataCentre)
-	since, noted := s.planner.lacking[s.models[k].Name]
+// that lacks in all data centres: at once where it is kept, later elsewhere.
+func (s *stage) turn(lacking map[string]time.Time, k int) bool {
+	rank := s.after(s.models[k].keeper, s.facts.DataCentre)
+	since, noted := lacking[s.models[k].Name]
 	return rank == 0 || (noted && s.facts.Now.Sub(since) >= turnTime*time.Duration(rank))
 }
 
-// evictKept gives up models that another data centre keeps, so that one that no
-// data centre holds gets their place, on the engine where the fewest go.
-func (s *stage) evictKept(k int) bool {
+// heldWhole tells whether the data centre holds or loads the model with all
+// adapters.
+func (s *stage) heldWhole(k int) bool {
+	for j := range s.views[k].adapters {
+		if !s.adapterHeld(k, j) {
+			return false
+		}
+	}
+	return s.held(k)
+}
+
+// evictKept gives up models that another data centre keeps, so that what no data
+// centre holds gets their place, on the engine where the fewest go.
+func (s *stage) evictKept(w want) bool {
 	var best []int
 	engine := -1
 	for i := range s.engines {
-		if e := &s.engines[i]; !e.Usable || e.Pool != s.models[k].Pool || slices.Contains(e.Refuses, s.models[k].Name) {
+		short, ok := s.short(w, i)
+		if !ok {
 			continue
 		}
-		if v := s.keptOn(i, s.models[k].MemoryMB); len(v) > 0 && (engine < 0 || len(v) < len(best)) {
+		if v := s.keptOn(i, w.model, short); len(v) > 0 && (engine < 0 || len(v) < len(best)) {
 			best, engine = v, i
 		}
 	}
@@ -107,10 +133,9 @@
 }
 
 // keptOn returns the fewest models on an engine that another data centre keeps
-// and that make room for memoryMB, or none.
-func (s *stage) keptOn(engine int, memoryMB int64) []int {
+// and that free the memory that k lacks there, or none.
+func (s *stage) keptOn(engine, k int, short int64) []int {
 	e := &s.engines[engine]
-	short := memoryMB - e.free - e.soon
 	candidates := slices.Clone(e.models)
 	slices.SortStableFunc(candidates, func(a, b int) int { return cmp.Compare(s.models[b].MemoryMB, s.models[a].MemoryMB) })
 	var victims []int
@@ -119,7 +144,7 @@
 			break
 		}
 		h, ok := on(s.views[c].current, engine)
-		if !ok || h.state != Resident || !s.kept(c, engine) {
+		if !ok || c == k || h.state != Resident || !s.kept(c, engine) {
 			continue
 		}
 		victims = append(victims, c)
--- a/limpetd/place/held_test.go
+++ b/limpetd/place/held_test.go
@@ -14,6 +14,9 @@
 // held returns what a data centre tells the others.
 func held(f Facts, unknown bool) Remote {
 	r := Remote{DataCentre: f.DataCentre, Unknown: unknown}
+	for _, e := range f.Engines {
+		r.Engines = append(r.Engines, Memory{e.Pool, e.MemoryMB})
+	}
 	if unknown {
 		return r
 	}
--- a/limpetd/place/planner.go
+++ b/limpetd/place/planner.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -25,6 +24,8 @@
 	loaded map[string]time.Time
 	// lacking is since when no data centre is known to hold a model.
 	lacking map[string]time.Time
+	// partial is since when none is known to hold it with all adapters.
+	partial map[string]time.Time
 	// relocations are the models that wait for another to move away.
 	relocations map[string]relocation
 	// promises are the models that get memory freed for them, by engine.
@@ -37,11 +38,10 @@
 	at    time.Time
 }
 
-// relocation is a model that moves off an engine to make room.
+// relocation is the models that move off an engine to make room.
 type relocation struct {
-	victim string
-	engine string
-	at     time.Time
+	victims []string
+	at      time.Time
 }
 
 // NewPlanner returns a planner that has seen no demand.
@@ -50,6 +50,7 @@
 		demands:     demands{needs: map[demandKey]*need{}},
 		loaded:      map[string]time.Time{},
 		lacking:     map[string]time.Time{},
+		partial:     map[string]time.Time{},
 		relocations: map[string]relocation{},
 		promises:    map[string]promise{},
 	}
@@ -62,7 +63,7 @@
 	p.refresh(f)
 	v := newView(p.index, f, &p.demands)
 	v.project()
-	s := &stage{view: v, planner: p, pressed: map[string]bool{}}
+	s := &stage{view: v, planner: p, pressed: map[string]bool{}, tight: map[string]bool{}, scarce: map[string]bool{}, unsettled: map[string]bool{}}
 	s.dropStrays()
 	s.dropRefused()
 	s.reach()
@@ -76,18 +77,18 @@
 
 // refresh derives the index anew when the document or the data centres changed.
 func (p *Planner) refresh(f Facts) {
-	centres := make([]string, 0, len(f.Remotes)+1)
-	for _, r := range f.Remotes {
-		centres = append(centres, r.DataCentre)
-	}
-	centres = append(centres, f.DataCentre)
-	slices.Sort(centres)
-	if p.index != nil && p.index.document == f.Document && p.index.centres == strings.Join(centres, "\n") {
+	centres := centresOf(f)
+	if p.index != nil && p.index.document == f.Document && slices.EqualFunc(p.index.centres, centres, centre.equal) {
 		return
 	}
+	earlier := p.index
 	p.index = newIndex(f.Document, f.DataCentre, centres)
+	if earlier != nil && earlier.document == f.Document && slices.Equal(earlier.names, p.index.names) {
+		return
+	}
 	p.relocations = map[string]relocation{}
 	p.lacking = map[string]time.Time{}
+	p.partial = map[string]time.Time{}
 }
 
 // stage is a plan in the making.
@@ -96,14 +97,22 @@
 	planner *Planner
 	// pressed are the pools in which a declared slot waits for memory; they
 	// get no loads for demand.
-	pressed     map[string]bool
+	pressed map[string]bool
+	// tight are the pools in which spread models would leave others without room.
+	tight map[string]bool
+	// scarce are the pools that have no room for all models here.
+	scarce map[string]bool
+	// unsettled are the pools in which a model lacks in all data centres whose
+	// turns are not over.
+	unsettled   map[string]bool
 	relocations int
 }
 
-// minLocal is the number of replicas that a model needs in this data centre.
+// minLocal is the number of replicas that a model needs in this data centre: its
+// part among the data centres that have engines of its pool.
 func (s *stage) minLocal(k int) int {
-	centres := len(s.facts.Remotes) + 1
-	return max(1, (s.models[k].MinReplicas+centres-1)/centres)
+	centres := s.centresOf[s.models[k].Pool]
+	return max(1, (s.models[k].MinReplicas+centres-1)/max(1, centres))
 }
 
 // wanted is the number of replicas that minimum and demand ask for.
@@ -154,13 +163,14 @@
 // has, then those that this one lacks, then by minimum, then changed versions.
 func (s *stage) reach() {
 	s.noteLacking()
+	s.noteTight()
 	for _, k := range s.order {
-		if !s.views[k].remote && !s.held(k) {
+		if !s.views[k].remote && !s.held(k) && s.mayKeep(k, s.planner.lacking) {
 			s.place(k, RuleReachable)
 		}
 	}
 	for _, k := range s.order {
-		if s.views[k].remote && !s.held(k) {
+		if s.views[k].remote && !s.held(k) && s.mayCopy(k) {
 			s.place(k, RuleReachable)
 		}
 	}
@@ -206,10 +216,7 @@
 func (s *stage) place(k int, rule Rule) {
 	m := &s.models[k]
 	e := s.choose(k, m.groupMB)
-	switch {
-	case rule == RuleVersion && e >= 0 && s.engines[e].free < m.groupMB+s.owed(e):
-		e = -1
-	case rule != RuleVersion && e < 0:
+	if rule != RuleVersion && e < 0 {
 		e = s.choose(k, m.MemoryMB)
 	}
 	if e >= 0 {
@@ -221,44 +228,41 @@
 	s.makeRoom(k, rule)
 }
 
-// owed is the memory that an engine has to keep for adapters of its models that
-// are held nowhere. A changed version must not take it: the old one serves.
-func (s *stage) owed(engine int) int64 {
-	var owed int64
-	for _, k := range s.engines[engine].models {
-		for j := range s.views[k].adapters {
-			if !s.adapterHeld(k, j) {
-				owed += s.models[k].Adapters[j].MemoryMB
-			}
-		}
-	}
-	return owed
-}
-
 // choose returns the usable engine with room for a model that is loaded least
-// and has the most memory free, or -1.
+// and has the most memory free, or -1. In a tight pool it is the one with least
+// room.
 func (s *stage) choose(k int, memoryMB int64) int {
 	best := -1
-	m, mv := &s.models[k], &s.views[k]
+	tight := s.tight[s.models[k].Pool]
 	for i := range s.engines {
-		e := &s.engines[i]
-		if !e.Usable || e.Pool != m.Pool || e.free < memoryMB || occupied(mv.current, i) || slices.Contains(e.Refuses, m.Name) {
+		if !s.takes(k, i, memoryMB) {
 			continue
 		}
-		if best < 0 || s.better(e, &s.engines[best]) {
+		e := &s.engines[i]
+		switch {
+		case best < 0, tight && e.room() < s.engines[best].room(), !tight && s.better(e, &s.engines[best]):
 			best = i
 		}
 	}
 	return best
 }
 
+// takes tells whether an engine may load a model and has the room.
+func (s *stage) takes(k, engine int, memoryMB int64) bool {
+	e, m := &s.engines[engine], &s.models[k]
+	if !e.Usable || e.Pool != m.Pool || e.room() < memoryMB {
+		return false
+	}
+	return !occupied(s.views[k].current, engine) && !slices.Contains(e.Refuses, m.Name)
+}
+
 // better tells whether e is the better engine for a load.
 func (s *stage) better(e, o *engineView) bool {
 	a, b := e.busy(), o.busy()
 	if a != b {
 		return a < b
 	}
-	return e.free > o.free
+	return e.room() > o.room()
 }
 
 // busy is the load in tenths of the capacity.
--- a/limpetd/place/room.go
+++ b/limpetd/place/room.go
@@ -1,25 +1,55 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 )
 
+// want is what needs room: a model on an engine that lacks it or, with an
+// adapter, the adapter beside the model.
+type want struct {
+	model     int
+	adapterMB int64
+}
+
+// short returns the memory that an engine lacks for what needs room, and whether
+// the engine can take it.
+func (s *stage) short(w want, engine int) (int64, bool) {
+	e, mv := &s.engines[engine], &s.views[w.model]
+	m := &s.models[w.model]
+	if !e.Usable || e.Pool != m.Pool || slices.Contains(e.Refuses, m.Name) {
+		return 0, false
+	}
+	need := w.adapterMB
+	if h, ok := on(mv.current, engine); !ok || w.adapterMB == 0 || h.state != Resident {
+		need += m.MemoryMB
+		if occupied(mv.current, engine) {
+			return 0, false
+		}
+	}
+	return need - e.room() - e.soon, true
+}
+
+// anyReplica allows to give up any surplus replica.
+func anyReplica(holder, int) bool { return true }
+
 // makeRoom frees memory for a model that fits nowhere: by giving up surplus
-// replicas, else by moving another model away.
+// replicas, else by moving other models away.
 func (s *stage) makeRoom(k int, rule Rule) {
 	m := &s.models[k]
-	if s.awaits(k) {
+	w := want{model: k}
+	if s.awaits(w) {
 		return
 	}
-	if s.evict(k, func(holder, int) bool { return true }, RuleMakeRoom, 0, 0) {
+	if s.evict(w, anyReplica, RuleMakeRoom, 0, 0) {
 		return
 	}
-	if s.freeAdapters(k) || s.relocate(k) {
+	if s.freeAdapters(w) || s.relocate(w) {
 		return
 	}
-	if !s.views[k].remote && s.turn(k) && s.evictKept(k) {
+	if !s.views[k].remote && s.turn(s.planner.lacking, k) && s.evictKept(w) {
 		return
 	}
 	if rule == RuleVersion {
@@ -29,12 +59,11 @@
 	s.block(m.slot, code.MemoryExceeded, "no engine of pool "+m.Pool+" has room")
 }
 
-// awaits tells whether memory for the model is about to become free.
-func (s *stage) awaits(k int) bool {
-	m, mv := &s.models[k], &s.views[k]
+// awaits tells whether memory for what needs room is about to become free.
+func (s *stage) awaits(w want) bool {
+	m := &s.models[w.model]
 	for i := range s.engines {
-		e := &s.engines[i]
-		if e.Usable && e.Pool == m.Pool && e.soon > 0 && e.free+e.soon >= m.MemoryMB && !occupied(mv.current, i) {
+		if short, ok := s.short(w, i); ok && s.engines[i].soon > 0 && short <= 0 {
 			return true
 		}
 	}
@@ -42,8 +71,10 @@
 	if !ok {
 		return false
 	}
-	victim, declared := s.byName[r.victim]
-	waits := declared && count(s.views[victim].current, Loading) > 0
+	waits := slices.ContainsFunc(r.victims, func(name string) bool {
+		victim, declared := s.byName[name]
+		return declared && count(s.views[victim].current, Loading) > 0
+	})
 	if !waits || s.facts.Now.Sub(r.at) > relocateTimeout {
 		delete(s.planner.relocations, m.Name)
 		return false
@@ -59,10 +90,10 @@
 	freedMB int64
 }
 
-// evict gives up surplus replicas on the engine where the fewest make room for
-// the model. It returns false when none can.
-func (s *stage) evict(k int, allowed func(h holder, victim int) bool, rule Rule, gain, cost float64) bool {
-	best := s.bestVictims(k, allowed)
+// evict gives up surplus replicas on the engine where the fewest make room. It
+// returns false when none can.
+func (s *stage) evict(w want, allowed func(h holder, victim int) bool, rule Rule, gain, cost float64) bool {
+	best := s.bestVictims(w, allowed)
 	if best == nil {
 		return false
 	}
@@ -75,16 +106,15 @@
 }
 
 // bestVictims finds the engine where the fewest surplus replicas, and of those
-// the least demanded, make room for the model.
-func (s *stage) bestVictims(k int, allowed func(h holder, victim int) bool) *victims {
-	m, mv := &s.models[k], &s.views[k]
+// the least demanded, make room.
+func (s *stage) bestVictims(w want, allowed func(h holder, victim int) bool) *victims {
 	var best *victims
 	for i := range s.engines {
-		e := &s.engines[i]
-		if !e.Usable || e.Pool != m.Pool || occupied(mv.current, i) {
+		short, ok := s.short(w, i)
+		if !ok {
 			continue
 		}
-		v := s.victimsOn(i, m.MemoryMB-e.free-e.soon, allowed)
+		v := s.victimsOn(i, w.model, short, allowed)
 		if v == nil {
 			continue
 		}
@@ -96,8 +126,9 @@
 	return best
 }
 
-// victimsOn returns surplus replicas on an engine that free enough memory.
-func (s *stage) victimsOn(engine int, shortMB int64, allowed func(h holder, victim int) bool) *victims {
+// victimsOn returns surplus replicas of others than k that free enough memory on an
+// engine.
+func (s *stage) victimsOn(engine, k int, shortMB int64, allowed func(h holder, victim int) bool) *victims {
 	v := &victims{engine: engine}
 	candidates := slices.Clone(s.engines[engine].models)
 	slices.SortStableFunc(candidates, func(a, b int) int {
@@ -108,7 +139,7 @@
 			break
 		}
 		h, ok := s.spare(c, engine)
-		if !ok || !allowed(h, c) {
+		if !ok || c == k || !allowed(h, c) {
 			continue
 		}
 		v.models = append(v.models, c)
@@ -186,6 +217,7 @@
 	if !s.dropAdapters(k, h, rule) {
 		return
 	}
+	s.settleAdapters(k, h.engine)
 	if h.slot.Version == s.models[k].Version {
 		s.unload(mv.current, h, rule, gain, cost)
 		return
@@ -221,17 +253,17 @@
 }
 
 // freeAdapters copies the adapters that alone keep a surplus replica where it
-// makes room for k, so that it can go in a later plan.
-func (s *stage) freeAdapters(k int) bool {
+// makes room, so that it can go in a later plan.
+func (s *stage) freeAdapters(w want) bool {
 	for i := range s.engines {
-		e := &s.engines[i]
-		if !e.Usable || e.Pool != s.models[k].Pool || occupied(s.views[k].current, i) {
+		short, ok := s.short(w, i)
+		if !ok {
 			continue
 		}
-		for _, c := range e.models {
+		for _, c := range s.engines[i].models {
 			h, ok := on(s.views[c].current, i)
-			surplus := ok && h.state == Resident && count(s.views[c].current, Resident) > s.minLocal(c)
-			if surplus && h.memory+e.free+e.soon >= s.models[k].MemoryMB && s.copyAdapters(c, i) {
+			surplus := ok && c != w.model && h.state == Resident && count(s.views[c].current, Resident) > s.minLocal(c)
+			if surplus && h.memory >= short && s.copyAdapters(c, i) {
 				return true
 			}
 		}
@@ -258,51 +290,105 @@
 func (s *stage) copyAdapter(c, j, engine int) bool {
 	m, mv := &s.models[c], &s.views[c]
 	for _, h := range mv.current {
-		fits := s.engines[h.engine].free >= m.Adapters[j].MemoryMB
+		fits := s.engines[h.engine].room() >= m.Adapters[j].MemoryMB
 		if h.engine != engine && h.state == Resident && fits && !occupied(mv.adapters[j], h.engine) {
-			s.load(h.engine, m.adapterSlot(j), m.Adapters[j].MemoryMB, RuleRelocate, 0, 0)
+			s.loadAdapter(c, j, h.engine, RuleRelocate, 0, 0)
 			return true
 		}
 	}
 	return false
 }
 
-// relocate begins to move a model off an engine to another one, so that there
-// will be room for k. The old replica then is surplus and is given up.
-func (s *stage) relocate(k int) bool {
+// relocate begins to move models off an engine to others, so that there will be
+// room for what needs it: the fewest, and of those the smallest. The old replicas
+// then are surplus and are given up.
+func (s *stage) relocate(w want) bool {
 	if s.relocations >= relocateLimit {
-		s.pressed[s.models[k].Pool] = true
 		return true
 	}
-	m := &s.models[k]
-	victim, from, to := -1, -1, -1
+	var best []relocated
+	engine := -1
 	for i := range s.engines {
-		e := &s.engines[i]
-		if !e.Usable || e.Pool != m.Pool || occupied(s.views[k].current, i) {
+		short, ok := s.short(w, i)
+		if !ok {
 			continue
 		}
-		short := m.MemoryMB - e.free - e.soon
-		for _, c := range e.models {
-			if c == k || s.models[c].groupMB < short || !s.movable(c, i) {
-				continue
-			}
-			if victim >= 0 && s.models[c].groupMB >= s.models[victim].groupMB {
-				continue
-			}
-			if t := s.choose(c, s.models[c].groupMB); t >= 0 && t != i {
-				victim, from, to = c, i, t
-			}
+		r := s.relocatedFrom(i, w.model, short)
+		if len(r) > 0 && (engine < 0 || len(r) < len(best) || (len(r) == len(best) && s.memoryOf(r) < s.memoryOf(best))) {
+			best, engine = r, i
 		}
 	}
-	if victim < 0 {
+	if engine < 0 {
 		return false
 	}
 	s.relocations++
-	s.loadModel(victim, to, RuleRelocate, 0, 0)
-	s.planner.relocations[m.Name] = relocation{victim: s.models[victim].Name, engine: s.engines[from].VM, at: s.facts.Now}
+	var names []string
+	for _, r := range best {
+		s.loadModel(r.model, r.to, RuleRelocate, 0, 0)
+		names = append(names, s.models[r.model].Name)
+	}
+	s.planner.relocations[s.models[w.model].Name] = relocation{victims: names, at: s.facts.Now}
 	return true
 }
 
+// relocated is a model and the engine that it can move to.
+type relocated struct{ model, to int }
+
+// memoryOf is the memory of relocated models with their adapters.
+func (s *stage) memoryOf(list []relocated) int64 {
+	var sum int64
+	for _, r := range list {
+		sum += s.models[r.model].groupMB
+	}
+	return sum
+}
+
+// relocatedFrom returns models that can move off an engine and free the memory
+// that k lacks there: the smallest one that does alone, or else large ones first.
+func (s *stage) relocatedFrom(engine, k int, short int64) []relocated {
+	candidates := slices.Clone(s.engines[engine].models)
+	slices.SortStableFunc(candidates, func(a, b int) int { return cmp.Compare(s.models[b].groupMB, s.models[a].groupMB) })
+	var alone, list []relocated
+	taken := map[int]int64{}
+	left := short
+	for _, c := range candidates {
+		if c == k || !s.movable(c, engine) {
+			continue
+		}
+		if t := s.chooseBeside(c, engine, nil); t >= 0 && s.models[c].groupMB >= short {
+			alone = []relocated{{c, t}}
+		}
+		if t := s.chooseBeside(c, engine, taken); t >= 0 && left > 0 {
+			list = append(list, relocated{c, t})
+			taken[t] += s.models[c].groupMB
+			left -= s.models[c].groupMB
+		}
+	}
+	switch {
+	case alone != nil:
+		return alone
+	case left <= 0:
+		return list
+	}
+	return nil
+}
+
+// chooseBeside returns the engine with least room that has room for a model with
+// its adapters besides what is taken, or -1. The engine that it leaves is none.
+func (s *stage) chooseBeside(c, from int, taken map[int]int64) int {
+	best := -1
+	for i := range s.engines {
+		e := &s.engines[i]
+		if i == from || !s.takes(c, i, s.models[c].groupMB+taken[i]) {
+			continue
+		}
+		if best < 0 || e.room()-taken[i] < s.engines[best].room()-taken[best] {
+			best = i
+		}
+	}
+	return best
+}
+
 // movable tells whether a model's replica on an engine is resident, of the
 // declared version, and not moving already.
 func (s *stage) movable(c, engine int) bool {
--- a/limpetd/place/spread.go
+++ b/limpetd/place/spread.go
@@ -157,7 +157,7 @@
 	r := relief{model: k, engine: s.choose(k, s.models[k].MemoryMB+s.reserve(k))}
 	r.cost = moves * moveCost
 	if r.engine < 0 {
-		v := s.bestVictims(k, s.cold(share))
+		v := s.bestVictims(want{model: k}, s.cold(share))
 		if v == nil {
 			return relief{}
 		}
@@ -184,7 +184,7 @@
 	spare := 0
 	for i := range s.engines {
 		e := &s.engines[i]
-		if e.Usable && e.Pool == m.Pool && e.free >= largest {
+		if e.Usable && e.Pool == m.Pool && e.room() >= largest {
 			spare++
 		}
 	}
@@ -207,7 +207,7 @@
 // carryOut adds the moves of a relief.
 func (s *stage) carryOut(r relief) {
 	if r.swap {
-		s.evict(r.model, s.cold(r.tokens), RuleDemandSpace, r.gain, r.cost)
+		s.evict(want{model: r.model}, s.cold(r.tokens), RuleDemandSpace, r.gain, r.cost)
 		p := promise{model: s.models[r.model].Name, at: s.facts.Now}
 		s.planner.promises[s.engines[r.engine].VM] = p
 		s.engines[r.engine].load += r.tokens
@@ -246,7 +246,7 @@
 			delete(s.planner.promises, e.VM)
 			continue
 		}
-		if e.free < s.models[k].MemoryMB {
+		if e.room() < s.models[k].MemoryMB {
 			continue
 		}
 		delete(s.planner.promises, e.VM)
@@ -281,13 +281,13 @@
 	}
 	for _, h := range mv.current {
 		e := &s.engines[h.engine]
-		if h.state != Resident || e.free < m.Adapters[j].MemoryMB || occupied(mv.adapters[j], h.engine) || e.TokensPerSecond <= 0 {
+		if h.state != Resident || e.room() < m.Adapters[j].MemoryMB || occupied(mv.adapters[j], h.engine) || e.TokensPerSecond <= 0 {
 			continue
 		}
 		share := held / float64(1+count(mv.adapters[j], Resident, Loading))
 		gain, cost := attainment*share/e.TokensPerSecond, moves*adapterCost
 		if gain > hysteresis*cost {
-			s.load(h.engine, m.adapterSlot(j), m.Adapters[j].MemoryMB, RuleDemand, gain, cost)
+			s.loadAdapter(k, j, h.engine, RuleDemand, gain, cost)
 		}
 	}
 }
--- a/limpetd/place/view.go
+++ b/limpetd/place/view.go
@@ -22,6 +22,8 @@
 	*Engine
 	// free is the memory that is not charged, soon that of unloading slots.
 	free, soon int64
+	// owed is the part of free that is kept for adapters of the engine's models.
+	owed int64
 	// load is the expected load in tokens a second.
 	load float64
 	// models are the declared models that the engine holds, in any version.
@@ -36,8 +38,11 @@
 	// its other versions.
 	adapters    [][]holder
 	oldAdapters []holder
-	demand      float64
-	burst       bool
+	// owedOn are the engines that keep memory for the declared adapters, -1 for
+	// an adapter that needs none or finds none.
+	owedOn []int
+	demand float64
+	burst  bool
 	// remote tells that another data centre holds the model.
 	remote bool
 	// kept tells that a data centre holds the model that comes before this one
@@ -45,6 +50,8 @@
 	kept bool
 	// keptWhole tells that one holds it with all its adapters.
 	keptWhole bool
+	// remoteWhole tells that another data centre holds it with all its adapters.
+	remoteWhole bool
 }
 
 // view is the projection that a plan works on.
@@ -66,6 +73,7 @@
 	for i := range v.views {
 		m := &x.models[i]
 		v.views[i].adapters = make([][]holder, len(m.Adapters))
+		v.views[i].owedOn = slices.Repeat([]int{-1}, len(m.Adapters))
 		v.views[i].demand, v.views[i].burst = d.of(m.Name, "")
 		for _, a := range m.Adapters {
 			held, burst := d.of(m.Name, a.Name)
@@ -77,6 +85,9 @@
 		v.addEngine(i)
 	}
 	v.addRemotes()
+	for _, k := range x.order {
+		v.oweAdapters(k)
+	}
 	return v
 }
 
@@ -139,6 +150,7 @@
 		}
 		for _, name := range r.Whole {
 			if k, ok := v.byName[name]; ok {
+				v.views[k].remoteWhole = true
 				v.views[k].keptWhole = v.views[k].keptWhole || v.before(k, r.DataCentre)
 			}
 		}
@@ -197,6 +209,14 @@
 // loadModel adds the load of a model's declared version.
 func (v *view) loadModel(k, engine int, rule Rule, gain, cost float64) {
 	v.load(engine, v.models[k].slot, v.models[k].MemoryMB, rule, gain, cost)
+	v.oweAdapters(k)
+}
+
+// loadAdapter adds the load of a declared adapter.
+func (v *view) loadAdapter(k, j, engine int, rule Rule, gain, cost float64) {
+	v.settleAdapter(k, j)
+	m := &v.models[k]
+	v.load(engine, m.adapterSlot(j), m.Adapters[j].MemoryMB, rule, gain, cost)
 }
 
 // unload adds an unload to the plan and marks the holder.
