--- a/limpetd/life/life_test.go
+++ b/limpetd/life/life_test.go
@@ -35,3 +35,15 @@
 	b.Go(func() error { return failure })
 	require.ErrorIs(t, b.Wait(), failure)
 }
+
+// TestTombDiesWithParent has a goroutine that waits for the tomb only.
+func TestTombDiesWithParent(t *testing.T) {
+	parent, cancel := context.WithCancel(t.Context())
+	b, _ := WithContext(parent)
+	b.Go(func() error {
+		<-b.Dying()
+		return nil
+	})
+	cancel()
+	require.ErrorIs(t, b.Wait(), context.Canceled)
+}
