order: Count only engines that serve whole requests

Cause: routing and placement left out engines that only generate, but took those that only process prompts, and those in unknown roles, for whole ones; a replica on an engine that only generates let the last whole one go.

Ruled out: roles by plan.

Change: Role.Whole decides in routing, in the watch's holders, in the check of last replicas, and, after 30 s, in placement.

--- a/limpetd/engine/engine.go
+++ b/limpetd/engine/engine.go
@@ -56,6 +56,10 @@
 	RoleDecode  Role = "decode"
 )
 
+// Whole tells whether an engine in the role serves requests from prompt to end. An
+// engine that reports no role does; one in an unknown role does not.
+func (r Role) Whole() bool { return r == "" || r == RoleMixed }
+
 // OrderStatus is how an engine answered an order.
 type OrderStatus string
 
--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -60,7 +60,7 @@
 func (l *loop) roles(ctx context.Context, hold lease.Hold, now time.Time) {
 	for _, v := range l.vms {
 		k := l.known[v.ID]
-		if k == nil || !k.usable(now) || k.report.Role == "" || k.report.Role == engine.RoleMixed {
+		if k == nil || !k.usable(now) || k.report.Role.Whole() {
 			continue
 		}
 		a := l.attempt(slotKey{v.ID, envdoc.Slot{}})
@@ -207,7 +207,7 @@
 	}
 	for _, vm := range l.books.engines() {
 		b, k := l.books.copies[vm], l.known[vm]
-		if b.fault != nil || k == nil || !k.usable(now) {
+		if b.fault != nil || k == nil || !k.usable(now) || !k.report.Role.Whole() {
 			continue
 		}
 		for _, c := range b.row.Charges {
--- a/limpetd/order/engines.go
+++ b/limpetd/order/engines.go
@@ -21,6 +21,9 @@
 	// absentTime is how long a slot may be missing from the reports of the
 	// process that confirmed it before it is loaded again.
 	absentTime = 20 * time.Second
+	// roleTime is how long an engine may be in a role that serves no whole
+	// requests before placement counts without it.
+	roleTime = 30 * time.Second
 	// defaultTokens is the capacity of an accelerator, in tokens a second,
 	// until reports show the engine's.
 	defaultTokens = 2500.0
@@ -57,6 +60,9 @@
 	restarted time.Time
 	// fence is the highest fencing number that the process confirmed.
 	fence int64
+	// partial is since when the engine reports a role that serves no whole
+	// requests.
+	partial time.Time
 	// fault is why the engine is set aside, sound the sound reports since.
 	fault error
 	sound int
@@ -82,6 +88,11 @@
 	return k.reported && k.fault == nil && now.Sub(k.received) <= ReportLifetime
 }
 
+// serves tells whether the engine serves whole requests, or may again soon.
+func (k *knowledge) serves(now time.Time) bool {
+	return k.partial.IsZero() || now.Sub(k.partial) <= roleTime
+}
+
 // memoryMB is the memory that may be charged: the least of what the platform
 // and the engine say.
 func (k *knowledge) memoryMB() int64 {
@@ -170,6 +181,12 @@
 	}
 	k.process(r.Instance, now)
 	k.learn(r)
+	switch {
+	case r.Role.Whole():
+		k.partial = time.Time{}
+	case k.partial.IsZero():
+		k.partial = now
+	}
 	for slot, instance := range k.done {
 		if instance != r.Instance || k.listed[slot] {
 			delete(k.absent, slot)
--- a/limpetd/order/facts.go
+++ b/limpetd/order/facts.go
@@ -35,7 +35,7 @@
 		VM:              v.ID,
 		Pool:            v.Pool,
 		MemoryMB:        k.memoryMB(),
-		Usable:          ok && k.usable(now) && v.State == store.StateLive && !k.report.Leaving,
+		Usable:          ok && k.usable(now) && k.serves(now) && v.State == store.StateLive && !k.report.Leaving,
 		TokensPerSecond: k.tokens,
 		Load:            k.load(),
 	}
--- a/limpetd/route/view.go
+++ b/limpetd/route/view.go
@@ -176,7 +176,7 @@
 	}
 	for i := range engines {
 		e := &engines[i]
-		if e.Health != health || e.Report.Role == engine.RoleDecode {
+		if e.Health != health || !e.Report.Role.Whole() {
 			continue
 		}
 		local := e.DataCentre == dataCentre
--- a/limpetd/watch/far.go
+++ b/limpetd/watch/far.go
@@ -68,7 +68,7 @@
 		if !s.known || s.vm.DataCentre != w.config.DataCentre || s.health(now) != route.HealthFresh {
 			continue
 		}
-		if i := slices.IndexFunc(s.report.Slots, fits); i >= 0 && s.report.Role != engine.RoleDecode {
+		if i := slices.IndexFunc(s.report.Slots, fits); i >= 0 && s.report.Role.Whole() {
 			r := s.report
 			r.Slots = s.report.Slots[i : i+1 : i+1]
 			found = append(found, r)
