--- a/limpet/cmds/cmds.go
+++ b/limpet/cmds/cmds.go
@@ -17,6 +17,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"time"
 
@@ -130,6 +131,12 @@
 
 // client returns the client of the daemon.
 func (d *Deps) client() (*admin.Client, error) {
+	if u, err := url.Parse(d.daemon); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return nil, code.Errorf(code.BadParameter, "--daemon %q: must be like https://10.0.0.7:8082", d.daemon)
+	}
+	if d.token == "" {
+		return nil, code.Errorf(code.BadOperator, "no token is given with --token or LIMPET_TOKEN")
+	}
 	opts := []admin.ClientOption{}
 	if d.ca != "" {
 		pem, err := os.ReadFile(d.ca)
@@ -161,7 +168,12 @@
 		_ = d.printJSON(admin.Fault{Code: int(c), Name: info.Name, Message: err.Error()})
 		return
 	}
-	_, _ = fmt.Fprintf(d.streams.Err, "limpet: %s\n%s\n%s\n", c, err, info.Remedy)
+	remedy := info.Remedy
+	if c == code.PeerDown {
+		// The remedy of the code is for a peer of a daemon.
+		remedy = "Check --daemon and --ca, and that the daemon runs; or ask another daemon."
+	}
+	_, _ = fmt.Fprintf(d.streams.Err, "limpet: %s\n%s\n%s\n", c, err, remedy)
 }
 
 // progress writes a line about a long wait.
--- a/limpet/cmds/document.go
+++ b/limpet/cmds/document.go
@@ -52,7 +52,7 @@
 func readDocument(file string) (validated, []byte, error) {
 	body, err := os.ReadFile(file)
 	if err != nil {
-		return validated{}, nil, code.Errorf(code.DocumentInvalid, "%w", err)
+		return validated{}, nil, code.Errorf(code.BadParameter, "--file: %w", err)
 	}
 	doc, err := envdoc.Decode(file, body)
 	if err != nil {
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -273,7 +273,7 @@
 	choice, verdict := route.Choose(s.view, s.own, s.hints, &c.Request.Route, ask, s.random)
 	s.want(now, c, choice, verdict)
 	if verdict == route.VerdictNone && now.Sub(c.arrived) >= noEngineWait && !s.sought[slotOf(c)] {
-		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s/%s", c.Request.Route.Model, c.Request.Route.Adapter)
+		s.refuse(c, code.NoEngine, minRetryAfter, "no engine holds %s", slotOf(c))
 		return true
 	}
 	if c.class == route.ClassUrgent && (verdict == route.VerdictFull || choice.Estimate > c.latest.Sub(now)/4) {
--- a/limpetd/docs/apply.go
+++ b/limpetd/docs/apply.go
@@ -93,7 +93,7 @@
 		p.FromStage = Trial
 	}
 	if p.FromStage == u.config.Stage {
-		return Accepted{}, code.Errorf(code.DocumentNotTried, "a document cannot be promoted from %s to itself", p.FromStage)
+		return Accepted{}, code.Errorf(code.DocumentNotTried, "this daemon is of stage %s, in which the document is tried; promote through a daemon of the other stage", p.FromStage)
 	}
 	body, err := u.deps.Objects.Get(ctx, objectKey(p.Digest))
 	if code.Of(err) == code.StoreNotFound {
--- a/limpetd/main.go
+++ b/limpetd/main.go
@@ -25,11 +25,19 @@
 	os.Exit(run())
 }
 
+// exit ends the process; a wrong command line is a wrong setting.
+func exit(status int) {
+	if status != 0 {
+		status = exitSetting
+	}
+	os.Exit(status)
+}
+
 // run serves until a signal asks the daemon to leave, and returns the exit
 // status.
 func run() int {
 	var c conf.Config
-	kong.Parse(&c, kong.Name("limpetd"), kong.Description("Serve models and adapters to callers."))
+	kong.Parse(&c, kong.Name("limpetd"), kong.Description("Serve models and adapters to callers."), kong.Exit(exit))
 	if err := c.Check(); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "limpetd:", err)
 		return exitSetting
--- a/limpetd/node/operate.go
+++ b/limpetd/node/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -151,7 +152,7 @@
 		})
 	}
 	for _, b := range p.Blocked {
-		answer.Notes = append(answer.Notes, b.Slot.String()+": "+b.Reason)
+		answer.Notes = append(answer.Notes, fmt.Sprintf("blocked %s: %s, %s", b.Slot, b.Code, b.Reason))
 	}
 	return answer, nil
 }
--- a/limpetlab/load/load.go
+++ b/limpetlab/load/load.go
@@ -65,9 +65,11 @@
 
 // Result is the outcome of a run.
 type Result struct {
-	Requests          int64          `json:"requests"`
-	Answered          int64          `json:"answered"`
-	Lost              int64          `json:"lost"`
+	Requests int64 `json:"requests"`
+	Answered int64 `json:"answered"`
+	Lost     int64 `json:"lost"`
+	// LostError is the error of the first lost request.
+	LostError         string         `json:"lost_error,omitempty"`
 	Codes             map[string]int `json:"codes"`
 	Seconds           float64        `json:"seconds"`
 	RequestsPerSecond float64        `json:"requests_per_second"`
@@ -95,6 +97,9 @@
 	if len(c.Addresses) == 0 || c.Count <= 0 || c.Workers <= 0 || c.Duration <= 0 {
 		return Result{}, code.Errorf(code.BadParameter, "addresses, count, workers and duration are needed")
 	}
+	if c.Key == "" || c.Model == "" {
+		return Result{}, code.Errorf(code.BadParameter, "the key of a caller and a model are needed")
+	}
 	r := &run{
 		config:  c,
 		client:  caller.New(),
@@ -151,7 +156,16 @@
 	case a.Code != 0:
 		r.result.Codes[a.Code.Info().Name]++
 	default:
-		r.result.Lost++
+		r.lost(a)
+	}
+}
+
+// lost counts a request that got neither an answer nor a code. The caller holds
+// the lock.
+func (r *run) lost(a caller.Answer) {
+	r.result.Lost++
+	if r.result.LostError == "" && a.Err != nil {
+		r.result.LostError = a.Err.Error()
 	}
 }
 
--- a/limpetlab/load_command.go
+++ b/limpetlab/load_command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetlab/load"
 )
@@ -41,6 +42,9 @@
 			config.Slot.Model = c.ModelName
 		}
 	}
+	if c.CompareDirect && len(c.Address) > 0 && c.Engine == "" {
+		return code.Errorf(code.BadParameter, "--compare-direct with --address needs --engine")
+	}
 	if len(c.Address) == 0 {
 		local, err := load.StartLocal(ctx, startNode)
 		if err != nil {
@@ -63,7 +67,7 @@
 		return fmt.Errorf("%w: %.3f ms added at the median", errBroken, *r.AddedP50)
 	}
 	if r.Lost > 0 {
-		return fmt.Errorf("%w: %d requests without answer or code", errBroken, r.Lost)
+		return fmt.Errorf("%w: %d requests without answer or code, the first: %s", errBroken, r.Lost, r.LostError)
 	}
 	return nil
 }
