member: Leave the VM out of load reports that a peer knows

Cause: a report that has not changed but for its load was sent with the VM's id and a hash of the rest; the receiver needs only one of them.

Change: the hash covers the VM, and the receiver finds the whole report by it.

`go test ./limpetd/peer -run TestBytesOfADaemon -v`: 11,317 -> 10,194 B a second, for the daemon that places models 11,954 -> 10,837 B.

Ruled out: times as differences (0.3 KB by calculation, for more state a peer).

--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -178,15 +178,15 @@
 // complete puts back what a report was sent without.
 func (u *Duty) complete(l Load) (report engine.Report, ok bool) {
 	if l.Whole {
-		u.fixed[l.Report.VM] = l
+		u.fixed.note(l)
 		return l.Report, true
 	}
-	known, ok := u.fixed[l.Report.VM]
-	if !ok || known.Hash != l.Hash {
+	known, ok := u.fixed.find(l.Hash)
+	if !ok {
 		u.deps.Scope.Counter("member_load_unknown").Inc(1)
 		return engine.Report{}, false
 	}
-	return fill(l.Report, known.Report), true
+	return fill(l.Report, known), true
 }
 
 // wantSync asks for an exchange with a peer that knows other daemons.
--- a/limpetd/member/member.go
+++ b/limpetd/member/member.go
@@ -97,7 +97,7 @@
 	mu        sync.Mutex
 	view      *view
 	spread    *spread
-	fixed     map[string]Load
+	fixed     fixed
 	vms       []store.VM
 	synced    time.Time
 	announced int64
@@ -113,7 +113,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake:   make(chan struct{}, 1), syncs: make(chan string, 1),
 		reads: make(chan struct{}, 1), newer: make(chan int64, 1),
-		fixed: map[string]Load{},
+		fixed: newFixed(),
 	}
 	u.defaults()
 	for _, o := range opts {
--- a/limpetd/member/message.go
+++ b/limpetd/member/message.go
@@ -70,11 +70,11 @@
 	At int64
 }
 
-// Load is an engine's report as peers send it: instance, memory, batch limit,
+// Load is an engine's report as peers send it: VM, instance, memory, batch limit,
 // role, fence and slots are left out while they have not changed.
 type Load struct {
 	Report engine.Report
-	// Hash identifies the part that seldom changes.
+	// Hash identifies the engine and the part that seldom changes.
 	Hash uint64
 	// Whole means that Report carries that part.
 	Whole bool
--- a/limpetd/member/spread.go
+++ b/limpetd/member/spread.go
@@ -259,10 +259,10 @@
 	return loads
 }
 
-// hashFixed identifies the part of a report that seldom changes.
+// hashFixed identifies the part of a report that seldom changes, and its engine.
 func hashFixed(r engine.Report) uint64 {
 	d := xxhash.New()
-	err := msgpack.NewEncoder(d).EncodeMulti(r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots)
+	err := msgpack.NewEncoder(d).EncodeMulti(r.VM, r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots)
 	if err != nil {
 		return 0
 	}
@@ -271,13 +271,14 @@
 
 // cut returns a report without the part that seldom changes.
 func cut(r engine.Report) engine.Report {
-	r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots = "", 0, 0, "", 0, nil
+	r.VM, r.Instance, r.MemoryMB, r.BatchLimit, r.Role, r.Fence, r.Slots = "", "", 0, 0, "", 0, nil
 	return r
 }
 
 // fill puts the part that seldom changes back from an earlier report.
 func fill(r, earlier engine.Report) engine.Report {
-	r.Instance, r.MemoryMB, r.BatchLimit = earlier.Instance, earlier.MemoryMB, earlier.BatchLimit
+	r.VM, r.Instance = earlier.VM, earlier.Instance
+	r.MemoryMB, r.BatchLimit = earlier.MemoryMB, earlier.BatchLimit
 	r.Role, r.Fence, r.Slots = earlier.Role, earlier.Fence, earlier.Slots
 	return r
 }
