reach: Look for whom to ask only while it may ask

Cause: while slots are sought, each look (10 a second) sorted all wishes once a data centre by names put together anew, and listed all far daemons, though the byte budget allows a question only now and then.

Change: without budget a look only forgets old wishes, and a question that takes up the budget ends the look.

--- a/limpetd/reach/book.go
+++ b/limpetd/reach/book.go
@@ -83,7 +83,7 @@
 	var questions []question
 	for _, i := range b.random.Perm(len(centres)) {
 		centre := centres[i]
-		if b.busy[centre] {
+		if b.busy[centre] || allowed <= 0 {
 			continue
 		}
 		slots := b.due(now, centre, min(allowed, maxSlots))
--- a/limpetd/reach/reach.go
+++ b/limpetd/reach/reach.go
@@ -248,11 +248,16 @@
 
 // askDue asks each data centre what it is to be asked.
 func (r *Reach) askDue(ctx context.Context) {
-	daemons, centres := r.far()
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, q := range r.book.next(now, centres, int(r.asks.TokensAt(now)-questionBytes)/slotBytes) {
+	allowed := int(r.asks.TokensAt(now)-questionBytes) / slotBytes
+	if allowed <= 0 {
+		r.book.forget(now)
+		return
+	}
+	daemons, centres := r.far()
+	for _, q := range r.book.next(now, centres, allowed) {
 		r.asks.ReserveN(now, questionBytes+slotBytes*len(q.slots))
 		p := r.choose(now, daemons[q.centre])
 		r.tomb.Go(func() error {
