scale: Bound what control takes of a daemon in all

Cause: the bench of capacity printed slopes; the totals were added up by hand in docs/CAPACITY.md, so nothing failed when a daemon took more than the limits for control. Membership and the step of the holder were measured by other commands, with 16 slots an engine instead of 41, and the processor time of reach not at all.

Change: the bench measures membership, reach and the step of the holder at three sizes each, adds up bytes, processor time and memory of a daemon and of the holder, and exits with 1 when a total is over its limit: 18 KB and 23 ms a second, 128 MB. The quick form measures bytes only, once. A part that was not measured breaks the bound. The size of known prefixes follows the single reader.

TestTotalsBreakTheirLimits, which makes a quick run, failed for the holder with 18,020 B while the VM list was read each 144 s, and passes since.

--- a/limpetlab/bench_command.go
+++ b/limpetlab/bench_command.go
@@ -61,17 +61,18 @@
 
 // capacityBench measures what each role costs.
 type capacityBench struct {
-	Runs int  `help:"Runs of which the median is taken." default:"5"`
-	JSON bool `help:"Print one JSON object (always done; accepted for uniformity)."`
+	Runs  int  `help:"Runs of which the median is taken." default:"5"`
+	Quick bool `help:"Measure only the bytes of messages and calls, once."`
+	JSON  bool `help:"Print one JSON object (always done; accepted for uniformity)."`
 }
 
 // Run implements the command.
 func (c *capacityBench) Run(ctx context.Context) error {
-	r, err := scale.Run(ctx, scale.Config{Start: startNode, Runs: c.Runs})
+	r, err := scale.Run(ctx, scale.Config{Start: startNode, Runs: c.Runs, Quick: c.Quick})
 	if err != nil {
 		return err
 	}
-	return printJSON(r)
+	return conclude(r, r.Broken)
 }
 
 // allBench runs all benches.
--- a/limpetlab/scale/scale_test.go
+++ b/limpetlab/scale/scale_test.go
@@ -29,3 +29,25 @@
 		require.Greater(t, first.Values[len(first.Values)-1], first.Values[0], m.name)
 	}
 }
+
+// TestTotalsBreakTheirLimits breaks a limit by a row that is too high, and by one
+// that is missing.
+func TestTotalsBreakTheirLimits(t *testing.T) {
+	r, err := Run(t.Context(), Config{Quick: true})
+	require.NoError(t, err)
+	require.Len(t, r.Totals, 2)
+	require.Empty(t, r.Broken)
+	rows := r.Rows
+	for i := range rows {
+		if rows[i].Role == roleWatcher && rows[i].Measure == "reading a report" {
+			r.Rows = slices.Clone(rows)
+			r.Rows[i].AtTarget += limitBytes
+			r.Totals = nil
+			r.conclude(true)
+			require.Len(t, r.Broken, 2)
+			r.Rows = slices.Delete(slices.Clone(rows), i, i+1)
+			r.conclude(true)
+			require.Len(t, r.Broken, 2)
+		}
+	}
+}
