place: Rank engines and bound the time of plans

Ruled out: counting with a fixed number of engines (passes, but engines grow with the models).

Change: a heap of each pool's engines, the trial of a tight pool only where memory is not ample, no copies in the search for refused slots.

--- a/limpetd/place/owed.go
+++ b/limpetd/place/owed.go
@@ -1,5 +1,7 @@
 package place
 
+import "slices"
+
 // room is the memory of an engine that is neither charged nor kept for adapters
 // of the models that it holds.
 func (e *engineView) room() int64 { return e.free - e.owed }
@@ -8,6 +10,7 @@
 // beside it, on the resident replica with most room, or else on a loading one.
 func (v *view) oweAdapters(k int) {
 	mv := &v.views[k]
+	var owing []int
 	for j := range mv.adapters {
 		if mv.owedOn[j] >= 0 || v.beside(k, j) {
 			continue
@@ -20,8 +23,12 @@
 		if e >= 0 {
 			v.engines[e].owed += memory
 			mv.owedOn[j] = e
+			owing = append(owing, e)
 		}
 	}
+	for _, e := range slices.Compact(owing) {
+		v.rerank(e)
+	}
 }
 
 // hosts are the replicas beside which the adapters of a model belong.
@@ -37,6 +44,7 @@
 func (v *view) beside(k, j int) bool {
 	hosts := v.hosts(k)
 	for _, a := range v.views[k].adapters[j] {
+		v.steps++
 		if _, ok := on(hosts, a.engine); ok && a.state != Unloading {
 			return true
 		}
@@ -49,6 +57,7 @@
 func (v *view) host(k, j int, state State) int {
 	best := -1
 	for _, h := range v.hosts(k) {
+		v.steps++
 		e := &v.engines[h.engine]
 		if h.state != state || e.room() < v.models[k].Adapters[j].MemoryMB || occupied(v.views[k].adapters[j], h.engine) {
 			continue
@@ -66,6 +75,7 @@
 	if e := mv.owedOn[j]; e >= 0 {
 		v.engines[e].owed -= v.models[k].Adapters[j].MemoryMB
 		mv.owedOn[j] = -1
+		v.rerank(e)
 	}
 }
 
--- a/limpetd/place/planner.go
+++ b/limpetd/place/planner.go
@@ -30,6 +30,8 @@
 	relocations map[string]relocation
 	// promises are the models that get memory freed for them, by engine.
 	promises map[string]promise
+	// steps counts the engines and replicas that the last plan looked at.
+	steps int
 }
 
 // promise is memory on an engine that is freed for a model's demand.
@@ -72,6 +74,7 @@
 	s.keepPromises()
 	s.spread()
 	s.spreadAdapters()
+	p.steps = v.steps
 	return v.plan
 }
 
@@ -148,13 +151,20 @@
 func (s *stage) dropRefused() {
 	for k := range s.views {
 		mv := &s.views[k]
-		lists := append(slices.Clone(mv.adapters), mv.oldAdapters, mv.current, mv.old)
-		for _, hs := range lists {
-			for _, h := range slices.Clone(hs) {
-				if h.state == Refused {
-					s.unload(hs, h, RuleRefused, 0, 0)
-				}
-			}
+		for _, hs := range mv.adapters {
+			s.dropRefusedOf(hs)
+		}
+		s.dropRefusedOf(mv.oldAdapters)
+		s.dropRefusedOf(mv.current)
+		s.dropRefusedOf(mv.old)
+	}
+}
+
+// dropRefusedOf gives up the refused ones of some holders.
+func (s *stage) dropRefusedOf(holders []holder) {
+	for i := range holders {
+		if holders[i].state == Refused {
+			s.unload(holders, holders[i], RuleRefused, 0, 0)
 		}
 	}
 }
@@ -232,15 +242,14 @@
 // and has the most memory free, or -1. In a tight pool it is the one with least
 // room.
 func (s *stage) choose(k int, memoryMB int64) int {
+	suits := func(engine int) bool { return s.takes(k, engine, memoryMB) }
+	pool := s.models[k].Pool
+	if !s.tight[pool] {
+		return s.ranked(pool).first(suits)
+	}
 	best := -1
-	tight := s.tight[s.models[k].Pool]
 	for i := range s.engines {
-		if !s.takes(k, i, memoryMB) {
-			continue
-		}
-		e := &s.engines[i]
-		switch {
-		case best < 0, tight && e.room() < s.engines[best].room(), !tight && s.better(e, &s.engines[best]):
+		if suits(i) && (best < 0 || s.engines[i].room() < s.engines[best].room()) {
 			best = i
 		}
 	}
@@ -249,6 +258,7 @@
 
 // takes tells whether an engine may load a model and has the room.
 func (s *stage) takes(k, engine int, memoryMB int64) bool {
+	s.steps++
 	e, m := &s.engines[engine], &s.models[k]
 	if !e.Usable || e.Pool != m.Pool || e.room() < memoryMB {
 		return false
@@ -256,15 +266,6 @@
 	return !occupied(s.views[k].current, engine) && !slices.Contains(e.Refuses, m.Name)
 }
 
-// better tells whether e is the better engine for a load.
-func (s *stage) better(e, o *engineView) bool {
-	a, b := e.busy(), o.busy()
-	if a != b {
-		return a < b
-	}
-	return e.room() > o.room()
-}
-
 // busy is the load in tenths of the capacity.
 func (e *engineView) busy() int {
 	if e.TokensPerSecond <= 0 {
--- a/limpetd/place/room.go
+++ b/limpetd/place/room.go
@@ -17,6 +17,7 @@
 // short returns the memory that an engine lacks for what needs room, and whether
 // the engine can take it.
 func (s *stage) short(w want, engine int) (int64, bool) {
+	s.steps++
 	e, mv := &s.engines[engine], &s.views[w.model]
 	m := &s.models[w.model]
 	if !e.Usable || e.Pool != m.Pool || slices.Contains(e.Refuses, m.Name) {
@@ -138,6 +139,7 @@
 		if v.freedMB >= shortMB {
 			break
 		}
+		s.steps++
 		h, ok := s.spare(c, engine)
 		if !ok || c == k || !allowed(h, c) {
 			continue
@@ -352,6 +354,7 @@
 	taken := map[int]int64{}
 	left := short
 	for _, c := range candidates {
+		s.steps++
 		if c == k || !s.movable(c, engine) {
 			continue
 		}
--- a/limpetd/place/spread.go
+++ b/limpetd/place/spread.go
@@ -60,6 +60,7 @@
 	}
 	total := 0.0
 	for _, h := range hosts {
+		v.steps++
 		if h.state != Unloading {
 			total += v.room(h.engine)
 		}
@@ -98,6 +99,7 @@
 func (s *stage) hottest(done map[int]bool) int {
 	best, high := -1, highLoad
 	for i := range s.engines {
+		s.steps++
 		e := &s.engines[i]
 		if !e.Usable || done[i] || e.TokensPerSecond <= 0 || s.pressed[e.Pool] {
 			continue
@@ -121,6 +123,7 @@
 	excess := e.load - targetLoad*e.TokensPerSecond
 	var best relief
 	for _, k := range e.models {
+		s.steps++
 		if r := s.reliefOf(k, e, excess); r.gain-r.cost > best.gain-best.cost {
 			best = r
 		}
@@ -210,7 +213,7 @@
 		s.evict(want{model: r.model}, s.cold(r.tokens), RuleDemandSpace, r.gain, r.cost)
 		p := promise{model: s.models[r.model].Name, at: s.facts.Now}
 		s.planner.promises[s.engines[r.engine].VM] = p
-		s.engines[r.engine].load += r.tokens
+		s.addLoad(r.engine, r.tokens)
 		return
 	}
 	rule := RuleDemand
@@ -218,10 +221,16 @@
 		rule = RuleBurst
 	}
 	s.loadModel(r.model, r.engine, rule, r.gain, r.cost)
-	s.engines[r.engine].load += r.tokens
+	s.addLoad(r.engine, r.tokens)
 	s.planner.loaded[s.models[r.model].Name] = s.facts.Now
 }
 
+// addLoad expects more load on an engine.
+func (s *stage) addLoad(engine int, tokens float64) {
+	s.engines[engine].load += tokens
+	s.rerank(engine)
+}
+
 // promised tells whether memory is being freed for the model.
 func (s *stage) promised(k int) bool {
 	for _, p := range s.planner.promises {
--- a/limpetd/place/tight.go
+++ b/limpetd/place/tight.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -37,16 +38,41 @@
 // fits tells whether models all find room, and notes whether they have to be
 // packed for that.
 func (s *stage) fits(pool string, models []int) bool {
-	spread := s.tryPlace(models, false)
+	if s.ample(pool, models) {
+		return true
+	}
+	spread := s.tryPlace(pool, models, false)
 	if spread == len(models) {
 		s.tight[pool] = false
 		return true
 	}
-	packed := s.tryPlace(models, true)
+	packed := s.tryPlace(pool, models, true)
 	s.tight[pool] = packed > spread
 	return packed == len(models)
 }
 
+// ample tells whether models, of one replica each, find room in any order: so much
+// is left in the end that an engine has room for the largest.
+func (s *stage) ample(pool string, models []int) bool {
+	var left, largest int64
+	engines := int64(0)
+	for i := range s.engines {
+		if e := &s.engines[i]; e.Usable && e.Pool == pool {
+			left += e.room()
+			engines++
+		}
+	}
+	for _, k := range models {
+		m := &s.models[k]
+		if s.minLocal(k) > 1 {
+			return false
+		}
+		left -= m.groupMB
+		largest = max(largest, m.groupMB)
+	}
+	return left >= engines*largest
+}
+
 // mayKeep tells whether the data centre loads a model that lacks in all of them:
 // where memory is scarce only when it is its turn.
 func (s *stage) mayKeep(k int, lacking map[string]time.Time) bool {
@@ -68,60 +94,62 @@
 	return slices.ContainsFunc(s.facts.Remotes, func(r Remote) bool { return r.Unknown })
 }
 
-// tryPlace returns how many models find room for their replicas, with their
-// adapters beside the first one.
-func (s *stage) tryPlace(models []int, tight bool) int {
-	room := make([]int64, len(s.engines))
-	for i := range s.engines {
-		room[i] = s.engines[i].room()
-	}
+// tryPlace returns how many models of a pool find room for their replicas, with
+// their adapters beside the first one.
+func (s *stage) tryPlace(pool string, models []int, tight bool) int {
+	t := newTry(s, pool, tight)
 	placed := 0
 	for _, k := range models {
-		if s.tryModel(k, room, tight) {
+		if t.place(k) {
 			placed++
 		}
 	}
 	return placed
 }
 
-// tryModel takes the room for a model's missing replicas.
-func (s *stage) tryModel(k int, room []int64, tight bool) bool {
-	mv := &s.views[k]
+// try is a placement that is tried out.
+type try struct {
+	*stage
+	room    []int64
+	ranking *ranking
+}
+
+// newTry returns the engines of a pool as they are.
+func newTry(s *stage, pool string, tight bool) *try {
+	t := &try{stage: s, room: make([]int64, len(s.engines))}
+	for i := range s.engines {
+		t.room[i] = s.engines[i].room()
+	}
+	t.ranking = newRanking(s.view, pool, func(a, b int) int {
+		s.steps++
+		if tight {
+			return cmp.Compare(t.room[a], t.room[b])
+		}
+		return cmp.Or(cmp.Compare(s.engines[a].busy(), s.engines[b].busy()), cmp.Compare(t.room[b], t.room[a]))
+	})
+	return t
+}
+
+// place takes the room for a model's missing replicas.
+func (t *try) place(k int) bool {
+	m, mv := &t.models[k], &t.views[k]
 	have := count(mv.current, Loading, Resident) + count(mv.old, Loading, Resident)
-	memory := s.models[k].groupMB
+	memory := m.groupMB
 	if have > 0 {
-		memory = s.models[k].MemoryMB
+		memory = m.MemoryMB
 	}
-	used := map[int]bool{}
-	for ; have < s.minLocal(k); have++ {
-		e := s.tryEngine(k, room, used, memory, tight)
+	var used []int
+	for ; have < t.minLocal(k); have++ {
+		e := t.ranking.first(func(i int) bool {
+			return t.room[i] >= memory && !slices.Contains(used, i) && t.takes(k, i, 0)
+		})
 		if e < 0 {
 			return false
 		}
-		room[e] -= memory
-		used[e] = true
-		memory = s.models[k].MemoryMB
+		t.room[e] -= memory
+		t.ranking.changed(e)
+		used = append(used, e)
+		memory = m.MemoryMB
 	}
 	return true
 }
-
-// tryEngine returns the engine with room that choose would return, or -1.
-func (s *stage) tryEngine(k int, room []int64, used map[int]bool, memoryMB int64, tight bool) int {
-	best := -1
-	for i := range s.engines {
-		if room[i] < memoryMB || used[i] || !s.takes(k, i, 0) {
-			continue
-		}
-		e := &s.engines[i]
-		switch {
-		case best < 0, tight && room[i] < room[best]:
-			best = i
-		case !tight:
-			a, b := e.busy(), s.engines[best].busy()
-			if a < b || (a == b && room[i] > room[best]) {
-				best = i
-			}
-		}
-	}
-	return best
-}
--- a/limpetd/place/view.go
+++ b/limpetd/place/view.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -63,11 +64,15 @@
 	// strays are charged slots that the document does not declare.
 	strays []holder
 	plan   Plan
+	// rankings order the engines of each pool for loads.
+	rankings map[string]*ranking
+	// steps counts the engines and replicas that the plan looked at.
+	steps int
 }
 
 // newView reads the facts.
 func newView(x *index, f Facts, d *demands) *view {
-	v := &view{index: x, facts: f}
+	v := &view{index: x, facts: f, rankings: map[string]*ranking{}}
 	v.engines = make([]engineView, len(f.Engines))
 	v.views = make([]modelView, len(x.models))
 	for i := range v.views {
@@ -198,10 +203,33 @@
 	return false
 }
 
+// ranked returns the engines of a pool, those that are loaded least and of them
+// those with most room first.
+func (v *view) ranked(pool string) *ranking {
+	r := v.rankings[pool]
+	if r == nil {
+		r = newRanking(v, pool, func(a, b int) int {
+			v.steps++
+			x, y := &v.engines[a], &v.engines[b]
+			return cmp.Or(cmp.Compare(x.busy(), y.busy()), cmp.Compare(y.room(), x.room()))
+		})
+		v.rankings[pool] = r
+	}
+	return r
+}
+
+// rerank notes that the room or the load of an engine changed.
+func (v *view) rerank(engine int) {
+	if r := v.rankings[v.engines[engine].Pool]; r != nil {
+		r.changed(engine)
+	}
+}
+
 // load adds a load to the plan.
 func (v *view) load(engine int, slot envdoc.Slot, memoryMB int64, rule Rule, gain, cost float64) {
 	e := &v.engines[engine]
 	e.free -= memoryMB
+	v.rerank(engine)
 	v.addSlot(holder{engine: engine, state: Loading, since: v.facts.Now, slot: slot, memory: memoryMB})
 	v.plan.Moves = append(v.plan.Moves, Move{Kind: Load, Engine: e.VM, Slot: slot, MemoryMB: memoryMB, Rule: rule, Gain: gain, Cost: cost})
 }
--- a/limpetlab/bench_command.go
+++ b/limpetlab/bench_command.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if !c.Quick {
+		boundPlans(&r.List)
+	}
 	return conclude(r, r.Broken)
 }
 
