matrix: Let the leaving daemon outlast the probe

Cause: a daemon that leaves was probed for new work four seconds after it began to leave, but its stream ended after 1.7 s.

Change: the stream is as long as the engine's texts allow (250 tokens, 5 s) and begins 300 ms before.

--- a/limpetlab/matrix/work.go
+++ b/limpetlab/matrix/work.go
@@ -29,12 +29,15 @@
 	joinAt         = 10 * time.Second
 	leaveAt        = 14 * time.Second
 	leaveAgainAt   = 22 * time.Second
-	streamTokens   = 120
-	burstRequests  = 40
-	tries          = 5
-	answerTime     = 90 * time.Second
-	batchRequests  = 4
-	batchTries     = 60
+	// streamTokens is the length of the stream of a daemon that leaves, which
+	// begins streamLead before: it outlasts the probe for new work.
+	streamTokens  = 250
+	streamLead    = 300 * time.Millisecond
+	burstRequests = 40
+	tries         = 5
+	answerTime    = 90 * time.Second
+	batchRequests = 4
+	batchTries    = 60
 )
 
 // script is the work of each cell, from the first document to the last check.
@@ -70,7 +73,7 @@
 		r.at(at, func() {
 			d := r.someDaemon()
 			r.visit(func() { r.stream(d, at) })
-			time.Sleep(repeatAfter)
+			time.Sleep(streamLead)
 			r.leave(d)
 		})
 	}
