batch: Delete the objects of ended batches

Cause: the port had no deletion, so inputs, saved answers and results stayed for ever, and those that no row named (replaced savings, repeated submissions) from the start.

Keys of objects are never used again, so late and doubled deletions and a second sweeper strike nothing else; objects under the former keys, which may be shared, stay. A repeated submission compares the digest of the input. An answer saved while the table was away is named by the next renewal; it was forgotten.

--- a/limpetd/batch/batch.go
+++ b/limpetd/batch/batch.go
@@ -65,7 +65,7 @@
 	SaveEvery      time.Duration
 	JobsAtOnce     int
 	RequestsAtOnce int
-	// KeepFor is how long a batch that has ended is kept.
+	// KeepFor is how long a batch that has ended is kept, with its objects.
 	KeepFor time.Duration
 }
 
@@ -147,6 +147,8 @@
 	taken    tally.Counter
 	ended    tally.Counter
 	lost     tally.Counter
+	swept    tally.Counter
+	deleted  tally.Counter
 }
 
 // New returns the deferred work of a daemon and starts the running of jobs.
@@ -172,6 +174,8 @@
 		taken:    scope.Counter("jobs_taken"),
 		ended:    scope.Counter("jobs_ended"),
 		lost:     scope.Counter("holds_lost"),
+		swept:    scope.Counter("jobs_swept"),
+		deleted:  scope.Counter("objects_deleted"),
 	}
 	for _, o := range opts {
 		o(d)
--- a/limpetd/batch/batch_test.go
+++ b/limpetd/batch/batch_test.go
@@ -75,14 +75,16 @@
 	answerer *answerer
 	// saveEvery is the time between two savings of a job's answers.
 	saveEvery time.Duration
-	n         int
+	// keepFor is how long ended batches are kept; 0 for the default.
+	keepFor time.Duration
+	n       int
 }
 
 // daemon starts a daemon; stop ends it as its death would.
 func (w *world) daemon(t *testing.T, table store.Table) (d *Duty, stop func()) {
 	w.n++
 	ctx, cancel := context.WithCancel(t.Context())
-	d = New(ctx, Config{VM: "vm", Instance: fmt.Sprint("i", w.n), Environment: "test", JobsAtOnce: 1, PollEvery: 5 * time.Second, SaveEvery: w.saveEvery}, Deps{
+	d = New(ctx, Config{VM: "vm", Instance: fmt.Sprint("i", w.n), Environment: "test", JobsAtOnce: 1, PollEvery: 5 * time.Second, SaveEvery: w.saveEvery, KeepFor: w.keepFor}, Deps{
 		Table: table, Objects: w.objects, Answerer: w.answerer, Documents: documents{},
 	})
 	return d, func() {
--- a/limpetd/batch/caller.go
+++ b/limpetd/batch/caller.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -41,20 +42,25 @@
 	}
 	now := d.now().UTC()
 	digest := sha256.Sum256(body)
+	id := submissionID(s)
 	j := Job{
-		ID:       submissionID(s),
+		ID:       id,
 		Caller:   s.Caller.Name,
 		Priority: priority.Name,
 		State:    StateQueued,
 		At:       now,
 		Deadline: now.Add(time.Duration(priority.Deadline)),
 		Requests: len(s.Items),
-		Input:    objectKey(d.config.Environment, "input", hex.EncodeToString(digest[:])),
+		Input:    d.newObject("input", id),
+		Digest:   hex.EncodeToString(digest[:]),
 	}
 	if err := d.deps.Objects.Put(ctx, j.Input, body); err != nil {
 		return Job{}, code.Errorf(code.BatchStoreDown, "the input could not be stored: %w", err)
 	}
 	stored, err := d.insert(ctx, j)
+	if code.RunOf(err) == code.RunNo || err == nil && stored.Input != j.Input {
+		d.discard(ctx, j.Input)
+	}
 	if err != nil {
 		return Job{}, err
 	}
@@ -139,7 +145,8 @@
 
 // sameJob returns the job that is stored already, if it has the same input.
 func sameJob(found, j Job) (Job, error) {
-	if found.Input != j.Input {
+	// The input of an older job is named by the digest.
+	if found.Digest != j.Digest && !strings.HasSuffix(found.Input, "/"+j.Digest) {
 		return Job{}, code.Errorf(code.ClaimMismatch, "the key was used for another batch")
 	}
 	return found, nil
@@ -221,7 +228,11 @@
 	}
 	switch j.State {
 	case StateDone:
-		return d.lines(ctx, j.Result)
+		lines, err := d.lines(ctx, j.Result)
+		if err != nil && !d.now().Before(j.Ended.Add(d.config.KeepFor)) {
+			return nil, code.Errorf(code.BatchNotFound, "the result of batch %q is not kept any longer", id)
+		}
+		return lines, err
 	case StateFailed, StateCancelled:
 		return nil, code.Errorf(code.BatchFailed, "batch %s is %s: %s", id, j.State, j.Error)
 	}
--- a/limpetd/batch/fault_test.go
+++ b/limpetd/batch/fault_test.go
@@ -222,12 +222,7 @@
 func TestResultIsStoredBeforeTheJobEnds(t *testing.T) {
 	inWorld(t, &fakes.Table{}, func(t *testing.T, w *world) {
 		var down atomic.Bool
-		w.objects.Fault = func() fakes.Fault {
-			if down.Load() {
-				return fakes.Down
-			}
-			return fakes.None
-		}
+		w.objects.Fault = func() fakes.Fault { return downIf(&down) }
 		d, stop := w.daemon(t, w.table)
 		defer stop()
 		j, err := d.Submit(t.Context(), submission(1))
--- a/limpetd/batch/hold.go
+++ b/limpetd/batch/hold.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"sync"
 
@@ -21,7 +19,11 @@
 	job     Job
 	version int64
 	items   []Item
+	// saved is the number of lines in stored, the object saved last; objects
+	// are all that this hold wrote.
 	saved   int
+	stored  string
+	objects []string
 
 	mu    sync.Mutex
 	lines map[int]Line
@@ -104,6 +106,7 @@
 		h.keep(l)
 	}
 	h.saved = len(lines)
+	h.stored = h.task.Saved
 	return nil
 }
 
@@ -114,25 +117,26 @@
 	if err != nil {
 		return "", code.Errorf(code.Internal, "lines: %w", err)
 	}
-	digest := sha256.Sum256(body)
-	key := objectKey(d.config.Environment, kind, hex.EncodeToString(digest[:]))
+	key := d.newObject(kind, h.task.ID)
 	if err := d.deps.Objects.Put(ctx, key, body); err != nil {
 		return "", err
 	}
+	h.objects = append(h.objects, key)
 	return key, nil
 }
 
 // save writes the lines so far, for a later holder, and returns their key; the
-// former key when nothing is new or the object store fails.
+// key saved before when nothing is new, that of the row when the object store fails.
 func (d *Duty) save(ctx context.Context, h *hold) string {
 	count := len(h.items) - len(h.open())
 	if count == h.saved {
-		return h.job.Saved
+		return h.stored
 	}
 	key, err := d.put(ctx, h, "saved")
 	if err != nil {
 		return h.job.Saved
 	}
 	h.saved = count
+	h.stored = key
 	return key
 }
--- a/limpetd/batch/job.go
+++ b/limpetd/batch/job.go
@@ -18,6 +18,7 @@
 import (
 	"encoding/json"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -49,7 +50,9 @@
 	Requests int `json:"requests"`
 	Failed   int `json:"failed"`
 	// Input, Saved and Result are keys in the object store.
-	Input  string `json:"input"`
+	Input string `json:"input"`
+	// Digest names the content of the input.
+	Digest string `json:"digest,omitempty"`
 	Saved  string `json:"saved,omitempty"`
 	Result string `json:"result,omitempty"`
 	// Error says why the job failed.
@@ -184,6 +187,22 @@
 	return openPrefix(environment) + j.Deadline.UTC().Format(keyTime) + "/" + j.ID
 }
 
-func objectKey(environment, kind, digest string) string {
-	return "batch/" + environment + "/" + kind + "/" + digest
+// objectPrefix begins the keys of the objects that belong to one job alone.
+func objectPrefix(environment, kind, id string) string {
+	return "batch/" + environment + "/" + kind + "/" + id + "/"
+}
+
+// owned returns the objects that belong to the job alone. Those of jobs that were
+// handed in before keys held the id may be shared, and stay.
+func (j Job) owned(environment string) []string {
+	var keys []string
+	add := func(kind, key string) {
+		if strings.HasPrefix(key, objectPrefix(environment, kind, j.ID)) {
+			keys = append(keys, key)
+		}
+	}
+	add("input", j.Input)
+	add("saved", j.Saved)
+	add("result", j.Result)
+	return keys
 }
--- a/limpetd/batch/run.go
+++ b/limpetd/batch/run.go
@@ -93,8 +93,13 @@
 	if err := store.Commit(ctx, d.deps.Table, d.jobTx(j, h.version)); err != nil {
 		return err
 	}
+	former := h.job
 	h.job = j
 	h.version++
+	if former.Saved != j.Saved {
+		former.Input, former.Result = "", ""
+		d.discard(ctx, former.owned(d.config.Environment)...)
+	}
 	return nil
 }
 
@@ -180,6 +185,13 @@
 		h.version = version
 		return false
 	}
+	// No write of this hold takes effect any more, so that the row names its
+	// objects now or never.
+	for _, key := range h.objects {
+		if key != j.Saved && key != j.Result {
+			d.discard(ctx, key)
+		}
+	}
 	return true
 }
 
--- a/limpetd/conf/conf.go
+++ b/limpetd/conf/conf.go
@@ -54,6 +54,7 @@
 	LeaseTerm     time.Duration `name:"lease-term" env:"LIMPETD_LEASE_TERM" help:"Term of the placement lease." default:"10s"`
 	PlanPeriod    time.Duration `name:"plan-period" env:"LIMPETD_PLAN_PERIOD" help:"Time between placement plans." default:"1s"`
 	DrainTimeout  time.Duration `name:"drain-timeout" env:"LIMPETD_DRAIN_TIMEOUT" help:"Longest time that a leaving daemon waits for requests in flight." default:"15m"`
+	BatchKeep     time.Duration `name:"batch-keep" env:"LIMPETD_BATCH_KEEP" help:"How long a batch that has ended is kept, with its input and result; the same at all daemons." default:"168h"`
 	MaxBody       int64         `name:"max-body" env:"LIMPETD_MAX_BODY" help:"Largest request body in bytes." default:"4194304"`
 	BodyTimeout   time.Duration `name:"body-timeout" env:"LIMPETD_BODY_TIMEOUT" help:"Longest time to receive a request body." default:"30s"`
 	EventCapacity int           `name:"event-capacity" env:"LIMPETD_EVENT_CAPACITY" help:"Number of events kept for the time line." default:"8192"`
@@ -66,6 +67,8 @@
 	MaxLeaseTerm  = 2 * time.Minute
 	MinPlanPeriod = 100 * time.Millisecond
 	MaxPlanPeriod = time.Minute
+	MinBatchKeep  = time.Hour
+	MaxBatchKeep  = 365 * 24 * time.Hour
 	MinBodyBytes  = 1 << 10
 	MaxBodyBytes  = 64 << 20
 	// maxShownPath is the length of the longest path that an error shows.
@@ -182,6 +185,8 @@
 	k.require(c.PlanPeriod >= MinPlanPeriod && c.PlanPeriod <= MaxPlanPeriod, "plan-period", c.PlanPeriod,
 		fmt.Sprintf("%v to %v", MinPlanPeriod, MaxPlanPeriod))
 	k.require(c.DrainTimeout >= time.Second, "drain-timeout", c.DrainTimeout, "at least 1s")
+	k.require(c.BatchKeep >= MinBatchKeep && c.BatchKeep <= MaxBatchKeep, "batch-keep", c.BatchKeep,
+		fmt.Sprintf("%v to %v", MinBatchKeep, MaxBatchKeep))
 	k.require(c.BodyTimeout >= time.Second, "body-timeout", c.BodyTimeout, "at least 1s")
 	k.require(c.MaxBody >= MinBodyBytes && c.MaxBody <= MaxBodyBytes, "max-body", c.MaxBody,
 		fmt.Sprintf("%d to %d bytes", MinBodyBytes, MaxBodyBytes))
--- a/limpetd/docs/fake_test.go
+++ b/limpetd/docs/fake_test.go
@@ -132,6 +132,10 @@
 // objects is the object store of a table.
 type objects struct{ t *table }
 
+func (o objects) Delete(context.Context, string) error {
+	return code.Errorf(code.Internal, "not used")
+}
+
 func (o objects) Put(ctx context.Context, key string, body []byte) error {
 	if err := o.t.enter(ctx); err != nil {
 		return err
--- a/limpetd/fakes/store.go
+++ b/limpetd/fakes/store.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -167,6 +169,24 @@
 	return nil
 }
 
+// Delete deletes an object.
+func (o *Objects) Delete(_ context.Context, key string) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.Fault != nil && o.Fault() != None {
+		return code.Errorf(code.StoreDown, "objects down")
+	}
+	delete(o.bodies, key)
+	return nil
+}
+
+// Keys returns the keys of all objects, sorted.
+func (o *Objects) Keys() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Sorted(maps.Keys(o.bodies))
+}
+
 // Get returns an object.
 func (o *Objects) Get(_ context.Context, key string) ([]byte, error) {
 	o.mu.Lock()
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -206,7 +206,7 @@
 	n.claims = claim.New(ctx, claim.Config{Environment: scope}, claim.Deps{
 		Table: n.platform, Gatherers: &gatherers{Node: n}, Log: log, Events: events, Scope: metric,
 	})
-	n.batches = batch.New(ctx, batch.Config{VM: c.VM, Instance: n.instance, Environment: scope}, batch.Deps{
+	n.batches = batch.New(ctx, batch.Config{VM: c.VM, Instance: n.instance, Environment: scope, KeepFor: c.BatchKeep}, batch.Deps{
 		Table: n.platform, Objects: n.platform.Objects(), Answerer: n.relay, Documents: n.docs,
 		Log: log, Events: events, Scope: metric,
 	})
--- a/limpetd/store/client.go
+++ b/limpetd/store/client.go
@@ -171,6 +171,15 @@
 	return body, readError(err)
 }
 
+// Delete implements Objects.
+func (o *ObjectClient) Delete(ctx context.Context, key string) error {
+	_, err := o.client.call(ctx, http.MethodDelete, "/v1/objects/"+url.PathEscape(key), nil)
+	if code.Of(err) == code.StoreNotFound {
+		return nil
+	}
+	return err
+}
+
 // post sends a message as JSON and decodes the answer into answer.
 func (c *Client) post(ctx context.Context, path string, message, answer any) error {
 	body, err := json.Marshal(message)
--- a/limpetd/store/store.go
+++ b/limpetd/store/store.go
@@ -88,12 +88,17 @@
 }
 
 // Objects is the platform's object store. Objects are written once under a key
-// that names their content, so a repeated Put is harmless.
+// that is never used for other content, so a repeated Put is harmless. Who deletes
+// an object never stores another one under its key, so that a deletion that comes
+// late harms nothing.
 type Objects interface {
 	// Put stores body under key.
 	Put(ctx context.Context, key string, body []byte) error
 	// Get returns the body, or an error with code StoreNotFound.
 	Get(ctx context.Context, key string) ([]byte, error)
+	// Delete deletes an object for good. It is no error if there is none. An
+	// error has code StoreUnknown if the object may be deleted, now or later.
+	Delete(ctx context.Context, key string) error
 }
 
 // Kind is what a VM runs.
--- a/limpetlab/matrix/port.go
+++ b/limpetlab/matrix/port.go
@@ -157,6 +157,16 @@
 	return o.d.rig.objects.Put(ctx, key, body)
 }
 
+// Delete implements store.Objects.
+func (o objects) Delete(ctx context.Context, key string) error {
+	ctx, cancel, err := o.enter(ctx, "delete "+key)
+	defer cancel()
+	if err != nil {
+		return err
+	}
+	return o.d.rig.objects.Delete(ctx, key)
+}
+
 // Get implements store.Objects.
 func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
 	var steps []Step
--- a/limpetlab/object/object.go
+++ b/limpetlab/object/object.go
@@ -31,6 +31,7 @@
 type Books struct {
 	Puts    int64 `json:"puts"`
 	Gets    int64 `json:"gets"`
+	Deletes int64 `json:"deletes"`
 	Objects int   `json:"objects"`
 	Bytes   int64 `json:"bytes"`
 }
@@ -104,6 +105,28 @@
 	return body, nil
 }
 
+// Delete implements store.Objects.
+func (s *Store) Delete(_ context.Context, key string) error {
+	a := fault.Of(s.faults, fault.Call{Server: Name, Step: "delete", Key: key})
+	switch a.Kind {
+	case fault.Down, fault.Refuse:
+		return code.Errorf(code.StoreDown, "the object store is down")
+	case fault.Drop:
+		return code.Errorf(code.StoreUnknown, "no answer")
+	case fault.Delay:
+		time.Sleep(a.Delay)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.books.Deletes++
+	s.books.Bytes -= int64(len(s.objects[key]))
+	delete(s.objects, key)
+	if a.Kind == fault.Lost {
+		return code.Errorf(code.StoreUnknown, "no answer")
+	}
+	return nil
+}
+
 // Books returns what the store saw so far.
 func (s *Store) Books() Books {
 	s.mu.Lock()
@@ -124,6 +147,9 @@
 		}
 		answer(w, nil, s.Put(r.Context(), r.PathValue("key"), body))
 	})
+	mux.HandleFunc("DELETE /v1/objects/{key}", func(w http.ResponseWriter, r *http.Request) {
+		answer(w, nil, s.Delete(r.Context(), r.PathValue("key")))
+	})
 	mux.HandleFunc("GET /v1/objects/{key}", func(w http.ResponseWriter, r *http.Request) {
 		body, err := s.Get(r.Context(), r.PathValue("key"))
 		answer(w, body, err)
--- /dev/null
+++ b/limpetlab/object/object_test.go
@@ -0,0 +1,38 @@
+package object
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/store"
+	"github.com/limpetlb/limpetlb/limpetlab/fault"
+)
+
+func TestDeletionOverHTTP(t *testing.T) {
+	faults := fault.NewSwitch()
+	s := New(WithFaults(faults))
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	client := store.NewClient(server.URL)
+	defer client.Close()
+	objects := client.Objects()
+	const key = "batch/lab/input/1/2"
+	require.NoError(t, objects.Put(t.Context(), key, []byte("body")))
+
+	faults.Set(Name, fault.Action{Kind: fault.Drop})
+	require.Equal(t, code.StoreUnknown, code.Of(objects.Delete(t.Context(), key)))
+	faults.Set(Name, fault.Action{Kind: fault.Down})
+	require.Equal(t, code.StoreDown, code.Of(objects.Delete(t.Context(), key)))
+	require.Equal(t, 1, s.Books().Objects)
+	faults.Set(Name, fault.Action{Kind: fault.Lost})
+	require.Equal(t, code.StoreUnknown, code.Of(objects.Delete(t.Context(), key)))
+	faults.Clear(Name)
+
+	require.NoError(t, objects.Delete(t.Context(), key), "a missing object is no error")
+	_, err := objects.Get(t.Context(), key)
+	require.Equal(t, code.StoreNotFound, code.Of(err))
+	require.Equal(t, Books{Puts: 1, Gets: 1, Deletes: 2}, s.Books())
+}
