--- a/limpet/cmds/document.go
+++ b/limpet/cmds/document.go
@@ -74,71 +74,66 @@
 	return v, body, nil
 }
 
-// applyCommand applies a document.
-type applyCommand struct {
-	File       string        `short:"f" required:"" help:"The document."`
-	Untried    bool          `help:"Let production take a document that was not tried; for emergencies."`
+// submitFlags are shared by the commands that change the document in force.
+type submitFlags struct {
 	Submission string        `help:"Submission id; a repeated call with the same id is harmless. Made when absent."`
 	Wait       bool          `help:"Wait until every live daemon has taken the document up."`
 	WaitFor    time.Duration `help:"Longest time to wait." default:"30s"`
 }
 
-// Run applies the document.
-func (c *applyCommand) Run(d *Deps) error {
-	_, body, err := readDocument(c.File)
-	if err != nil {
-		return err
-	}
+// submit sends a change under the id of a submission, waits as the flags say,
+// and prints the confirmation.
+func (f submitFlags) submit(d *Deps, send func(c *admin.Client, id string) (admin.Accepted, error)) error {
 	client, err := d.client()
 	if err != nil {
 		return err
 	}
-	s := admin.Submission{ID: c.Submission, File: c.File, Body: string(body), Untried: c.Untried}
-	if s.ID == "" {
-		s.ID = uuid.NewString()
-		d.progress("submission %s", s.ID)
+	id := f.Submission
+	if id == "" {
+		id = uuid.NewString()
+		d.progress("submission %s", id)
 	}
-	accepted, err := client.Apply(d.ctx, s)
+	accepted, err := send(client, id)
 	if err != nil {
 		return err
 	}
-	if c.Wait {
-		if err := awaitRevision(d, client, accepted.Revision, c.WaitFor); err != nil {
+	if f.Wait {
+		if err := awaitRevision(d, client, accepted.Revision, f.WaitFor); err != nil {
 			return err
 		}
 	}
 	return d.printAccepted(accepted)
 }
 
+// applyCommand applies a document.
+type applyCommand struct {
+	File    string `short:"f" required:"" help:"The document."`
+	Untried bool   `help:"Let production take a document that was not tried; for emergencies."`
+	submitFlags
+}
+
+// Run applies the document.
+func (c *applyCommand) Run(d *Deps) error {
+	_, body, err := readDocument(c.File)
+	if err != nil {
+		return err
+	}
+	return c.submit(d, func(k *admin.Client, id string) (admin.Accepted, error) {
+		return k.Apply(d.ctx, admin.Submission{ID: id, File: c.File, Body: string(body), Untried: c.Untried})
+	})
+}
+
 // promoteCommand promotes a tried document.
 type promoteCommand struct {
-	Digest     string        `required:"" help:"Digest of the document that was tried."`
-	Submission string        `help:"Submission id; made when absent."`
-	Wait       bool          `help:"Wait until every live daemon has taken the document up."`
-	WaitFor    time.Duration `help:"Longest time to wait." default:"30s"`
+	Digest string `required:"" help:"Digest of the document that was tried."`
+	submitFlags
 }
 
 // Run promotes the document.
 func (c *promoteCommand) Run(d *Deps) error {
-	client, err := d.client()
-	if err != nil {
-		return err
-	}
-	p := admin.Promotion{ID: c.Submission, Digest: c.Digest}
-	if p.ID == "" {
-		p.ID = uuid.NewString()
-		d.progress("submission %s", p.ID)
-	}
-	accepted, err := client.Promote(d.ctx, p)
-	if err != nil {
-		return err
-	}
-	if c.Wait {
-		if err := awaitRevision(d, client, accepted.Revision, c.WaitFor); err != nil {
-			return err
-		}
-	}
-	return d.printAccepted(accepted)
+	return c.submit(d, func(k *admin.Client, id string) (admin.Accepted, error) {
+		return k.Promote(d.ctx, admin.Promotion{ID: id, Digest: c.Digest})
+	})
 }
 
 // printAccepted writes the confirmation of a change.
--- a/limpetd/life/life.go
+++ b/limpetd/life/life.go
@@ -1,4 +1,4 @@
-// Package life ties the goroutines of a duty to a context.
+// Package life ties goroutines and pauses to a context.
 //
 // # Usage
 //
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"time"
 
 	"gopkg.in/tomb.v2"
 )
@@ -29,3 +30,15 @@
 	}()
 	return t, ctx
 }
+
+// Sleep waits for d; false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/limpetd/life/life_test.go
+++ b/limpetd/life/life_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -47,3 +49,15 @@
 	cancel()
 	require.ErrorIs(t, b.Wait(), context.Canceled)
 }
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		require.True(t, Sleep(t.Context(), time.Hour))
+		require.Equal(t, time.Hour, time.Since(began))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		require.False(t, Sleep(ctx, time.Hour))
+		require.Equal(t, time.Hour+time.Minute, time.Since(began))
+	})
+}
--- a/limpetd/store/commit.go
+++ b/limpetd/store/commit.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 )
 
 // Limits of Commit.
@@ -49,7 +50,7 @@
 		case !unsure:
 			return err
 		}
-		if !guarded || !sleep(ctx, wait/2+time.Duration(random.Int64N(int64(wait)))) {
+		if !guarded || !life.Sleep(ctx, wait/2+time.Duration(random.Int64N(int64(wait)))) {
 			break
 		}
 		wait *= 2
@@ -121,15 +122,3 @@
 	}
 	return rand.New(rand.NewPCG(d.Sum64(), uint64(len(tx.Writes))))
 }
-
-// sleep waits for wait; false when ctx ends first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/limpetlab/demo/faults.go
+++ b/limpetlab/demo/faults.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 	"github.com/limpetlb/limpetlb/limpetlab/fleet"
 	"github.com/limpetlb/limpetlb/limpetlab/object"
@@ -98,7 +99,7 @@
 	part := d.config.Duration / 8
 	steps := d.schedule(ctx)
 	for i, step := range steps {
-		if !pause(ctx, part) {
+		if !life.Sleep(ctx, part) {
 			return
 		}
 		if i == 2 {
@@ -110,18 +111,6 @@
 	d.restore(ctx)
 }
 
-// pause waits for d; false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // schedule returns what happens at each eighth of the load's time.
 func (d *demo) schedule(ctx context.Context) []func() {
 	nothing := func() {}
@@ -276,7 +265,7 @@
 	d.world.List.Leave(m.VM)
 	d.replace(ctx, m)
 	go func() {
-		pause(ctx, balancerLag)
+		life.Sleep(ctx, balancerLag)
 		d.fleet.Drop(m)
 	}()
 	go func() {
--- a/limpetlab/demo/freeze.go
+++ b/limpetlab/demo/freeze.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/limpetlb/limpetlb/limpetd/lease"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetlab/fleet"
 )
@@ -28,7 +29,7 @@
 	}
 	d.frozen = append(d.frozen, m)
 	d.stops++
-	pause(ctx, balancerLag)
+	life.Sleep(ctx, balancerLag)
 	d.fleet.Drop(m)
 }
 
--- a/limpetlab/engsim/generate.go
+++ b/limpetlab/engsim/generate.go
@@ -7,6 +7,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 )
 
@@ -76,7 +77,7 @@
 	case fault.Restart:
 		e.Restart()
 	case fault.Delay:
-		if !sleep(ctx, a.Delay) {
+		if !life.Sleep(ctx, a.Delay) {
 			return nil, code.Errorf(code.BackendLost, "no answer: %w", ctx.Err())
 		}
 	}
@@ -218,15 +219,3 @@
 	defer e.mu.Unlock()
 	change(&e.books)
 }
-
-// sleep waits for d; false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/limpetlab/matrix/port.go
+++ b/limpetlab/matrix/port.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 )
@@ -331,11 +332,4 @@
 }
 
 // sleep waits for d, less when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+func sleep(ctx context.Context, d time.Duration) { life.Sleep(ctx, d) }
--- a/limpetlab/table/table.go
+++ b/limpetlab/table/table.go
@@ -22,6 +22,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 	"github.com/limpetlb/limpetlb/limpetlab/fault"
 )
@@ -273,12 +274,8 @@
 
 // pause waits for d, less when ctx ends.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !life.Sleep(ctx, d) {
 		return code.Errorf(code.StoreDown, "no answer: %w", ctx.Err())
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
