order: Keep what did not change between two steps

Cause: in a profile of the holder at rest an eighth of a step copied the lists of all models to look for refused loads, of which there are none, and a sixteenth made the set of an engine's slots anew from an equal report.

Change: the lists are copied only when an engine refuses a load, and the set is kept while the slots are equal.

Ruled out: a longer plan period (plans would come later for every change).

--- a/limpetd/order/engines.go
+++ b/limpetd/order/engines.go
@@ -174,11 +174,13 @@
 	if k.sound >= soundReports {
 		k.fault = nil
 	}
-	k.report, k.received, k.reported = r, received, true
-	k.listed = make(map[envdoc.Slot]bool, len(r.Slots))
-	for _, s := range r.Slots {
-		k.listed[s] = true
+	if k.listed == nil || !slices.Equal(r.Slots, k.report.Slots) {
+		k.listed = make(map[envdoc.Slot]bool, len(r.Slots))
+		for _, s := range r.Slots {
+			k.listed[s] = true
+		}
 	}
+	k.report, k.received, k.reported = r, received, true
 	k.process(r.Instance, now)
 	k.learn(r)
 	switch {
--- a/limpetd/place/planner.go
+++ b/limpetd/place/planner.go
@@ -149,6 +149,9 @@
 
 // dropRefused gives up the charges of loads that an engine refuses.
 func (s *stage) dropRefused() {
+	if !anyRefused(s.facts.Engines) {
+		return
+	}
 	for k := range s.views {
 		mv := &s.views[k]
 		for _, hs := range mv.adapters {
@@ -169,6 +172,16 @@
 	}
 }
 
+// anyRefused tells whether an engine refuses a load.
+func anyRefused(engines []Engine) bool {
+	for i := range engines {
+		if slices.ContainsFunc(engines[i].Slots, func(l Slot) bool { return l.State == Refused }) {
+			return true
+		}
+	}
+	return false
+}
+
 // reach places the models that lack replicas: first those that no data centre
 // has, then those that this one lacks, then by minimum, then changed versions.
 func (s *stage) reach() {
