fleet: Run the large fleet without the race detector

Cause: the race detector keeps about 0.3 MB of each goroutine, and 66 daemons in a process have 36,000 to 71,000. The test took 10 GB after two minutes alone, 23 GB beside other load, and then failed for lack of processor time and memory. Ruled out: a leak (heap 0.3 to 0.8 GB in the same run, falling again).

Every other test of the package, and all other daemons in tests, run with the detector as before.

--- a/limpetlab/fleet/elsewhere_test.go
+++ b/limpetlab/fleet/elsewhere_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package fleet
 
 import (
@@ -26,7 +28,8 @@
 	settledLooks = 5
 )
 
-// TestModelsElsewhereAnswerInALargeFleet runs more daemons than tell each other
+// TestModelsElsewhereAnswerInALargeFleet runs without the race detector, which keeps
+// about 0.3 MB for each of the 36,000 and more goroutines. It runs more daemons than tell each other
 // all load reports, in two data centres with one engine each, neither of which has
 // memory for all models. Each model must answer through both. The homes of the
 // models fit into x-1 and x-2; of lagos-1 and lagos-2 one is the home of more than
