fakes: Never use a version of a row again

The port did not state the requirement; a platform without it could delete the claim of a running call when two sweepers meet a key that is used again.

Found by it: a claim on a swept key took its row for version 1, so its closing conflicted and was left to the background for a second, in which a repeat was told claim_in_progress. It now takes over the version and closes at once (TestKeyOfASweptClaimClosesAtOnce failed before).

--- a/limpetd/claim/claim.go
+++ b/limpetd/claim/claim.go
@@ -341,8 +341,17 @@
 	})
 }
 
-// tryClose writes the closed record; true when nothing is left to do.
+// tryClose writes the closed record; true when nothing is left to do. The version
+// of an inserted row is not known if the key had a row before, and is then taken
+// from the conflict.
 func (h *Hold) tryClose(ctx context.Context) bool {
+	inserted := h.version
+	return h.closeAt(ctx) || h.version != inserted && h.closeAt(ctx)
+}
+
+// closeAt writes the closed record if the row has the known version. In conflict
+// with a claim of this arrival it takes over its version.
+func (h *Hold) closeAt(ctx context.Context) bool {
 	w := h.claims.write(ctx, h.key, h.version, h.record)
 	if w.result == Written {
 		return true
--- a/limpetd/claim/claim_test.go
+++ b/limpetd/claim/claim_test.go
@@ -371,3 +371,20 @@
 		require.Len(t, rows, 1, "only the claim that was never closed is left")
 	})
 }
+
+// TestKeyOfASweptClaimClosesAtOnce uses a key again whose row goes on with the
+// versions of the one that was swept.
+func TestKeyOfASweptClaimClosesAtOnce(t *testing.T) {
+	inBubble(t, &fakes.Table{}, func(t *testing.T, daemons []*Claims) {
+		for _, seat := range []string{"seat 7", "seat 8"} {
+			c, err := daemons[0].Claim(t.Context(), callOf("k"))
+			require.NoError(t, err)
+			require.NotNil(t, c.Hold)
+			c.Hold.Close(t.Context(), Outcome{Status: 201, Body: []byte(seat)})
+			again, err := daemons[1].Claim(t.Context(), callOf("k"))
+			require.NoError(t, err)
+			require.Equal(t, seat, string(again.Stored.Body))
+			time.Sleep(keepFor + time.Minute)
+		}
+	})
+}
--- a/limpetd/fakes/store.go
+++ b/limpetd/fakes/store.go
@@ -33,18 +33,21 @@
 	LateEffect
 )
 
-// Table is a table in memory.
+// Table is a table in memory. A version of a row is never used again, also after
+// the row's deletion.
 type Table struct {
 	// Fault decides on the n-th call of Apply, counted from 0; nil for none.
 	Fault func(n int) Fault
 	// ReadFault decides on each Get and Scan; nil for none.
 	ReadFault func() Fault
 
-	mu     sync.Mutex
-	rows   map[string]store.Row
-	late   []store.Tx
-	calls  int
-	writes int
+	mu   sync.Mutex
+	rows map[string]store.Row
+	// versions are the last versions of all rows, deleted ones too.
+	versions map[string]int64
+	late     []store.Tx
+	calls    int
+	writes   int
 }
 
 var _ store.Table = (*Table)(nil)
@@ -125,13 +128,15 @@
 	}
 	if t.rows == nil {
 		t.rows = make(map[string]store.Row)
+		t.versions = make(map[string]int64)
 	}
 	for _, w := range tx.Writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = store.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Writer: tx.ID, Value: w.Value}
+		t.versions[w.Key]++
+		t.rows[w.Key] = store.Row{Key: w.Key, Version: t.versions[w.Key], Writer: tx.ID, Value: w.Value}
 	}
 	t.writes++
 	return true
--- a/limpetd/store/store.go
+++ b/limpetd/store/store.go
@@ -28,7 +28,9 @@
 type Row struct {
 	// Key identifies the row. Parts are joined by slashes.
 	Key string `json:"key"`
-	// Version counts the writes of the row; a missing row has version 0.
+	// Version is 1 or more and one more with each write of the row; a missing
+	// row has version 0. A row that is written after its deletion goes on
+	// with a higher version than it ever had.
 	Version int64 `json:"version"`
 	// Writer is the id of the transaction that wrote the row last. It is
 	// part of the stored value, kept by this package, not by the platform.
@@ -74,7 +76,10 @@
 	t.Writes = append(t.Writes, Write{Key: key, Delete: true})
 }
 
-// Table is the platform's transactional table. Errors carry the codes
+// Table is the platform's transactional table. It must never use a version of a key
+// again, also not after the row was deleted: a deletion that was decided on a version
+// and comes late, from a second sweeper or after a lost answer, would else strike a
+// row that was written since. Errors carry the codes
 // StoreConflict, StoreUnknown (a write may have taken effect), StoreDown or
 // StoreLimited (it has not).
 type Table interface {
