scale: Bound totals before they are rounded

The names of the bounds of memory said "a second".

Change: the sum is bounded as it is and rounded after. TestTotalsAreBoundedBeforeRounding fails without this.

--- a/limpetlab/scale/scale_test.go
+++ b/limpetlab/scale/scale_test.go
@@ -51,3 +51,11 @@
 		}
 	}
 }
+
+// TestTotalsAreBoundedBeforeRounding breaks a limit by less than rounding hides.
+func TestTotalsAreBoundedBeforeRounding(t *testing.T) {
+	var r Result
+	r.limit(newTotal("t", unitBytes, Part{"a", limitBytes}, Part{"b", 1}), limitBytes)
+	require.Len(t, r.Broken, 1)
+	require.Equal(t, limitBytes, r.Totals[0].Sum)
+}
--- a/limpetlab/scale/totals.go
+++ b/limpetlab/scale/totals.go
@@ -35,6 +35,9 @@
 	garbage = 2
 )
 
+// perSecond makes the unit of a total that counts a second.
+const perSecond = " a second"
+
 // Part is a part of a total.
 type Part struct {
 	Name  string  `json:"name"`
@@ -52,11 +55,9 @@
 // newTotal sums parts.
 func newTotal(name, unit string, parts ...Part) Total {
 	t := Total{Name: name, Unit: unit, Parts: parts}
-	for i := range parts {
-		t.Sum += parts[i].Value
-		parts[i].Value = rounded(parts[i].Value)
+	for _, p := range parts {
+		t.Sum += p.Value
 	}
-	t.Sum = rounded(t.Sum)
 	return t
 }
 
@@ -100,8 +101,8 @@
 	holder := append([]Part{
 		{"membership", r.at(roleMembership, "the same of the holder", unitBytes)}, {"lease, read and renewed", 2 * lease},
 	}, shared...)
-	r.limit(newTotal("daemon", unitBytes, usual...), limitBytes)
-	r.limit(newTotal("holder", unitBytes, holder...), limitBytes)
+	r.limit(newTotal("daemon", unitBytes+perSecond, usual...), limitBytes)
+	r.limit(newTotal("holder", unitBytes+perSecond, holder...), limitBytes)
 }
 
 // sumProcessor adds the processor time a second while slots are at rest. Reading
@@ -118,8 +119,8 @@
 		{"looking for whom to ask", r.at(roleReach, "looking for whom to ask, a second", unitTime)},
 	}
 	holder := append([]Part{{"step", r.at(rolePlacement, "a step of the holder at rest", unitTime)}}, parts...)
-	r.limit(newTotal("daemon", unitTime, parts...), limitProcessor)
-	r.limit(newTotal("holder", unitTime, holder...), limitProcessor)
+	r.limit(newTotal("daemon", unitTime+perSecond, parts...), limitProcessor)
+	r.limit(newTotal("holder", unitTime+perSecond, holder...), limitProcessor)
 }
 
 // sumMemory adds the memory of control, with what is garbage before a collection.
@@ -141,10 +142,14 @@
 	r.limit(newTotal("holder, memory", unitBytes, holder...), limitMemory)
 }
 
-// limit keeps a total and its bound.
+// limit bounds a total, and keeps it with rounded figures.
 func (r *Result) limit(t Total, limit float64) {
+	r.AtMost(t.Name+", "+t.Unit, limit, t.Sum)
+	t.Sum = rounded(t.Sum)
+	for i := range t.Parts {
+		t.Parts[i].Value = rounded(t.Parts[i].Value)
+	}
 	r.Totals = append(r.Totals, t)
-	r.AtMost(t.Name+", "+t.Unit+" a second", limit, t.Sum)
 }
 
 // conclude adds all up; after a quick run only bytes on the wire.
