admit: Lend a caller's limit from one daemon to the others

Cause: each daemon granted a share by recent use and one request at any time. Use was told each 24 s or less often with more than 26 daemons in a data centre, within a data centre only, and believed for 20 s, so each daemon took itself for the only one.

Change: one daemon, by a hash of the caller, keeps a limit; others borrow requests of it over a new call Lend. A daemon that does not reach the keeper grants its part of a quarter. A new keeper, or one that hears half of the daemons or less, lends a quarter. Use is not told to peers any more; the field of the message stays. Requests refused for the limit do not count as demand any more.

Ruled out: shares that no daemon exceeds without asking (refuse most requests of a small caller that is spread); the table.

TestCallerLimitHoldsOverAllDaemons is replaced by a stricter one (four daemons before, 10 % in the long run).

--- a/limpetd/admit/demand.go
+++ b/limpetd/admit/demand.go
@@ -9,8 +9,12 @@
 	"github.com/limpetlb/limpetlb/limpetd/member"
 )
 
-// minTold is the rate below which demand and use are not told, per second.
-const minTold = 0.001
+const (
+	// minTold is the rate below which demand is not told, per second.
+	minTold = 0.001
+	// toldFor is how long what a peer told is believed.
+	toldFor = 20 * time.Second
+)
 
 // target names a model or adapter.
 type target struct {
--- a/limpetd/admit/queue.go
+++ b/limpetd/admit/queue.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -58,13 +59,15 @@
 	DataCentre string
 }
 
-// Deps are what a Queue needs. Seeker, Log, Events and Scope may be nil.
+// Deps are what a Queue needs. Seeker, Lenders, Log, Events and Scope may be nil.
+// Without Lenders this daemon is the only one.
 type Deps struct {
 	Documents DocumentProvider
 	Views     ViewProvider
 	Peers     PeerCounter
 	VMs       VMProvider
 	Seeker    Seeker
+	Lenders   LenderProvider
 	Log       *zap.Logger
 	Events    *event.Line
 	Scope     tally.Scope
@@ -94,12 +97,17 @@
 	// wake tells the stepping goroutine that calls wait; one token is enough,
 	// further ones are dropped.
 	wake chan struct{}
+	// asks limits the questions for loans.
+	asks *rate.Limiter
 
 	mu       sync.Mutex
 	state    *State
 	services *services
-	document *envdoc.Document
-	view     *route.View
+	limits   *limits
+	// borrowings are the questions for loans in flight, by caller.
+	borrowings map[string]*borrowing
+	document   *envdoc.Document
+	view       *route.View
 	// ejected are the engines that were ejected at the last step.
 	ejected []string
 }
@@ -107,10 +115,13 @@
 // New starts admitting until ctx ends.
 func New(ctx context.Context, c Config, d Deps, opts ...Option) *Queue {
 	q := &Queue{
-		config: c,
-		deps:   d,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake:   make(chan struct{}, 1),
+		config:     c,
+		deps:       d,
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:       make(chan struct{}, 1),
+		asks:       newAsks(),
+		limits:     newLimits(c.VM),
+		borrowings: make(map[string]*borrowing),
 	}
 	for _, o := range opts {
 		o(q)
@@ -167,6 +178,7 @@
 		q.state.SetSought(q.deps.Seeker.Sought())
 	}
 	q.refresh(now)
+	q.setLenders(now)
 	q.decide(now)
 	q.tellEjected(q.state.Ejected(now))
 	waiting := q.state.Waiting()
@@ -204,6 +216,7 @@
 	if doc, ok := q.deps.Documents.Document(); ok && doc != q.document {
 		q.document = doc
 		q.state.SetDocument(doc)
+		q.limits.set(doc.Callers)
 	}
 	if v := q.deps.Views.View(); v != nil && v != q.view {
 		q.view = v
@@ -235,6 +248,12 @@
 // ShedDeadline, NoEngine, RetryBudget; Stopping when the daemon stops and
 // CallerGone when ctx ends.
 func (q *Queue) Admit(ctx context.Context, r Request) (Ticket, error) {
+	if r.Attempt == 0 {
+		if err := q.leave(ctx, r.Caller); err != nil {
+			q.refused(r.ID, r.Route.Model, err)
+			return nil, err
+		}
+	}
 	c, wait := q.offer(r)
 	if wait != nil {
 		select {
@@ -319,19 +338,12 @@
 	return q.state.demand.sum(now, own, func(daemon string) bool { return here[daemon] })
 }
 
-// Use returns the recent use of callers with a limit at this daemon.
-func (q *Queue) Use() []member.CallerUse {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.state.limits.used(time.Now())
-}
-
-// Receive takes what a peer told.
-func (q *Queue) Receive(daemon string, demand []member.ModelDemand, use []member.CallerUse) {
+// Receive takes the demand that a peer told.
+func (q *Queue) Receive(daemon string, demand []member.ModelDemand) {
 	if daemon == q.config.VM {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.state.Receive(time.Now(), daemon, demand, use)
+	q.state.Receive(time.Now(), daemon, demand)
 }
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -34,7 +34,6 @@
 	daemons int
 
 	deferred map[string]time.Duration
-	limits   *limits
 	demand   *demand
 	budget   retryBudget
 	sends    meter
@@ -67,7 +66,6 @@
 		salt:     xxhash.Sum64String(daemon),
 		daemons:  1,
 		deferred: make(map[string]time.Duration),
-		limits:   newLimits(),
 		demand:   newDemand(),
 		backends: make(map[string]*backend),
 		hints:    route.NewHints(),
@@ -76,7 +74,7 @@
 	}
 }
 
-// SetDocument takes the priorities and limits of a document.
+// SetDocument takes the priorities of a document.
 func (s *State) SetDocument(doc *envdoc.Document) {
 	clear(s.deferred)
 	for _, p := range doc.Priorities {
@@ -84,7 +82,6 @@
 			s.deferred[p.Name] = time.Duration(p.Deadline)
 		}
 	}
-	s.limits.set(doc.Callers)
 }
 
 // SetDaemons takes the number of live daemons, this one included.
@@ -155,23 +152,10 @@
 	}
 	t := target{r.Route.Model, r.Route.Adapter}
 	s.demand.add(now, t, r.MaxTokens)
-	if err := s.allow(now, r.Caller); err != nil {
-		c.status, c.Err = statusRefused, err
-		return c
-	}
 	s.enter(now, c)
 	return c
 }
 
-// allow applies the caller's limit.
-func (s *State) allow(now time.Time, caller string) error {
-	ok, after := s.limits.allow(now, caller, s.daemons)
-	if ok {
-		return nil
-	}
-	return refuse(code.CallerLimit, after, "caller %q is over its limit", caller)
-}
-
 // retry takes a retry out of the budget.
 func (s *State) retry(now time.Time, attempt int) error {
 	if s.budget.take() {
@@ -328,8 +312,7 @@
 	s.renew(now, b.number)
 }
 
-// Receive takes what a peer told.
-func (s *State) Receive(now time.Time, daemon string, demand []member.ModelDemand, use []member.CallerUse) {
+// Receive takes the demand that a peer told.
+func (s *State) Receive(now time.Time, daemon string, demand []member.ModelDemand) {
 	s.demand.receive(now, daemon, demand)
-	s.limits.receive(now, daemon, use)
 }
--- a/limpetd/admit/ticket.go
+++ b/limpetd/admit/ticket.go
@@ -44,15 +44,13 @@
 	}
 }
 
-// AdmitService chooses a backend server for a call to a plain service. It never
-// blocks, but for the wait before a retry. It returns an error with code NoBackend
-// or RetryBudget and a retry-after.
+// AdmitService chooses a backend server for a call to a plain service. It waits
+// for a loan of the caller's limit and before a retry only. It returns an error
+// with code CallerLimit, NoBackend or RetryBudget and a retry-after.
 func (q *Queue) AdmitService(ctx context.Context, r ServiceRequest) (Ticket, error) {
-	if r.Attempt > 0 {
-		if err := q.waitForRetry(ctx, r.Attempt); err != nil {
-			q.refused(r.ID, "", err)
-			return nil, err
-		}
+	if err := q.mayStart(ctx, r); err != nil {
+		q.refused(r.ID, "", err)
+		return nil, err
 	}
 	choice, err := q.chooseServer(r, q.deps.VMs.VMs())
 	if err != nil {
@@ -62,17 +60,21 @@
 	return &serviceTicket{queue: q, choice: choice, pool: r.Pool}, nil
 }
 
-// chooseServer chooses a server; a first send is within the caller's limit.
+// mayStart waits until a call may be sent: a first send within the caller's limit,
+// a retry within the budget.
+func (q *Queue) mayStart(ctx context.Context, r ServiceRequest) error {
+	if r.Attempt > 0 {
+		return q.waitForRetry(ctx, r.Attempt)
+	}
+	return q.leave(ctx, r.Caller)
+}
+
+// chooseServer chooses a server.
 func (q *Queue) chooseServer(r ServiceRequest, vms []store.VM) (route.Choice, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
 	q.refresh(now)
-	if r.Attempt == 0 {
-		if err := q.state.allow(now, r.Caller); err != nil {
-			return route.Choice{}, err
-		}
-	}
 	choice, err := q.services.choose(now, r, vms)
 	if err == nil && r.Attempt == 0 {
 		q.state.earn(now)
--- a/limpetd/admit/window.go
+++ b/limpetd/admit/window.go
@@ -150,7 +150,5 @@
 // report of an engine.
 func (b *backend) fraction(e *route.Engine) float64 {
 	x := b.salt ^ uint64(e.Report.Sequence)*0x9e3779b97f4a7c15
-	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
-	x ^= x >> 32
-	return float64(x>>11) / (1 << 53)
+	return unit(mix(x))
 }
--- a/limpetd/member/share.go
+++ b/limpetd/member/share.go
@@ -1,6 +1,10 @@
 package member
 
-import "github.com/limpetlb/limpetlb/limpetd/engine"
+import (
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+)
 
 // Share is what a daemon tells its peers besides its own state. It is bounded:
 // the member duty cuts it to its byte budget, the newest first.
@@ -25,6 +29,14 @@
 	Queued int
 }
 
+// Loan is the answer of a daemon that keeps the limit of a caller.
+type Loan struct {
+	// Granted is the number of requests that may be taken, soon.
+	Granted int
+	// After is the time after which to ask again, if Granted is 0.
+	After time.Duration
+}
+
 // CallerUse is the recent rate of a caller's requests at one daemon.
 type CallerUse struct {
 	Caller    string
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -197,7 +197,7 @@
 		Documents: n.docs, Placing: n.shares, Placed: n.peers, Resident: n.watch, Log: log, Scope: metric,
 	})
 	n.queue = admit.New(ctx, admit.Config{VM: c.VM, DataCentre: c.DataCentre}, admit.Deps{
-		Documents: n.docs, Views: n.watch, Peers: n.members, VMs: n.members, Seeker: n.reach,
+		Documents: n.docs, Views: n.watch, Peers: n.members, VMs: n.members, Seeker: n.reach, Lenders: lenders{n},
 		Log: log, Events: events, Scope: metric,
 	})
 	n.relay = relay.New(relay.Deps{
--- a/limpetd/node/peers.go
+++ b/limpetd/node/peers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 
+	"github.com/limpetlb/limpetlb/limpetd/admit"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
 	"github.com/limpetlb/limpetlb/limpetd/peer"
 )
@@ -36,6 +38,42 @@
 	return order.SentAnswer{Instance: a.Instance, State: order.SentState(a.State)}, err
 }
 
+// lenders reaches the daemons that keep the limits of callers.
+type lenders struct {
+	*Node
+}
+
+var _ admit.LenderProvider = lenders{}
+
+// Lenders returns the VMs of the daemons that keep limits. Those that are not
+// heard are left out by more than half of the daemons only, since the others
+// cannot know that they do not lend.
+func (l lenders) Lenders() (vms []string, most bool) {
+	heard, all := []string{l.config.VM}, []string{l.config.VM}
+	for _, p := range l.members.Peers() {
+		if p.Instance == "" || p.Leaving {
+			continue
+		}
+		all = append(all, p.VM)
+		if !p.Suspect {
+			heard = append(heard, p.VM)
+		}
+	}
+	if 2*len(heard) > len(all) {
+		return heard, true
+	}
+	return all, false
+}
+
+// Borrow asks a daemon for requests of a caller.
+func (l lenders) Borrow(ctx context.Context, vm, caller string, want int) (member.Loan, error) {
+	address, err := l.peerAddress(vm)
+	if err != nil {
+		return member.Loan{}, err
+	}
+	return l.peers.Borrow(ctx, address, caller, want)
+}
+
 // answerer answers the questions of peers.
 type answerer struct {
 	*Node
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -68,7 +68,7 @@
 func (n *Node) serve(ctx context.Context) {
 	n.peerServer = peer.NewServer(ctx, n.peerConfig(), n.listeners.peer, peer.ServerDeps{
 		TLS: n.peerKeys.PeerServer(), Members: n.members, Documents: n.docs, Sent: answerer{n}, Line: n.line, Holders: n.reach,
-		Placed: n.reach, Claims: n.claims, Drain: answerer{n}, Log: n.log, Events: n.line, Scope: n.metrics.scope,
+		Placed: n.reach, Claims: n.claims, Loans: n.queue, Drain: answerer{n}, Log: n.log, Events: n.line, Scope: n.metrics.scope,
 	})
 	callers := n.gate.Server()
 	callers.TLSConfig = n.callerKeys.Server()
--- a/limpetd/node/shares.go
+++ b/limpetd/node/shares.go
@@ -44,7 +44,7 @@
 	if !ok {
 		return member.Share{}
 	}
-	return member.Share{Loads: w.Loads(), Demand: q.Demand(), Use: q.Use()}
+	return member.Share{Loads: w.Loads(), Demand: q.Demand()}
 }
 
 // Receive takes what a peer told.
@@ -54,7 +54,7 @@
 		return
 	}
 	w.Receive(daemon, share.Loads)
-	q.Receive(daemon, share.Demand, share.Use)
+	q.Receive(daemon, share.Demand)
 }
 
 // Demand returns the demand of this data centre.
--- a/limpetd/peer/server.go
+++ b/limpetd/peer/server.go
@@ -80,6 +80,11 @@
 	Gather(ctx context.Context, w claim.Write) (claim.Answer, error)
 }
 
+// LoanProvider lends requests of the callers whose limits it keeps.
+type LoanProvider interface {
+	Lend(caller string, want int) (member.Loan, error)
+}
+
 // EventProvider selects events of the time line. It is implemented by event.Line.
 type EventProvider interface {
 	Select(f event.Filter) []event.Event
@@ -107,6 +112,7 @@
 	Holders   HolderProvider
 	Placed    PlacedProvider
 	Claims    ClaimGatherer
+	Loans     LoanProvider
 	Line      EventProvider
 	Drain     DrainHandler
 	Log       *zap.Logger
--- a/limpetlab/matrix/peers.go
+++ b/limpetlab/matrix/peers.go
@@ -109,7 +109,7 @@
 	for !p.d.dead() {
 		for _, o := range p.reachable() {
 			o.watch.Receive(p.d.vm, p.d.watch.Loads())
-			o.queue.Receive(p.d.vm, p.d.queue.Demand(), p.d.queue.Use())
+			o.queue.Receive(p.d.vm, p.d.queue.Demand())
 		}
 		sleep(p.d.ctx, sharePeriod)
 	}
