fleet: Set how long batches are kept

Cause: since a daemon refuses to start with a batch-keep below an hour, and the fleet of the test bed sets none, so every test and demo with whole daemons failed at the first start ("--batch-keep is 0s").

Change: the fleet keeps them for the least time allowed.

`go test ./limpetlab/fleet -run 'Elsewhere|TestLeaving'`: failed at once before, passes in 79 s after, with 66 daemons of which one reads each engine.

--- a/limpetlab/fleet/fleet.go
+++ b/limpetlab/fleet/fleet.go
@@ -175,6 +175,7 @@
 		LeaseTerm:       leaseTerm,
 		PlanPeriod:      planPeriod,
 		DrainTimeout:    drainTimeout,
+		BatchKeep:       conf.MinBatchKeep,
 		MaxBody:         maxBodyBytes,
 		BodyTimeout:     bodyTimeout,
 		EventCapacity:   eventCapacity,
