--- a/limpet/cmds/show.go
+++ b/limpet/cmds/show.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -40,7 +41,7 @@
 		s.Environment, s.Stage, s.Revision, s.Daemon, s.DataCentre, orNone(s.LeaseHolder), s.Fence, s.Inflight)
 	err = d.table("DAEMON\tDATA CENTRE\tREVISION\tLEVEL\tSTATE\tREASONS", func(w io.Writer) {
 		for _, m := range s.Daemons {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", m.VM, m.DataCentre, m.Revision, m.Level, daemonState(m.Ready, m.Leaving), strings.Join(m.Reasons, ", "))
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", m.VM, m.DataCentre, m.Revision, m.Level, daemonState(m), strings.Join(m.Reasons, ", "))
 		}
 	})
 	if err != nil {
@@ -61,11 +62,15 @@
 	return s
 }
 
-func daemonState(ready, leaving bool) string {
+// daemonState returns the state of a daemon. That of one which was not heard
+// lately is old news.
+func daemonState(m admin.Daemon) string {
 	switch {
-	case leaving:
+	case slices.Contains(m.Reasons, code.PeerDown.Info().Name):
+		return "silent"
+	case m.Leaving:
 		return "leaving"
-	case ready:
+	case m.Ready:
 		return "ready"
 	default:
 		return "unready"
--- a/limpetd/event/event.go
+++ b/limpetd/event/event.go
@@ -67,7 +67,7 @@
 	BatchEnded      Kind = "batch_ended"
 	MemberJoined    Kind = "member_joined"
 	MemberLeaving   Kind = "member_leaving"
-	MemberGone      Kind = "member_gone"
+	MemberSilent    Kind = "member_silent"
 	OperatorCall    Kind = "operator_call"
 )
 
--- a/limpetd/member/duty.go
+++ b/limpetd/member/duty.go
@@ -62,8 +62,9 @@
 			u.view.heard[d.VM] = now
 		}
 	}
-	if u.view.suspectSilent(now, near, u.period) {
+	for _, vm := range u.view.suspectSilent(now, near, u.period) {
 		u.deps.Scope.Counter("member_suspected").Inc(1)
+		u.record(event.MemberSilent, vm)
 		u.nudge()
 	}
 	u.view.forget(now)
--- a/limpetd/member/view.go
+++ b/limpetd/member/view.go
@@ -234,9 +234,10 @@
 	return vm != v.self.VM && now.Sub(since) >= least && v.read.Sub(since) >= least
 }
 
-// suspectSilent suspects near daemons that were not heard.
-func (v *view) suspectSilent(now time.Time, near []Daemon, period time.Duration) bool {
-	found := false
+// suspectSilent suspects near daemons that were not heard, and returns the VMs
+// of those that were not suspected before.
+func (v *view) suspectSilent(now time.Time, near []Daemon, period time.Duration) []string {
+	var found []string
 	silent := max(SilentAfter, 3*period*time.Duration(turnsOf(len(near))))
 	for _, d := range near {
 		if _, ok := v.heard[d.VM]; !ok {
@@ -246,7 +247,9 @@
 			continue
 		}
 		d.Suspect = true
-		found = v.note(d) || found
+		if v.note(d) {
+			found = append(found, d.VM)
+		}
 	}
 	return found
 }
--- a/limpetd/node/leave.go
+++ b/limpetd/node/leave.go
@@ -9,7 +9,6 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/batch"
 	"github.com/limpetlb/limpetlb/limpetd/claim"
-	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/gate"
 	"github.com/limpetlb/limpetlb/limpetd/member"
 	"github.com/limpetlb/limpetlb/limpetd/order"
@@ -63,7 +62,6 @@
 func (n *Node) Leave(ctx context.Context) error {
 	n.askToLeave()
 	began := time.Now()
-	n.line.Add(event.Event{Kind: event.DaemonLeaving, VM: n.config.VM})
 	d := departure{
 		gate: n.gate, members: n.members, batches: n.batches, orders: n.orders, claims: n.claims,
 		longest: n.config.DrainTimeout, log: n.log,
