relay: Do not charge a send that reached no engine

Cause of the known red TestModelsElsewhereAnswerInALargeFleet: the first attempt of the first request ended with "not reached: dial tcp 127.0.0.1:43417: i/o timeout": on a machine too busy to connect within 1 s no connection was made (caught with a print in a scratch build, race detector, load of 32). It was known not to have run. The second attempt needs a whole retry; the budget had 0.1. With one engine that holds the model the second attempt would not have had an engine either, since one that failed is excluded.

Ruled out: a refusal of the engine (slot not loaded), a lost answer.

Change: an attempt for which no connection was made is no send: the next one takes its place in the budget, and its engine is not excluded. It is bounded by three attempts a call, the random wait and the ejection.

TestSendThatReachedNoEngineIsNotCharged and TestEngineThatWasNotReachedIsTriedAgain fail before.

--- a/limpetd/admit/request.go
+++ b/limpetd/admit/request.go
@@ -19,6 +19,9 @@
 	// Attempt counts the sends before this one; above 0 the admission takes
 	// from the retry budget.
 	Attempt int
+	// Unreached tells that no connection was made for the send before this one,
+	// which then takes its place in the budget.
+	Unreached bool
 	// MaxTokens is the number of generated tokens asked for, for the demand.
 	MaxTokens int
 	Route     route.Request
--- a/limpetd/admit/retry_test.go
+++ b/limpetd/admit/retry_test.go
@@ -51,3 +51,20 @@
 		require.Greater(t, long, 180)
 	}
 }
+
+// TestSendThatReachedNoEngineIsNotCharged fails a call at the empty budget of a
+// daemon that has just begun.
+func TestSendThatReachedNoEngineIsNotCharged(t *testing.T) {
+	s := newTestState(1, 100)
+	c := s.Offer(testTime, request(testTime, "live", 0, time.Minute))
+	require.True(t, c.Granted())
+	s.Release(testTime, c, OutcomeFailed)
+	again := retry(request(testTime, "live", 0, time.Minute), 1)
+	require.Equal(t, code.RetryBudget, code.Of(s.Offer(testTime, again).Err))
+	again.Unreached = true
+	c = s.Offer(testTime, again)
+	require.False(t, c.Granted(), "a retry waits a random time")
+	require.NoError(t, c.Err)
+	require.Equal(t, []*Call{c}, s.Step(testTime.Add(retryBase)))
+	require.True(t, c.Granted(), "the only engine is tried again")
+}
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -172,9 +172,11 @@
 
 // offerRetry takes a call that was sent before.
 func (s *State) offerRetry(now time.Time, c *Call) {
-	if err := s.retry(now, c.Request.Attempt); err != nil {
-		c.status, c.Err = statusRefused, err
-		return
+	if !c.Request.Unreached {
+		if err := s.retry(now, c.Request.Attempt); err != nil {
+			c.status, c.Err = statusRefused, err
+			return
+		}
 	}
 	c.notBefore = now.Add(retryWait(c.Request.Attempt, s.random))
 	s.classify(c)
--- a/limpetd/engine/client.go
+++ b/limpetd/engine/client.go
@@ -201,7 +201,7 @@
 	if connected {
 		return code.Errorf(code.BackendLost, "no answer: %w", err)
 	}
-	return code.Errorf(code.BackendFailed, "not reached: %w", err)
+	return code.Errorf(code.BackendFailed, "not reached: %w", &unreached{err})
 }
 
 // refusal is the error of an answer that refuses. An engine that refuses with
--- a/limpetd/relay/generate.go
+++ b/limpetd/relay/generate.go
@@ -32,6 +32,8 @@
 	// engine has sent a frame.
 	sent     bool
 	answered bool
+	// unreached tells that no connection was made for the last attempt.
+	unreached bool
 	// cause is the last failure.
 	cause error
 }
@@ -71,6 +73,7 @@
 func (g *generation) admission() admit.Request {
 	a := g.call.Admission
 	a.Attempt = g.attempts
+	a.Unreached = g.unreached
 	a.Route.PromptTokens += g.progress.offset
 	if g.attempts > 0 && !a.Route.Expected.IsZero() {
 		a.Route.Expected = a.Route.Expected.Add(time.Since(g.arrived))
@@ -105,6 +108,7 @@
 	if how == failedCaller {
 		outcome = admit.OutcomeGone
 	}
+	g.unreached = engine.Unreached(err)
 	g.leave(choice)
 	return "", decide(facts{failure: how, resumes: maxResumes, attempts: g.attempts}), err
 }
@@ -124,11 +128,14 @@
 	}
 }
 
-// leave keeps later attempts away from an engine, and on the version that the
-// answer began with.
+// leave keeps later attempts away from an engine that was reached, and on the
+// version that the answer began with. One that was not may be the only engine; the
+// admission prefers others to it.
 func (g *generation) leave(c route.Choice) {
 	q := &g.call.Admission.Route
-	q.Exclude = append(slices.Clip(q.Exclude), c.VM)
+	if !g.unreached {
+		q.Exclude = append(slices.Clip(q.Exclude), c.VM)
+	}
 	if g.progress.offset > 0 {
 		q.Pinned = true
 		q.Version = c.Slot.Version
--- a/limpetd/relay/progress.go
+++ b/limpetd/relay/progress.go
@@ -71,7 +71,8 @@
 type failure int
 
 const (
-	// failedBeforeSend: no byte can have reached the engine.
+	// failedBeforeSend: the engine was not reached or refused; it does not have
+	// the attempt.
 	failedBeforeSend failure = iota
 	// failedStream: the connection broke or lost frames; the engine may still
 	// have the attempt.
--- a/limpetd/relay/relay_test.go
+++ b/limpetd/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -169,6 +170,27 @@
 	}
 }
 
+// TestEngineThatWasNotReachedIsTriedAgain lets the only engine be reached by the
+// last attempt only.
+func TestEngineThatWasNotReachedIsTriedAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	_, unreached := engine.NewClient().Generate(t.Context(), l.Addr().String(), engine.Request{})
+	require.True(t, engine.Unreached(unreached))
+	for refusals, want := range map[int]code.Code{maxAttempts - 1: code.OK, maxAttempts: code.BackendFailed} {
+		engines := &fakes.Engines{Tokens: tokens, Script: script(slices.Repeat([]mutation{refuse(0)}, refusals)...), Refusal: unreached}
+		admitter := &fakes.Admitter{VMs: []string{"e1"}}
+		var whole Whole
+		err = New(Deps{Generator: engines, Admitter: admitter}).Answer(t.Context(), call(), &whole)
+		require.Equal(t, want, code.Of(err))
+		require.Len(t, engines.Requests(), maxAttempts)
+		if err != nil {
+			require.Equal(t, code.RunNo, code.RunOf(err))
+		}
+	}
+}
+
 func TestStalledStreamIsResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engines := &fakes.Engines{Tokens: tokens, Script: script(cut(3)), Block: true}
