place: Let go one of two old versions on an engine

Cause: an old replica counted as needed while its engine alone holds an adapter, even where another version of the model stays beside that.

Ruled out: grants and orders (one grant a row, no charge unresolved).

Change: a replica beside another version of its model can go. A model's own old replica may again make room for its declared version.

--- a/limpetd/place/full_test.go
+++ b/limpetd/place/full_test.go
@@ -55,3 +55,19 @@
 	}
 	require.ElementsMatch(t, []string{"a/a-1@1", "b/b-1@1"}, loads, "the changed version waits until it leaves room")
 }
+
+// TestOldVersionsMakeRoom: two old versions of a model share an engine with its
+// only adapter. One of them goes for the declared version.
+func TestOldVersionsMakeRoom(t *testing.T) {
+	f := small(1, 6, 2)
+	m := &f.Document.Models[0]
+	m.Version = "3"
+	charged := func(s envdoc.Slot, mb int64) Slot { return Slot{Slot: s, MemoryMB: mb, State: Resident} }
+	f.Engines[0].Slots = []Slot{
+		charged(envdoc.Slot{Model: "m0", Version: "1"}, 2), charged(envdoc.Slot{Model: "m0", Version: "2"}, 2),
+		charged(envdoc.Slot{Model: "m0", Adapter: "a0", Version: "1"}, 1),
+	}
+	settle(t, NewPlanner(), &f)
+	require.Equal(t, 1, resident(f, envdoc.Slot{Model: "m0", Version: "3"}), "%+v", f.Engines[0].Slots)
+	require.Len(t, f.Engines[0].Slots, 2, "the declared version and its adapter")
+}
--- a/limpetd/place/room.go
+++ b/limpetd/place/room.go
@@ -127,8 +127,8 @@
 	return best
 }
 
-// victimsOn returns surplus replicas of others than k that free enough memory on an
-// engine.
+// victimsOn returns surplus replicas that free enough memory on an engine, none of k
+// where an adapter of k needs room beside it.
 func (s *stage) victimsOn(engine, k int, shortMB int64, allowed func(h holder, victim int) bool) *victims {
 	v := &victims{engine: engine}
 	candidates := slices.Clone(s.engines[engine].models)
@@ -141,7 +141,8 @@
 		}
 		s.steps++
 		h, ok := s.spare(c, engine)
-		if !ok || c == k || !allowed(h, c) {
+		beside := c == k && occupied(s.views[k].current, engine)
+		if !ok || beside || !allowed(h, c) {
 			continue
 		}
 		v.models = append(v.models, c)
@@ -172,7 +173,7 @@
 	current := count(mv.current, Resident)
 	if h, ok := on(mv.old, engine); ok && h.state == Resident {
 		others := current + count(mv.old, Resident) - 1
-		return h, others >= 1 && s.adaptersElsewhere(k, engine)
+		return h, others >= 1 && (s.accompanied(k, h) || s.adaptersElsewhere(k, engine))
 	}
 	h, ok := on(mv.current, engine)
 	if !ok || h.state != Resident || current <= s.minLocal(k) {
@@ -181,6 +182,15 @@
 	return h, s.adaptersElsewhere(k, engine)
 }
 
+// accompanied tells whether another version of a model stays resident beside a
+// replica, so that its adapters stay, too.
+func (s *stage) accompanied(k int, h holder) bool {
+	mv := &s.views[k]
+	return slices.ContainsFunc(append(slices.Clone(mv.current), mv.old...), func(o holder) bool {
+		return o.engine == h.engine && o.slot != h.slot && o.state == Resident
+	})
+}
+
 // adaptersElsewhere tells whether every adapter that the engine holds is
 // resident on another engine beside the model.
 func (s *stage) adaptersElsewhere(k, engine int) bool {
