order: Unload without a silent daemon what it cannot load

Cause: an unload asked about all older grants of its row, so that one daemon that neither answers nor leaves the VM list held up every unload of an engine.

Ruled out: a fail-safe by clock in the daemon (a pause between looking and sending), fences (lost by a restart), memory kept free instead of the charge (the same memory). So what it may have loaded itself still waits for it.

Change: a charge names the grant since which loads of it may be sent; older ones don't hold its unload. After 10 s without an answer rows get a grant without the daemon. The status names whom an unload waits for.

Conclusion: bounded to the slots charged while a grant named the daemon.

--- a/limpetd/ledger/ledger_test.go
+++ b/limpetd/ledger/ledger_test.go
@@ -70,6 +70,40 @@
 	require.Zero(t, r.Committed())
 }
 
+// TestUnloadWaitsSinceCharge requires that grants from before a slot was charged
+// don't hold its unload up, and that removed grants don't change that.
+func TestUnloadWaitsSinceCharge(t *testing.T) {
+	at := time.Unix(1, 0)
+	ids := func(r Row, n int) string {
+		list := ""
+		for _, g := range r.Older(slot(n)) {
+			list += g.ID
+		}
+		return list
+	}
+	r := Row{Engine: "e", MemoryMB: 100}
+	for i, grant := range []string{"a", "b"} {
+		var err error
+		r, err = r.AddGrant(Grant{ID: grant}).Charge(slot(i+1), 10, "load", at)
+		require.NoError(t, err)
+	}
+	for i, grant := range []string{"c", "d"} {
+		var err error
+		r, err = r.BeginUnload(slot(i+1), "unload", Grant{ID: grant}, at)
+		require.NoError(t, err)
+	}
+	require.Equal(t, "ab", ids(r, 1))
+	require.Equal(t, "bc", ids(r, 2))
+	dropped := r.DropGrants(func(g Grant) bool { return g.ID == "b" })
+	require.Equal(t, "a", ids(dropped, 1))
+	require.Equal(t, "c", ids(dropped, 2))
+	back, err := r.CancelUnload(slot(2), "load", at)
+	require.NoError(t, err)
+	back, err = back.BeginUnload(slot(2), "unload", Grant{ID: "e"}, at)
+	require.NoError(t, err)
+	require.Equal(t, "bcd", ids(back, 2))
+}
+
 func TestGate(t *testing.T) {
 	start := time.Unix(1000, 0)
 	g := NewGate(10*time.Second, start)
--- a/limpetd/ledger/row.go
+++ b/limpetd/ledger/row.go
@@ -69,6 +69,9 @@
 	// Grant is the grant written with the unload; those before it in the row
 	// have to be void before the unload is sent.
 	Grant string `msgpack:"grant,omitempty"`
+	// Since is the first grant under which a load of the slot may have been sent;
+	// empty means any of the row.
+	Since string `msgpack:"since,omitempty"`
 	// At is when the phase began, in milliseconds since 1970.
 	At int64 `msgpack:"at"`
 }
@@ -194,7 +197,7 @@
 		return r, code.Errorf(code.OrderRefused, "%s is charged on engine %s", slot, r.Engine)
 	}
 	r = r.clone()
-	r.Charges = append(r.Charges, Charge{Slot: slot, MemoryMB: memoryMB, Phase: PhaseCharged, Order: order, At: at.UnixMilli()})
+	r.Charges = append(r.Charges, Charge{Slot: slot, MemoryMB: memoryMB, Phase: PhaseCharged, Order: order, Since: r.Current().ID, At: at.UnixMilli()})
 	return r, nil
 }
 
@@ -248,12 +251,14 @@
 	}
 	r = r.clone()
 	c := r.Charges[i]
-	r.Charges[i] = Charge{Slot: slot, MemoryMB: c.MemoryMB, Phase: PhaseCharged, Order: load, At: at.UnixMilli()}
+	r.Charges[i] = Charge{Slot: slot, MemoryMB: c.MemoryMB, Phase: PhaseCharged, Order: load, Since: c.Since, At: at.UnixMilli()}
 	return r, nil
 }
 
 // Older returns the grants that have to be void before the unload of a slot is
-// sent: all that were written before it.
+// sent: those written before it since the slot was charged. A daemon sends loads
+// only of slots that a row charges whose current grant names it, so that earlier
+// grants let no load of the slot out.
 func (r Row) Older(slot envdoc.Slot) []Grant {
 	c, ok := r.Find(slot)
 	if !ok || c.Phase != PhaseUnloading {
@@ -263,7 +268,8 @@
 	if at < 0 {
 		return r.Grants
 	}
-	return r.Grants[:at]
+	since := slices.IndexFunc(r.Grants[:at+1], func(g Grant) bool { return g.ID == c.Since })
+	return r.Grants[max(0, since):at]
 }
 
 // Withdraw takes a daemon out of the grants that void tells are void for it.
@@ -289,13 +295,30 @@
 }
 
 // DropGrants removes grants that are void. The current grant stays, and those
-// that an unload refers to.
+// that an unload refers to. What was charged since a removed one then is charged
+// since the next.
 func (r Row) DropGrants(void func(g Grant) bool) Row {
-	current := r.Current().ID
 	r = r.clone()
-	r.Grants = slices.DeleteFunc(r.Grants, func(g Grant) bool {
-		return g.ID != current && !r.refers(g.ID) && void(g)
-	})
+	var kept []Grant
+	next := map[string]string{}
+	var dropped []string
+	for i, g := range r.Grants {
+		if i < len(r.Grants)-1 && !r.refers(g.ID) && void(g) {
+			dropped = append(dropped, g.ID)
+			continue
+		}
+		kept = append(kept, g)
+		for _, id := range dropped {
+			next[id] = g.ID
+		}
+		dropped = nil
+	}
+	r.Grants = kept
+	for i := range r.Charges {
+		if id, ok := next[r.Charges[i].Since]; ok {
+			r.Charges[i].Since = id
+		}
+	}
 	return r
 }
 
--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -32,6 +32,7 @@
 func (l *loop) dispatch(ctx context.Context, hold lease.Hold, mine bool, now time.Time) {
 	if mine {
 		l.roles(ctx, hold, now)
+		l.clearGrants(ctx, now)
 	}
 	for _, p := range l.pending(now) {
 		a := l.attempt(slotKey{p.known.vm.ID, p.charge.Slot})
@@ -72,6 +73,20 @@
 	}
 }
 
+// clearGrants asks about the older grants of rows that have too many for another
+// unload.
+func (l *loop) clearGrants(ctx context.Context, now time.Time) {
+	for _, vm := range l.books.engines() {
+		b := l.books.copies[vm]
+		if b.fault != nil || b.doubtful || len(b.row.Grants) <= grantLimit {
+			continue
+		}
+		for _, g := range b.row.Grants[:len(b.row.Grants)-1] {
+			l.void(ctx, g, now)
+		}
+	}
+}
+
 // pending lists the charges of usable engines that wait for an order, in the
 // order in which they were made.
 func (l *loop) pending(now time.Time) []pending {
--- a/limpetd/order/draft.go
+++ b/limpetd/order/draft.go
@@ -73,10 +73,11 @@
 	return g
 }
 
-// restorersBeside chooses the daemons that may restore an engine besides this one.
+// restorersBeside chooses the daemons that may restore an engine besides this one,
+// of those that answer.
 func (l *loop) restorersBeside(vm string) []string {
-	own := func(o string) bool { return o == l.duty.config.VM }
-	chosen := slices.DeleteFunc(l.restorers(vm, restorers+1), own)
+	unfit := func(o string) bool { return o == l.duty.config.VM || !l.answers(o, time.Now()) }
+	chosen := slices.DeleteFunc(l.restorers(vm, restorers+1+len(l.silent)), unfit)
 	return chosen[:min(restorers, len(chosen))]
 }
 
@@ -110,11 +111,21 @@
 	return r.AddGrant(d.fresh(r.Engine))
 }
 
-// grant lets this daemon send what rows left open by another one wait for.
+// grant lets this daemon send what rows left open by another one wait for. A
+// current grant that names a silent daemon is followed by one that does not, so that
+// unloads of what is charged from then on don't wait for it.
 func (d *draft) grant() {
 	for _, vm := range d.loop.books.engines() {
 		r, ok := d.row(vm)
-		if !ok || !d.loop.unfinished(r, d.now) {
+		if !ok {
+			continue
+		}
+		unanswered := func(o string) bool { return o != d.loop.duty.config.VM && !d.loop.answers(o, d.now) }
+		if slices.ContainsFunc(r.Current().Senders, unanswered) {
+			d.rows[vm] = r.AddGrant(d.fresh(vm))
+			continue
+		}
+		if !d.loop.unfinished(r, d.now) {
 			continue
 		}
 		if a := d.allowed(r); a.Current().ID != r.Current().ID {
@@ -201,6 +212,7 @@
 	if m.Kind == place.Load {
 		r, err = d.allowed(r).Charge(m.Slot, m.MemoryMB, newID(), d.now)
 	} else {
+		r = r.DropGrants(func(g ledger.Grant) bool { return d.loop.knownVoid(g, d.now) })
 		if len(r.Grants) > grantLimit {
 			return
 		}
--- a/limpetd/order/loop.go
+++ b/limpetd/order/loop.go
@@ -32,9 +32,11 @@
 	known map[string]*knowledge
 	vms   []store.VM
 	// missing is since when a sender or engine is not in the VM list.
-	missing    map[string]time.Time
-	attempts   map[slotKey]*attempt
-	inquiries  map[question]*inquiry
+	missing   map[string]time.Time
+	attempts  map[slotKey]*attempt
+	inquiries map[question]*inquiry
+	// silent is since when daemons leave questions without an answer.
+	silent     map[string]time.Time
 	cancels    map[slotKey]bool
 	refuses    map[slotKey]time.Time
 	start      time.Time
@@ -63,6 +65,7 @@
 		missing:   map[string]time.Time{},
 		attempts:  map[slotKey]*attempt{},
 		inquiries: map[question]*inquiry{},
+		silent:    map[string]time.Time{},
 		cancels:   map[slotKey]bool{},
 		refuses:   map[slotKey]time.Time{},
 		shares:    newShares(d.deps.Table, c.Environment, c.DataCentre),
@@ -342,7 +345,11 @@
 	}
 	for _, c := range b.row.Charges {
 		if c.Phase == ledger.PhaseUnloading || k == nil || !k.resident(c.Slot, time.Now()) {
-			s.Unresolved = append(s.Unresolved, string(c.Phase)+" "+c.Slot.String())
+			what := string(c.Phase) + " " + c.Slot.String()
+			if vms := l.awaited(b.row, c); c.Phase == ledger.PhaseUnloading && len(vms) > 0 {
+				what += ", waits for " + strings.Join(vms, ", ")
+			}
+			s.Unresolved = append(s.Unresolved, what)
 		}
 	}
 	return s
--- a/limpetd/order/prune.go
+++ b/limpetd/order/prune.go
@@ -35,6 +35,11 @@
 			delete(l.inquiries, q)
 		}
 	}
+	for vm := range l.silent {
+		if !l.asks(vm) {
+			delete(l.silent, vm)
+		}
+	}
 	for key, until := range l.refuses {
 		if now.After(until) {
 			delete(l.refuses, key)
--- a/limpetd/order/question.go
+++ b/limpetd/order/question.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/ledger"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
-// questionPause is the time between questions to a daemon about a grant.
-const questionPause = 500 * time.Millisecond
+const (
+	// questionPause is the time between questions to a daemon about a grant.
+	questionPause = 500 * time.Millisecond
+	// silentTime is how long a daemon may leave questions without an answer
+	// before new grants leave it out.
+	silentTime = 10 * time.Second
+)
 
 // question asks whether what a daemon sent under a grant is settled.
 type question struct {
@@ -65,7 +71,7 @@
 		call, cancel := context.WithTimeout(ctx, store.CallTimeout)
 		defer cancel()
 		answer, err := d.deps.Sent.Sent(call, q.vm, q.grant)
-		d.results <- result{question: &q, settled: err == nil && answer.State == SentNever}
+		d.results <- result{question: &q, settled: err == nil && answer.State == SentNever, err: err}
 		d.wake()
 		return nil
 	})
@@ -77,6 +83,44 @@
 	i.running = false
 	i.settled = r.settled
 	i.next = now.Add(questionPause)
+	if r.err == nil {
+		delete(l.silent, r.question.vm)
+		return
+	}
+	if _, noted := l.silent[r.question.vm]; !noted {
+		l.silent[r.question.vm] = now
+	}
+}
+
+// answers tells whether a daemon has not left questions without an answer for
+// long.
+func (l *loop) answers(vm string, now time.Time) bool {
+	since, silent := l.silent[vm]
+	return !silent || now.Sub(since) < silentTime
+}
+
+// asks tells whether a daemon is still asked about a grant.
+func (l *loop) asks(vm string) bool {
+	for q, i := range l.inquiries {
+		if q.vm == vm && !i.settled {
+			return true
+		}
+	}
+	return false
+}
+
+// awaited lists the silent daemons for which the unload of a slot waits.
+func (l *loop) awaited(row ledger.Row, c ledger.Charge) []string {
+	var vms []string
+	for _, g := range row.Older(c.Slot) {
+		for _, vm := range g.Senders {
+			i := l.inquiries[question{g.ID, vm}]
+			if _, silent := l.silent[vm]; silent && i != nil && !i.settled && !slices.Contains(vms, vm) {
+				vms = append(vms, vm)
+			}
+		}
+	}
+	return vms
 }
 
 // gone tells whether a VM has been gone long enough that nothing of it can arrive
