gate: Refuse a long header with a code

Cause: a header beyond 32 KB (and 4 KB that net/http allows) got the plain 431 of net/http, without code, request id or event.

Change: the gate checks the header before the key and answers with header_too_large (1111); the server itself reads twice the limit.

go test -race -cpu 1 ./limpetd/gate: ok; the three new cases fail before.

--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -50,6 +50,7 @@
 	BadParameter    Code = 1108
 	BadContentType  Code = 1109
 	UnknownPriority Code = 1110
+	HeaderTooLarge  Code = 1111
 )
 
 // Codes of admission and routing.
@@ -156,6 +157,7 @@
 	{BadParameter, "bad_parameter", http.StatusBadRequest, RunNo, "A parameter is outside its range.", "Correct the parameter that the message names."},
 	{BadContentType, "bad_content_type", http.StatusUnsupportedMediaType, RunNo, "The content type is not accepted.", "Send application/json."},
 	{UnknownPriority, "unknown_priority", http.StatusBadRequest, RunNo, "The document declares no such priority.", "Use a declared priority."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNo, "The header exceeds the limit.", "Send a shorter header."},
 
 	{CallerLimit, "caller_limit", http.StatusTooManyRequests, RunNo, "The caller is over its limit.", "Wait for the time in Retry-After."},
 	{QueueFull, "queue_full", http.StatusTooManyRequests, RunNo, "The queue of this priority is full.", "Wait for the time in Retry-After."},
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -74,6 +74,18 @@
 	})
 }
 
+// headerBytes returns the length of the header as HTTP/1.1 writes it.
+func headerBytes(r *http.Request) int {
+	const between, host = len(": \r\n"), len("Host: \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len(r.Host) + host
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + between
+		}
+	}
+	return n
+}
+
 // newID returns a request id.
 func newID() string {
 	var b [16]byte
@@ -87,6 +99,10 @@
 
 // admit finds the caller. New work is refused while the daemon leaves.
 func (x *exchange) admit() error {
+	if n, limit := headerBytes(x.request), x.gate.config.MaxHeaderBytes; n > limit {
+		x.writer.Header().Set("Connection", "close")
+		return code.Errorf(code.HeaderTooLarge, "the header has %d bytes, %d are allowed", n, limit)
+	}
 	if x.gate.leaving.Load() {
 		x.writer.Header().Set("Connection", "close")
 		return code.Errorf(code.Stopping, "the daemon is leaving")
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -47,6 +47,10 @@
 	DefaultAnswerTime     = 15 * time.Minute
 )
 
+// headerMargin is how many times MaxHeaderBytes a header may have for its refusal
+// to carry a code. The server answers longer ones itself, with a plain status 431.
+const headerMargin = 2
+
 // Config holds the limits of the callers' interface.
 type Config struct {
 	// MaxHeaderBytes bounds the header of a request.
@@ -196,7 +200,7 @@
 func (g *Gate) Server() *http.Server {
 	return &http.Server{
 		Handler:           g.mux,
-		MaxHeaderBytes:    g.config.MaxHeaderBytes,
+		MaxHeaderBytes:    headerMargin * g.config.MaxHeaderBytes,
 		ReadHeaderTimeout: g.config.HeaderTime,
 		IdleTimeout:       g.config.IdleTime,
 		ErrorLog:          zap.NewStdLog(g.deps.Log),
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -195,6 +195,9 @@
 		{"model of others", "POST", batch.PathCompletion, `{"model":"hidden","prompt":"p"}`, nil, code.Forbidden},
 		{"wrong key", "POST", batch.PathChat, chatBody, []string{"Authorization", "Bearer z"}, code.BadKey},
 		{"no key", "POST", batch.PathChat, chatBody, []string{"Authorization", ""}, code.BadKey},
+		{"oversized header", "POST", batch.PathChat, chatBody, []string{"X-Long", strings.Repeat("x", DefaultMaxHeaderBytes)}, code.HeaderTooLarge},
+		{"oversized header without a key", "GET", "/v1/models", "", []string{"Authorization", strings.Repeat("x", DefaultMaxHeaderBytes)}, code.HeaderTooLarge},
+		{"oversized URL", "GET", "/v1/models?" + strings.Repeat("x", DefaultMaxHeaderBytes), "", nil, code.HeaderTooLarge},
 		{"oversized body", "POST", batch.PathChat, long, nil, code.BodyTooLarge},
 		{"content type", "POST", batch.PathChat, chatBody, []string{"Content-Type", "text/plain"}, code.BadContentType},
 		{"unknown priority", "POST", batch.PathChat, chatBody, []string{headerPriority, "z"}, code.UnknownPriority},
@@ -226,6 +229,17 @@
 	require.Empty(t, b.engines.Requests(), "a refused request reached an engine")
 }
 
+// TestHeaderFarBeyondTheLimitIsNotRead sends a header that the server answers
+// itself, and one that just fits.
+func TestHeaderFarBeyondTheLimitIsNotRead(t *testing.T) {
+	b := start(t, setup{doc: document()})
+	a := b.do(t, "GET", "/v1/models", "", "X-Long", strings.Repeat("x", (headerMargin+1)*DefaultMaxHeaderBytes))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, a.status)
+	require.Empty(t, a.code())
+	a = b.do(t, "GET", "/v1/models", "", "X-Long", strings.Repeat("x", DefaultMaxHeaderBytes-1<<10))
+	require.Equal(t, http.StatusOK, a.status)
+}
+
 func TestSlowBodyIsRefused(t *testing.T) {
 	b := start(t, setup{doc: document(), config: Config{BodyTime: 20 * time.Millisecond}})
 	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
