--- a/limpetd/order/loop.go
+++ b/limpetd/order/loop.go
@@ -306,7 +306,9 @@
 func (l *loop) plan(d *draft, now time.Time) {
 	l.planned, l.plannedFor = now, l.document
 	facts := l.facts(d, now)
+	l.duty.planning.Lock()
 	plan := l.planner.Plan(facts)
+	l.duty.planning.Unlock()
 	l.duty.mu.Lock()
 	l.duty.plan, l.duty.facts = plan, &facts
 	l.duty.mu.Unlock()
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -193,8 +193,10 @@
 	// kick wakes the loop; when it is full the loop is about to run anyway.
 	kick chan struct{}
 
-	// loop is owned by the loop goroutine.
-	loop *loop
+	// loop is owned by the loop goroutine, but for its planner's memory, which
+	// planning guards.
+	loop     *loop
+	planning sync.Mutex
 
 	mu   sync.Mutex
 	gate *ledger.Gate
@@ -337,7 +339,8 @@
 	return o.status
 }
 
-// Explain returns the moves that this daemon would make now. The error has code
+// Explain returns the moves that this daemon would make now, from the demand that
+// it remembers. The error has code
 // NoDocument while there is none.
 func (o *Duty) Explain(_ context.Context) (place.Plan, error) {
 	o.mu.Lock()
@@ -346,7 +349,10 @@
 	if facts == nil {
 		return place.Plan{}, code.Errorf(code.NoDocument, "no environment document is in force")
 	}
-	plan := place.NewPlanner().Plan(*facts)
+	o.planning.Lock()
+	planner := o.loop.planner.Clone()
+	o.planning.Unlock()
+	plan := planner.Plan(*facts)
 	if len(plan.Moves) == 0 {
 		return last, nil
 	}
--- a/limpetd/place/demand.go
+++ b/limpetd/place/demand.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// clone returns a copy.
+func (d *demands) clone() demands {
+	c := demands{needs: make(map[demandKey]*need, len(d.needs))}
+	for k, n := range d.needs {
+		copied := *n
+		c.needs[k] = &copied
+	}
+	return c
+}
+
 // get returns the need of a model or adapter.
 func (d *demands) get(model, adapter string) *need {
 	k := demandKey{model, adapter}
--- a/limpetd/place/planner.go
+++ b/limpetd/place/planner.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -58,6 +59,19 @@
 	}
 }
 
+// Clone returns a planner with the same memory.
+func (p *Planner) Clone() *Planner {
+	return &Planner{
+		index:       p.index,
+		demands:     p.demands.clone(),
+		loaded:      maps.Clone(p.loaded),
+		lacking:     maps.Clone(p.lacking),
+		partial:     maps.Clone(p.partial),
+		relocations: maps.Clone(p.relocations),
+		promises:    maps.Clone(p.promises),
+	}
+}
+
 // Plan returns the moves to make at f.Now. The moves of a plan don't wait for
 // each other; moves that have to wait come in a later plan.
 func (p *Planner) Plan(f Facts) Plan {
