order: Give no replica up on a report from before the lease

Cause: reports lag, and a new holder took one that it received after its takeover as a sign of a replica that the holder before had unloaded and charged again; for that it could give the only other one up.

Ruled out: comparing the report's time with the charge's (two clocks).

Change: an unload of a declared slot waits until another replica is shown by an own load or by a report received more than the lag of reports after the takeover.

--- a/limpetd/order/dispatch.go
+++ b/limpetd/order/dispatch.go
@@ -175,11 +175,17 @@
 }
 
 // unload sends the unload of a charge once nothing sent before can load the slot
-// again. A last replica is kept instead.
+// again. A last replica is kept instead. While another replica is known only from
+// reports that may be older than the lease, the unload waits: the holder before may
+// have unloaded that replica since.
 func (l *loop) unload(ctx context.Context, p pending, hold lease.Hold, now time.Time) {
 	c := p.charge
 	key := slotKey{p.known.vm.ID, c.Slot}
-	if l.last(p, now) {
+	last, sure := l.last(p, now)
+	if !sure {
+		return
+	}
+	if last {
 		l.cancels[key] = true
 		return
 	}
@@ -214,12 +220,14 @@
 }
 
 // last tells whether the slot is the last resident one of a declared model or
-// adapter in the data centre, and no other data centre keeps the model.
-func (l *loop) last(p pending, now time.Time) bool {
+// adapter in the data centre, and no other data centre keeps the model; and
+// whether that is sure.
+func (l *loop) last(p pending, now time.Time) (last, sure bool) {
 	slot := p.charge.Slot
 	if l.document == nil || !declares(l.document, slot) || !p.known.resident(slot, now) {
-		return false
+		return false, true
 	}
+	sure = true
 	for _, vm := range l.books.engines() {
 		b, k := l.books.copies[vm], l.known[vm]
 		if b.fault != nil || k == nil || !k.usable(now) || !k.report.Role.Whole() {
@@ -227,12 +235,16 @@
 		}
 		for _, c := range b.row.Charges {
 			same := c.Slot.Model == slot.Model && c.Slot.Adapter == slot.Adapter
-			if same && c.Phase == ledger.PhaseCharged && k.resident(c.Slot, now) {
-				return false
+			if !same || c.Phase != ledger.PhaseCharged || !k.resident(c.Slot, now) {
+				continue
+			}
+			if k.done[c.Slot] == k.instance || k.received.Sub(l.took) > ReportLag {
+				return false, true
 			}
+			sure = false
 		}
 	}
-	return !l.planner.Yields(slot, l.duty.config.DataCentre, l.remotes(now))
+	return sure && !l.planner.Yields(slot, l.duty.config.DataCentre, l.remotes(now)), sure
 }
 
 // declares tells whether a document declares the model or adapter of a slot.
--- a/limpetd/order/loop.go
+++ b/limpetd/order/loop.go
@@ -35,6 +35,9 @@
 	missing   map[string]time.Time
 	attempts  map[slotKey]*attempt
 	inquiries map[question]*inquiry
+	// took is when this daemon took the lease with the fence tookFence.
+	took      time.Time
+	tookFence int64
 	// silent is since when daemons leave questions without an answer.
 	silent     map[string]time.Time
 	cancels    map[slotKey]bool
@@ -106,6 +109,9 @@
 	l.read(ctx, mine, now)
 	l.watchSenders(l.vms, now)
 	l.limits(ctx, hold, mine, now)
+	if mine && hold.Fence != l.tookFence {
+		l.took, l.tookFence = now, hold.Fence
+	}
 	if mine && l.books.fresh && !now.Before(l.retry) {
 		l.decide(ctx, hold, now)
 	}
--- a/limpetd/order/order.go
+++ b/limpetd/order/order.go
@@ -144,6 +144,8 @@
 	GoneAfter = 30 * time.Second
 	// OrderTimeout bounds the wait for the answer to an order.
 	OrderTimeout = 60 * time.Second
+	// ReportLag is how late a report may come.
+	ReportLag = 5 * time.Second
 	// ReportLifetime is how old the last report of a usable engine may be.
 	ReportLifetime = 15 * time.Second
 	// RemoteLifetime is how long it counts what another data centre told.
--- a/limpetd/order/role_test.go
+++ b/limpetd/order/role_test.go
@@ -53,6 +53,8 @@
 		}
 		unload := l.books.copies["e1"]
 		unload.row.Charges = []ledger.Charge{{Slot: slot, Phase: ledger.PhaseUnloading}}
-		require.Equal(t, last, l.last(pending{known: l.known["e1"], row: unload.row, charge: unload.row.Charges[0]}, now), "role %s", role)
+		got, sure := l.last(pending{known: l.known["e1"], row: unload.row, charge: unload.row.Charges[0]}, now)
+		require.True(t, sure)
+		require.Equal(t, last, got, "role %s", role)
 	}
 }
