admit: Compare stalled engines with the others of their model

Cause: an urgent call without a first token for 3 s and four times its estimate counted as a failure of its engine alone. When all twelve engines of a test stalled, six were ejected, as many as may be.

Change: it counts unless more than half of the other engines that hold the model stall too. The floor stays.

After: none of twelve is ejected; of one, four or six stalled engines all are, as before.

--- a/limpetd/admit/backend.go
+++ b/limpetd/admit/backend.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// stalls tells whether an urgent call waits too long for its first token.
+func (b *backend) stalls(now time.Time) bool {
+	for _, c := range b.flight {
+		if c.stalls(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // send notes that a call was sent.
 func (b *backend) send(c *Call) {
 	c.slot = len(b.flight)
--- a/limpetd/admit/call.go
+++ b/limpetd/admit/call.go
@@ -53,6 +53,13 @@
 // Granted tells whether the call was granted and has not ended.
 func (c *Call) Granted() bool { return c.status == statusGranted }
 
+// stalls tells whether a call that was sent is urgent and waits too long for its
+// first token.
+func (c *Call) stalls(now time.Time) bool {
+	wait := now.Sub(c.sent)
+	return !c.first && c.class == route.ClassUrgent && wait > stallTime && wait > stallFactor*c.Choice.Estimate
+}
+
 // need returns the prompt tokens that the engine is expected to process.
 func (c *Call) need() int {
 	return c.Request.Route.PromptTokens - c.Choice.CachedTokens
--- a/limpetd/admit/state_test.go
+++ b/limpetd/admit/state_test.go
@@ -253,6 +253,25 @@
 	require.False(t, s.own[1].Ejected)
 }
 
+// TestEnginesThatAreAllSlowAreNotEjected sends urgent calls to twelve engines of
+// which some give no first token.
+func TestEnginesThatAreAllSlowAreNotEjected(t *testing.T) {
+	for slow, want := range map[int]int{1: 1, 4: 4, 6: 6, 12: 0} {
+		s := newTestState(12, 1000)
+		now := testTime
+		for range 600 {
+			now = renewView(now.Add(2*time.Millisecond), s)
+			c := s.Offer(now, request(now, "live", 0, time.Minute))
+			if c.backend.number >= slow {
+				s.FirstToken(now, c)
+			}
+		}
+		now = renewView(now.Add(stallTime+time.Second), s)
+		s.Step(now)
+		require.Len(t, s.Ejected(now), want, "%d slow engines", slow)
+	}
+}
+
 func TestArrivalIsShedByTheExpectedWait(t *testing.T) {
 	s := newTestState(1, 1)
 	now := testTime
--- a/limpetd/admit/step.go
+++ b/limpetd/admit/step.go
@@ -187,18 +187,16 @@
 }
 
 // findStalled counts urgent calls without a first token as failures of their
-// engines, and lets engines back whose ejection is over.
+// engines, unless most other engines of the model stall too, and lets engines back
+// whose ejection is over.
 func (s *State) findStalled(now time.Time) {
+	stalls := make([]bool, len(s.numbered))
 	for i, b := range s.numbered {
-		for _, c := range b.flight {
-			if c.stalled || c.first || c.class != route.ClassUrgent {
-				continue
-			}
-			wait := now.Sub(c.sent)
-			if wait > stallTime && wait > stallFactor*c.Choice.Estimate {
-				c.stalled = true
-				s.failed(now, b)
-			}
+		stalls[i] = b.stalls(now)
+	}
+	for i, b := range s.numbered {
+		if stalls[i] {
+			s.countStalled(now, b, stalls)
 		}
 		if s.own[i].Ejected || b.outlier.times > 0 {
 			s.renew(now, i)
@@ -206,6 +204,35 @@
 	}
 }
 
+// countStalled counts the stalled calls of an engine that were not counted.
+func (s *State) countStalled(now time.Time, b *backend, stalls []bool) {
+	for _, c := range b.flight {
+		if c.stalled || !c.stalls(now) {
+			continue
+		}
+		if s.othersStall(c, stalls) {
+			return
+		}
+		c.stalled = true
+		s.failed(now, b)
+	}
+}
+
+// othersStall tells whether more than half of the other engines that could answer
+// a call stall too, so that its engine is not to blame.
+func (s *State) othersStall(c *Call, stalls []bool) bool {
+	s.holders = s.view.Holders(&c.Request.Route, s.holders[:0])
+	others, slow := 0, 0
+	for _, n := range s.holders {
+		if n == c.backend.number {
+			continue
+		}
+		others++
+		slow += number(stalls[n])
+	}
+	return 2*slow > others
+}
+
 // Ejected returns the VMs of the engines that are ejected, in order.
 func (s *State) Ejected(now time.Time) []string {
 	var vms []string
