route: Test that no choice among 600 engines allocates

Without room, for calls that waited, and for deferred ones too; before, only an urgent call with room was tested. Nothing allocates.

--- a/limpetd/route/choose_test.go
+++ b/limpetd/route/choose_test.go
@@ -64,9 +64,16 @@
 	own, hints := open(600), NewHints()
 	hints.Sent(r.Prefixes, 21)
 	random := rand.New(rand.NewPCG(1, 1))
-	require.Zero(t, testing.AllocsPerRun(1000, func() {
-		Choose(v, own, hints, r, Ask{Now: testTime}, random)
-	}))
+	for _, ask := range []Ask{{Now: testTime}, {Now: testTime, Waited: true, Class: ClassDeferred}} {
+		for _, room := range []int{int(ClassDeferred) + 1, 0} {
+			for i := range own {
+				own[i].Room, own[i].WaitedRoom = room, room
+			}
+			require.Zero(t, testing.AllocsPerRun(1000, func() {
+				Choose(v, own, hints, r, ask, random)
+			}))
+		}
+	}
 }
 
 func BenchmarkChoose(b *testing.B) {
