--- a/limpetlab/process_test.go
+++ b/limpetlab/process_test.go
@@ -125,12 +125,18 @@
 // Thaw implements fleet.Freezer.
 func (p *process) Thaw() error { return p.command.Process.Signal(syscall.SIGCONT) }
 
-// TestProcessesHoldTheirPromises runs each daemon as a process. Daemons are
-// killed, asked to leave by a signal, and stopped for longer than their lease.
-func TestProcessesHoldTheirPromises(t *testing.T) {
+// buildDaemon builds limpetd and returns the path of the program.
+func buildDaemon(t testing.TB) string {
 	program := filepath.Join(t.TempDir(), "limpetd")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "github.com/limpetlb/limpetlb/limpetd").CombinedOutput()
 	require.NoError(t, err, string(out))
+	return program
+}
+
+// TestProcessesHoldTheirPromises runs each daemon as a process. Daemons are
+// killed, asked to leave by a signal, and stopped for longer than their lease.
+func TestProcessesHoldTheirPromises(t *testing.T) {
+	program := buildDaemon(t)
 	for _, f := range []demo.Fault{demo.FaultKill, demo.FaultLeave, demo.FaultFreeze} {
 		t.Run(string(f), func(t *testing.T) {
 			t.Parallel()
