--- a/limpetlab/matrix/matrix_test.go
+++ b/limpetlab/matrix/matrix_test.go
@@ -14,6 +14,9 @@
 var (
 	seed = flag.Uint64("seed", 1, "seed of the cells")
 	full = flag.Bool("full", false, "run every cell")
+	// A part of the cells runs in one process, so that several share them.
+	part  = flag.Int("part", 0, "part of the cells to run, from 0")
+	parts = flag.Int("parts", 1, "number of parts")
 )
 
 // sampleEvery is the share of the cells of two faults that run without -full.
@@ -27,7 +30,18 @@
 			cells = append(cells, c)
 		}
 	}
-	return cells
+	return partOf(cells)
+}
+
+// partOf returns the cells of this process.
+func partOf(cells []Cell) []Cell {
+	var own []Cell
+	for i, c := range cells {
+		if i%*parts == *part {
+			own = append(own, c)
+		}
+	}
+	return own
 }
 
 func TestMatrix(t *testing.T) {
@@ -71,7 +85,7 @@
 	for i, s := range Steps {
 		cells = append(cells, Cell{Step: s, Faults: []Fault{Faults[i]}})
 	}
-	return cells
+	return partOf(cells)
 }
 
 // TestCellRepeats runs cells twice: the seed fixes all that happens.
