peer: Keep nothing of what was told for a replay

Cause: a gRPC client keeps what it sends on a stream until the first answer, up to 256 KB on the wire, for a transparent replay, even with retries disabled. The stream of messages between daemons is answered at its end only, so each link kept its messages, decoded and all: of 2.56 GB live in 91 daemons of a process, 1.18 GB were of encodeMessage. Ruled out: the queue of a link, which holds 8 messages.

Change: these streams keep nothing; a message that a broken stream loses is told again as before.

--- a/limpetd/peer/client.go
+++ b/limpetd/peer/client.go
@@ -261,14 +261,15 @@
 }
 
 // tellAll sends the queued messages of a link over one stream, and over a new
-// one after a fault.
+// one after a fault. Nothing is kept for a replay: a stream whose answer comes at
+// its end would keep what it sent, up to 256 KB on the wire and much more in memory.
 func (c *Client) tellAll(l *link) {
 	var stream grpc.ClientStreamingClient[peerpb.Message, peerpb.Ack]
 	stub := peerpb.NewPeerClient(l.conn)
 	for m := range l.queue {
 		var err error
 		if stream == nil {
-			stream, err = stub.Tell(c.identify(c.ctx))
+			stream, err = stub.Tell(c.identify(c.ctx), grpc.MaxRetryRPCBufferSize(0))
 		}
 		if err == nil {
 			err = stream.Send(m)
