lab: Wait for the last load before processes are measured

Cause: with seven data centres the loads took longer than the fixed time before the measurement, which then counted loading: 52.6 ms of processor time a second for a daemon.

Change: the measurement begins when nothing was loaded for 15 s.

--- a/limpetlab/process_bench_test.go
+++ b/limpetlab/process_bench_test.go
@@ -27,8 +27,9 @@
 	processEngines = 8
 	// processSpeed has the engines filled within seconds.
 	processSpeed = 1000
-	// settleFor is the time before the measurement, measureFor that of it.
-	settleFor  = 20 * time.Second
+	// settleFor is the time without a load before the measurement, measureFor
+	// that of it.
+	settleFor  = 15 * time.Second
 	measureFor = 20 * time.Second
 	// ticksPerSecond is the unit of processor time in /proc.
 	ticksPerSecond = 100
@@ -69,7 +70,7 @@
 	defer f.Stop()
 	require.NoError(b, f.StartAll(ctx))
 	require.NoError(b, f.Apply(ctx, d.Document(1)))
-	time.Sleep(settleFor)
+	settle(w)
 
 	before := make(map[string]float64)
 	for _, m := range f.Live() {
@@ -93,6 +94,20 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// settle returns when nothing was loaded for a while.
+func settle(w *world.World) {
+	const look = time.Second
+	last, _ := w.Books().Loads()
+	for quiet := time.Duration(0); quiet < settleFor || last == 0; quiet += look {
+		time.Sleep(look)
+		loads, _ := w.Books().Loads()
+		if loads != last {
+			quiet = 0
+		}
+		last = loads
+	}
+}
+
 // processorTime returns the seconds of processor time that a daemon has used.
 func processorTime(b *testing.B, m *fleet.Member) float64 {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.Daemon.(*process).command.Process.Pid))
