claim: Decide once what a forwarded write came to

Cause: forward completed a write by the other daemon's answer in two places, with the same condition read twice in between.

Change: what makes the daemon commit alone comes first, then one switch. Behaviour is as before; the tests of package claim pass unchanged.

--- a/limpetd/claim/gather.go
+++ b/limpetd/claim/gather.go
@@ -104,21 +104,19 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTime)
 	defer cancel()
 	a, err := g.Gather(ctx, Write{Key: w.key, Version: w.version, Value: w.value})
-	if err == nil && a.Code != code.StoreDown {
-		w.answered(a)
-		return true
-	}
-	s.forwardFailed.Inc(1)
-	s.aloneUntil.Store(s.now().Add(aloneFor).UnixNano())
-	if err == nil && a.Result != NotWritten {
-		w.answered(a)
-		return true
+	if err != nil || a.Code == code.StoreDown {
+		s.forwardFailed.Inc(1)
+		s.aloneUntil.Store(s.now().Add(aloneFor).UnixNano())
 	}
-	if code.Of(err) == code.PeerDown {
+	switch {
+	case code.Of(err) == code.PeerDown:
 		w.end(Uncertain, store.Row{}, err)
-		return true
+	case err != nil, a.Code == code.StoreDown && a.Result == NotWritten:
+		return false
+	default:
+		w.answered(a)
 	}
-	return false
+	return true
 }
 
 // answered completes the write by the answer of another daemon.
