store: Compress documents and ledger rows by one code

Cause: packages docs and ledger each had a copy of compressing and of reading what may be compressed, one with compressors used again and one without.

Change: store.Pack and store.Unpack serve both; the limits stay where they were. The stored bytes are the same. Tests keep their assertions and call the new functions.

--- a/limpetd/docs/body.go
+++ b/limpetd/docs/body.go
@@ -1,21 +1,16 @@
 package docs
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"io"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
-// gzipMagic begins each compressed body. No document begins so, since it is text.
-var gzipMagic = []byte{0x1f, 0x8b}
-
 // storeBody puts a body into the object store, compressed.
 func (u *Duty) storeBody(ctx context.Context, digest string, body []byte) error {
-	stored, err := pack(body)
+	stored, err := store.Pack(body)
 	if err != nil {
 		return err
 	}
@@ -36,28 +31,8 @@
 	return body, nil
 }
 
-// pack compresses a body.
-func pack(body []byte) ([]byte, error) {
-	var buffer bytes.Buffer
-	w := gzip.NewWriter(&buffer)
-	if _, err := w.Write(body); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return buffer.Bytes(), nil
-}
-
-// unpack returns a body as it was before pack, cut at one byte more than a
-// document may have. One that is not compressed is returned as it is.
+// unpack returns a body as it was stored, cut at one byte more than a document may
+// have. One that is not compressed is returned as it is.
 func unpack(stored []byte) ([]byte, error) {
-	if !bytes.HasPrefix(stored, gzipMagic) {
-		return stored, nil
-	}
-	r, err := gzip.NewReader(bytes.NewReader(stored))
-	if err != nil {
-		return nil, err
-	}
-	return io.ReadAll(io.LimitReader(r, envdoc.MaxBytes+1))
+	return store.Unpack(stored, envdoc.MaxBytes+1)
 }
--- a/limpetd/docs/body_test.go
+++ b/limpetd/docs/body_test.go
@@ -8,11 +8,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
+	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
 func TestBodiesAreStoredCompressed(t *testing.T) {
 	for _, body := range []string{"", "revision: 1\n", strings.Repeat("- name: model-001\n", 1000)} {
-		stored, err := pack([]byte(body))
+		stored, err := store.Pack([]byte(body))
 		require.NoError(t, err)
 		require.Less(t, len(stored), len(body)/20+64)
 		back, err := unpack(stored)
@@ -25,7 +26,7 @@
 }
 
 func TestUnpackIsBounded(t *testing.T) {
-	stored, err := pack(bytes.Repeat([]byte("a"), 4*envdoc.MaxBytes))
+	stored, err := store.Pack(bytes.Repeat([]byte("a"), 4*envdoc.MaxBytes))
 	require.NoError(t, err)
 	body, err := unpack(stored)
 	require.NoError(t, err)
