--- /dev/null
+++ b/limpetd/front/again.go
@@ -0,0 +1,155 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "Te", "Trailer", "Upgrade", "Expect"}
+
+// removeHopHeaders takes off what concerns only the connection to the caller.
+func removeHopHeaders(h http.Header) {
+	for _, value := range h.Values("Connection") {
+		for _, name := range strings.Split(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// copyHeader copies the header of an answer, but for what concerns its connection.
+func copyHeader(to, from http.Header) {
+	removeHopHeaders(from)
+	for name, values := range from {
+		to[name] = slices.Clone(values)
+	}
+	if from.Get("Content-Type") == "" {
+		// Keeps net/http from guessing one.
+		to["Content-Type"] = nil
+	}
+}
+
+// again tells whether the call may be sent once more after a send that failed; if
+// not, it ends the call.
+func (c *call) again(ctx context.Context, result code.Code, reason string) bool {
+	c.outcome.reason = reason
+	switch {
+	case c.request.Context().Err() != nil:
+		c.cut(code.CallerGone, "the caller left: "+reason)
+	case ctx.Err() != nil:
+		c.expire(reason)
+	case time.Until(c.need.Until) < leastLeft:
+		c.expire(reason)
+	case c.runs > 0 && !c.need.Route.Repeatable():
+		c.fail(result, http.StatusBadGateway, reason)
+	case c.runs >= c.need.Route.Attempts, c.outcome.sends >= maxSends:
+		c.giveUp(result, sched.Choice{Return: leavingReturn}, reason)
+	default:
+		return true
+	}
+	return false
+}
+
+// giveUp ends a call that no further server gets.
+func (c *call) giveUp(result code.Code, choice sched.Choice, reason string) {
+	switch {
+	case c.kept != nil:
+		c.pass(c.kept)
+	case c.runs > 0:
+		c.fail(result, http.StatusBadGateway, reason)
+	default:
+		c.refuse(result, choice.Return, reason)
+	}
+}
+
+// expire ends a call whose time is over.
+func (c *call) expire(reason string) {
+	switch {
+	case c.kept != nil:
+		c.pass(c.kept)
+	case c.runs > 0:
+		c.fail(code.BackendLost, http.StatusGatewayTimeout, "no answer in time: "+reason)
+	default:
+		c.refuse(code.ShedDeadline, leavingReturn, "not sent in time: "+reason)
+	}
+}
+
+// choose waits until a server is found for the call; false if the call was ended.
+func (c *call) choose(ctx context.Context) (sched.Choice, bool) {
+	f := c.front
+	for {
+		now := time.Now()
+		f.mu.Lock()
+		choice := f.book.Choose(&c.need, now)
+		changed := f.changed
+		repeat := c.outcome.sends > 0
+		spent := choice.Verdict == sched.Chosen && repeat && !f.book.Repeat(c.need.Service, now)
+		if choice.Verdict == sched.Chosen && !spent {
+			f.book.Sent(choice.Server.ID, now)
+		}
+		f.mu.Unlock()
+		switch {
+		case spent:
+			c.giveUp(code.RetryBudget, choice, "retry budget spent after: "+c.outcome.reason)
+			return choice, false
+		case choice.Verdict == sched.Chosen:
+			if repeat {
+				f.metrics.repeated.Inc(1)
+			}
+			c.outcome.waited = now.Sub(c.need.Arrived)
+			return choice, true
+		}
+		if !c.wait(ctx, choice, changed, now) {
+			return choice, false
+		}
+	}
+}
+
+// wait waits for servers to change; false if the call was ended.
+func (c *call) wait(ctx context.Context, choice sched.Choice, changed <-chan struct{}, now time.Time) bool {
+	result, reason := code.NoBackend, "no server of the service can be used"
+	expected := choice.Return
+	hold := false
+	if choice.Verdict == sched.NotLoaded {
+		result, reason = code.NoEngine, "no engine holds the model"
+		c.front.deps.Loader.Want(c.need.Service, c.need.Model, c.need.Adapter)
+		f := c.front
+		f.mu.Lock()
+		expected = f.book.LoadTime(&c.need, f.Config().Services[c.need.Service])
+		f.mu.Unlock()
+		hold = sched.Hold(&c.need, expected, now)
+	}
+	if !hold {
+		choice.Return = expected
+		c.giveUp(result, choice, reason)
+		return false
+	}
+	timer := time.NewTimer(time.Until(sched.HoldUntil(&c.need)))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		c.giveUp(result, sched.Choice{Return: expected}, reason+" in time")
+	case <-ctx.Done():
+		if errors.Is(c.request.Context().Err(), context.Canceled) {
+			c.cut(code.CallerGone, "the caller left while it waited")
+			return false
+		}
+		c.expire(reason)
+	}
+	return false
+}
--- a/limpetd/main.go
+++ b/limpetd/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/conf"
 	"github.com/limpetlb/limpetlb/limpetd/node"
+	"github.com/limpetlb/limpetlb/limpetd/telem"
 )
 
 // The exit statuses of limpetd.
@@ -42,7 +43,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, "limpetd:", err)
 		return exitSetting
 	}
-	log := node.NewLogger(os.Stderr, c.LogLevel)
+	log := telem.NewLogger(os.Stderr, c.LogLevel)
 	defer func() { _ = log.Sync() }()
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -42,6 +42,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/reach"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/store"
+	"github.com/limpetlb/limpetlb/limpetd/telem"
 	"github.com/limpetlb/limpetlb/limpetd/watch"
 )
 
@@ -60,7 +61,7 @@
 	started  time.Time
 	log      *zap.Logger
 	line     *event.Line
-	metrics  metrics
+	metrics  telem.Metrics
 	tomb     *tomb.Tomb
 	cancel   context.CancelFunc
 
@@ -111,7 +112,7 @@
 		started:  time.Now(),
 		log:      zap.NewNop(),
 		line:     event.New(c.VM, event.WithCapacity(c.EventCapacity)),
-		metrics:  newMetrics(c.VM),
+		metrics:  telem.NewMetrics("limpetd", c.VM),
 		shares:   &shares{},
 		left:     make(chan struct{}),
 	}
@@ -175,7 +176,7 @@
 func (n *Node) startDuties(ctx context.Context) {
 	c := n.config
 	scope := docs.Scope(c.Environment, docs.Stage(c.Stage))
-	log, events, metric := n.log, n.line, n.metrics.scope
+	log, events, metric := n.log, n.line, n.metrics.Scope
 	n.members = member.New(ctx, member.Config{
 		VM: c.VM, Instance: n.instance, DataCentre: c.DataCentre, Region: c.Region,
 		Address: n.PeerAddr(), Seeds: c.Peers,
@@ -342,7 +343,7 @@
 	}
 	n.platform.Close()
 	n.engines.Close()
-	_ = n.metrics.closer.Close()
+	_ = n.metrics.Closer.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -28,7 +28,7 @@
 // connect reads certificates and keys and makes the clients of the platform,
 // the engines and the peers.
 func (n *Node) connect(ctx context.Context) error {
-	c, log, scope := n.config, n.log, n.metrics.scope
+	c, log, scope := n.config, n.log, n.metrics.Scope
 	var err error
 	n.callerKeys, err = keys.New(ctx, keys.Config{
 		Certificate: keys.Secret(c.CallerCertificate), Key: keys.Secret(c.CallerKey), Plain: c.CallerPlain,
@@ -68,7 +68,7 @@
 func (n *Node) serve(ctx context.Context) {
 	n.peerServer = peer.NewServer(ctx, n.peerConfig(), n.listeners.peer, peer.ServerDeps{
 		TLS: n.peerKeys.PeerServer(), Members: n.members, Documents: n.docs, Sent: answerer{n}, Line: n.line, Holders: n.reach,
-		Placed: n.reach, Claims: n.claims, Loans: n.queue, Drain: answerer{n}, Log: n.log, Events: n.line, Scope: n.metrics.scope,
+		Placed: n.reach, Claims: n.claims, Loans: n.queue, Drain: answerer{n}, Log: n.log, Events: n.line, Scope: n.metrics.Scope,
 	})
 	callers := n.gate.Server()
 	callers.TLSConfig = n.callerKeys.Server()
@@ -88,7 +88,7 @@
 // probes serves health and metrics on the operators' interface.
 func (n *Node) probes() http.Handler {
 	mux := goji.NewMux()
-	mux.Handle(pat.Get("/metrics"), n.metrics.handler)
+	mux.Handle(pat.Get("/metrics"), n.metrics.Handler)
 	mux.Handle(pat.Get("/*"), n.gate.Handler())
 	return mux
 }
--- /dev/null
+++ b/limpetd/telem/lines_test.go
@@ -0,0 +1,55 @@
+package telem_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/telem"
+)
+
+// stuck never takes a byte until its channel is closed.
+type stuck struct{ open chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.open
+	return len(b), nil
+}
+
+func TestLinesNeverBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := stuck{open: make(chan struct{})}
+		l := telem.NewLines(ctx, s)
+		for range 10_000 {
+			n, err := l.Write([]byte("event=x\n"))
+			require.NoError(t, err)
+			require.Equal(t, 8, n)
+		}
+		close(s.open)
+		cancel()
+		require.NoError(t, l.Wait())
+	})
+}
+
+func TestLinesCountWhatTheyDrop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var out bytes.Buffer
+		l := telem.NewLines(ctx, &out)
+		for range 700 {
+			_, err := l.Write([]byte("event=x\n"))
+			require.NoError(t, err)
+		}
+		time.Sleep(time.Second)
+		cancel()
+		require.NoError(t, l.Wait())
+		require.Equal(t, 600, strings.Count(out.String(), "event=x"))
+		require.Contains(t, out.String(), "event=lines_dropped count=100")
+	})
+}
--- a/limpetd/node/observe.go
+++ b/limpetd/telem/telem.go
@@ -1,4 +1,12 @@
-package node
+// Package telem makes the logger and the metrics of a process.
+//
+// # Usage
+//
+//	lines := telem.NewLines(ctx, os.Stdout)
+//	log := telem.NewLogger(lines, "info")
+//	m := telem.NewMetrics("limpetd", vm)
+//	http.Handle("/metrics", m.Handler)
+package telem
 
 import (
 	"io"
@@ -30,22 +38,22 @@
 	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(c), zapcore.Lock(zapcore.AddSync(w)), parsed))
 }
 
-// metrics are the metrics of a daemon and the handler that serves them.
-type metrics struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+// Metrics are the metrics of a process and the handler that serves them.
+type Metrics struct {
+	Scope   tally.Scope
+	Closer  io.Closer
+	Handler http.Handler
 }
 
-// newMetrics returns the metrics of a daemon.
-func newMetrics(vm string) metrics {
+// NewMetrics returns the metrics of a program on a VM.
+func NewMetrics(program, vm string) Metrics {
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "limpetd",
+		Prefix:         program,
 		Tags:           map[string]string{"vm": vm},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
 	}, metricsPeriod)
-	return metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	return Metrics{Scope: scope, Closer: closer, Handler: reporter.HTTPHandler()}
 }
