steer: Load models and adapters where callers ask for them

Cause: nothing moved models, so half of those asked for were never served. Adds stock, the pure plan of what engines hold, and steer, the duty of the daemon that holds the lease: demand over one gRPC link a daemon, orders under a fence and on a numbered state of the engine.

--- /dev/null
+++ b/limpetd/steer/demand.go
@@ -0,0 +1,135 @@
+package steer
+
+import (
+	"math"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/stock"
+)
+
+// use is what callers asked for since the last report.
+type use struct {
+	Calls int     `msgpack:"calls"`
+	Work  float64 `msgpack:"work"`
+}
+
+// slot names a model, or an adapter of one, of a service.
+type slot struct {
+	Service string `msgpack:"service"`
+	Model   string `msgpack:"model"`
+	Adapter string `msgpack:"adapter"`
+}
+
+// told is a report of a daemon.
+type told struct {
+	VM string `msgpack:"vm"`
+	// Used and Waiting are keyed in parallel by Slots.
+	Slots   []slot `msgpack:"slots"`
+	Used    []use  `msgpack:"used"`
+	Waiting []int  `msgpack:"waiting"`
+}
+
+// counts collects what a daemon has to report.
+type counts struct {
+	used    map[slot]use
+	waiting map[slot]int
+}
+
+func newCounts() counts { return counts{used: map[slot]use{}, waiting: map[slot]int{}} }
+
+// take returns the report and starts a new one.
+func (c *counts) take(vm string) told {
+	t := told{VM: vm}
+	for s, u := range c.used {
+		t.Slots = append(t.Slots, s)
+		t.Used = append(t.Used, u)
+		t.Waiting = append(t.Waiting, c.waiting[s])
+		delete(c.waiting, s)
+	}
+	for s, n := range c.waiting {
+		t.Slots = append(t.Slots, s)
+		t.Used = append(t.Used, use{})
+		t.Waiting = append(t.Waiting, n)
+	}
+	*c = newCounts()
+	return t
+}
+
+// waitingFor is how long a call counts as waiting after it was reported. Calls that
+// still wait are reported again when something changes.
+const waitingFor = time.Second
+
+// demand is the smoothed demand of all daemons.
+type demand struct {
+	rates map[slot]*rate
+}
+
+// rate is the demand for a slot.
+type rate struct {
+	work    float64
+	at      time.Time
+	used    time.Time
+	waiting int
+	until   time.Time
+}
+
+func (d *demand) add(t told, now time.Time) {
+	if len(t.Used) != len(t.Slots) || len(t.Waiting) != len(t.Slots) {
+		return
+	}
+	for i, s := range t.Slots {
+		r := d.rates[s]
+		if r == nil {
+			r = &rate{at: now}
+			d.rates[s] = r
+		}
+		r.work = r.current(now) + t.Used[i].Work/demandWindow.Seconds()
+		r.at = now
+		if t.Used[i].Calls > 0 || t.Waiting[i] > 0 {
+			r.used = now
+		}
+		if t.Waiting[i] > 0 {
+			r.waiting, r.until = t.Waiting[i], now.Add(waitingFor)
+		}
+	}
+}
+
+func (r *rate) current(now time.Time) float64 {
+	return r.work * math.Exp(-now.Sub(r.at).Seconds()/demandWindow.Seconds())
+}
+
+// served notes that calls no longer wait for a slot.
+func (d *demand) served(s slot) {
+	if r := d.rates[s]; r != nil {
+		r.waiting = 0
+	}
+}
+
+// needs returns the demand of a service by model.
+func (d *demand) needs(service string, now time.Time) map[string]*stock.Need {
+	needs := map[string]*stock.Need{}
+	for s, r := range d.rates {
+		if s.Service != service {
+			continue
+		}
+		n := needs[s.Model]
+		if n == nil {
+			n = &stock.Need{Adapters: map[string]stock.AdapterNeed{}}
+			needs[s.Model] = n
+		}
+		waiting := 0
+		if now.Before(r.until) {
+			waiting = r.waiting
+		}
+		n.Work += r.current(now)
+		if r.used.After(n.Used) {
+			n.Used = r.used
+		}
+		if s.Adapter == "" {
+			n.Waiting += waiting
+			continue
+		}
+		n.Adapters[s.Adapter] = stock.AdapterNeed{Waiting: waiting, Used: r.used}
+	}
+	return needs
+}
--- /dev/null
+++ b/limpetd/steer/keep.go
@@ -0,0 +1,130 @@
+package steer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
+	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/random"
+)
+
+// keep renews the lease, or takes it when it has lapsed and there is no link to a
+// steerer.
+func (s *Steerer) keep(ctx context.Context) {
+	source := random.New()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		mine := s.lease.Mine()
+		s.mu.Unlock()
+		switch {
+		case mine:
+			s.renew(ctx)
+		case s.needsSteerer():
+			s.candidate(ctx)
+		}
+		pause := renewPeriod
+		if !mine {
+			pause = random.Around(source, candidatePeriod)
+		}
+		if s.holds() != s.wasHolding.Swap(s.holds()) {
+			s.note()
+		}
+		life.Sleep(ctx, pause)
+	}
+}
+
+// needsSteerer tells whether this daemon may become the steerer.
+func (s *Steerer) needsSteerer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving && s.config != nil && len(s.servers) > 0 && time.Since(s.linked) > linkTimeout
+}
+
+// holds tells whether this daemon trusts its lease.
+func (s *Steerer) holds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving && s.lease.Valid(s.deps.Clock())
+}
+
+// renew writes the lease again.
+func (s *Steerer) renew(ctx context.Context) {
+	s.mu.Lock()
+	row, version := s.lease.Row(), s.lease.Version()
+	s.mu.Unlock()
+	s.write(ctx, row, version, "")
+}
+
+// candidate reads the lease, and takes it if it has lapsed.
+func (s *Steerer) candidate(ctx context.Context) {
+	row, version, err := s.deps.Leases.Read(ctx)
+	if err != nil {
+		s.deps.Log.Debug("lease_unread", zap.Error(err))
+		return
+	}
+	now := s.deps.Clock()
+	s.mu.Lock()
+	s.lease.Observe(row, version, now)
+	action := s.lease.Next(now)
+	taken := s.lease.Taken()
+	s.mu.Unlock()
+	switch action {
+	case lease.Take:
+		s.write(ctx, taken, version, s.settings.Address)
+	case lease.Renew:
+		s.write(ctx, row, version, s.settings.Address)
+	case lease.Wait:
+	}
+}
+
+// write stores the lease on the condition that it has a version.
+func (s *Steerer) write(ctx context.Context, row lease.Row, version int64, announce string) {
+	sent := s.deps.Clock()
+	got, err := s.deps.Leases.Write(ctx, row, version, announce)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch code.Of(err) {
+	case code.OK:
+		s.lease.Held(row, got, sent, s.deps.Clock())
+	case code.StoreConflict, code.StoreUnknown:
+		// The row tells what came of the write.
+		s.lease.Forget()
+	}
+	if err != nil {
+		s.deps.Log.Info("lease_unwritten", zap.Int64("fence", row.Fence), zap.Int64("version", version), zap.Error(err))
+	}
+}
+
+// note logs that the lease was won or lost.
+func (s *Steerer) note() {
+	s.mu.Lock()
+	fence := s.lease.Row().Fence
+	s.mu.Unlock()
+	if s.holds() {
+		s.deps.Scope.Counter("lease_taken").Inc(1)
+		s.deps.Log.Info("lease_taken", zap.Int64("fence", fence))
+		return
+	}
+	s.deps.Scope.Counter("lease_lost").Inc(1)
+	s.deps.Log.Info("lease_lost", zap.Int64("fence", fence))
+}
+
+// Leave hands the lease over and takes it no more.
+func (s *Steerer) Leave(ctx context.Context) error {
+	s.mu.Lock()
+	s.leaving = true
+	mine, version := s.lease.Mine(), s.lease.Version()
+	row := lease.Row{Fence: s.lease.Row().Fence}
+	s.lease.Forget()
+	s.mu.Unlock()
+	if !mine {
+		return nil
+	}
+	s.deps.Log.Info("lease_released", zap.Int64("fence", row.Fence))
+	_, err := s.deps.Leases.Write(ctx, row, version, "")
+	return err
+}
--- /dev/null
+++ b/limpetd/steer/steer.go
@@ -0,0 +1,158 @@
+// Package steer carries the placement of models and adapters out while demand moves
+// within seconds.
+//
+// One daemon of the deployment holds a lease and is the steerer. The others keep a link
+// to it: they tell what callers ask for, and are told at once which adapters engines
+// hold and which models are about to go. A daemon whose link is lost reads the lease
+// and takes it when it has lapsed. The steerer plans with package stock and sends
+// orders; each names the state of the engine that it was planned on, and the fence of
+// the lease, so an order that comes late or from an earlier steerer does no harm.
+//
+// # Usage
+//
+//	s := steer.New(ctx, steer.Config{VM: "vm-1", Instance: id, Address: "10.0.0.1:7380"}, steer.Deps{...})
+//	s.Know(config, servers)
+//	s.Used("service", "model", "adapter", 120)
+//	s.Want("service", "model", "adapter")
+//	err := s.Leave(ctx)
+package steer
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
+)
+
+// Config of a steerer.
+type Config struct {
+	VM       string
+	Instance string
+	// Address is that of the link, as other daemons reach it.
+	Address string
+	// Quiet is how long a new steerer waits before its first order, where engines
+	// don't check fences.
+	Quiet time.Duration
+}
+
+// Member is another daemon.
+type Member struct {
+	VM       string
+	Instance string
+	Address  string
+}
+
+// Report is what an engine says of itself, some hundred milliseconds late.
+type Report struct {
+	Born int64
+	// State is the number of orders that the engine accepted.
+	State    int64
+	Busy     bool
+	Models   map[string]layout.Held
+	Coming   int
+	InMemory []string
+	OnDisk   []string
+}
+
+// Order is an order as an engine gets it.
+type Order struct {
+	Unload         bool
+	Model, Adapter string
+	// State is the number that the engine's state must have.
+	State  int64
+	Holder string
+	Fence  int64
+}
+
+// Answer is an engine's answer to an order.
+type Answer int
+
+// The answers.
+const (
+	// Accepted orders are carried out.
+	Accepted Answer = iota
+	// Already means that the engine is as the order wants it.
+	Already
+	// Conflict means that the engine is busy or its state has moved on.
+	Conflict
+	// Fenced means that another steerer has given orders since.
+	Fenced
+	// Elsewhere means that another engine has the address.
+	Elsewhere
+	// Rejected means that the engine can't carry the order out.
+	Rejected
+)
+
+// Engines is the interface to engines.
+type Engines interface {
+	// Report asks an engine for its state.
+	Report(ctx context.Context, s *layout.Server) (Report, error)
+	// Order sends an order; after an error the engine may still carry it out.
+	Order(ctx context.Context, s *layout.Server, o Order) (Answer, error)
+}
+
+// Leases stores the lease. Errors of Write carry the codes StoreConflict, StoreUnknown
+// (it may have taken effect), StoreDown or StoreLimited.
+type Leases interface {
+	// Read returns the lease and its version; 0 if there is none.
+	Read(ctx context.Context) (lease.Row, int64, error)
+	// Write replaces the version of the lease that was read, and returns the new
+	// one. A lease that is taken is announced to all daemons with the address.
+	Write(ctx context.Context, r lease.Row, version int64, announce string) (int64, error)
+}
+
+// Listener is told what engines hold beyond what they list.
+type Listener interface {
+	// Holdings sets the adapters of engines and the models that are about to go.
+	Holdings(adapters, closing map[string]map[string]bool)
+}
+
+// Deps are what a steerer uses.
+type Deps struct {
+	Engines  Engines
+	Leases   Leases
+	Listener Listener
+	// Clock is a steady clock that also counts the time that the VM was suspended.
+	Clock func() time.Time
+	Log   *zap.Logger
+	Scope tally.Scope
+}
+
+const (
+	// leaseTerm is how long a lease lasts without renewal: a new steerer is there
+	// before callers give up waiting for an adapter.
+	leaseTerm = 2 * time.Second
+	// renewPeriod is the time between renewals, three in a term.
+	renewPeriod = 600 * time.Millisecond
+	// candidatePeriod is the time between looks at the lease without a link.
+	candidatePeriod = 400 * time.Millisecond
+	// planPeriod is the time between plans without a cause.
+	planPeriod = 250 * time.Millisecond
+	// tellPeriod is the time between reports of a daemon to the steerer.
+	tellPeriod = 500 * time.Millisecond
+	// urgentPeriod is the least time between reports when calls wait.
+	urgentPeriod = 20 * time.Millisecond
+	// linkTimeout is the silence after which a link counts as lost.
+	linkTimeout = 1500 * time.Millisecond
+	// orderTimeout bounds an order, reportTimeout a report: both are answered in
+	// milliseconds.
+	orderTimeout  = time.Second
+	reportTimeout = 500 * time.Millisecond
+	// reportRetry is the time between reports of an engine whose state is unknown.
+	reportRetry = 400 * time.Millisecond
+	// adapterDelay is the time between an accepted order for an adapter and its use.
+	adapterDelay = 50 * time.Millisecond
+	// closeDelay is the time between word that a model is about to go and the order.
+	closeDelay = 60 * time.Millisecond
+	// lateOrder is how long an order without an answer may still be carried out.
+	lateOrder = 13 * time.Second
+	// demandWindow is the time constant of the demand's average.
+	demandWindow = 3 * time.Second
+	// storeBurst is how many loads from the weight store may begin at once; the
+	// bound over a window leaves as much above the steady rate.
+	storeBurst = 3
+)
--- /dev/null
+++ b/limpetd/stock/plan.go
@@ -0,0 +1,295 @@
+package stock
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+)
+
+// plan is a plan in the making.
+type plan struct {
+	Facts
+	orders []Order
+	// taken are the engines that got an order about a model in this plan.
+	taken map[string]bool
+	// replicas counts the engines that hold or load a model.
+	replicas map[string]int
+	// work is the work of each engine, from its models.
+	work map[string]float64
+	mean float64
+	// reserve is the memory kept for adapters.
+	reserve float64
+	loads   int
+}
+
+// Plan returns the orders to send now, at most one about a model to an engine.
+func Plan(f Facts) []Order {
+	p := &plan{Facts: f, taken: map[string]bool{}, replicas: map[string]int{}, work: map[string]float64{}, loads: f.StoreLoads}
+	p.count()
+	p.adapters()
+	p.reach(true)
+	p.spread()
+	p.reach(false)
+	return p.orders
+}
+
+// count derives replicas and work from the facts.
+func (p *plan) count() {
+	largest := 0.0
+	for i := range p.Spec.Models {
+		if len(p.Spec.Models[i].Adapters) > 0 {
+			largest = max(largest, p.Spec.Models[i].AdapterMB)
+		}
+	}
+	p.reserve = largest * float64(p.Spec.AdapterSlots)
+	alive := 0
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if !e.Alive {
+			continue
+		}
+		alive++
+		for m := range e.Models {
+			p.replicas[m]++
+		}
+		if e.Loading != "" {
+			p.replicas[e.Loading]++
+		}
+	}
+	total := 0.0
+	for i := range p.Spec.Models {
+		total += p.workOf(p.Spec.Models[i].Name)
+	}
+	p.mean = total / math.Max(float64(alive), 1)
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		for m := range e.Models {
+			p.work[e.ID] += p.perReplica(m)
+		}
+		if e.Loading != "" {
+			p.work[e.ID] += p.perReplica(e.Loading)
+		}
+	}
+}
+
+func (p *plan) workOf(model string) float64 {
+	if n := p.Demand[model]; n != nil {
+		return n.Work
+	}
+	return 0
+}
+
+func (p *plan) perReplica(model string) float64 {
+	return p.workOf(model) / math.Max(float64(p.replicas[model]), 1)
+}
+
+// reach gives a place to models that no engine holds: those that calls wait for, or
+// all declared ones.
+func (p *plan) reach(asked bool) {
+	type wanted struct {
+		model *layout.Model
+		need  Need
+	}
+	var list []wanted
+	for i := range p.Spec.Models {
+		m := &p.Spec.Models[i]
+		if p.replicas[m.Name] > 0 {
+			continue
+		}
+		w := wanted{model: m}
+		if n := p.Demand[m.Name]; n != nil {
+			w.need = *n
+		}
+		inUse := w.need.Waiting > 0 || !w.need.Used.IsZero() && p.Now.Sub(w.need.Used) < recent
+		if inUse == asked {
+			list = append(list, w)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(b.need.Waiting, a.need.Waiting), cmp.Compare(b.need.Work, a.need.Work))
+	})
+	reason := ReasonReachable
+	if asked {
+		reason = ReasonAsked
+	}
+	for _, w := range list {
+		p.give(w.model, reason, asked)
+	}
+}
+
+// spread gives another replica to the model whose replicas have the most work.
+func (p *plan) spread() {
+	moves := 0
+	for i := range p.Engines {
+		if p.Engines[i].Loading != "" {
+			moves++
+		}
+	}
+	most := max(int(maxMoves*float64(len(p.Engines))), 1)
+	for ; moves < most; moves++ {
+		var hot *layout.Model
+		for i := range p.Spec.Models {
+			m := &p.Spec.Models[i]
+			if p.replicas[m.Name] == 0 || p.perReplica(m.Name) <= hotShare*p.mean {
+				continue
+			}
+			if hot == nil || p.perReplica(m.Name) > p.perReplica(hot.Name) {
+				hot = m
+			}
+		}
+		if hot == nil || !p.give(hot, ReasonDemand, false) {
+			return
+		}
+	}
+}
+
+// option is a way to give a model a place on an engine.
+type option struct {
+	engine *Engine
+	// victims are unloaded first; empty if there is room.
+	victims []string
+	store   bool
+	cost    float64
+}
+
+// Costs of an option, in parts of the mean work of an engine.
+const (
+	costDisk   = 0.2
+	costStore  = 1.2
+	costVictim = 0.5
+)
+
+// give orders a load of model at the best engine, or the unload that makes room for it.
+// It reports whether an order was given.
+func (p *plan) give(m *layout.Model, why Reason, urgent bool) bool {
+	var best *option
+	for i := range p.Engines {
+		o := p.option(&p.Engines[i], m, why, urgent)
+		if o != nil && (best == nil || o.cost < best.cost) {
+			best = o
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.taken[best.engine.ID] = true
+	if len(best.victims) > 0 {
+		v := best.victims[0]
+		p.orders = append(p.orders, Order{Engine: best.engine.ID, Unload: true, Model: v, Reason: ReasonRoom})
+		p.replicas[v]--
+		// The load follows when the memory is free; its place counts already.
+		p.replicas[m.Name]++
+		return true
+	}
+	if best.store {
+		p.loads--
+	}
+	p.orders = append(p.orders, Order{Engine: best.engine.ID, Model: m.Name, FromStore: best.store, Reason: why})
+	p.replicas[m.Name]++
+	p.work[best.engine.ID] += p.perReplica(m.Name)
+	return true
+}
+
+// option returns how model could get a place on an engine, or nil.
+func (p *plan) option(e *Engine, m *layout.Model, why Reason, urgent bool) *option {
+	if !e.Free || !e.Alive || p.taken[e.ID] || e.Loading != "" {
+		return nil
+	}
+	if _, ok := e.Models[m.Name]; ok {
+		return nil
+	}
+	o := &option{engine: e}
+	switch {
+	case e.InMemory[m.Name]:
+	case e.OnDisk[m.Name]:
+		o.cost += costDisk
+	default:
+		o.cost += costStore
+		o.store = true
+	}
+	if o.store && p.loads <= 0 {
+		return nil
+	}
+	if p.mean > 0 {
+		o.cost += p.work[e.ID] / p.mean
+	}
+	free := p.Spec.MemoryMB - p.reserve - p.used(e)
+	if free >= m.MemoryMB {
+		return o
+	}
+	if !urgent && p.Now.Sub(e.Moved) < dwell {
+		return nil
+	}
+	victims := p.victims(e, m, m.MemoryMB-free, urgent)
+	if victims == nil || why == ReasonReachable && p.inUse(victims) {
+		return nil
+	}
+	o.victims = victims
+	o.cost += costVictim * float64(len(victims))
+	for _, v := range victims {
+		if p.mean > 0 {
+			o.cost += p.perReplica(v) / p.mean
+		}
+	}
+	return o
+}
+
+func (p *plan) used(e *Engine) float64 {
+	used := 0.0
+	for name := range e.Models {
+		if m := p.Spec.Model(name); m != nil {
+			used += m.MemoryMB
+		}
+	}
+	return used
+}
+
+// inUse tells whether a model was asked for lately.
+func (p *plan) inUse(models []string) bool {
+	for _, m := range models {
+		if n := p.Demand[m]; n != nil && p.Now.Sub(n.Used) < recent {
+			return true
+		}
+	}
+	return false
+}
+
+// victims returns models of an engine that make room, those with the least work first;
+// nil if they can't be spared.
+func (p *plan) victims(e *Engine, m *layout.Model, room float64, urgent bool) []string {
+	var list []string
+	for name := range e.Models {
+		if p.spare(name, m.Name, urgent) {
+			list = append(list, name)
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.perReplica(a), p.perReplica(b)), cmp.Compare(p.replicas[b], p.replicas[a]), cmp.Compare(a, b))
+	})
+	for i, name := range list {
+		spec := p.Spec.Model(name)
+		if spec == nil {
+			continue
+		}
+		if room -= spec.MemoryMB; room <= 0 {
+			return list[:i+1]
+		}
+	}
+	return nil
+}
+
+// spare tells whether a replica of model may go for the sake of another. The last one
+// goes only for a model that calls wait for, and only if nobody asks for it.
+func (p *plan) spare(model, other string, urgent bool) bool {
+	if p.replicas[model] < 2 {
+		return urgent && !p.inUse([]string{model})
+	}
+	after := p.workOf(model) / float64(p.replicas[model]-1)
+	if after <= coldShare*p.mean {
+		return true
+	}
+	// A busy model spares a replica for one that nobody holds, or that is far busier.
+	return urgent && p.replicas[other] == 0 || after < p.perReplica(other)*coldShare
+}
