mirror: Pass changes of the store on between daemons

Ruled out: longer waits alone, since each change answers every open feed. Adapters go out as changes, at once to those that wait.

--- a/limpetd/steer/books.go
+++ b/limpetd/steer/books.go
@@ -16,8 +16,8 @@
 	loads  bucket
 	fence  int64
 	since  time.Time
-	// published are the holdings that daemons were told last.
-	published *holdings
+	// adapters and closing are what this daemon was told last.
+	adapters, closing map[string][]string
 }
 
 // view is what the steerer knows of an engine.
@@ -182,32 +182,33 @@
 	return !v.failing.IsZero() && now.Sub(v.failing) > failingLong
 }
 
-// holdings returns what daemons have to know.
-func (b *books) holdings() holdings {
-	h := holdings{Whole: true, Adapters: map[string][]string{}, Closing: map[string][]string{}}
+// holdings returns the adapters that engines hold, and the models that are about to go.
+func (b *books) holdings() (adapters, closing map[string][]string) {
+	adapters, closing = map[string][]string{}, map[string][]string{}
 	for id, v := range b.views {
 		if !v.known && v.loading == "" && v.unloading == "" {
 			continue
 		}
-		names := []string{}
-		for m, adapters := range v.models {
-			for a := range adapters {
-				if name := m + "/" + a; !v.arriving[name] {
-					names = append(names, name)
-				}
-			}
-		}
-		slices.Sort(names)
-		h.Adapters[id] = names
+		adapters[id] = v.adapters()
 		if len(v.closing) > 0 {
-			h.Closing[id] = slices.Sorted(maps.Keys(v.closing))
+			closing[id] = slices.Sorted(maps.Keys(v.closing))
 		}
 	}
-	return h
+	return adapters, closing
 }
 
-func (h *holdings) same(o *holdings) bool {
-	return o != nil && maps.EqualFunc(h.Adapters, o.Adapters, slices.Equal[[]string]) && maps.EqualFunc(h.Closing, o.Closing, slices.Equal[[]string])
+// adapters returns the adapters that calls may use, as MODEL/ADAPTER.
+func (v *view) adapters() []string {
+	names := []string{}
+	for m, adapters := range v.models {
+		for a := range adapters {
+			if name := m + "/" + a; !v.arriving[name] {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // bucket bounds the loads from the weight store. A new steerer starts with none, as the
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -23,7 +23,9 @@
 // told is a report of a daemon.
 type told struct {
 	VM string `msgpack:"vm"`
-	// Used and Waiting are keyed in parallel by Slots.
+	// Versions are those of the daemon's tables, in the first report of a link.
+	Versions map[string]int64 `msgpack:"versions,omitempty"`
+	// Used and Waiting are those of Slots, in the same order.
 	Slots   []slot `msgpack:"slots"`
 	Used    []use  `msgpack:"used"`
 	Waiting []int  `msgpack:"waiting"`
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/mirror"
 )
 
 // Steerer is the placement duty of a daemon. It is safe for concurrent use.
@@ -25,6 +27,7 @@
 	settings   Config
 	deps       Deps
 	hub        *hub
+	tables     map[string]*mirror.Follower
 	wasHolding atomic.Bool
 
 	mu      sync.Mutex
@@ -54,7 +57,8 @@
 	t, ctx := life.WithContext(ctx)
 	d.Scope = d.Scope.SubScope("steer")
 	s := &Steerer{
-		tomb: t, settings: c, deps: d, hub: newHub(),
+		tomb: t, settings: c, deps: d, hub: newHub(d.Tables),
+		tables:  map[string]*mirror.Follower{},
 		counts:  newCounts(),
 		lease:   lease.NewMachine(lease.Config{VM: c.VM, Instance: c.Instance, Term: leaseTerm}),
 		reports: make(chan told, 256),
@@ -62,6 +66,9 @@
 		wake:    make(chan struct{}, 1),
 		urgent:  make(chan struct{}, 1),
 	}
+	for _, f := range d.Tables {
+		s.tables[f.Name()] = f
+	}
 	t.Go(func() error { return serveLinks(ctx, l, s) })
 	t.Go(func() error {
 		s.keep(ctx)
@@ -134,7 +141,7 @@
 		to := s.steerer
 		s.mu.Unlock()
 		switch {
-		case s.holds():
+		case s.Holds():
 			s.report(s.take())
 		case to.Address != "" && to.Instance != s.settings.Instance:
 			if err := s.follow(ctx, to); err != nil && ctx.Err() == nil {
@@ -187,43 +194,71 @@
 			s.deps.Log.Debug("link_not_closed", zap.Error(err))
 		}
 	}()
+	received := make(chan error, 1)
 	s.tomb.Go(func() error {
 		defer cancel()
+		adapters, closing := map[string]map[string]bool{}, map[string]map[string]bool{}
 		for {
-			var h holdings
-			if err := stream.RecvMsg(&h); err != nil {
+			var w word
+			if err := stream.RecvMsg(&w); err != nil {
+				received <- err
 				return nil
 			}
-			s.learn(h)
+			if w.Whole {
+				clear(adapters)
+				clear(closing)
+			}
+			s.learn(w, adapters, closing)
 		}
 	})
+	first := s.take()
+	first.Versions = map[string]int64{}
+	for name, f := range s.tables {
+		first.Versions[name] = f.Version()
+	}
+	if err := stream.SendMsg(first); err != nil {
+		return err
+	}
 	start := time.Now()
 	for {
-		if err := stream.SendMsg(s.take()); err != nil {
-			return err
-		}
 		s.pause(ctx)
 		s.mu.Lock()
 		linked, now := s.linked, s.steerer
 		s.mu.Unlock()
 		switch {
 		case ctx.Err() != nil:
-			return ctx.Err()
+			select {
+			case err := <-received:
+				return err
+			default:
+				return ctx.Err()
+			}
 		case now != to:
 			return nil
 		case time.Since(linked) > linkTimeout && time.Since(start) > linkTimeout:
 			return io.ErrNoProgress
 		}
+		if err := stream.SendMsg(s.take()); err != nil {
+			return err
+		}
 	}
 }
 
-// learn takes holdings from the steerer in.
-func (s *Steerer) learn(h holdings) {
+// learn takes a word of the steerer in. The maps hold what all engines have.
+func (s *Steerer) learn(w word, adapters, closing map[string]map[string]bool) {
+	now := time.Now()
 	s.mu.Lock()
-	s.linked = time.Now()
+	s.linked = now
 	s.mu.Unlock()
-	if h.Whole {
-		s.deps.Listener.Holdings(sets(h.Adapters), sets(h.Closing))
+	if w.Whole || len(w.Adapters) > 0 || len(w.Closing) > 0 {
+		maps.Copy(adapters, sets(w.Adapters))
+		maps.Copy(closing, sets(w.Closing))
+		s.deps.Listener.Holdings(maps.Clone(adapters), maps.Clone(closing))
+	}
+	for _, u := range w.Tables {
+		if f := s.tables[u.Table]; f != nil {
+			f.Offer(u, now)
+		}
 	}
 }
 
@@ -241,14 +276,17 @@
 
 // link serves the link of another daemon.
 func (s *Steerer) link(stream grpc.ServerStream) error {
-	if !s.holds() {
-		return status.Error(codes.FailedPrecondition, "this daemon is not the steerer")
+	if !s.Holds() {
+		return errNotSteerer
 	}
-	out := s.hub.join()
+	var first told
+	if err := stream.RecvMsg(&first); err != nil {
+		return err
+	}
+	out := s.hub.join(first.Versions)
 	defer s.hub.leave(out)
-	// A new link gets all holdings with the next plan.
-	s.result(func(b *books) { b.published = nil })
-	ctx := stream.Context()
+	s.hub.heard(out, &first)
+	s.report(first)
 	failed := make(chan error, 1)
 	s.tomb.Go(func() error {
 		for {
@@ -257,27 +295,37 @@
 				failed <- err
 				return nil
 			}
+			s.hub.heard(out, &t)
 			s.report(t)
-			s.hub.ack(out)
 		}
 	})
 	for {
 		select {
-		case <-ctx.Done():
-			return ctx.Err()
+		case <-stream.Context().Done():
+			return stream.Context().Err()
 		case err := <-failed:
 			return err
-		case h := <-out.next:
-			if !s.holds() {
-				return status.Error(codes.FailedPrecondition, "this daemon is no longer the steerer")
+		case w := <-out.next:
+			if !s.Holds() {
+				return errNotSteerer
+			}
+			if s.hub.cut(out) {
+				return errSlow
 			}
-			if err := stream.SendMsg(h); err != nil {
+			if err := stream.SendMsg(w); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+// errNotSteerer ends links to a daemon that does not hold the lease, errSlow those to a
+// daemon that takes no words.
+var (
+	errNotSteerer = status.Error(codes.FailedPrecondition, "this daemon is not the steerer")
+	errSlow       = status.Error(codes.ResourceExhausted, "too many words wait for the daemon")
+)
+
 // result hands an outcome to the plan.
 func (s *Steerer) result(f func(*books)) {
 	select {
--- a/limpetd/steer/keep.go
+++ b/limpetd/steer/keep.go
@@ -30,7 +30,7 @@
 		if !mine {
 			pause = random.Around(source, candidatePeriod)
 		}
-		if s.holds() != s.wasHolding.Swap(s.holds()) {
+		if s.Holds() != s.wasHolding.Swap(s.Holds()) {
 			s.note()
 		}
 		life.Sleep(ctx, pause)
@@ -44,8 +44,8 @@
 	return !s.leaving && s.config != nil && len(s.servers) > 0 && time.Since(s.linked) > linkTimeout
 }
 
-// holds tells whether this daemon trusts its lease.
-func (s *Steerer) holds() bool {
+// Holds tells whether this daemon trusts its lease.
+func (s *Steerer) Holds() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.leaving && s.lease.Valid(s.deps.Clock())
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	fence := s.lease.Row().Fence
 	s.mu.Unlock()
-	if s.holds() {
+	if s.Holds() {
 		s.deps.Scope.Counter("lease_taken").Inc(1)
 		s.deps.Log.Info("lease_taken", zap.Int64("fence", fence))
 		return
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/grpc"
@@ -13,6 +12,7 @@
 	"google.golang.org/grpc/encoding"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/mirror"
 )
 
 // codecName is the content subtype of messages between daemons.
@@ -21,23 +21,35 @@
 // codec encodes messages between daemons.
 type codec struct{}
 
-func (codec) Marshal(v any) ([]byte, error)      { return msgpack.Marshal(v) }
+// encoded is a message that is encoded already, as it goes to many daemons.
+type encoded []byte
+
+func (codec) Marshal(v any) ([]byte, error) {
+	if raw, ok := v.(encoded); ok {
+		return raw, nil
+	}
+	return msgpack.Marshal(v)
+}
+
 func (codec) Unmarshal(data []byte, v any) error { return msgpack.Unmarshal(data, v) }
 func (codec) Name() string                       { return codecName }
 
 func init() { encoding.RegisterCodec(codec{}) }
 
-// holdings is what the steerer tells daemons.
-type holdings struct {
-	// Whole tells that the maps below are set; else nothing has changed.
+// word is what the steerer tells daemons: what has changed since its last word.
+type word struct {
+	// Whole tells that Adapters and Closing are those of all engines.
 	Whole bool `msgpack:"whole"`
 	// Adapters are MODEL/ADAPTER names, Closing models, both by engine.
 	Adapters map[string][]string `msgpack:"adapters"`
 	Closing  map[string][]string `msgpack:"closing"`
+	// Tables are the changes of the tables that daemons follow. A table that the
+	// steerer can't follow itself is missing.
+	Tables []mirror.Update `msgpack:"tables"`
 }
 
-// linkPath names the one call of the link: a stream of reports to the steerer and of
-// holdings back.
+// linkService and linkMethod name the one call of the link: a stream of reports to the
+// steerer and of words back.
 const (
 	linkService = "limpet.Steer"
 	linkMethod  = "Link"
@@ -90,61 +102,3 @@
 	}
 	return stream, conn, nil
 }
-
-// hub sends holdings to the linked daemons.
-type hub struct {
-	mu    sync.Mutex
-	links map[*outbox]bool
-}
-
-// outbox holds the newest holdings for a link; a newer one replaces it.
-type outbox struct{ next chan holdings }
-
-func newHub() *hub { return &hub{links: map[*outbox]bool{}} }
-
-func (h *hub) join() *outbox {
-	o := &outbox{next: make(chan holdings, 1)}
-	h.mu.Lock()
-	h.links[o] = true
-	h.mu.Unlock()
-	return o
-}
-
-func (h *hub) leave(o *outbox) {
-	h.mu.Lock()
-	delete(h.links, o)
-	h.mu.Unlock()
-}
-
-// send hands holdings to all links. Holdings that a link has not taken yet are replaced.
-func (h *hub) send(m holdings) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for o := range h.links {
-		o.put(m)
-	}
-}
-
-// ack tells a daemon that its report came.
-func (h *hub) ack(o *outbox) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	o.put(holdings{})
-}
-
-func (o *outbox) put(m holdings) {
-	for {
-		select {
-		case o.next <- m:
-			return
-		default:
-		}
-		select {
-		case old := <-o.next:
-			if old.Whole && !m.Whole {
-				m = old
-			}
-		default:
-		}
-	}
-}
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/layout"
@@ -16,6 +19,8 @@
 	b := newBooks(0, time.Now())
 	ticker := time.NewTicker(planPeriod)
 	defer ticker.Stop()
+	words := time.NewTicker(wordPeriod)
+	defer words.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -29,6 +34,9 @@
 			f(b)
 		case <-s.wake:
 		case <-ticker.C:
+		case <-words.C:
+			s.flush(b, time.Now())
+			continue
 		}
 		b = s.step(ctx, b, time.Now())
 	}
@@ -56,7 +64,7 @@
 
 // step makes one plan; with a new lease it starts with new books.
 func (s *Steerer) step(ctx context.Context, b *books, now time.Time) *books {
-	if !s.holds() {
+	if !s.Holds() {
 		return b
 	}
 	s.mu.Lock()
@@ -160,12 +168,12 @@
 
 // send sends orders to an engine until one is not accepted.
 func (s *Steerer) send(ctx context.Context, server *layout.Server, state, fence int64, list []stock.Order) {
-	var arriving []string
+	var arriving []slot
 	for _, o := range list {
 		if o.Unload && o.Adapter == "" {
 			life.Sleep(ctx, closeDelay)
 		}
-		if !s.holds() {
+		if !s.Holds() {
 			break
 		}
 		within, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -182,7 +190,7 @@
 			state++
 		}
 		if moved && o.Adapter != "" && !o.Unload {
-			arriving = append(arriving, o.Model+"/"+o.Adapter)
+			arriving = append(arriving, slot{server.Service, o.Model, o.Adapter})
 		}
 		s.result(func(b *books) { s.ordered(b, server, o, answer, err) })
 		if err != nil || answer != Accepted && answer != Already {
@@ -195,8 +203,11 @@
 	s.result(func(b *books) {
 		if v := b.views[server.ID]; v != nil && v.server.Same(server) {
 			v.sending = false
-			for _, name := range arriving {
-				delete(v.arriving, name)
+			for _, a := range arriving {
+				delete(v.arriving, a.Model+"/"+a.Adapter)
+			}
+			if len(arriving) > 0 {
+				s.hub.arrived(server.ID, v.adapters(), arriving)
 			}
 		}
 	})
@@ -291,13 +302,27 @@
 	}
 }
 
-// publish tells all daemons what engines hold, if that has changed.
+// publish tells this daemon what engines hold, if that has changed.
 func (s *Steerer) publish(b *books) {
-	h := b.holdings()
-	if h.same(b.published) {
+	adapters, closing := b.holdings()
+	if maps.EqualFunc(adapters, b.adapters, slices.Equal[[]string]) && maps.EqualFunc(closing, b.closing, slices.Equal[[]string]) {
+		return
+	}
+	b.adapters, b.closing = adapters, closing
+	s.deps.Listener.Holdings(sets(adapters), sets(closing))
+}
+
+// flush sends a word to all daemons.
+func (s *Steerer) flush(b *books, now time.Time) {
+	if !s.Holds() {
 		return
 	}
-	b.published = &h
-	s.hub.send(h)
-	s.deps.Listener.Holdings(sets(h.Adapters), sets(h.Closing))
+	adapters, closing := b.holdings()
+	encode := func(w word) (encoded, error) {
+		raw, err := msgpack.Marshal(w)
+		return raw, err
+	}
+	if err := s.hub.flush(adapters, closing, encode, now); err != nil {
+		s.deps.Log.Error("word_not_encoded", zap.Error(err))
+	}
 }
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -3,7 +3,7 @@
 //
 // One daemon of the deployment holds a lease and is the steerer. The others keep a link
 // to it: they tell what callers ask for, and are told at once which adapters engines
-// hold and which models are about to go. A daemon whose link is lost reads the lease
+// hold and which models are about to go, and what has changed in the store. A daemon whose link is lost reads the lease
 // and takes it when it has lapsed. The steerer plans with package stock and sends
 // orders; each names the state of the engine that it was planned on, and the fence of
 // the lease, so an order that comes late or from an earlier steerer does no harm.
@@ -26,6 +26,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
+	"github.com/limpetlb/limpetlb/limpetd/mirror"
 )
 
 // Config of a steerer.
@@ -116,6 +117,8 @@
 	Engines  Engines
 	Leases   Leases
 	Listener Listener
+	// Tables are followed by all daemons; the steerer passes their changes on.
+	Tables []*mirror.Follower
 	// Clock is a steady clock that also counts the time that the VM was suspended.
 	Clock func() time.Time
 	Log   *zap.Logger
@@ -132,6 +135,9 @@
 	candidatePeriod = 400 * time.Millisecond
 	// planPeriod is the time between plans without a cause.
 	planPeriod = 250 * time.Millisecond
+	// wordPeriod is the time between words of the steerer to all daemons. Several
+	// of them fit in the time after which a daemon follows the store itself.
+	wordPeriod = 200 * time.Millisecond
 	// tellPeriod is the time between reports of a daemon to the steerer.
 	tellPeriod = 500 * time.Millisecond
 	// urgentPeriod is the least time between reports when calls wait.
