front: Answer every call before a leaving daemon ends

Now such calls are refused as not run when the daemon leaves, and calls that are still at work when it ends get an answer that promises nothing. Besides, a lapsed lease is known by its version from the steerer's words, weaker VMs leave the lease to stronger ones, and a word that waited for 500 ms ends its link.

--- a/limpetd/front/again.go
+++ b/limpetd/front/again.go
@@ -49,6 +49,8 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		c.cut(code.CallerGone, "the caller left: "+reason)
+	case c.front.stopped.Err() != nil:
+		c.stop()
 	case ctx.Err() != nil:
 		c.expire(reason)
 	case time.Until(c.need.Until) < leastLeft:
@@ -75,6 +77,15 @@
 	}
 }
 
+// stop ends a call because the daemon stops.
+func (c *call) stop() {
+	if c.runs > 0 {
+		c.fail(code.BackendLost, http.StatusBadGateway, "the daemon stops before the answer came")
+		return
+	}
+	c.refuse(code.Stopping, leavingReturn, "the daemon stops")
+}
+
 // expire ends a call whose time is over.
 func (c *call) expire(reason string) {
 	switch {
@@ -142,6 +153,8 @@
 	select {
 	case <-changed:
 		return true
+	case <-c.front.left.Done():
+		c.giveUp(code.Stopping, sched.Choice{Return: leavingReturn}, "leaving")
 	case <-timer.C:
 		c.giveUp(result, sched.Choice{Return: expected}, reason+" in time")
 	case <-ctx.Done():
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -116,8 +116,11 @@
 	settings sched.Settings
 	state    atomic.Pointer[state]
 	leaving  atomic.Int64
-	inFlight atomic.Int64
-	metrics  metrics
+	// left ends the calls that wait, stopped all calls.
+	left, stopped  context.Context
+	leave, stopNow context.CancelFunc
+	inFlight       atomic.Int64
+	metrics        metrics
 
 	mu   sync.Mutex
 	book *sched.Book
@@ -134,8 +137,10 @@
 var _ http.Handler = (*Front)(nil)
 
 // New returns a front that has no configuration yet and refuses all calls.
-func New(_ context.Context, d Deps, opts ...Option) *Front {
+func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	f := &Front{deps: d, changed: make(chan struct{}), metrics: newMetrics(d.Scope)}
+	f.left, f.leave = context.WithCancel(ctx)
+	f.stopped, f.stopNow = context.WithCancel(ctx)
 	for _, o := range opts {
 		o(f)
 	}
@@ -197,9 +202,15 @@
 	f.mu.Unlock()
 }
 
-// Leave makes the front close connections after their answers, and from refuseAt on
-// refuse calls that it could not finish.
-func (f *Front) Leave(refuseAt time.Time) { f.leaving.Store(refuseAt.UnixNano()) }
+// Leave makes the front close connections after their answers, refuse the calls that
+// wait for a model, and from refuseAt on refuse calls that it could not finish.
+func (f *Front) Leave(refuseAt time.Time) {
+	f.leaving.Store(refuseAt.UnixNano())
+	f.leave()
+}
+
+// Stop ends all calls: those without a part of their answer get an answer that says so.
+func (f *Front) Stop() { f.stopNow() }
 
 // InFlight returns the number of calls that are not answered yet.
 func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -154,6 +154,7 @@
 	f := c.front
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.need.Until)
 	defer cancel()
+	defer context.AfterFunc(f.stopped, cancel)()
 	f.mu.Lock()
 	f.book.Arrived(c.need.Service, c.need.Arrived)
 	f.mu.Unlock()
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -36,6 +36,9 @@
 	servers []*layout.Server
 	lease   *lease.Machine
 	leaving bool
+	// free is since when the lease could be taken.
+	free    time.Time
+	members []Member
 	// steerer is the daemon that announced itself last; linked is when word came
 	// from it.
 	steerer Member
@@ -60,7 +63,7 @@
 		tomb: t, settings: c, deps: d, hub: newHub(d.Tables),
 		tables:  map[string]*mirror.Follower{},
 		counts:  newCounts(),
-		lease:   lease.NewMachine(lease.Config{VM: c.VM, Instance: c.Instance, Term: leaseTerm}),
+		lease:   lease.NewMachine(lease.Config{VM: c.Self.VM, Instance: c.Self.Instance, Term: leaseTerm}),
 		reports: make(chan told, 256),
 		results: make(chan func(*books), 256),
 		wake:    make(chan struct{}, 1),
@@ -108,6 +111,13 @@
 	}
 }
 
+// Members sets the daemons of the deployment.
+func (s *Steerer) Members(all []Member) {
+	s.mu.Lock()
+	s.members = all
+	s.mu.Unlock()
+}
+
 // Used notes a call and its work.
 func (s *Steerer) Used(service, model, adapter string, work int) {
 	s.mu.Lock()
@@ -143,9 +153,12 @@
 		switch {
 		case s.Holds():
 			s.report(s.take())
-		case to.Address != "" && to.Instance != s.settings.Instance:
+		case to.Address != "" && to.Instance != s.settings.Self.Instance:
 			if err := s.follow(ctx, to); err != nil && ctx.Err() == nil {
 				s.deps.Log.Info("link_lost", zap.String("vm", to.VM), zap.Error(err))
+				if status.Code(err) == codes.FailedPrecondition {
+					s.unlinked()
+				}
 				life.Sleep(ctx, reportRetry)
 			}
 			continue
@@ -154,6 +167,13 @@
 	}
 }
 
+// unlinked notes that the daemon that was the steerer no longer is.
+func (s *Steerer) unlinked() {
+	s.mu.Lock()
+	s.linked = time.Time{}
+	s.mu.Unlock()
+}
+
 // pause waits for the next report: for a period, or less when calls wait.
 func (s *Steerer) pause(ctx context.Context) {
 	timer := time.NewTimer(tellPeriod)
@@ -169,7 +189,7 @@
 func (s *Steerer) take() told {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counts.take(s.settings.VM)
+	return s.counts.take(s.settings.Self.VM)
 }
 
 // report hands a report to the plan.
@@ -249,6 +269,9 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.linked = now
+	if !s.lease.Mine() {
+		s.lease.Observe(lease.Row{VM: w.Lease.VM, Instance: w.Lease.Instance, Fence: w.Lease.Fence}, w.Lease.Version, s.deps.Clock())
+	}
 	s.mu.Unlock()
 	if w.Whole || len(w.Adapters) > 0 || len(w.Closing) > 0 {
 		maps.Copy(adapters, sets(w.Adapters))
@@ -309,10 +332,10 @@
 			if !s.Holds() {
 				return errNotSteerer
 			}
-			if s.hub.cut(out) {
+			if s.hub.cut(out) || time.Since(w.at) > wordDelay {
 				return errSlow
 			}
-			if err := stream.SendMsg(w); err != nil {
+			if err := stream.SendMsg(w.message); err != nil {
 				return err
 			}
 		}
--- a/limpetd/steer/hub.go
+++ b/limpetd/steer/hub.go
@@ -9,9 +9,13 @@
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
 )
 
-// outboxWords is how many words wait for a daemon. One that takes none for that long is
-// cut off: it opens a new link and gets everything anew.
-const outboxWords = 16
+const (
+	// outboxWords is how many words wait for a daemon. One that takes none for that
+	// long is cut off: it opens a new link and gets everything anew.
+	outboxWords = 8
+	// wordDelay is how long a word may wait: a daemon takes what it is told for fresh.
+	wordDelay = 500 * time.Millisecond
+)
 
 // hub sends words to the linked daemons. A word to all is encoded once.
 type hub struct {
@@ -27,7 +31,7 @@
 
 // outbox holds the words for one daemon.
 type outbox struct {
-	next chan any
+	next chan parcel
 	// wants are the slots that calls of the daemon wait for.
 	wants map[slot]bool
 	// behind tells that the daemon has not got everything yet.
@@ -44,7 +48,7 @@
 // join adds a daemon with its versions of the tables; it gets everything with the next
 // word.
 func (h *hub) join(versions map[string]int64) *outbox {
-	o := &outbox{next: make(chan any, outboxWords), wants: map[slot]bool{}, behind: true, versions: versions}
+	o := &outbox{next: make(chan parcel, outboxWords), wants: map[slot]bool{}, behind: true, versions: versions}
 	h.mu.Lock()
 	h.links[o] = true
 	h.mu.Unlock()
@@ -71,20 +75,26 @@
 
 // arrived tells daemons whose calls wait for new adapters of an engine at once; adapters
 // are all that the engine holds.
-func (h *hub) arrived(engine string, adapters []string, slots []slot) {
+func (h *hub) arrived(engine string, adapters []string, slots []slot, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w := word{Adapters: map[string][]string{engine: adapters}}
 	for o := range h.links {
 		if !o.behind && slices.ContainsFunc(slots, func(s slot) bool { return o.wants[s] }) {
-			o.put(w)
+			o.put(w, now)
 		}
 	}
 }
 
-func (o *outbox) put(w any) {
+// parcel is a message and when it was written.
+type parcel struct {
+	message any
+	at      time.Time
+}
+
+func (o *outbox) put(message any, now time.Time) {
 	select {
-	case o.next <- w:
+	case o.next <- parcel{message, now}:
 	default:
 		o.full = true
 	}
@@ -119,7 +129,7 @@
 	h.sent, h.adapters, h.closing = next, maps.Clone(adapters), maps.Clone(closing)
 	for o := range h.links {
 		if !o.behind {
-			o.put(raw)
+			o.put(raw, now)
 			continue
 		}
 		o.behind = false
@@ -133,7 +143,7 @@
 		if err != nil {
 			return err
 		}
-		o.put(first)
+		o.put(first, now)
 	}
 	return nil
 }
--- a/limpetd/steer/keep.go
+++ b/limpetd/steer/keep.go
@@ -56,7 +56,7 @@
 	s.mu.Lock()
 	row, version := s.lease.Row(), s.lease.Version()
 	s.mu.Unlock()
-	s.write(ctx, row, version, "")
+	s.write(ctx, row, version, false)
 }
 
 // candidate reads the lease, and takes it if it has lapsed.
@@ -70,19 +70,35 @@
 	s.mu.Lock()
 	s.lease.Observe(row, version, now)
 	action := s.lease.Next(now)
+	if s.free.IsZero() || action != lease.Take {
+		s.free = now
+	}
+	if action == lease.Take && s.weak() && now.Sub(s.free) < weakDelay {
+		action = lease.Wait
+	}
 	taken := s.lease.Taken()
 	s.mu.Unlock()
 	switch action {
 	case lease.Take:
-		s.write(ctx, taken, version, s.settings.Address)
+		s.write(ctx, taken, version, true)
 	case lease.Renew:
-		s.write(ctx, row, version, s.settings.Address)
+		s.write(ctx, row, version, true)
 	case lease.Wait:
 	}
 }
 
+// weak tells whether another daemon has a much stronger VM.
+func (s *Steerer) weak() bool {
+	for _, m := range s.members {
+		if m.Power > strongerBy*s.settings.Self.Power {
+			return true
+		}
+	}
+	return false
+}
+
 // write stores the lease on the condition that it has a version.
-func (s *Steerer) write(ctx context.Context, row lease.Row, version int64, announce string) {
+func (s *Steerer) write(ctx context.Context, row lease.Row, version int64, announce bool) {
 	sent := s.deps.Clock()
 	got, err := s.deps.Leases.Write(ctx, row, version, announce)
 	s.mu.Lock()
@@ -125,6 +141,6 @@
 		return nil
 	}
 	s.deps.Log.Info("lease_released", zap.Int64("fence", row.Fence))
-	_, err := s.deps.Leases.Write(ctx, row, version, "")
+	_, err := s.deps.Leases.Write(ctx, row, version, false)
 	return err
 }
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -43,11 +43,21 @@
 	// Adapters are MODEL/ADAPTER names, Closing models, both by engine.
 	Adapters map[string][]string `msgpack:"adapters"`
 	Closing  map[string][]string `msgpack:"closing"`
+	// Lease is that of the steerer, so that others know since when it is renewed.
+	Lease leaseWord `msgpack:"lease"`
 	// Tables are the changes of the tables that daemons follow. A table that the
 	// steerer can't follow itself is missing.
 	Tables []mirror.Update `msgpack:"tables"`
 }
 
+// leaseWord is the lease of the steerer and its version.
+type leaseWord struct {
+	VM       string `msgpack:"vm"`
+	Instance string `msgpack:"instance"`
+	Fence    int64  `msgpack:"fence"`
+	Version  int64  `msgpack:"version"`
+}
+
 // linkService and linkMethod name the one call of the link: a stream of reports to the
 // steerer and of words back.
 const (
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -178,7 +178,7 @@
 		}
 		within, cancel := context.WithTimeout(ctx, orderTimeout)
 		answer, err := s.deps.Engines.Order(within, server, Order{
-			Unload: o.Unload, Model: o.Model, Adapter: o.Adapter, State: state, Holder: s.settings.VM, Fence: fence,
+			Unload: o.Unload, Model: o.Model, Adapter: o.Adapter, State: state, Holder: s.settings.Self.VM, Fence: fence,
 		})
 		cancel()
 		s.deps.Scope.Counter("orders").Inc(1)
@@ -207,7 +207,7 @@
 				delete(v.arriving, a.Model+"/"+a.Adapter)
 			}
 			if len(arriving) > 0 {
-				s.hub.arrived(server.ID, v.adapters(), arriving)
+				s.hub.arrived(server.ID, v.adapters(), arriving, time.Now())
 			}
 		}
 	})
@@ -318,7 +318,11 @@
 		return
 	}
 	adapters, closing := b.holdings()
+	s.mu.Lock()
+	row, version := s.lease.Row(), s.lease.Version()
+	s.mu.Unlock()
 	encode := func(w word) (encoded, error) {
+		w.Lease = leaseWord{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Version: version}
 		raw, err := msgpack.Marshal(w)
 		return raw, err
 	}
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	s := steer.New(ctx, steer.Config{VM: "vm-1", Instance: id, Address: "10.0.0.1:7380"}, steer.Deps{...})
+//	s := steer.New(ctx, steer.Config{Self: member}, steer.Deps{...})
 //	s.Know(config, servers)
 //	s.Used("service", "model", "adapter", 120)
 //	s.Want("service", "model", "adapter")
@@ -31,20 +31,21 @@
 
 // Config of a steerer.
 type Config struct {
-	VM       string
-	Instance string
-	// Address is that of the link, as other daemons reach it.
-	Address string
+	Self Member
 	// Quiet is how long a new steerer waits before its first order, where engines
 	// don't check fences.
 	Quiet time.Duration
 }
 
-// Member is another daemon.
+// Member is a daemon.
 type Member struct {
-	VM       string
+	VM string
+	// Instance is that of one start of the daemon.
 	Instance string
-	Address  string
+	// Address is that of its links, as other daemons reach it.
+	Address string
+	// Power is the processor that its VM has, in cores.
+	Power float64
 }
 
 // Report is what an engine says of itself, some hundred milliseconds late.
@@ -102,8 +103,8 @@
 	// Read returns the lease and its version; 0 if there is none.
 	Read(ctx context.Context) (lease.Row, int64, error)
 	// Write replaces the version of the lease that was read, and returns the new
-	// one. A lease that is taken is announced to all daemons with the address.
-	Write(ctx context.Context, r lease.Row, version int64, announce string) (int64, error)
+	// one. It can announce this daemon to all others with it.
+	Write(ctx context.Context, r lease.Row, version int64, announce bool) (int64, error)
 }
 
 // Listener is told what engines hold beyond what they list.
@@ -133,6 +134,10 @@
 	renewPeriod = 600 * time.Millisecond
 	// candidatePeriod is the time between looks at the lease without a link.
 	candidatePeriod = 400 * time.Millisecond
+	// weakDelay is how long a daemon on a VM that is weaker than another's leaves the
+	// lease to that one, and strongerBy how much stronger that one must be.
+	weakDelay  = 700 * time.Millisecond
+	strongerBy = 1.3
 	// planPeriod is the time between plans without a cause.
 	planPeriod = 250 * time.Millisecond
 	// wordPeriod is the time between words of the steerer to all daemons. Several
