front: Give a silent server up only when it is gone or another can go on

Now a silent server is first asked for a connection, and a call leaves one that accepts it only for a server that can go on.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -157,6 +157,17 @@
 	return &Conn{pool: p, target: t, conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes)}, nil
 }
 
+// Reachable tells whether t accepts a connection, which it closes again.
+func (p *Pool) Reachable(ctx context.Context, t Target) bool {
+	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
+	if err != nil {
+		return false
+	}
+	// Nothing was sent on it, so nothing is lost by an error.
+	_ = conn.Close()
+	return true
+}
+
 // Forget closes the idle connections to t.
 func (p *Pool) Forget(t Target) {
 	p.mu.Lock()
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -25,11 +25,11 @@
 	maxWhole = 4 << 20
 	// awaitStep is the time between looks at whether a server has gone silent.
 	awaitStep = 250 * time.Millisecond
-	// silenceFirst and silenceNext are how long a server that answers none of the
-	// calls there is waited for, before the first event and after it. They are
-	// well under the two seconds after which callers give a stream up.
-	silenceFirst = 1300 * time.Millisecond
-	silenceNext  = 900 * time.Millisecond
+	// silenceProbe is the silence of a server after which it is looked whether it
+	// still accepts connections, and silenceMove that after which a call moves to
+	// another server though it does. Callers give a stream up after two seconds.
+	silenceProbe = 700 * time.Millisecond
+	silenceMove  = 1600 * time.Millisecond
 	// leastLeft is the time that a call must have left to be sent.
 	leastLeft = 5 * time.Millisecond
 )
@@ -66,7 +66,7 @@
 	if !c.need.Route.Repeatable() {
 		idle = maxIdleUnsafe
 	}
-	conn, err := f.deps.Pool.Take(ctx, conns.Target{Address: s.server.Address, Instance: s.server.ID}, idle)
+	conn, err := f.deps.Pool.Take(ctx, s.target(), idle)
 	if err != nil {
 		result := sched.Unreached
 		if errors.Is(err, conns.ErrTooMany) {
@@ -119,7 +119,7 @@
 		return c.again(ctx, code.BackendFailed, "write: "+err.Error())
 	}
 	c.runs++
-	err := s.await(ctx, silenceFirst)
+	err := s.await(ctx)
 	var a *http.Response
 	if err == nil {
 		a, err = s.conn.Head(r)
@@ -162,10 +162,14 @@
 	}
 }
 
-// await waits for bytes from the server. It gives up a call that may be repeated when
-// the server has been silent to all calls of this daemon.
-func (s *send) await(ctx context.Context, patience time.Duration) error {
+// await waits for bytes from the server. A call that may be repeated is given up when
+// the server is silent to all calls of this daemon and accepts no connection, or when it
+// is silent for long and another server can go on. Silence alone is no reason: a busy
+// engine pauses streams.
+func (s *send) await(ctx context.Context) error {
+	c := s.call
 	since := time.Now()
+	probed := false
 	for {
 		if s.conn.Await(time.Now().Add(awaitStep)) {
 			return nil
@@ -174,19 +178,42 @@
 			return ctx.Err()
 		}
 		now := time.Now()
-		if !s.call.need.Route.Repeatable() || now.Sub(since) < patience {
+		if !c.need.Route.Repeatable() || now.Sub(since) < silenceProbe || s.silent(now) < silenceProbe {
 			continue
 		}
-		f := s.call.front
-		f.mu.Lock()
-		silent := f.book.Silent(s.server.ID, now) >= patience
-		f.mu.Unlock()
-		if silent {
+		if !probed {
+			probed = true
+			if !c.front.deps.Pool.Reachable(ctx, s.target()) {
+				return errSilent
+			}
+		}
+		if s.silent(now) >= silenceMove && c.alternative(now) {
 			return errSilent
 		}
 	}
 }
 
+// silent returns how long the server has sent nothing to any call.
+func (s *send) silent(now time.Time) time.Duration {
+	f := s.call.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Silent(s.server.ID, now)
+}
+
+func (s *send) target() conns.Target {
+	return conns.Target{Address: s.server.Address, Instance: s.server.ID}
+}
+
+// alternative tells whether another server could go on with the call.
+func (c *call) alternative(now time.Time) bool {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return c.runs < c.need.Route.Attempts && c.outcome.sends < maxSends &&
+		f.book.Choose(&c.need, now).Verdict == sched.Chosen && f.book.CanRepeat(c.need.Service, now)
+}
+
 // rejected handles an answer that says that the call was not run.
 func (s *send) rejected(ctx context.Context, a *http.Response, r Reply) bool {
 	c := s.call
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -69,10 +69,9 @@
 	c := s.call
 	buffer := make([]byte, streamBuffer)
 	var pending []byte
-	patience := silenceFirst
 	for {
 		if a.ContentLength < 0 {
-			if err := s.await(ctx, patience); err != nil {
+			if err := s.await(ctx); err != nil {
 				return err
 			}
 		}
@@ -85,7 +84,6 @@
 					return err
 				}
 				pending = append(pending[:0], pending[whole:]...)
-				patience = silenceNext
 			}
 			if len(pending) > maxEvent {
 				return errEventTooLong
--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -47,17 +47,23 @@
 // Repeat tells whether a call may be sent to a service once more, and counts it if
 // so. Each daemon takes its part of the bound over all daemons.
 func (b *Book) Repeat(service string, now time.Time) bool {
+	if !b.CanRepeat(service, now) {
+		return false
+	}
 	g := b.budget(service)
-	i := g.turn(b.settings.RetryWindow, now)
+	g.repeats[g.turn(b.settings.RetryWindow, now)]++
+	return true
+}
+
+// CanRepeat tells whether a call may be sent to a service once more.
+func (b *Book) CanRepeat(service string, now time.Time) bool {
+	g := b.budget(service)
+	g.turn(b.settings.RetryWindow, now)
 	calls, repeats := 0, 0
-	for k := range g.calls {
-		calls += g.calls[k]
-		repeats += g.repeats[k]
+	for i := range g.calls {
+		calls += g.calls[i]
+		repeats += g.repeats[i]
 	}
 	most := b.settings.RetryRatio*float64(calls) + b.settings.RetrySlack/float64(b.daemons)
-	if float64(repeats+1) > budgetShare*most {
-		return false
-	}
-	g.repeats[i]++
-	return true
+	return float64(repeats+1) <= budgetShare*most
 }
