stock: Serve busy models before idle ones

Also engines take calls only while these can be answered in time (sched.room), with the loads of all daemons shared over the links.

--- a/limpetd/front/again.go
+++ b/limpetd/front/again.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -97,72 +96,3 @@
 		c.refuse(code.ShedDeadline, leavingReturn, "not sent in time: "+reason)
 	}
 }
-
-// choose waits until a server is found for the call; false if the call was ended.
-func (c *call) choose(ctx context.Context) (sched.Choice, bool) {
-	f := c.front
-	for {
-		now := time.Now()
-		f.mu.Lock()
-		choice := f.book.Choose(&c.need, now)
-		changed := f.changed
-		repeat := c.outcome.sends > 0
-		spent := choice.Verdict == sched.Chosen && repeat && !f.book.Repeat(c.need.Service, now)
-		if choice.Verdict == sched.Chosen && !spent {
-			f.book.Sent(choice.Server.ID, now)
-		}
-		f.mu.Unlock()
-		switch {
-		case spent:
-			c.giveUp(code.RetryBudget, choice, "retry budget spent after: "+c.outcome.reason)
-			return choice, false
-		case choice.Verdict == sched.Chosen:
-			if repeat {
-				f.metrics.repeated.Inc(1)
-			}
-			c.outcome.waited = now.Sub(c.need.Arrived)
-			return choice, true
-		}
-		if !c.wait(ctx, choice, changed, now) {
-			return choice, false
-		}
-	}
-}
-
-// wait waits for servers to change; false if the call was ended.
-func (c *call) wait(ctx context.Context, choice sched.Choice, changed <-chan struct{}, now time.Time) bool {
-	result, reason := code.NoBackend, "no server of the service can be used"
-	expected := choice.Return
-	hold := false
-	if choice.Verdict == sched.NotLoaded {
-		result, reason = code.NoEngine, "no engine holds the model"
-		c.front.deps.Loader.Want(c.need.Service, c.need.Model, c.need.Adapter)
-		f := c.front
-		f.mu.Lock()
-		expected = f.book.LoadTime(&c.need, f.Config().Services[c.need.Service])
-		f.mu.Unlock()
-		hold = sched.Hold(&c.need, expected, now)
-	}
-	if !hold {
-		choice.Return = expected
-		c.giveUp(result, choice, reason)
-		return false
-	}
-	timer := time.NewTimer(time.Until(sched.HoldUntil(&c.need)))
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-c.front.left.Done():
-		c.giveUp(code.Stopping, sched.Choice{Return: leavingReturn}, "leaving")
-	case <-timer.C:
-		c.giveUp(result, sched.Choice{Return: expected}, reason+" in time")
-	case <-ctx.Done():
-		if errors.Is(c.request.Context().Err(), context.Canceled) {
-			c.cut(code.CallerGone, "the caller left while it waited")
-			return false
-		}
-		c.expire(reason)
-	}
-	return false
-}
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -52,6 +52,11 @@
 	server  *layout.Server
 	conn    *conns.Conn
 	started bool
+	// at is when the call was sent, pending how many calls then waited there.
+	at      time.Time
+	pending int
+	// heard is when the last events came.
+	heard time.Time
 }
 
 // attempt sends the call to the chosen server. It returns true if the call is to be
@@ -61,7 +66,7 @@
 	c.outcome.sends++
 	c.outcome.server, c.outcome.load, c.outcome.age = choice.Server.ID, choice.Load, choice.Age
 	c.need.Tried = append(c.need.Tried, choice.Server.ID)
-	s := &send{call: c, server: choice.Server}
+	s := &send{call: c, server: choice.Server, at: time.Now(), pending: choice.Pending}
 	idle := maxIdle
 	if !c.need.Route.Repeatable() {
 		idle = maxIdleUnsafe
@@ -91,7 +96,9 @@
 func (s *send) end(r sched.Result) {
 	f := s.call.front
 	f.mu.Lock()
-	f.book.Ended(s.server.ID, &s.call.need, r, s.started, time.Now())
+	now := time.Now()
+	f.book.Ended(s.server.ID, &s.call.need, r, s.started, now)
+	f.dispatch(now)
 	f.mu.Unlock()
 }
 
@@ -100,13 +107,14 @@
 	f, now := s.call.front, time.Now()
 	f.mu.Lock()
 	if !s.started {
-		f.book.Started(s.server.ID, now)
+		f.book.Started(s.server.ID, &s.call.need, s.pending, s.at, now)
 	}
 	if r.Load != nil {
 		f.book.Told(s.server.ID, *r.Load, now)
 	}
-	f.mu.Unlock()
 	s.started = true
+	f.dispatch(now)
+	f.mu.Unlock()
 }
 
 // exchange writes the call and passes the answer on.
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -124,8 +124,8 @@
 
 	mu   sync.Mutex
 	book *sched.Book
-	// changed is closed when servers or their holdings change.
-	changed chan struct{}
+	// waiters wait for a server, in the order of sched.Order.
+	waiters []*waiter
 }
 
 // state is a configuration with its index of routes.
@@ -138,7 +138,7 @@
 
 // New returns a front that has no configuration yet and refuses all calls.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
-	f := &Front{deps: d, changed: make(chan struct{}), metrics: newMetrics(d.Scope)}
+	f := &Front{deps: d, metrics: newMetrics(d.Scope)}
 	f.left, f.leave = context.WithCancel(ctx)
 	f.stopped, f.stopNow = context.WithCancel(ctx)
 	for _, o := range opts {
@@ -194,12 +194,26 @@
 	f.mu.Unlock()
 }
 
-// notify wakes the calls that wait for a change.
-func (f *Front) notify() {
+// Share sets the load that all daemons together put on servers.
+func (f *Front) Share(all map[string]sched.Shared) {
 	f.mu.Lock()
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.book.Share(all, time.Now())
 	f.mu.Unlock()
+	f.notify()
+}
+
+// Own returns the load that this daemon puts on servers.
+func (f *Front) Own() map[string]sched.Shared {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Own(time.Now())
+}
+
+// notify gives servers to the calls that wait, as far as they now can be had.
+func (f *Front) notify() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatch(time.Now())
 }
 
 // Leave makes the front close connections after their answers, refuse the calls that
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -25,6 +25,8 @@
 	// leavingReturn is when a caller of a leaving daemon returns; a new connection
 	// reaches another daemon.
 	leavingReturn = 20 * time.Millisecond
+	// outputWork is the work of a token that an engine makes, in tokens that it reads.
+	outputWork = 5
 	// maxSends bounds the servers that a call is sent to while they say that they
 	// did not run it.
 	maxSends = 4
@@ -159,7 +161,7 @@
 	f.book.Arrived(c.need.Service, c.need.Arrived)
 	f.mu.Unlock()
 	if c.need.Model != "" {
-		f.deps.Loader.Used(c.need.Service, c.need.Model, c.need.Adapter, c.need.PromptTokens+c.need.OutputTokens)
+		f.deps.Loader.Used(c.need.Service, c.need.Model, c.need.Adapter, c.need.PromptTokens+outputWork*c.need.OutputTokens)
 	}
 	for {
 		choice, ok := c.choose(ctx)
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -126,14 +126,16 @@
 	if err != nil {
 		return err
 	}
+	now := time.Now()
 	if !s.started {
 		s.begin(a, r)
 	} else {
 		f := c.front
 		f.mu.Lock()
-		f.book.Heard(s.server.ID, time.Now())
+		f.book.Heard(s.server.ID, now.Sub(s.heard), now)
 		f.mu.Unlock()
 	}
+	s.heard = now
 	if _, err := c.writer.Write(events); err != nil {
 		return errors.Join(errCaller, err)
 	}
--- /dev/null
+++ b/limpetd/front/wait.go
@@ -0,0 +1,164 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+// waiter is a call that waits for a server.
+type waiter struct {
+	sched.Waiter
+	call *call
+	// got brings the choice; it has room for one.
+	got chan sched.Choice
+}
+
+// dispatch gives servers to waiters in order. The lock is held.
+func (f *Front) dispatch(now time.Time) {
+	if len(f.waiters) == 0 {
+		return
+	}
+	order := make([]*sched.Waiter, len(f.waiters))
+	by := make(map[*sched.Waiter]*waiter, len(f.waiters))
+	for i, w := range f.waiters {
+		order[i] = &w.Waiter
+		by[&w.Waiter] = w
+	}
+	sched.Order(order, now)
+	f.waiters = f.waiters[:0]
+	// A call without room leaves none for the next ones of its model.
+	type group struct{ service, model, adapter string }
+	full := map[group]bool{}
+	for _, o := range order {
+		w := by[o]
+		g := group{w.call.need.Service, w.call.need.Model, w.call.need.Adapter}
+		if !full[g] {
+			choice := f.take(w.call, now)
+			if choice.Verdict == sched.Chosen || choice.Verdict == sched.NoServer {
+				w.got <- choice
+				continue
+			}
+			full[g] = true
+		}
+		f.waiters = append(f.waiters, w)
+	}
+}
+
+// take chooses a server for a call and notes it. The lock is held.
+func (f *Front) take(c *call, now time.Time) sched.Choice {
+	choice := f.book.Choose(&c.need, now)
+	if choice.Verdict != sched.Chosen {
+		return choice
+	}
+	if c.outcome.sends > 0 && !f.book.Repeat(c.need.Service, now) {
+		choice.Verdict = sched.NoRepeat
+		return choice
+	}
+	f.book.Sent(choice.Server.ID, now)
+	return choice
+}
+
+// choose waits until a server is found for the call; false if the call was ended.
+func (c *call) choose(ctx context.Context) (sched.Choice, bool) {
+	f := c.front
+	now := time.Now()
+	f.mu.Lock()
+	choice := f.take(c, now)
+	f.mu.Unlock()
+	var until time.Time
+	switch choice.Verdict {
+	case sched.Chosen:
+		return c.chosen(choice, now), true
+	case sched.Full:
+		until = sched.WaitUntil(&c.need)
+	case sched.NotLoaded:
+		f.deps.Loader.Want(c.need.Service, c.need.Model, c.need.Adapter)
+		f.mu.Lock()
+		choice.Return = f.book.LoadTime(&c.need, f.Config().Services[c.need.Service])
+		f.mu.Unlock()
+		if sched.Hold(&c.need, choice.Return, now) {
+			until = sched.HoldUntil(&c.need)
+		}
+	case sched.NoServer, sched.NoRepeat:
+	}
+	if until.After(now) {
+		return c.wait(ctx, choice, until)
+	}
+	c.unplaced(choice)
+	return choice, false
+}
+
+// chosen notes when the call got a server.
+func (c *call) chosen(choice sched.Choice, now time.Time) sched.Choice {
+	if c.outcome.sends > 0 {
+		c.front.metrics.repeated.Inc(1)
+	}
+	c.outcome.waited = now.Sub(c.need.Arrived)
+	return choice
+}
+
+// unplaced ends a call that no server can take.
+func (c *call) unplaced(choice sched.Choice) {
+	switch choice.Verdict {
+	case sched.NoRepeat:
+		c.giveUp(code.RetryBudget, choice, "retry budget spent after: "+c.outcome.reason)
+	case sched.NotLoaded:
+		c.giveUp(code.NoEngine, choice, "no engine holds the model")
+	case sched.Full:
+		c.giveUp(code.ShedDeadline, choice, "no engine has room in time")
+	case sched.NoServer, sched.Chosen:
+		c.giveUp(code.NoBackend, choice, "no server of the service can be used")
+	}
+}
+
+// wait queues the call until a time; false if the call was ended.
+func (c *call) wait(ctx context.Context, choice sched.Choice, until time.Time) (sched.Choice, bool) {
+	f := c.front
+	w := &waiter{Waiter: sched.Waiter{Call: &c.need, Until: until}, call: c, got: make(chan sched.Choice, 1)}
+	f.mu.Lock()
+	f.waiters = append(f.waiters, w)
+	f.mu.Unlock()
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case got := <-w.got:
+		return c.take(got)
+	case <-timer.C:
+	case <-f.left.Done():
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	f.waiters = slices.DeleteFunc(f.waiters, func(o *waiter) bool { return o == w })
+	f.mu.Unlock()
+	select {
+	case got := <-w.got:
+		// A server was chosen meanwhile.
+		return c.take(got)
+	default:
+	}
+	switch {
+	case errors.Is(c.request.Context().Err(), context.Canceled):
+		c.cut(code.CallerGone, "the caller left while it waited")
+	case f.left.Err() != nil:
+		c.giveUp(code.Stopping, sched.Choice{Return: leavingReturn}, "leaving")
+	case ctx.Err() != nil:
+		c.expire("no server was found")
+	default:
+		c.unplaced(choice)
+	}
+	return choice, false
+}
+
+// take takes the choice that a waiting call got.
+func (c *call) take(got sched.Choice) (sched.Choice, bool) {
+	if got.Verdict == sched.Chosen {
+		return c.chosen(got, time.Now()), true
+	}
+	c.unplaced(got)
+	return got, false
+}
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -33,7 +33,12 @@
 	}
 	list := make([]candidate, 0, len(holding))
 	for _, s := range holding {
-		list = append(list, candidate{server: s, load: b.load(s, now)})
+		if b.room(s, c, now) {
+			list = append(list, candidate{server: s, load: b.load(s, now)})
+		}
+	}
+	if len(list) == 0 {
+		return Choice{Verdict: Full, Return: b.comeBackFull(c, now)}
 	}
 	least := list[0].load
 	for _, l := range list {
@@ -45,7 +50,7 @@
 	if !s.toldAt.IsZero() {
 		age = now.Sub(s.toldAt)
 	}
-	return Choice{Verdict: Chosen, Server: s.entry, Load: best.load, Age: age}
+	return Choice{Verdict: Chosen, Server: s.entry, Load: best.load, Age: age, Pending: b.pending(s, now) + 1}
 }
 
 // usable are the servers of the call's service that it may be sent to: first those
@@ -107,13 +112,8 @@
 
 // load returns the estimated calls at a server per slot.
 func (b *Book) load(s *server, now time.Time) float64 {
-	calls := float64(s.own * b.daemons)
-	if !s.toldAt.IsZero() && now.Sub(s.toldAt) < toldFresh {
-		calls = float64(s.told.Running+s.told.Waiting) + float64(s.sent)
-	}
-	calls = max(calls, float64(s.own))
 	slots := max(s.entry.Slots, 1)
-	return calls/float64(slots) + s.failures*failurePenalty
+	return b.calls(s, now)/float64(slots) + s.failures*failurePenalty
 }
 
 // among picks one of the servers with nearly the least load.
@@ -170,7 +170,17 @@
 			}
 		}
 	}
-	left := c.Until.Sub(now) / 4
-	pause = max(min(pause, left), returnLeast)
+	return b.spread(pause, c, now)
+}
+
+// comeBackFull returns when a caller had best return that no engine has room for. New
+// replicas of a model are there after some seconds.
+func (b *Book) comeBackFull(c *Call, now time.Time) time.Duration {
+	return b.spread(returnMost, c, now)
+}
+
+// spread varies a pause, within the part of its time that a caller waits.
+func (b *Book) spread(pause time.Duration, c *Call, now time.Time) time.Duration {
+	pause = max(min(pause, c.Until.Sub(now)/4), returnLeast)
 	return pause/2 + time.Duration(b.random.Int64N(int64(pause)))
 }
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -65,6 +65,8 @@
 	NotLoaded
 	// Full means that no server could answer in time.
 	Full
+	// NoRepeat means that the call was sent before and the retries are spent.
+	NoRepeat
 )
 
 // Choice is the outcome of Choose.
@@ -75,6 +77,9 @@
 	Load float64
 	// Age is how old the server's own count was; negative if it told none.
 	Age time.Duration
+	// Pending counts the calls that wait at the server for a first event, this one
+	// included.
+	Pending int
 	// Return is when a refused caller had best come back.
 	Return time.Duration
 }
@@ -122,6 +127,13 @@
 	ejected time.Time
 	// full is until when the server is known to refuse calls.
 	full time.Time
+	// gap is the smoothed pause between events of own streams, gapAt when an event
+	// came last.
+	gap   time.Duration
+	gapAt time.Time
+	// shared is what all daemons together told of the server, mine what this one
+	// had told by then.
+	shared, mine Shared
 	// refuses holds until when the server is known to lack a model or adapter.
 	refuses map[string]time.Time
 }
@@ -136,6 +148,9 @@
 	adapters map[string]map[string]bool
 	closing  map[string]map[string]bool
 	budgets  map[string]*budget
+	sharedAt time.Time
+	// prefill is the smoothed time to a first event per call that waits for one.
+	prefill time.Duration
 }
 
 // NewBook returns a book that knows no server.
@@ -147,6 +162,7 @@
 		servers:  map[string]*server{},
 		service:  map[string][]*server{},
 		budgets:  map[string]*budget{},
+		prefill:  firstPrefill,
 	}
 }
 
@@ -188,10 +204,12 @@
 	}
 }
 
-// Heard notes that bytes came from a server.
-func (b *Book) Heard(id string, now time.Time) {
+// Heard notes that events of a stream came from a server, a pause after the ones before.
+func (b *Book) Heard(id string, pause time.Duration, now time.Time) {
 	if s := b.servers[id]; s != nil {
 		s.heard = now
+		s.gap += time.Duration(gapWeight * float64(pause-s.gap))
+		s.gapAt = now
 	}
 }
 
@@ -211,9 +229,14 @@
 	}
 }
 
-// Started notes the first event or the answer of a call.
-func (b *Book) Started(id string, now time.Time) {
+// Started notes the first event or the answer of a call that was sent when a number of
+// calls waited at the server, itself included.
+func (b *Book) Started(id string, c *Call, pending int, sent, now time.Time) {
 	if s := b.servers[id]; s != nil {
+		if c.Model != "" && pending > 0 {
+			sample := now.Sub(sent) / time.Duration(pending)
+			b.prefill += time.Duration(prefillWeight * float64(sample-b.prefill))
+		}
 		s.pending = max(s.pending-1, 0)
 		s.heard = now
 		s.strikes = 0
--- a/limpetd/steer/books.go
+++ b/limpetd/steer/books.go
@@ -13,7 +13,8 @@
 type books struct {
 	demand demand
 	views  map[string]*view
-	loads  bucket
+	stores bucket
+	loads  loads
 	fence  int64
 	since  time.Time
 	// adapters and closing are what this daemon was told last.
@@ -151,7 +152,7 @@
 
 // facts returns what the plan for a service depends on.
 func (b *books) facts(spec *layout.Service, now time.Time) stock.Facts {
-	f := stock.Facts{Now: now, Spec: spec.Engines, Demand: b.demand.needs(spec.Name, now), StoreLoads: b.loads.left(now)}
+	f := stock.Facts{Now: now, Spec: spec.Engines, Demand: b.demand.needs(spec.Name, now), StoreLoads: b.stores.left(now)}
 	failing := 0
 	var views []*view
 	for _, id := range slices.Sorted(maps.Keys(b.views)) {
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 	"github.com/limpetlb/limpetlb/limpetd/stock"
 )
 
@@ -29,6 +30,8 @@
 	Slots   []slot `msgpack:"slots"`
 	Used    []use  `msgpack:"used"`
 	Waiting []int  `msgpack:"waiting"`
+	// Loads is the load that the daemon puts on servers.
+	Loads map[string]sched.Shared `msgpack:"loads"`
 }
 
 // counts collects what a daemon has to report.
@@ -68,7 +71,8 @@
 
 // rate is the demand for a slot.
 type rate struct {
-	work    float64
+	quick   float64
+	slow    float64
 	at      time.Time
 	used    time.Time
 	waiting int
@@ -85,7 +89,9 @@
 			r = &rate{at: now}
 			d.rates[s] = r
 		}
-		r.work = r.current(now) + t.Used[i].Work/demandWindow.Seconds()
+		quick, slow := r.current(now)
+		r.quick = quick + t.Used[i].Work/quickWindow.Seconds()
+		r.slow = slow + t.Used[i].Work/slowWindow.Seconds()
 		r.at = now
 		if t.Used[i].Calls > 0 || t.Waiting[i] > 0 {
 			r.used = now
@@ -96,8 +102,10 @@
 	}
 }
 
-func (r *rate) current(now time.Time) float64 {
-	return r.work * math.Exp(-now.Sub(r.at).Seconds()/demandWindow.Seconds())
+// current returns the quick and the slow average at now.
+func (r *rate) current(now time.Time) (quick, slow float64) {
+	past := now.Sub(r.at).Seconds()
+	return r.quick * math.Exp(-past/quickWindow.Seconds()), r.slow * math.Exp(-past/slowWindow.Seconds())
 }
 
 // served notes that calls no longer wait for a slot.
@@ -123,7 +131,9 @@
 		if now.Before(r.until) {
 			waiting = r.waiting
 		}
-		n.Work += r.current(now)
+		quick, slow := r.current(now)
+		n.Work += max(quick, slow)
+		n.Recent += quick
 		if r.used.After(n.Used) {
 			n.Used = r.used
 		}
@@ -135,3 +145,32 @@
 	}
 	return needs
 }
+
+// loadsFor is how long the load that a daemon told counts: two reports may be lost.
+const loadsFor = 1600 * time.Millisecond
+
+// loads are the loads that daemons put on servers.
+type loads struct {
+	by map[string]daemonLoads
+}
+
+type daemonLoads struct {
+	at    time.Time
+	loads map[string]sched.Shared
+}
+
+// sum returns the load of all daemons.
+func (l *loads) sum(now time.Time) map[string]sched.Shared {
+	out := map[string]sched.Shared{}
+	for vm, d := range l.by {
+		if now.Sub(d.at) > loadsFor {
+			delete(l.by, vm)
+			continue
+		}
+		for id, one := range d.loads {
+			all := out[id]
+			out[id] = sched.Shared{Calls: all.Calls + one.Calls, Pending: all.Pending + one.Pending, Gap: max(all.Gap, one.Gap)}
+		}
+	}
+	return out
+}
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -187,9 +187,12 @@
 }
 
 func (s *Steerer) take() told {
+	own := s.deps.Listener.Own()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counts.take(s.settings.Self.VM)
+	t := s.counts.take(s.settings.Self.VM)
+	t.Loads = own
+	return t
 }
 
 // report hands a report to the plan.
@@ -269,7 +272,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.linked = now
-	if !s.lease.Mine() {
+	if w.Loads != nil && !s.lease.Mine() {
 		s.lease.Observe(lease.Row{VM: w.Lease.VM, Instance: w.Lease.Instance, Fence: w.Lease.Fence}, w.Lease.Version, s.deps.Clock())
 	}
 	s.mu.Unlock()
@@ -278,6 +281,9 @@
 		maps.Copy(closing, sets(w.Closing))
 		s.deps.Listener.Holdings(maps.Clone(adapters), maps.Clone(closing))
 	}
+	if w.Loads != nil {
+		s.deps.Listener.Share(w.Loads)
+	}
 	for _, u := range w.Tables {
 		if f := s.tables[u.Table]; f != nil {
 			f.Offer(u, now)
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 // codecName is the content subtype of messages between daemons.
@@ -43,6 +44,8 @@
 	// Adapters are MODEL/ADAPTER names, Closing models, both by engine.
 	Adapters map[string][]string `msgpack:"adapters"`
 	Closing  map[string][]string `msgpack:"closing"`
+	// Loads is the load of servers over all daemons; nil if the word does not tell it.
+	Loads map[string]sched.Shared `msgpack:"loads"`
 	// Lease is that of the steerer, so that others know since when it is renewed.
 	Lease leaseWord `msgpack:"lease"`
 	// Tables are the changes of the tables that daemons follow. A table that the
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -26,7 +26,9 @@
 		case <-ctx.Done():
 			return
 		case t := <-s.reports:
-			b.demand.add(t, time.Now())
+			now := time.Now()
+			b.demand.add(t, now)
+			b.loads.by[t.VM] = daemonLoads{at: now, loads: t.Loads}
 			if !t.urgent() {
 				continue
 			}
@@ -46,7 +48,8 @@
 	return &books{
 		demand: demand{rates: map[slot]*rate{}},
 		views:  map[string]*view{},
-		loads:  bucket{unanswered: map[string]time.Time{}},
+		stores: bucket{unanswered: map[string]time.Time{}},
+		loads:  loads{by: map[string]daemonLoads{}},
 		fence:  fence,
 		since:  now,
 	}
@@ -72,7 +75,7 @@
 	s.mu.Unlock()
 	if fence != b.fence {
 		fresh := newBooks(fence, now)
-		fresh.demand = b.demand
+		fresh.demand, fresh.loads = b.demand, b.loads
 		b = fresh
 	}
 	if config == nil || now.Sub(b.since) < s.settings.Quiet {
@@ -84,7 +87,7 @@
 		if service.Engines == nil {
 			continue
 		}
-		b.loads.perSecond = service.Engines.LoadsPerSecond
+		b.stores.perSecond = service.Engines.LoadsPerSecond
 		s.order(ctx, b, stock.Plan(b.facts(service, now)), now)
 	}
 	s.publish(b)
@@ -124,7 +127,7 @@
 	}
 	v.reported(r, now)
 	if v.known {
-		delete(b.loads.unanswered, id)
+		delete(b.stores.unanswered, id)
 	}
 	s.deps.Log.Info("engine_reported", zap.String("engine", id), zap.Int64("state", r.State), zap.Bool("busy", r.Busy), zap.Int("models", len(r.Models)), zap.Bool("known", v.known))
 }
@@ -155,7 +158,7 @@
 				v.closing[o.Model] = true
 			}
 			if o.FromStore {
-				b.loads.level--
+				b.stores.level--
 			}
 		}
 		server, state, fence := v.server, v.state, b.fence
@@ -217,7 +220,7 @@
 func (s *Steerer) ordered(b *books, server *layout.Server, o stock.Order, answer Answer, err error) {
 	now := time.Now()
 	if err != nil && o.FromStore {
-		b.loads.unanswered[server.ID] = now.Add(lateOrder)
+		b.stores.unanswered[server.ID] = now.Add(lateOrder)
 	}
 	v := b.views[server.ID]
 	if v == nil || !v.server.Same(server) {
@@ -318,10 +321,13 @@
 		return
 	}
 	adapters, closing := b.holdings()
+	shared := b.loads.sum(now)
+	s.deps.Listener.Share(shared)
 	s.mu.Lock()
 	row, version := s.lease.Row(), s.lease.Version()
 	s.mu.Unlock()
 	encode := func(w word) (encoded, error) {
+		w.Loads = shared
 		w.Lease = leaseWord{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Version: version}
 		raw, err := msgpack.Marshal(w)
 		return raw, err
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -27,6 +27,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 // Config of a steerer.
@@ -107,8 +108,12 @@
 	Write(ctx context.Context, r lease.Row, version int64, announce bool) (int64, error)
 }
 
-// Listener is told what engines hold beyond what they list.
+// Listener is what routes calls at this daemon.
 type Listener interface {
+	// Own returns the load that this daemon puts on servers.
+	Own() map[string]sched.Shared
+	// Share sets the load that all daemons put on them.
+	Share(all map[string]sched.Shared)
 	// Holdings sets the adapters of engines and the models that are about to go.
 	Holdings(adapters, closing map[string]map[string]bool)
 }
@@ -144,7 +149,7 @@
 	// of them fit in the time after which a daemon follows the store itself.
 	wordPeriod = 200 * time.Millisecond
 	// tellPeriod is the time between reports of a daemon to the steerer.
-	tellPeriod = 500 * time.Millisecond
+	tellPeriod = 250 * time.Millisecond
 	// urgentPeriod is the least time between reports when calls wait.
 	urgentPeriod = 20 * time.Millisecond
 	// linkTimeout is the silence after which a link counts as lost.
@@ -161,8 +166,11 @@
 	closeDelay = 60 * time.Millisecond
 	// lateOrder is how long an order without an answer may still be carried out.
 	lateOrder = 13 * time.Second
-	// demandWindow is the time constant of the demand's average.
-	demandWindow = 3 * time.Second
+	// quickWindow and slowWindow are the time constants of the averages of demand: the
+	// quick one follows a rise within a second or two, the slow one bridges the pauses
+	// of models that few callers use.
+	quickWindow = 1500 * time.Millisecond
+	slowWindow  = 5 * time.Second
 	// storeBurst is how many loads from the weight store may begin at once; the
 	// bound over a window leaves as much above the steady rate.
 	storeBurst = 3
--- a/limpetd/stock/plan.go
+++ b/limpetd/stock/plan.go
@@ -29,9 +29,9 @@
 	p := &plan{Facts: f, taken: map[string]bool{}, replicas: map[string]int{}, work: map[string]float64{}, loads: f.StoreLoads}
 	p.count()
 	p.adapters()
-	p.reach(true)
+	p.asked()
 	p.spread()
-	p.reach(false)
+	p.reachable()
 	return p.orders
 }
 
@@ -85,41 +85,70 @@
 	return p.workOf(model) / math.Max(float64(p.replicas[model]), 1)
 }
 
-// reach gives a place to models that no engine holds: those that calls wait for, or
-// all declared ones.
-func (p *plan) reach(asked bool) {
-	type wanted struct {
-		model *layout.Model
-		need  Need
-	}
-	var list []wanted
+// asked gives a place to models that no engine holds and calls ask for.
+func (p *plan) asked() {
+	var list []*layout.Model
+	for i := range p.Spec.Models {
+		m := &p.Spec.Models[i]
+		if n := p.Demand[m.Name]; p.replicas[m.Name] == 0 && n != nil && (n.Waiting > 0 || p.inUse(m.Name)) {
+			list = append(list, m)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *layout.Model) int {
+		x, y := p.Demand[a.Name], p.Demand[b.Name]
+		return cmp.Or(cmp.Compare(y.Work, x.Work), cmp.Compare(y.Waiting, x.Waiting))
+	})
+	for _, m := range list {
+		p.give(m, ReasonAsked)
+	}
+}
+
+// reachable gives a place to a model that no engine holds and nobody asks for: one at a
+// time, where there is room, and while no busy model needs a replica. An engine that
+// loads takes no other order for many seconds.
+func (p *plan) reachable() {
+	if p.pressed() {
+		return
+	}
+	for i := range p.Engines {
+		if p.mean > 0 && p.Engines[i].Loading != "" {
+			return
+		}
+	}
 	for i := range p.Spec.Models {
 		m := &p.Spec.Models[i]
 		if p.replicas[m.Name] > 0 {
 			continue
 		}
-		w := wanted{model: m}
-		if n := p.Demand[m.Name]; n != nil {
-			w.need = *n
-		}
-		inUse := w.need.Waiting > 0 || !w.need.Used.IsZero() && p.Now.Sub(w.need.Used) < recent
-		if inUse == asked {
-			list = append(list, w)
+		if p.give(m, ReasonReachable) && p.mean > 0 {
+			return
 		}
 	}
-	slices.SortStableFunc(list, func(a, b wanted) int {
-		return cmp.Or(cmp.Compare(b.need.Waiting, a.need.Waiting), cmp.Compare(b.need.Work, a.need.Work))
-	})
-	reason := ReasonReachable
-	if asked {
-		reason = ReasonAsked
+}
+
+// pressed tells whether the replicas of some model have more work than an engine has on
+// the mean.
+func (p *plan) pressed() bool {
+	for i := range p.Spec.Models {
+		if name := p.Spec.Models[i].Name; p.mean > 0 && p.perReplica(name) > p.mean {
+			return true
+		}
 	}
-	for _, w := range list {
-		p.give(w.model, reason, asked)
+	return false
+}
+
+// score tells how much a model needs another replica: its work over its replicas to a
+// power above one. Replicas so grow slower than work, and models with little of it get
+// more than their part: those are the ones that rise next.
+func score(work float64, replicas int) float64 {
+	if replicas <= 0 {
+		return math.Inf(1)
 	}
+	return work / math.Pow(float64(replicas), hedge)
 }
 
-// spread gives another replica to the model whose replicas have the most work.
+// spread gives replicas to the models that need them most, in place of those that need
+// theirs far less.
 func (p *plan) spread() {
 	moves := 0
 	for i := range p.Engines {
@@ -128,20 +157,27 @@
 		}
 	}
 	most := max(int(maxMoves*float64(len(p.Engines))), 1)
-	for ; moves < most; moves++ {
+	passed := map[string]bool{}
+	for moves < most {
 		var hot *layout.Model
+		best := 0.0
 		for i := range p.Spec.Models {
 			m := &p.Spec.Models[i]
-			if p.replicas[m.Name] == 0 || p.perReplica(m.Name) <= hotShare*p.mean {
+			if n := p.replicas[m.Name]; n == 0 || passed[m.Name] || p.perReplica(m.Name) < leastShare*p.mean {
 				continue
 			}
-			if hot == nil || p.perReplica(m.Name) > p.perReplica(hot.Name) {
-				hot = m
+			if v := score(p.workOf(m.Name), p.replicas[m.Name]); v > best {
+				hot, best = m, v
 			}
 		}
-		if hot == nil || !p.give(hot, ReasonDemand, false) {
+		if hot == nil {
 			return
 		}
+		if p.give(hot, ReasonDemand) {
+			moves++
+		} else {
+			passed[hot.Name] = true
+		}
 	}
 }
 
@@ -163,10 +199,10 @@
 
 // give orders a load of model at the best engine, or the unload that makes room for it.
 // It reports whether an order was given.
-func (p *plan) give(m *layout.Model, why Reason, urgent bool) bool {
+func (p *plan) give(m *layout.Model, why Reason) bool {
 	var best *option
 	for i := range p.Engines {
-		o := p.option(&p.Engines[i], m, why, urgent)
+		o := p.option(&p.Engines[i], m, why)
 		if o != nil && (best == nil || o.cost < best.cost) {
 			best = o
 		}
@@ -193,7 +229,7 @@
 }
 
 // option returns how model could get a place on an engine, or nil.
-func (p *plan) option(e *Engine, m *layout.Model, why Reason, urgent bool) *option {
+func (p *plan) option(e *Engine, m *layout.Model, why Reason) *option {
 	if !e.Free || !e.Alive || p.taken[e.ID] || e.Loading != "" {
 		return nil
 	}
@@ -219,11 +255,11 @@
 	if free >= m.MemoryMB {
 		return o
 	}
-	if !urgent && p.Now.Sub(e.Moved) < dwell {
+	if why == ReasonReachable || why == ReasonDemand && p.Now.Sub(e.Moved) < dwell {
 		return nil
 	}
-	victims := p.victims(e, m, m.MemoryMB-free, urgent)
-	if victims == nil || why == ReasonReachable && p.inUse(victims) {
+	victims := p.victims(e, m, m.MemoryMB-free)
+	if victims == nil {
 		return nil
 	}
 	o.victims = victims
@@ -247,21 +283,17 @@
 }
 
 // inUse tells whether a model was asked for lately.
-func (p *plan) inUse(models []string) bool {
-	for _, m := range models {
-		if n := p.Demand[m]; n != nil && p.Now.Sub(n.Used) < recent {
-			return true
-		}
-	}
-	return false
+func (p *plan) inUse(model string) bool {
+	n := p.Demand[model]
+	return n != nil && !n.Used.IsZero() && p.Now.Sub(n.Used) < recent
 }
 
 // victims returns models of an engine that make room, those with the least work first;
 // nil if they can't be spared.
-func (p *plan) victims(e *Engine, m *layout.Model, room float64, urgent bool) []string {
+func (p *plan) victims(e *Engine, m *layout.Model, room float64) []string {
 	var list []string
 	for name := range e.Models {
-		if p.spare(name, m.Name, urgent) {
+		if p.spare(name, m.Name) {
 			list = append(list, name)
 		}
 	}
@@ -280,16 +312,21 @@
 	return nil
 }
 
-// spare tells whether a replica of model may go for the sake of another. The last one
-// goes only for a model that calls wait for, and only if nobody asks for it.
-func (p *plan) spare(model, other string, urgent bool) bool {
-	if p.replicas[model] < 2 {
-		return urgent && !p.inUse([]string{model})
-	}
-	after := p.workOf(model) / float64(p.replicas[model]-1)
-	if after <= coldShare*p.mean {
-		return true
+// spare tells whether a replica of model may go for the sake of another, which needs it
+// far more. The last one goes only if nobody asks for the model: it is loaded again, from
+// the copy that the engine keeps, when somebody does. Before any demand was seen all
+// replicas stay: they are where the operator wants them.
+func (p *plan) spare(model, other string) bool {
+	n := p.replicas[model]
+	if p.mean <= 0 {
+		return false
+	}
+	if n < 2 {
+		return !p.inUse(model) && (p.replicas[other] == 0 || p.perReplica(other) > p.mean)
+	}
+	falling := 0.0
+	if d := p.Demand[model]; d != nil {
+		falling = d.Recent
 	}
-	// A busy model spares a replica for one that nobody holds, or that is far busier.
-	return urgent && p.replicas[other] == 0 || after < p.perReplica(other)*coldShare
+	return score(falling, n-1)*gainFactor < score(p.workOf(other), max(p.replicas[other], 1))
 }
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -46,8 +46,9 @@
 
 // Need is the demand for a model.
 type Need struct {
-	// Work is the smoothed work a second, in any unit that is the same for all.
-	Work float64
+	// Work is the work a second, in any unit that is the same for all: the larger of
+	// a quick and a slow average. Recent is the quick one.
+	Work, Recent float64
 	// Waiting is the number of calls that wait for the model to be loaded.
 	Waiting int
 	// Used is when the model was asked for last.
@@ -94,24 +95,28 @@
 	ReasonAsked Reason = "asked"
 	// ReasonReachable means that no engine holds a declared model.
 	ReasonReachable Reason = "reachable"
-	// ReasonDemand means that the replicas of the model have too much work.
+	// ReasonDemand means that the replicas of the model have much work.
 	ReasonDemand Reason = "demand"
 	// ReasonRoom means that memory is freed for another model.
 	ReasonRoom Reason = "room"
 )
 
 const (
-	// hotShare is the work of a replica, in parts of the mean work of an engine,
-	// above which a model gets another one; coldShare that below which the model
-	// may give one up. Between them nothing moves.
-	hotShare  = 0.75
-	coldShare = 0.5
+	// hedge is the power of score. With 1 replicas would follow work; the more above
+	// it, the more are kept for models that may rise.
+	hedge = 1.4
+	// leastShare is the work of a replica, in parts of the mean work of an engine,
+	// above which a model may get another one.
+	leastShare = 0.12
+	// gainFactor is how much more a model must need a replica than the one that gives
+	// it up, so that replicas don't move back and forth.
+	gainFactor = 1.7
 	// dwell is how long an engine's models stay before they change for demand. It
 	// is longer than a load from disk, so that a load serves before the next.
-	dwell = 4 * time.Second
+	dwell = 3 * time.Second
 	// maxMoves bounds the engines that change models for demand at the same time,
 	// in parts of all engines.
-	maxMoves = 0.25
+	maxMoves = 0.6
 	// recent is how long a model counts as in use after it was asked for.
 	recent = 8 * time.Second
 )
