--- a/limpetd/steer/books.go
+++ b/limpetd/steer/books.go
@@ -152,7 +152,7 @@
 
 // facts returns what the plan for a service depends on.
 func (b *books) facts(spec *layout.Service, now time.Time) stock.Facts {
-	f := stock.Facts{Now: now, Spec: spec.Engines, Demand: b.demand.needs(spec.Name, now), StoreLoads: b.stores.left(now)}
+	f := stock.Facts{Now: now, Spec: spec.Engines, Demand: b.demand.needs(spec.Name, now), Since: b.demand.since, StoreLoads: b.stores.left(now)}
 	failing := 0
 	var views []*view
 	for _, id := range slices.Sorted(maps.Keys(b.views)) {
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -67,6 +67,8 @@
 // demand is the smoothed demand of all daemons.
 type demand struct {
 	rates map[slot]*rate
+	// since is when the first demand was told.
+	since time.Time
 }
 
 // rate is the demand for a slot.
@@ -83,6 +85,9 @@
 	if len(t.Used) != len(t.Slots) || len(t.Waiting) != len(t.Slots) {
 		return
 	}
+	if d.since.IsZero() && len(t.Slots) > 0 {
+		d.since = now
+	}
 	for i, s := range t.Slots {
 		r := d.rates[s]
 		if r == nil {
--- a/limpetd/stock/plan.go
+++ b/limpetd/stock/plan.go
@@ -150,6 +150,9 @@
 // spread gives replicas to the models that need them most, in place of those that need
 // theirs far less.
 func (p *plan) spread() {
+	if p.Now.Sub(p.Since) < observe {
+		return
+	}
 	moves := 0
 	for i := range p.Engines {
 		if p.Engines[i].Loading != "" {
@@ -322,7 +325,7 @@
 		return false
 	}
 	if n < 2 {
-		return !p.inUse(model) && (p.replicas[other] == 0 || p.perReplica(other) > p.mean)
+		return !p.inUse(model) && (p.replicas[other] == 0 || p.perReplica(other) > crushedShare*p.mean)
 	}
 	falling := 0.0
 	if d := p.Demand[model]; d != nil {
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -70,6 +70,8 @@
 	// Engines are those of the service, in the order of their ids.
 	Engines []Engine
 	Demand  map[string]*Need
+	// Since is when the first demand was seen; zero if none was.
+	Since time.Time
 	// StoreLoads is how many loads from the weight store may begin now.
 	StoreLoads int
 }
@@ -108,6 +110,13 @@
 	// leastShare is the work of a replica, in parts of the mean work of an engine,
 	// above which a model may get another one.
 	leastShare = 0.12
+	// crushedShare is the work of a replica, in parts of the mean work of an engine,
+	// above which its model takes the place of one that nobody asks for. Below it idle
+	// models stay: one of them is the next that rises.
+	crushedShare = 2.2
+	// observe is how long demand is watched before replicas move for it: the first
+	// calls say little.
+	observe = 2500 * time.Millisecond
 	// gainFactor is how much more a model must need a replica than the one that gives
 	// it up, so that replicas don't move back and forth.
 	gainFactor = 1.7
