--- a/limpetd/steer/books.go
+++ b/limpetd/steer/books.go
@@ -33,7 +33,10 @@
 	// loading and unloading are models under way.
 	loading, unloading string
 	moved              time.Time
-	inMemory, onDisk   map[string]bool
+	// promised is the model that room was made for, until a time.
+	promised         string
+	promisedUntil    time.Time
+	inMemory, onDisk map[string]bool
 	// sending tells that an order or a report is under way, next is when the engine
 	// is asked for its state at the earliest.
 	sending bool
@@ -171,7 +174,7 @@
 			ID: v.server.ID, DataCentre: v.server.DataCentre,
 			Free:   v.known && !v.sending && v.loading == "" && v.unloading == "" && v.server.State == layout.Ready && v.failing.IsZero(),
 			Alive:  v.server.State == layout.Ready && (cut || !v.lost(now)),
-			Models: v.models, Loading: v.loading, Coming: v.coming, Moved: v.moved,
+			Models: v.models, Loading: v.loading, Promised: v.promise(now), Coming: v.coming, Moved: v.moved,
 			InMemory: v.inMemory, OnDisk: v.onDisk,
 		}
 		f.Engines = append(f.Engines, e)
@@ -179,6 +182,14 @@
 	return f
 }
 
+// promise returns the model that room was made for.
+func (v *view) promise(now time.Time) string {
+	if now.Before(v.promisedUntil) && v.models[v.promised] == nil {
+		return v.promised
+	}
+	return ""
+}
+
 func (v *view) lost(now time.Time) bool {
 	return !v.failing.IsZero() && now.Sub(v.failing) > failingLong
 }
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -73,8 +73,7 @@
 
 // rate is the demand for a slot.
 type rate struct {
-	quick   float64
-	slow    float64
+	work    float64
 	at      time.Time
 	used    time.Time
 	waiting int
@@ -94,9 +93,7 @@
 			r = &rate{at: now}
 			d.rates[s] = r
 		}
-		quick, slow := r.current(now)
-		r.quick = quick + t.Used[i].Work/quickWindow.Seconds()
-		r.slow = slow + t.Used[i].Work/slowWindow.Seconds()
+		r.work = r.current(now) + t.Used[i].Work/demandWindow.Seconds()
 		r.at = now
 		if t.Used[i].Calls > 0 || t.Waiting[i] > 0 {
 			r.used = now
@@ -107,10 +104,8 @@
 	}
 }
 
-// current returns the quick and the slow average at now.
-func (r *rate) current(now time.Time) (quick, slow float64) {
-	past := now.Sub(r.at).Seconds()
-	return r.quick * math.Exp(-past/quickWindow.Seconds()), r.slow * math.Exp(-past/slowWindow.Seconds())
+func (r *rate) current(now time.Time) float64 {
+	return r.work * math.Exp(-now.Sub(r.at).Seconds()/demandWindow.Seconds())
 }
 
 // served notes that calls no longer wait for a slot.
@@ -136,9 +131,7 @@
 		if now.Before(r.until) {
 			waiting = r.waiting
 		}
-		quick, slow := r.current(now)
-		n.Work += max(quick, slow)
-		n.Recent += quick
+		n.Work += r.current(now)
 		if r.used.After(n.Used) {
 			n.Used = r.used
 		}
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -156,6 +156,7 @@
 		for _, o := range list {
 			if o.Unload && o.Adapter == "" {
 				v.closing[o.Model] = true
+				v.promised, v.promisedUntil = o.For, now.Add(promiseFor)
 			}
 			if o.FromStore {
 				b.stores.level--
@@ -265,6 +266,7 @@
 		v.next = now.Add(reportRetry)
 	default:
 		v.loading, v.moved = o.Model, now
+		v.promisedUntil = time.Time{}
 		v.next = now.Add(s.loadTime(v, o))
 	}
 }
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -166,11 +166,12 @@
 	closeDelay = 60 * time.Millisecond
 	// lateOrder is how long an order without an answer may still be carried out.
 	lateOrder = 13 * time.Second
-	// quickWindow and slowWindow are the time constants of the averages of demand: the
-	// quick one follows a rise within a second or two, the slow one bridges the pauses
-	// of models that few callers use.
-	quickWindow = 1500 * time.Millisecond
-	slowWindow  = 5 * time.Second
+	// promiseFor is how long room that was made for a model is kept for it: an unload
+	// waits for the calls that use the model.
+	promiseFor = 8 * time.Second
+	// demandWindow is the time constant of the average of demand: it follows a rise
+	// within two seconds and has several calls of each busy model in it.
+	demandWindow = 2 * time.Second
 	// storeBurst is how many loads from the weight store may begin at once; the
 	// bound over a window leaves as much above the steady rate.
 	storeBurst = 3
--- a/limpetd/stock/plan.go
+++ b/limpetd/stock/plan.go
@@ -14,8 +14,9 @@
 	orders []Order
 	// taken are the engines that got an order about a model in this plan.
 	taken map[string]bool
-	// replicas counts the engines that hold or load a model.
-	replicas map[string]int
+	// replicas counts the engines that hold, load or have room for a model, holding
+	// those that hold it.
+	replicas, holding map[string]int
 	// work is the work of each engine, from its models.
 	work map[string]float64
 	mean float64
@@ -26,9 +27,10 @@
 
 // Plan returns the orders to send now, at most one about a model to an engine.
 func Plan(f Facts) []Order {
-	p := &plan{Facts: f, taken: map[string]bool{}, replicas: map[string]int{}, work: map[string]float64{}, loads: f.StoreLoads}
+	p := &plan{Facts: f, taken: map[string]bool{}, replicas: map[string]int{}, holding: map[string]int{}, work: map[string]float64{}, loads: f.StoreLoads}
 	p.count()
 	p.adapters()
+	p.promised()
 	p.asked()
 	p.spread()
 	p.reachable()
@@ -53,10 +55,14 @@
 		alive++
 		for m := range e.Models {
 			p.replicas[m]++
+			p.holding[m]++
 		}
 		if e.Loading != "" {
 			p.replicas[e.Loading]++
 		}
+		if e.Promised != "" && e.Promised != e.Loading {
+			p.replicas[e.Promised]++
+		}
 	}
 	total := 0.0
 	for i := range p.Spec.Models {
@@ -85,6 +91,24 @@
 	return p.workOf(model) / math.Max(float64(p.replicas[model]), 1)
 }
 
+// promised loads the models that room was made for.
+func (p *plan) promised() {
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if e.Promised == "" {
+			continue
+		}
+		m := p.Spec.Model(e.Promised)
+		if m == nil {
+			continue
+		}
+		if o := p.option(e, m, ReasonDemand); o != nil && len(o.victims) == 0 {
+			p.replicas[m.Name]--
+			p.load(o, m, ReasonDemand)
+		}
+	}
+}
+
 // asked gives a place to models that no engine holds and calls ask for.
 func (p *plan) asked() {
 	var list []*layout.Model
@@ -198,6 +222,7 @@
 	costDisk   = 0.2
 	costStore  = 1.2
 	costVictim = 0.5
+	costLast   = 1.0
 )
 
 // give orders a load of model at the best engine, or the unload that makes room for it.
@@ -216,24 +241,31 @@
 	p.taken[best.engine.ID] = true
 	if len(best.victims) > 0 {
 		v := best.victims[0]
-		p.orders = append(p.orders, Order{Engine: best.engine.ID, Unload: true, Model: v, Reason: ReasonRoom})
+		p.orders = append(p.orders, Order{Engine: best.engine.ID, Unload: true, Model: v, For: m.Name, Reason: ReasonRoom})
 		p.replicas[v]--
+		p.holding[v]--
 		// The load follows when the memory is free; its place counts already.
 		p.replicas[m.Name]++
 		return true
 	}
-	if best.store {
+	p.load(best, m, why)
+	return true
+}
+
+// load orders a load where there is room.
+func (p *plan) load(o *option, m *layout.Model, why Reason) {
+	p.taken[o.engine.ID] = true
+	if o.store {
 		p.loads--
 	}
-	p.orders = append(p.orders, Order{Engine: best.engine.ID, Model: m.Name, FromStore: best.store, Reason: why})
+	p.orders = append(p.orders, Order{Engine: o.engine.ID, Model: m.Name, FromStore: o.store, Reason: why})
 	p.replicas[m.Name]++
-	p.work[best.engine.ID] += p.perReplica(m.Name)
-	return true
+	p.work[o.engine.ID] += p.perReplica(m.Name)
 }
 
 // option returns how model could get a place on an engine, or nil.
 func (p *plan) option(e *Engine, m *layout.Model, why Reason) *option {
-	if !e.Free || !e.Alive || p.taken[e.ID] || e.Loading != "" {
+	if !e.Free || !e.Alive || p.taken[e.ID] || e.Loading != "" || e.Promised != "" && e.Promised != m.Name {
 		return nil
 	}
 	if _, ok := e.Models[m.Name]; ok {
@@ -271,6 +303,9 @@
 		if p.mean > 0 {
 			o.cost += p.perReplica(v) / p.mean
 		}
+		if p.holding[v] < 2 {
+			o.cost += costLast
+		}
 	}
 	return o
 }
@@ -301,7 +336,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.perReplica(a), p.perReplica(b)), cmp.Compare(p.replicas[b], p.replicas[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(min(p.holding[b], 2), min(p.holding[a], 2)), cmp.Compare(p.perReplica(a), p.perReplica(b)), cmp.Compare(a, b))
 	})
 	for i, name := range list {
 		spec := p.Spec.Model(name)
@@ -316,20 +351,18 @@
 }
 
 // spare tells whether a replica of model may go for the sake of another, which needs it
-// far more. The last one goes only if nobody asks for the model: it is loaded again, from
-// the copy that the engine keeps, when somebody does. Before any demand was seen all
+// far more. The last one goes only if nobody asks for the model, and only for one that
+// calls wait for: an idle model is often the next that rises. Before any demand was seen all
 // replicas stay: they are where the operator wants them.
 func (p *plan) spare(model, other string) bool {
-	n := p.replicas[model]
-	if p.mean <= 0 {
+	n := p.holding[model]
+	switch {
+	case p.mean <= 0:
 		return false
+	case n < 2:
+		return !p.inUse(model) && p.replicas[other] == 0
+	case n > fewReplicas && p.replicas[other] == 0:
+		return true
 	}
-	if n < 2 {
-		return !p.inUse(model) && (p.replicas[other] == 0 || p.perReplica(other) > crushedShare*p.mean)
-	}
-	falling := 0.0
-	if d := p.Demand[model]; d != nil {
-		falling = d.Recent
-	}
-	return score(falling, n-1)*gainFactor < score(p.workOf(other), max(p.replicas[other], 1))
+	return score(p.workOf(model), n-1)*gainFactor < score(p.workOf(other), max(p.replicas[other], 1))
 }
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -36,6 +36,8 @@
 	Models map[string]map[string]bool
 	// Loading is the model that it loads; empty if none.
 	Loading string
+	// Promised is the model that room was made for here; empty if none.
+	Promised string
 	// Coming counts adapters in transit, which take places too.
 	Coming int
 	// Moved is when the engine's models were last changed by an order.
@@ -46,9 +48,8 @@
 
 // Need is the demand for a model.
 type Need struct {
-	// Work is the work a second, in any unit that is the same for all: the larger of
-	// a quick and a slow average. Recent is the quick one.
-	Work, Recent float64
+	// Work is the smoothed work a second, in any unit that is the same for all.
+	Work float64
 	// Waiting is the number of calls that wait for the model to be loaded.
 	Waiting int
 	// Used is when the model was asked for last.
@@ -83,6 +84,8 @@
 	Model  string
 	// Adapter is empty for an order about a model.
 	Adapter string
+	// For is the model that an unload makes room for.
+	For string
 	// FromStore tells that the weights come from the weight store.
 	FromStore bool
 	Reason    Reason
@@ -110,10 +113,9 @@
 	// leastShare is the work of a replica, in parts of the mean work of an engine,
 	// above which a model may get another one.
 	leastShare = 0.12
-	// crushedShare is the work of a replica, in parts of the mean work of an engine,
-	// above which its model takes the place of one that nobody asks for. Below it idle
-	// models stay: one of them is the next that rises.
-	crushedShare = 2.2
+	// fewReplicas is how many replicas a model has at most that gives none of them up
+	// for a model that is only asked for now and then.
+	fewReplicas = 2
 	// observe is how long demand is watched before replicas move for it: the first
 	// calls say little.
 	observe = 2500 * time.Millisecond
