--- a/limpetd/sched/shared.go
+++ b/limpetd/sched/shared.go
@@ -15,14 +15,14 @@
 	sharedFresh = 1200 * time.Millisecond
 	// gapShare is the part of a stream's longest pause that events of an engine may
 	// be apart when it takes another call: the call's prompt makes them longer.
-	gapShare = 0.45
+	gapShare = 1.0
 	// pendingShare is the part of the expectation that the prompts before a call may
 	// take.
-	pendingShare = 0.55
+	pendingShare = 1.2
 	// leastPending and mostPending bound the calls that wait at an engine for their
 	// first event.
 	leastPending = 2
-	mostPending  = 12
+	mostPending  = 20
 )
 
 // Shared is the load of a server over all daemons.
