sched: Let calls wait a little for a late answer

A call that can't be answered in time any more waits behind the others for 1.1 s in all before it is refused.

--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -16,6 +16,10 @@
 // longer be answered in time.
 const expectationShare = 0.85
 
+// leastWait is how long a call waits for room though its answer will be late: half of the
+// silence after which callers give up, so that the answer can still begin.
+const leastWait = 1100 * time.Millisecond
+
 // Late tells whether a call can no longer be answered within its expectation.
 func Late(c *Call, now time.Time) bool {
 	return now.Sub(c.Arrived) > time.Duration(expectationShare*float64(c.Route.Expectation))
@@ -42,10 +46,10 @@
 }
 
 // WaitUntil returns until when a call waits for room at an engine: as long as it can be
-// answered in time. A caller that would get a late answer is told to return instead,
-// while it has time to.
+// answered in time, and a little longer behind those that can. After that its caller is
+// told to return instead, while it has time to.
 func WaitUntil(c *Call) time.Time {
-	until := c.Arrived.Add(time.Duration(expectationShare * float64(c.Route.Expectation)))
+	until := c.Arrived.Add(max(time.Duration(expectationShare*float64(c.Route.Expectation)), leastWait))
 	if most := HoldUntil(c); most.Before(until) {
 		return most
 	}
