--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -292,7 +292,7 @@
 		c.outcome.result = code.BackendFailed
 	}
 	c.writer.Header().Set("Content-Length", itoa(len(a.body)))
-	c.writer.WriteHeader(a.status)
+	c.writeHead(a.status)
 	if _, err := c.writer.Write(a.body); err != nil {
 		c.outcome.result, c.outcome.reason = code.CallerGone, err.Error()
 	}
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -73,13 +73,10 @@
 	f.metrics.calls.Inc(1)
 	c := &call{front: f, writer: w, request: r}
 	c.need.Arrived = time.Now()
-	if at := f.leaving.Load(); at != 0 {
-		w.Header().Set("Connection", "close")
-		if c.need.Arrived.UnixNano() > at {
-			c.refuse(code.Stopping, leavingReturn, "leaving")
-			c.note()
-			return
-		}
+	if at := f.leaving.Load(); at != 0 && c.need.Arrived.UnixNano() > at {
+		c.refuse(code.Stopping, leavingReturn, "leaving")
+		c.note()
+		return
 	}
 	if c.prepare() {
 		c.serve()
@@ -236,11 +233,20 @@
 	h := c.writer.Header()
 	h.Set("limpet-code", strconv.Itoa(int(result)))
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	c.writer.WriteHeader(status)
+	c.writeHead(status)
 	// The caller may be gone; the outcome is noted either way.
 	_, _ = io.WriteString(c.writer, reason+"\n")
 }
 
+// writeHead writes the head of the answer; a daemon that leaves closes the connection
+// after it.
+func (c *call) writeHead(status int) {
+	if c.front.leaving.Load() != 0 {
+		c.writer.Header().Set("Connection", "close")
+	}
+	c.writer.WriteHeader(status)
+}
+
 // cut ends the answer so that it does not look complete.
 func (c *call) cut(result code.Code, reason string) {
 	c.outcome.result, c.outcome.status, c.outcome.reason = result, statusCut, reason
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -116,7 +116,7 @@
 	c.begun = true
 	c.firstAt = time.Now()
 	copyHeader(c.writer.Header(), a.Header)
-	c.writer.WriteHeader(a.StatusCode)
+	c.writeHead(a.StatusCode)
 }
 
 // forward passes whole events on.
--- /dev/null
+++ b/limpetd/sched/sched_test.go
@@ -0,0 +1,215 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/random"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
+)
+
+var start = time.Unix(1000, 0)
+
+func engine(id string, models ...string) *layout.Server {
+	held := map[string]layout.Held{}
+	for _, m := range models {
+		held[m] = layout.Held{}
+	}
+	return &layout.Server{ID: id, Service: "llm", Address: id, DataCentre: "a", Slots: 64, Models: held}
+}
+
+func book(servers ...*layout.Server) *sched.Book {
+	b := sched.NewBook(sched.Settings{DataCentre: "a", RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second}, random.Seeded(1, "sched"))
+	b.Know(servers)
+	return b
+}
+
+func route() *layout.Route {
+	return &layout.Route{Kind: layout.Stream, Resumable: true, Attempts: 2, Expectation: 600 * time.Millisecond,
+		MaxPause: 300 * time.Millisecond, Abandon: 2400 * time.Millisecond}
+}
+
+func call(model string) *sched.Call {
+	return &sched.Call{Route: route(), Service: "llm", Model: model, Arrived: start, Until: start.Add(15 * time.Second)}
+}
+
+func TestChoosesServersThatHoldTheModel(t *testing.T) {
+	b := book(engine("e1", "m1"), engine("e2", "m2"))
+	c := b.Choose(call("m2"), start)
+	require.Equal(t, sched.Chosen, c.Verdict)
+	require.Equal(t, "e2", c.Server.ID)
+	require.Equal(t, sched.NotLoaded, b.Choose(call("m3"), start).Verdict)
+	require.Equal(t, sched.NoServer, b.Choose(&sched.Call{Route: route(), Service: "other", Until: start}, start).Verdict)
+}
+
+func TestSkipsServersThatDrainOrWereTriedOrAreAboutToUnload(t *testing.T) {
+	draining := engine("e1", "m")
+	draining.State = layout.Draining
+	b := book(draining, engine("e2", "m"), engine("e3", "m"), engine("e4", "m"))
+	b.Adapters(nil, map[string]map[string]bool{"e3": {"m": true}})
+	c := call("m")
+	c.Tried = []string{"e2"}
+	for range 20 {
+		require.Equal(t, "e4", b.Choose(c, start).Server.ID)
+	}
+}
+
+func TestAdapterHasToBeThere(t *testing.T) {
+	b := book(engine("e1", "m"), engine("e2", "m"))
+	c := call("m")
+	c.Adapter = "a1"
+	require.Equal(t, sched.NotLoaded, b.Choose(c, start).Verdict)
+	b.Adapters(map[string]map[string]bool{"e2": {"m/a1": true}}, nil)
+	require.Equal(t, "e2", b.Choose(c, start).Server.ID)
+}
+
+func TestSessionsStayTogetherUnlessTheirEngineIsLoaded(t *testing.T) {
+	b := book(engine("e1", "m"), engine("e2", "m"), engine("e3", "m"))
+	c := call("m")
+	c.Session = 77
+	home := b.Choose(c, start).Server.ID
+	require.Equal(t, home, b.Choose(c, start).Server.ID)
+	b.Told(home, sched.Told{Running: 40, Slots: 64}, start)
+	require.NotEqual(t, home, b.Choose(c, start).Server.ID)
+}
+
+func TestServersThatDoNotAnswerAreLeftOutAndReturn(t *testing.T) {
+	b := book(engine("e1", "m"), engine("e2", "m"))
+	c := call("m")
+	for range 3 {
+		b.Sent("e1", start)
+		b.Ended("e1", c, sched.Unreached, false, start)
+	}
+	for range 20 {
+		require.Equal(t, "e2", b.Choose(c, start).Server.ID)
+	}
+	seen := map[string]bool{}
+	for range 50 {
+		seen[b.Choose(c, start.Add(10*time.Second)).Server.ID] = true
+	}
+	require.Len(t, seen, 2)
+}
+
+func TestRetriesStayWithinTheBoundOverAllDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 80).Draw(t, "daemons")
+		books := make([]*sched.Book, daemons)
+		for i := range books {
+			books[i] = book()
+			books[i].Daemons(daemons)
+		}
+		const seconds = 30
+		var calls, repeats [seconds]int
+		for s := range seconds {
+			now := start.Add(time.Duration(s) * time.Second)
+			for _, b := range books {
+				n := rapid.IntRange(0, 12).Draw(t, "calls")
+				for range n {
+					b.Arrived("llm", now)
+					calls[s]++
+				}
+				for range n + 3 {
+					if b.Repeat("llm", now) {
+						repeats[s]++
+					}
+				}
+			}
+		}
+		for s := 9; s < seconds; s++ {
+			c, r := 0, 0
+			for k := s - 9; k <= s; k++ {
+				c, r = c+calls[k], r+repeats[k]
+			}
+			require.LessOrEqual(t, float64(r), 0.2*float64(c)+40, "window ending at %d s", s)
+		}
+	})
+}
+
+func TestWaitersThatCanBeInTimeGoFirst(t *testing.T) {
+	now := start.Add(2 * time.Second)
+	w := func(name string, age time.Duration, priority int) *sched.Waiter {
+		r := route()
+		r.Priority, r.Name = priority, name
+		return &sched.Waiter{Call: &sched.Call{Route: r, Arrived: now.Add(-age)}}
+	}
+	list := []*sched.Waiter{w("late", time.Second, 0), w("second", 100*time.Millisecond, 1), w("third", 50*time.Millisecond, 1), w("first", 10*time.Millisecond, 0)}
+	sched.Order(list, now)
+	var names []string
+	for _, l := range list {
+		names = append(names, l.Call.Route.Name)
+	}
+	require.Equal(t, []string{"first", "second", "third", "late"}, names)
+}
+
+func TestHoldsOnlyWhatCanBeLoadedInTime(t *testing.T) {
+	c := call("m")
+	require.True(t, sched.Hold(c, time.Second, start))
+	require.False(t, sched.Hold(c, 9*time.Second, start))
+	c.Route.Abandon = 32 * time.Second
+	c.Until = start.Add(30 * time.Second)
+	require.True(t, sched.Hold(c, 9*time.Second, start))
+}
+
+// TestOverloadedEngineStillServesInTime plays a burst of three times what an engine can
+// read: with the bound on waiting prompts most of what it can do is in time, without it
+// hardly anything is.
+func TestOverloadedEngineStillServesInTime(t *testing.T) {
+	const prefill = 70 * time.Millisecond
+	play := func(bounded bool) (inTime, late, refused int) {
+		b := book(engine("e1", "m"))
+		type sent struct{ at, arrived time.Time }
+		var queue []sent
+		var waiting []*sched.Waiter
+		var busy time.Time
+		for ms := 0; ms < 10_000; ms++ {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if ms%23 == 0 {
+				c := call("m")
+				c.Arrived, c.Until = now, now.Add(15*time.Second)
+				waiting = append(waiting, &sched.Waiter{Call: c, Until: sched.WaitUntil(c)})
+			}
+			if len(queue) > 0 && !now.Before(busy) {
+				first := queue[0]
+				queue = queue[1:]
+				b.Started("e1", call("m"), len(queue)+1, first.at, now)
+				b.Ended("e1", call("m"), sched.Answered, true, now)
+				if now.Sub(first.arrived) <= 600*time.Millisecond {
+					inTime++
+				} else {
+					late++
+				}
+				busy = now.Add(prefill)
+			}
+			sched.Order(waiting, now)
+			rest := waiting[:0]
+			for _, w := range waiting {
+				switch {
+				case !bounded || b.Choose(w.Call, now).Verdict == sched.Chosen:
+					b.Sent("e1", now)
+					if len(queue) == 0 && busy.Before(now) {
+						busy = now.Add(prefill)
+					}
+					queue = append(queue, sent{now, w.Call.Arrived})
+				case now.After(w.Until):
+					refused++
+				default:
+					rest = append(rest, w)
+				}
+			}
+			waiting = rest
+		}
+		return inTime, late, refused
+	}
+	inTime, late, refused := play(true)
+	without, _, _ := play(false)
+	possible := int(10 * time.Second / prefill)
+	require.Greater(t, inTime, possible/2, fmt.Sprintf("in time %d, late %d, refused %d", inTime, late, refused))
+	require.Greater(t, inTime, 3*without, "without the bound: %d", without)
+	require.Positive(t, refused)
+}
--- a/limpetd/sched/shared.go
+++ b/limpetd/sched/shared.go
@@ -16,9 +16,9 @@
 	// gapShare is the part of a stream's longest pause that events of an engine may
 	// be apart when it takes another call: the call's prompt makes them longer.
 	gapShare = 1.0
-	// pendingShare is the part of the expectation that the prompts before a call may
-	// take.
-	pendingShare = 1.2
+	// pendingShare is the part of what is left of the expectation that the prompts
+	// before a call may take.
+	pendingShare = 0.8
 	// leastPending and mostPending bound the calls that wait at an engine for their
 	// first event.
 	leastPending = 2
@@ -93,8 +93,8 @@
 		return true
 	}
 	most := leastPending
-	if b.prefill > 0 {
-		most = int(pendingShare * float64(c.Route.Expectation) / float64(b.prefill))
+	if left := c.Route.Expectation - now.Sub(c.Arrived); b.prefill > 0 && left > 0 {
+		most = int(pendingShare * float64(left) / float64(b.prefill))
 	}
 	most = min(max(most, leastPending), mostPending)
 	if b.pending(s, now) >= most {
--- /dev/null
+++ b/limpetd/stock/stock_test.go
@@ -0,0 +1,217 @@
+package stock_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	_ "github.com/limpetlb/limpetlb/limpetd/seeds"
+	"github.com/limpetlb/limpetlb/limpetd/stock"
+)
+
+var start = time.Unix(1000, 0)
+
+// spec declares n models of 70 GB for engines of 230 GB, so three fit.
+func spec(n int) *layout.Engines {
+	e := &layout.Engines{Slots: 64, MemoryMB: 230_000, AdapterSlots: 2, LoadsPerSecond: 1.4}
+	for i := range n {
+		e.Models = append(e.Models, layout.Model{
+			Name: fmt.Sprintf("m%d", i), MemoryMB: 70_000, Adapters: []string{"a1", "a2", "a3"}, AdapterMB: 60,
+			StoreLoad: 9 * time.Second, DiskLoad: 2 * time.Second, MemoryLoad: time.Second,
+		})
+	}
+	return e
+}
+
+func engine(id string, models ...string) stock.Engine {
+	e := stock.Engine{ID: id, Free: true, Alive: true, Models: map[string]map[string]bool{}, InMemory: map[string]bool{}, OnDisk: map[string]bool{}}
+	for _, m := range models {
+		e.Models[m] = map[string]bool{}
+		e.OnDisk[m] = true
+	}
+	return e
+}
+
+func need(work float64, waiting int) *stock.Need {
+	return &stock.Need{Work: work, Waiting: waiting, Used: start, Adapters: map[string]stock.AdapterNeed{}}
+}
+
+func facts(s *layout.Engines, engines []stock.Engine, demand map[string]*stock.Need) stock.Facts {
+	return stock.Facts{Now: start.Add(10 * time.Second), Since: start, Spec: s, Engines: engines, Demand: demand, StoreLoads: 3}
+}
+
+func TestModelThatCallsWaitForIsLoadedWhereACopyIsAtHand(t *testing.T) {
+	a, b := engine("a", "m0"), engine("b", "m0")
+	b.InMemory["m1"] = true
+	f := facts(spec(2), []stock.Engine{a, b}, map[string]*stock.Need{"m1": need(1, 3)})
+	f.Since = f.Now
+	orders := stock.Plan(f)
+	require.Equal(t, []stock.Order{{Engine: "b", Model: "m1", Reason: stock.ReasonAsked}}, orders)
+}
+
+func TestNothingMovesForDemandBeforeItWasWatched(t *testing.T) {
+	engines := []stock.Engine{engine("a", "m0"), engine("b", "m0"), engine("c", "m1")}
+	f := facts(spec(2), engines, map[string]*stock.Need{"m1": need(100, 0)})
+	f.Since = f.Now.Add(-time.Second)
+	require.Empty(t, stock.Plan(f))
+	f.Since = f.Now.Add(-time.Minute)
+	require.NotEmpty(t, stock.Plan(f))
+}
+
+func TestLastReplicaInUseStays(t *testing.T) {
+	// m1 is held once, and promised on the other engine.
+	a, b := engine("a", "m0", "m1", "m2"), engine("b", "m0", "m2")
+	b.Promised = "m1"
+	b.Free = false
+	d := map[string]*stock.Need{"m0": need(50, 0), "m1": need(5, 0), "m2": need(5, 0), "m3": need(10, 5)}
+	for _, m := range []string{"m0", "m1", "m2"} {
+		d[m].Used = start.Add(9 * time.Second)
+	}
+	for _, o := range stock.Plan(facts(spec(4), []stock.Engine{a, b}, d)) {
+		require.False(t, o.Unload && o.Model == "m1", "%+v", o)
+	}
+}
+
+func TestIdleModelsStayForBusyOnes(t *testing.T) {
+	// Three engines are full; the busy model is held once, all others are idle.
+	engines := []stock.Engine{engine("a", "m0", "m1", "m2"), engine("b", "m3", "m4", "m5"), engine("c", "m6", "m7", "m8")}
+	d := map[string]*stock.Need{"m0": need(100, 0)}
+	require.Empty(t, stock.Plan(facts(spec(9), engines, d)))
+}
+
+func TestRoomIsKeptForTheModelThatItWasMadeFor(t *testing.T) {
+	a, b := engine("a", "m0", "m1"), engine("b", "m0", "m1", "m2")
+	a.Promised = "m3"
+	d := map[string]*stock.Need{"m0": need(100, 0), "m3": need(1, 1)}
+	d["m3"].Used = start.Add(9 * time.Second)
+	orders := stock.Plan(facts(spec(4), []stock.Engine{a, b}, d))
+	require.Equal(t, []stock.Order{{Engine: "a", Model: "m3", FromStore: true, Reason: stock.ReasonDemand}}, orders)
+}
+
+func TestAdapterTakesThePlaceOfTheOneUnusedLongest(t *testing.T) {
+	e := engine("a", "m0")
+	e.Models["m0"] = map[string]bool{"a1": true, "a2": true}
+	n := need(10, 0)
+	n.Adapters = map[string]stock.AdapterNeed{"a1": {Used: start}, "a2": {Used: start.Add(time.Second)}, "a3": {Waiting: 1, Used: start}}
+	orders := stock.Plan(facts(spec(1), []stock.Engine{e}, map[string]*stock.Need{"m0": n}))
+	require.Equal(t, []stock.Order{
+		{Engine: "a", Unload: true, Model: "m0", Adapter: "a1", Reason: stock.ReasonRoom},
+		{Engine: "a", Model: "m0", Adapter: "a3", Reason: stock.ReasonAsked},
+	}, orders)
+}
+
+// carry carries orders out at once and checks that engines never hold too much.
+func carry(t require.TestingT, s *layout.Engines, engines []stock.Engine, orders []stock.Order) {
+	seen := map[string]bool{}
+	for _, o := range orders {
+		i := slices.IndexFunc(engines, func(e stock.Engine) bool { return e.ID == o.Engine })
+		e := &engines[i]
+		require.True(t, e.Free, "%+v", o)
+		if o.Adapter == "" {
+			require.False(t, seen[o.Engine], "two orders about models for an engine in a plan")
+			seen[o.Engine] = true
+		}
+		switch {
+		case o.Adapter != "" && o.Unload:
+			delete(e.Models[o.Model], o.Adapter)
+		case o.Adapter != "":
+			require.Contains(t, e.Models, o.Model)
+			e.Models[o.Model][o.Adapter] = true
+		case o.Unload:
+			delete(e.Models, o.Model)
+			e.Promised = o.For
+		default:
+			e.Models[o.Model] = map[string]bool{}
+			e.OnDisk[o.Model] = true
+			if e.Promised == o.Model {
+				e.Promised = ""
+			}
+		}
+	}
+	for _, e := range engines {
+		used, adapters := 0.0, e.Coming
+		for name, held := range e.Models {
+			m := s.Model(name)
+			used += m.MemoryMB + m.AdapterMB*float64(len(held))
+			adapters += len(held)
+		}
+		require.LessOrEqual(t, used, s.MemoryMB)
+		require.LessOrEqual(t, adapters, s.AdapterSlots)
+	}
+}
+
+func TestPlansNeverOvercommit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := spec(rapid.IntRange(1, 8).Draw(t, "models"))
+		var engines []stock.Engine
+		for i := range rapid.IntRange(1, 5).Draw(t, "engines") {
+			e := engine(fmt.Sprint("e", i))
+			for range rapid.IntRange(0, 3).Draw(t, "held") {
+				e.Models[fmt.Sprintf("m%d", rapid.IntRange(0, len(s.Models)-1).Draw(t, "model"))] = map[string]bool{}
+			}
+			e.Free = rapid.Bool().Draw(t, "free")
+			e.Coming = rapid.IntRange(0, 1).Draw(t, "coming")
+			engines = append(engines, e)
+		}
+		for step := range 12 {
+			d := map[string]*stock.Need{}
+			for _, m := range s.Models {
+				n := need(float64(rapid.IntRange(0, 50).Draw(t, "work")), rapid.IntRange(0, 2).Draw(t, "waiting"))
+				n.Used = start.Add(time.Duration(10*step) * time.Second)
+				for _, a := range m.Adapters {
+					n.Adapters[a] = stock.AdapterNeed{Waiting: rapid.IntRange(0, 1).Draw(t, "adapter"), Used: n.Used}
+				}
+				d[m.Name] = n
+			}
+			f := facts(s, engines, d)
+			f.Now = start.Add(time.Duration(10*step) * time.Second)
+			carry(t, s, engines, stock.Plan(f))
+		}
+	})
+}
+
+// TestDemandThatMovesFindsReplicas plays demand that moves to other models: the busiest
+// has most of the replicas soon, no model in use is lost, and replicas do not move back
+// and forth.
+func TestDemandThatMovesFindsReplicas(t *testing.T) {
+	s := spec(20)
+	var engines []stock.Engine
+	for i := range 10 {
+		engines = append(engines, engine(fmt.Sprint("e", i), "m0", fmt.Sprint("m", i+1), fmt.Sprint("m", 10+i)))
+	}
+	orders := 0
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		busiest := second / 20
+		d := map[string]*stock.Need{}
+		for rank, work := range []float64{70, 20, 10} {
+			n := need(work, 0)
+			n.Used = now
+			d[fmt.Sprint("m", busiest+rank)] = n
+		}
+		f := facts(s, engines, d)
+		f.Now, f.Since, f.StoreLoads = now, start.Add(-time.Minute), 1
+		list := stock.Plan(f)
+		orders += len(list)
+		carry(t, s, engines, list)
+		held := map[string]int{}
+		for _, e := range engines {
+			for m := range maps.Keys(e.Models) {
+				held[m]++
+			}
+		}
+		for rank := range 3 {
+			require.Positive(t, held[fmt.Sprint("m", busiest+rank)], "second %d", second)
+		}
+		if second%20 == 19 {
+			require.GreaterOrEqual(t, held[fmt.Sprint("m", busiest)], 5, "second %d: %v", second, held)
+		}
+	}
+	require.Less(t, orders, 60)
+}
