--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 # Targets for developers and CI. See README.md.
 
-MODULES := limpetd limpet limpetlab
+MODULES := limpetd limpet limpetlab platform
 GOLANGCI := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 .PHONY: build test format lint vet seeds pages unit alone known-red bench figures generate mutants
 
-# build compiles the three programs into bin/.
+# build compiles the four programs into bin/.
 build:
-	go build -o bin/ ./limpetd ./limpet ./limpetlab
+	go build -o bin/ ./limpetd ./limpet ./limpetlab ./platform/limpetp
 
 # test is the gate: formatter, linter, vet, seeds, pages, each module alone, all
 # tests, the quick benches.
