--- a/limpetd/conns/conns_test.go
+++ b/limpetd/conns/conns_test.go
@@ -72,6 +72,7 @@
 		c.Close()
 		return "", err
 	}
+	defer func() { _ = a.Body.Close() }()
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
 		c.Close()
@@ -187,6 +188,7 @@
 		require.NoError(t, err)
 		_, err = io.ReadAll(a.Body)
 		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
 		c.Release(a)
 	}
 	require.EqualValues(t, 2, accepted.Load())
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -127,15 +127,17 @@
 		return c.again(ctx, code.BackendFailed, "write: "+err.Error())
 	}
 	c.runs++
-	err := s.await(ctx)
-	var a *http.Response
-	if err == nil {
-		a, err = s.conn.Head(r)
+	if err := s.await(ctx); err != nil {
+		s.conn.Close()
+		return s.broken(ctx, err)
 	}
+	a, err := s.conn.Head(r)
 	if err != nil {
 		s.conn.Close()
 		return s.broken(ctx, err)
 	}
+	// Each path below has read the body to its end or closed the connection.
+	defer func() { _ = a.Body.Close() }()
 	reply := c.front.deps.Dialect.Reply(a.StatusCode, a.Header)
 	switch {
 	case reply.Elsewhere, reply.NotRun:
@@ -225,7 +227,7 @@
 // rejected handles an answer that says that the call was not run.
 func (s *send) rejected(ctx context.Context, a *http.Response, r Reply) bool {
 	c := s.call
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxWhole)); err != nil {
+	if n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxWhole)); err != nil || n == maxWhole {
 		s.conn.Close()
 	} else {
 		s.conn.Release(a)
