--- a/limpetlab/demo_command.go
+++ b/limpetlab/demo_command.go
@@ -22,10 +22,14 @@
 	Speed      float64       `help:"Factor by which the weight store is faster than the deployment's." default:"20"`
 	JSON       bool          `help:"Print the summary as one JSON object."`
 	Quiet      bool          `help:"Print no progress."`
+	Platform   bool          `help:"Run the daemons of the users' platform against its stand-in, without faults; prints JSON."`
 }
 
 // Run implements the command.
 func (c *demoCommand) Run(ctx context.Context) error {
+	if c.Platform {
+		return c.runPlatform(ctx)
+	}
 	d, err := deploy.ByName(c.Deployment)
 	if err != nil {
 		return err
