steer: Keep the steerer on a strong VM, and its words small

The time that weak VMs leave the lease to strong ones counted from the start of the process. Ruled out: the processor (0.02 cores).

--- a/limpetd/sched/shared.go
+++ b/limpetd/sched/shared.go
@@ -27,12 +27,14 @@
 
 // Shared is the load of a server over all daemons.
 type Shared struct {
+	// It is told to every daemon several times a second, so names are left out.
+	_msgpack struct{} `msgpack:",as_array"`
 	// Calls are in flight; Pending are those of them without an event.
-	Calls   int `msgpack:"c"`
-	Pending int `msgpack:"p"`
+	Calls   int
+	Pending int
 	// Gap is the longest smoothed pause between events that a daemon sees, in
 	// milliseconds.
-	Gap int `msgpack:"g"`
+	Gap int
 }
 
 // Own returns the load that this daemon puts on servers, for the others.
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -29,6 +29,9 @@
 	hub        *hub
 	tables     map[string]*mirror.Follower
 	wasHolding atomic.Bool
+	// doubt tells that the outcome of a write of the lease is not known; only the
+	// duty that keeps the lease uses it.
+	doubt bool
 
 	mu      sync.Mutex
 	counts  counts
--- a/limpetd/steer/keep.go
+++ b/limpetd/steer/keep.go
@@ -21,13 +21,21 @@
 		mine := s.lease.Mine()
 		s.mu.Unlock()
 		switch {
+		case mine && s.doubt:
+			s.read(ctx)
 		case mine:
 			s.renew(ctx)
 		case s.needsSteerer():
 			s.candidate(ctx)
+		default:
+			s.mu.Lock()
+			s.free = time.Time{}
+			s.mu.Unlock()
 		}
 		pause := renewPeriod
-		if !mine {
+		if s.doubt {
+			pause = doubtPeriod
+		} else if !mine {
 			pause = random.Around(source, candidatePeriod)
 		}
 		if s.Holds() != s.wasHolding.Swap(s.Holds()) {
@@ -59,16 +67,28 @@
 	s.write(ctx, row, version, false)
 }
 
-// candidate reads the lease, and takes it if it has lapsed.
-func (s *Steerer) candidate(ctx context.Context) {
+// read reads the lease; false if it can't be read.
+func (s *Steerer) read(ctx context.Context) bool {
 	row, version, err := s.deps.Leases.Read(ctx)
 	if err != nil {
 		s.deps.Log.Debug("lease_unread", zap.Error(err))
+		return false
+	}
+	s.doubt = false
+	s.mu.Lock()
+	s.lease.Observe(row, version, s.deps.Clock())
+	s.mu.Unlock()
+	return true
+}
+
+// candidate reads the lease, and takes it if it has lapsed.
+func (s *Steerer) candidate(ctx context.Context) {
+	if !s.read(ctx) {
 		return
 	}
 	now := s.deps.Clock()
 	s.mu.Lock()
-	s.lease.Observe(row, version, now)
+	row, version := s.lease.Row(), s.lease.Version()
 	action := s.lease.Next(now)
 	if s.free.IsZero() || action != lease.Take {
 		s.free = now
@@ -107,8 +127,9 @@
 	case code.OK:
 		s.lease.Held(row, got, sent, s.deps.Clock())
 	case code.StoreConflict, code.StoreUnknown:
-		// The row tells what came of the write.
-		s.lease.Forget()
+		// The row tells what came of the write. Until it was read the lease is
+		// trusted as long as the last write that is known to have taken effect allows.
+		s.doubt = true
 	}
 	if err != nil {
 		s.deps.Log.Info("lease_unwritten", zap.Int64("fence", row.Fence), zap.Int64("version", version), zap.Error(err))
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -14,6 +14,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
+	"github.com/limpetlb/limpetlb/limpetd/store"
 )
 
 // codecName is the content subtype of messages between daemons.
@@ -25,15 +26,38 @@
 // encoded is a message that is encoded already, as it goes to many daemons.
 type encoded []byte
 
+// packedBytes is the size from which messages are compressed, maxMessage that of the
+// longest one.
+const (
+	packedBytes = 512
+	maxMessage  = 16 << 20
+)
+
+// encode returns a message as it goes over a link.
+func encode(v any) (encoded, error) {
+	raw, err := msgpack.Marshal(v)
+	if err != nil || len(raw) < packedBytes {
+		return raw, err
+	}
+	return store.Pack(raw)
+}
+
 func (codec) Marshal(v any) ([]byte, error) {
 	if raw, ok := v.(encoded); ok {
 		return raw, nil
 	}
-	return msgpack.Marshal(v)
+	return encode(v)
+}
+
+func (codec) Unmarshal(data []byte, v any) error {
+	raw, err := store.Unpack(data, maxMessage)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(raw, v)
 }
 
-func (codec) Unmarshal(data []byte, v any) error { return msgpack.Unmarshal(data, v) }
-func (codec) Name() string                       { return codecName }
+func (codec) Name() string { return codecName }
 
 func init() { encoding.RegisterCodec(codec{}) }
 
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/layout"
@@ -328,13 +327,12 @@
 	s.mu.Lock()
 	row, version := s.lease.Row(), s.lease.Version()
 	s.mu.Unlock()
-	encode := func(w word) (encoded, error) {
+	complete := func(w word) (encoded, error) {
 		w.Loads = shared
 		w.Lease = leaseWord{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Version: version}
-		raw, err := msgpack.Marshal(w)
-		return raw, err
+		return encode(w)
 	}
-	if err := s.hub.flush(adapters, closing, encode, now); err != nil {
+	if err := s.hub.flush(adapters, closing, complete, now); err != nil {
 		s.deps.Log.Error("word_not_encoded", zap.Error(err))
 	}
 }
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -45,7 +45,7 @@
 	Instance string
 	// Address is that of its links, as other daemons reach it.
 	Address string
-	// Power is the processor that its VM has, in cores.
+	// Power is how much its VM can do, in cores; less if its network link is slow.
 	Power float64
 }
 
@@ -137,6 +137,8 @@
 	leaseTerm = 2 * time.Second
 	// renewPeriod is the time between renewals, three in a term.
 	renewPeriod = 600 * time.Millisecond
+	// doubtPeriod is the time until the lease is read after a write without an answer.
+	doubtPeriod = 50 * time.Millisecond
 	// candidatePeriod is the time between looks at the lease without a link.
 	candidatePeriod = 400 * time.Millisecond
 	// weakDelay is how long a daemon on a VM that is weaker than another's leaves the
@@ -147,7 +149,7 @@
 	planPeriod = 250 * time.Millisecond
 	// wordPeriod is the time between words of the steerer to all daemons. Several
 	// of them fit in the time after which a daemon follows the store itself.
-	wordPeriod = 200 * time.Millisecond
+	wordPeriod = 250 * time.Millisecond
 	// tellPeriod is the time between reports of a daemon to the steerer.
 	tellPeriod = 250 * time.Millisecond
 	// urgentPeriod is the least time between reports when calls wait.
