--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -32,6 +32,7 @@
 	// doubt tells that the outcome of a write of the lease is not known; only the
 	// duty that keeps the lease uses it.
 	doubt bool
+	yield yield
 
 	mu      sync.Mutex
 	counts  counts
@@ -39,8 +40,6 @@
 	servers []*layout.Server
 	lease   *lease.Machine
 	leaving bool
-	// free is since when the lease could be taken.
-	free    time.Time
 	members []Member
 	// steerer is the daemon that announced itself last; linked is when word came
 	// from it.
--- a/limpetd/steer/keep.go
+++ b/limpetd/steer/keep.go
@@ -28,9 +28,7 @@
 		case s.needsSteerer():
 			s.candidate(ctx)
 		default:
-			s.mu.Lock()
-			s.free = time.Time{}
-			s.mu.Unlock()
+			s.yield.linked()
 		}
 		pause := renewPeriod
 		if s.doubt {
@@ -90,12 +88,7 @@
 	s.mu.Lock()
 	row, version := s.lease.Row(), s.lease.Version()
 	action := s.lease.Next(now)
-	if s.free.IsZero() || action != lease.Take {
-		s.free = now
-	}
-	if action == lease.Take && s.weak() && now.Sub(s.free) < weakDelay {
-		action = lease.Wait
-	}
+	action = s.yield.next(action, s.weak(), now)
 	taken := s.lease.Taken()
 	s.mu.Unlock()
 	switch action {
@@ -107,6 +100,26 @@
 	}
 }
 
+// yield lets a weak VM leave a free lease to a stronger one for a while.
+type yield struct {
+	// free is since when the lease could be taken.
+	free time.Time
+}
+
+// linked notes that a steerer is there.
+func (y *yield) linked() { y.free = time.Time{} }
+
+// next returns what to do in place of action.
+func (y *yield) next(action lease.Action, weak bool, now time.Time) lease.Action {
+	if y.free.IsZero() || action != lease.Take {
+		y.free = now
+	}
+	if action == lease.Take && weak && now.Sub(y.free) < weakDelay {
+		return lease.Wait
+	}
+	return action
+}
+
 // weak tells whether another daemon has a much stronger VM.
 func (s *Steerer) weak() bool {
 	for _, m := range s.members {
--- /dev/null
+++ b/limpetd/steer/yield_test.go
@@ -0,0 +1,24 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/lease"
+)
+
+// TestWeakVMWaitsFromWhenTheLeaseIsFree: the wait used to count from the last look at the
+// lease, which may be long ago while a steerer is there.
+func TestWeakVMWaitsFromWhenTheLeaseIsFree(t *testing.T) {
+	var y yield
+	now := time.Unix(100, 0)
+	require.Equal(t, lease.Wait, y.next(lease.Wait, true, now))
+	y.linked()
+	now = now.Add(30 * time.Second)
+	require.Equal(t, lease.Wait, y.next(lease.Take, true, now))
+	require.Equal(t, lease.Wait, y.next(lease.Take, true, now.Add(weakDelay-1)))
+	require.Equal(t, lease.Take, y.next(lease.Take, true, now.Add(weakDelay)))
+	require.Equal(t, lease.Take, y.next(lease.Take, false, now))
+}
