sched: Refuse calls at once that would wait in vain

Under lasting overload calls waited up to 1.1 s for room and were refused then. Now a call waits only if its turn comes in time at the rate at which calls are sent.

--- a/limpetd/front/front_test.go
+++ b/limpetd/front/front_test.go
@@ -44,7 +44,7 @@
 }
 
 func (dialect) Reply(status int, h http.Header) front.Reply {
-	return front.Reply{NotRun: h.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest, Stamped: h.Get("Stamp") != ""}
+	return front.Reply{NotRun: h.Get("Unrun") != "", Elsewhere: status == http.StatusMisdirectedRequest, Stamped: h.Get("Stamp") != ""}
 }
 
 func (dialect) Belongs(h http.Header, id string) bool { return h.Get("Id") == id || h.Get("Id") == "" }
@@ -142,7 +142,7 @@
 	return func(w http.ResponseWriter, _ *http.Request) {
 		n.Add(1)
 		w.Header().Del("Stamp")
-		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Unrun", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// ahead counts the calls that wait for the model of a call and go first. The lock is held.
+func (f *Front) ahead(c *call) int {
+	n := 0
+	for _, w := range f.waiters {
+		o := &w.call.need
+		if o.Service == c.need.Service && o.Model == c.need.Model && o.Route.Priority <= c.need.Route.Priority {
+			n++
+		}
+	}
+	return n
+}
+
 // take chooses a server for a call and notes it. The lock is held.
 func (f *Front) take(c *call, now time.Time) sched.Choice {
 	choice := f.book.Choose(&c.need, now)
@@ -59,7 +71,7 @@
 		choice.Verdict = sched.NoRepeat
 		return choice
 	}
-	f.book.Sent(choice.Server.ID, now)
+	f.book.Sent(choice.Server.ID, &c.need, now)
 	return choice
 }
 
@@ -69,13 +81,16 @@
 	now := time.Now()
 	f.mu.Lock()
 	choice := f.take(c, now)
+	worth := choice.Verdict == sched.Full && f.book.Worth(&c.need, f.ahead(c), now)
 	f.mu.Unlock()
 	var until time.Time
 	switch choice.Verdict {
 	case sched.Chosen:
 		return c.chosen(choice, now), true
 	case sched.Full:
-		until = sched.WaitUntil(&c.need)
+		if worth {
+			until = sched.WaitUntil(&c.need)
+		}
 	case sched.NotLoaded:
 		f.deps.Loader.Want(c.need.Service, c.need.Model, c.need.Adapter)
 		f.mu.Lock()
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -1,8 +1,11 @@
 package sched
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
 )
 
 // Waiter is a call that waits for a server.
@@ -55,3 +58,51 @@
 	}
 	return until
 }
+
+// sendWindow is the time constant of the rate at which a daemon sends calls to a model.
+const sendWindow = time.Second
+
+// sends is the smoothed rate of calls sent to a model.
+type sends struct {
+	rate float64
+	at   time.Time
+}
+
+func (s *sends) current(now time.Time) float64 {
+	return s.rate * math.Exp(-now.Sub(s.at).Seconds()/sendWindow.Seconds())
+}
+
+// dispatched notes a call that was sent to a model.
+func (b *Book) dispatched(c *Call, now time.Time) {
+	key := c.Service + "/" + c.Model
+	s := b.sends[key]
+	if s == nil {
+		s = &sends{}
+		b.sends[key] = s
+	}
+	s.rate = s.current(now) + 1/sendWindow.Seconds()
+	s.at = now
+}
+
+// Worth tells whether a call should wait for room behind a number of others of its model:
+// if at the rate at which calls are sent now its turn comes before it would be refused.
+// Engines that all daemons together keep busy give each of them a part of their prompts.
+//
+// It answers a load that lasts, beyond what the engines can do: callers that would wait in
+// vain are told at once when to return.
+func (b *Book) Worth(c *Call, ahead int, now time.Time) bool {
+	rate := 0.0
+	if s := b.sends[c.Service+"/"+c.Model]; s != nil {
+		rate = s.current(now)
+	}
+	engines := 0
+	for _, s := range b.service[c.Service] {
+		if s.entry.State == layout.Ready && b.Holds(s.entry, c.Model, c.Adapter) {
+			engines++
+		}
+	}
+	if b.prefill > 0 {
+		rate = max(rate, float64(engines)/b.prefill.Seconds()/float64(b.daemons))
+	}
+	return rate*WaitUntil(c).Sub(now).Seconds() >= float64(ahead+1)
+}
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -148,6 +148,8 @@
 	adapters map[string]map[string]bool
 	closing  map[string]map[string]bool
 	budgets  map[string]*budget
+	// sends are the rates of calls sent, by service and model.
+	sends    map[string]*sends
 	sharedAt time.Time
 	// prefill is the smoothed time to a first event per call that waits for one.
 	prefill time.Duration
@@ -162,6 +164,7 @@
 		servers:  map[string]*server{},
 		service:  map[string][]*server{},
 		budgets:  map[string]*budget{},
+		sends:    map[string]*sends{},
 		prefill:  firstPrefill,
 	}
 }
@@ -193,7 +196,8 @@
 }
 
 // Sent notes that a call goes to a server.
-func (b *Book) Sent(id string, now time.Time) {
+func (b *Book) Sent(id string, c *Call, now time.Time) {
+	b.dispatched(c, now)
 	if s := b.servers[id]; s != nil {
 		if s.own == 0 {
 			s.heard = now
--- a/limpetd/sched/sched_test.go
+++ b/limpetd/sched/sched_test.go
@@ -83,7 +83,7 @@
 	b := book(engine("e1", "m"), engine("e2", "m"))
 	c := call("m")
 	for range 3 {
-		b.Sent("e1", start)
+		b.Sent("e1", c, start)
 		b.Ended("e1", c, sched.Unreached, false, start)
 	}
 	for range 20 {
@@ -156,6 +156,20 @@
 	require.True(t, sched.Hold(c, 9*time.Second, start))
 }
 
+func TestCallThatWouldWaitInVainIsRefusedAtOnce(t *testing.T) {
+	b := book(engine("e1", "m"))
+	b.Daemons(100)
+	c := call("m")
+	require.False(t, b.Worth(c, 3, start), "nothing is sent to the model")
+	for i := range 40 {
+		b.Sent("e1", c, start.Add(time.Duration(i)*25*time.Millisecond))
+	}
+	now := start.Add(time.Second)
+	c.Arrived = now
+	require.True(t, b.Worth(c, 3, now), "40 a second are sent")
+	require.False(t, b.Worth(c, 60, now))
+}
+
 // TestOverloadedEngineStillServesInTime plays a burst of three times what an engine can
 // read: with the bound on waiting prompts most of what it can do is in time, without it
 // hardly anything is.
@@ -191,7 +205,7 @@
 			for _, w := range waiting {
 				switch {
 				case !bounded || b.Choose(w.Call, now).Verdict == sched.Chosen:
-					b.Sent("e1", now)
+					b.Sent("e1", w.Call, now)
 					if len(queue) == 0 && busy.Before(now) {
 						busy = now.Add(prefill)
 					}
