--- a/limpetd/stock/plan.go
+++ b/limpetd/stock/plan.go
@@ -361,7 +361,7 @@
 		return false
 	case n < 2:
 		return !p.inUse(model) && p.replicas[other] == 0
-	case n > fewReplicas && p.replicas[other] == 0:
+	case p.replicas[other] == 0 && p.workOf(model) <= p.mean*float64(n-1):
 		return true
 	}
 	return score(p.workOf(model), n-1)*gainFactor < score(p.workOf(other), max(p.replicas[other], 1))
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -113,12 +113,9 @@
 	// leastShare is the work of a replica, in parts of the mean work of an engine,
 	// above which a model may get another one.
 	leastShare = 0.12
-	// fewReplicas is how many replicas a model has at most that gives none of them up
-	// for a model that is only asked for now and then.
-	fewReplicas = 2
 	// observe is how long demand is watched before replicas move for it: the first
 	// calls say little.
-	observe = 2500 * time.Millisecond
+	observe = 1500 * time.Millisecond
 	// gainFactor is how much more a model must need a replica than the one that gives
 	// it up, so that replicas don't move back and forth.
 	gainFactor = 1.7
--- a/limpetd/stock/stock_test.go
+++ b/limpetd/stock/stock_test.go
@@ -78,6 +78,33 @@
 	}
 }
 
+// TestBusyModelKeepsItsReplicasFromRareOnes: a model that was asked for now and then used
+// to take a replica of the busiest one as soon as that had three.
+func TestBusyModelKeepsItsReplicasFromRareOnes(t *testing.T) {
+	var engines []stock.Engine
+	for i := range 8 {
+		others := []string{fmt.Sprint("m", 2*i+2), fmt.Sprint("m", 2*i+3)}
+		if i < 3 {
+			engines = append(engines, engine(fmt.Sprint("e", i), append(others, "m0")...))
+			continue
+		}
+		e := engine(fmt.Sprint("e", i), append(others, fmt.Sprint("m", 2*i+14))...)
+		e.Free = false
+		engines = append(engines, e)
+	}
+	d := map[string]*stock.Need{"m0": need(100, 0), "m1": need(1, 1)}
+	for i := 2; i < 30; i++ {
+		d[fmt.Sprint("m", i)] = need(0.1, 0)
+	}
+	f := facts(spec(30), engines, d)
+	for _, n := range d {
+		n.Used = f.Now
+	}
+	for _, o := range stock.Plan(f) {
+		require.False(t, o.Unload && o.Model == "m0", "%+v", o)
+	}
+}
+
 func TestIdleModelsStayForBusyOnes(t *testing.T) {
 	// Three engines are full; the busy model is held once, all others are idle.
 	engines := []stock.Engine{engine("a", "m0", "m1", "m2"), engine("b", "m3", "m4", "m5"), engine("c", "m6", "m7", "m8")}
