--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net"
@@ -210,10 +211,15 @@
 func (s *Steerer) follow(ctx context.Context, to Member) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// A frozen VM accepts connections and says nothing.
+	late := time.AfterFunc(openTimeout, cancel)
 	stream, closer, err := dialLink(ctx, to.Address)
 	if err != nil {
 		return err
 	}
+	if !late.Stop() {
+		return errors.Join(errSilentSteerer, closer.Close())
+	}
 	defer func() {
 		if err := closer.Close(); err != nil {
 			s.deps.Log.Debug("link_not_closed", zap.Error(err))
@@ -350,6 +356,9 @@
 	}
 }
 
+// errSilentSteerer means that a link could not be opened in time.
+var errSilentSteerer = errors.New("the steerer accepts no link")
+
 // errNotSteerer ends links to a daemon that does not hold the lease, errSlow those to a
 // daemon that takes no words.
 var (
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -154,6 +154,8 @@
 	tellPeriod = 250 * time.Millisecond
 	// urgentPeriod is the least time between reports when calls wait.
 	urgentPeriod = 20 * time.Millisecond
+	// openTimeout bounds the opening of a link, a few round trips.
+	openTimeout = 500 * time.Millisecond
 	// linkTimeout is the silence after which a link counts as lost.
 	linkTimeout = 1500 * time.Millisecond
 	// orderTimeout bounds an order, reportTimeout a report: both are answered in
--- a/limpetd/steer/steer_test.go
+++ b/limpetd/steer/steer_test.go
@@ -288,3 +288,23 @@
 		return other.Holds()
 	}, patience, time.Millisecond)
 }
+
+// TestDaemonLeavesASteererThatIsFrozen: opening a link to a VM that accepts connections
+// and says nothing used to take until that VM woke.
+func TestDaemonLeavesASteererThatIsFrozen(t *testing.T) {
+	frozen, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, frozen.Close()) }()
+	l, e := newLeases(), newEngines()
+	one := start(t, l, e, "one", 1)
+	require.Eventually(t, one.Holds, patience, 5*time.Millisecond)
+	two := start(t, l, e, "two", 1)
+	two.Announced(steer.Member{VM: "frozen", Instance: "frozen-1", Address: frozen.Addr().String()})
+	time.Sleep(300 * time.Millisecond)
+	two.Announced(one.member)
+	require.Eventually(t, func() bool {
+		two.listener.mu.Lock()
+		defer two.listener.mu.Unlock()
+		return two.listener.shared != nil
+	}, 8*time.Second, 5*time.Millisecond)
+}
