steer: Go on while the store is away

It now goes on where engines check fences, while most daemons keep their links to it; a fence refused by an engine ends it. Loads from the weight store then keep a smaller burst.

--- a/limpetd/steer/books.go
+++ b/limpetd/steer/books.go
@@ -229,6 +229,8 @@
 	perSecond float64
 	level     float64
 	at        time.Time
+	// burst bounds the level; lower while another steerer may have loads of its own.
+	burst float64
 	// unanswered are until when loads may still begin that were ordered and not
 	// answered, by engine.
 	unanswered map[string]time.Time
@@ -238,7 +240,7 @@
 	if k.at.IsZero() {
 		k.at = now
 	}
-	k.level = min(k.level+now.Sub(k.at).Seconds()*k.perSecond, storeBurst)
+	k.level = min(k.level+now.Sub(k.at).Seconds()*k.perSecond, k.burst)
 	k.at = now
 	maps.DeleteFunc(k.unanswered, func(_ string, until time.Time) bool { return now.After(until) })
 	return int(k.level) - len(k.unanswered)
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -42,6 +42,10 @@
 	lease   *lease.Machine
 	leaving bool
 	members []Member
+	// away tells that the store did not answer the last call about the lease, renewed
+	// is when it was last written.
+	away    bool
+	renewed time.Time
 	// steerer is the daemon that announced itself last; linked is when word came
 	// from it.
 	steerer Member
--- a/limpetd/steer/hub.go
+++ b/limpetd/steer/hub.go
@@ -55,6 +55,13 @@
 	return o
 }
 
+// linked returns the number of linked daemons.
+func (h *hub) linked() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.links)
+}
+
 func (h *hub) leave(o *outbox) {
 	h.mu.Lock()
 	delete(h.links, o)
--- a/limpetd/steer/keep.go
+++ b/limpetd/steer/keep.go
@@ -50,11 +50,25 @@
 	return !s.leaving && s.config != nil && len(s.servers) > 0 && time.Since(s.linked) > linkTimeout
 }
 
-// Holds tells whether this daemon trusts its lease.
+// Holds tells whether this daemon steers: whether it trusts its lease, or goes on without
+// the store.
+//
+// A steerer whose store is away goes on while most daemons keep their links to it, as no
+// other can take the lease from a store that nobody reaches. If another does, engines
+// refuse the orders of this one for their fence, which ends it; so it only goes on where
+// engines check fences.
 func (s *Steerer) Holds() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.leaving && s.lease.Valid(s.deps.Clock())
+	now := s.deps.Clock()
+	switch {
+	case s.leaving:
+		return false
+	case s.lease.Valid(now):
+		return true
+	}
+	return s.settings.Quiet == 0 && s.away && s.lease.Mine() && now.Sub(s.renewed) < awayTerm &&
+		2*(s.hub.linked()+1) > len(s.members)
 }
 
 // renew writes the lease again.
@@ -70,10 +84,14 @@
 	row, version, err := s.deps.Leases.Read(ctx)
 	if err != nil {
 		s.deps.Log.Debug("lease_unread", zap.Error(err))
+		s.mu.Lock()
+		s.away = true
+		s.mu.Unlock()
 		return false
 	}
 	s.doubt = false
 	s.mu.Lock()
+	s.away = false
 	s.lease.Observe(row, version, s.deps.Clock())
 	s.mu.Unlock()
 	return true
@@ -136,8 +154,10 @@
 	got, err := s.deps.Leases.Write(ctx, row, version, announce)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.away = err != nil && code.Of(err) != code.StoreConflict
 	switch code.Of(err) {
 	case code.OK:
+		s.renewed = sent
 		s.lease.Held(row, got, sent, s.deps.Clock())
 	case code.StoreConflict, code.StoreUnknown:
 		// The row tells what came of the write. Until it was read the lease is
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -71,6 +71,7 @@
 	}
 	s.mu.Lock()
 	fence, config, servers := s.lease.Row().Fence, s.config, s.servers
+	away := !s.lease.Valid(s.deps.Clock())
 	s.mu.Unlock()
 	if fence != b.fence {
 		fresh := newBooks(fence, now)
@@ -80,6 +81,10 @@
 	if config == nil || now.Sub(b.since) < s.settings.Quiet {
 		return b
 	}
+	b.stores.burst = storeBurst
+	if away {
+		b.stores.burst = awayBurst
+	}
 	b.know(servers, config)
 	s.ask(ctx, b, now)
 	for _, service := range config.Services {
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -135,6 +135,9 @@
 	// leaseTerm is how long a lease lasts without renewal: a new steerer is there
 	// before callers give up waiting for an adapter.
 	leaseTerm = 2 * time.Second
+	// awayTerm is how long a steerer goes on while the store is away: outages last some
+	// ten seconds.
+	awayTerm = 30 * time.Second
 	// renewPeriod is the time between renewals, three in a term.
 	renewPeriod = 600 * time.Millisecond
 	// doubtPeriod is the time until the lease is read after a write without an answer.
@@ -179,4 +182,6 @@
 	// storeBurst is how many loads from the weight store may begin at once; the
 	// bound over a window leaves as much above the steady rate.
 	storeBurst = 3
+	// awayBurst is the same without the store.
+	awayBurst = 1
 )
