--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -128,20 +128,38 @@
 // Used notes a call and its work.
 func (s *Steerer) Used(service, model, adapter string, work int) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.declared(service, model) {
+		return
+	}
 	k := slot{service, model, adapter}
 	u := s.counts.used[k]
 	u.Calls++
 	u.Work += float64(work)
 	s.counts.used[k] = u
-	s.mu.Unlock()
+}
+
+// declared tells whether engines of a service may load a model. Others are not counted, as
+// callers can name any.
+func (s *Steerer) declared(service, model string) bool {
+	if s.config == nil {
+		return false
+	}
+	c := s.config.Services[service]
+	return c != nil && c.Engines != nil && c.Engines.Model(model) != nil
 }
 
 // Want notes a call that waits for a model or adapter.
 func (s *Steerer) Want(service, model, adapter string) {
 	s.mu.Lock()
-	s.counts.waiting[slot{service, model, adapter}]++
+	known := s.declared(service, model)
+	if known {
+		s.counts.waiting[slot{service, model, adapter}]++
+	}
 	s.mu.Unlock()
-	poke(s.urgent)
+	if known {
+		poke(s.urgent)
+	}
 }
 
 func poke(c chan struct{}) {
--- a/limpetd/steer/yield_test.go
+++ b/limpetd/steer/yield_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 )
 
@@ -22,3 +23,15 @@
 	require.Equal(t, lease.Take, y.next(lease.Take, true, now.Add(weakDelay)))
 	require.Equal(t, lease.Take, y.next(lease.Take, false, now))
 }
+
+// TestOnlyDeclaredModelsAreCounted: callers can name any model.
+func TestOnlyDeclaredModelsAreCounted(t *testing.T) {
+	s := &Steerer{counts: newCounts(), urgent: make(chan struct{}, 1), config: &layout.Config{Services: map[string]*layout.Service{
+		"s": {Engines: &layout.Engines{Models: []layout.Model{{Name: "m"}}}},
+	}}}
+	for _, model := range []string{"m", "other"} {
+		s.Used("s", model, "", 1)
+		s.Want("s", model, "")
+	}
+	require.Equal(t, []slot{{Service: "s", Model: "m"}}, s.counts.take("vm").Slots)
+}
