--- a/limpetd/front/front_test.go
+++ b/limpetd/front/front_test.go
@@ -305,7 +305,10 @@
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, w.url+"/r/1", strings.NewReader("body"))
 	require.NoError(t, err)
 	r.Header.Set("Model", "m")
-	_, err = http.DefaultClient.Do(r)
+	a, err := http.DefaultClient.Do(r)
+	if err == nil {
+		require.NoError(t, a.Body.Close())
+	}
 	require.Error(t, err)
 	select {
 	case <-left:
