conns, sched: Remove what nothing uses

Pool.Forget, Conn.Reused and Book.Suspect have no caller; idle connections to servers that are gone end with their idle time. No behaviour changes.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -137,7 +137,6 @@
 		}
 		now := time.Now()
 		if now.Before(c.expires) && now.Sub(c.since) < maxIdle && c.quiet() {
-			c.Reused = true
 			return c, nil
 		}
 		c.Close()
@@ -168,18 +167,6 @@
 	return true
 }
 
-// Forget closes the idle connections to t.
-func (p *Pool) Forget(t Target) {
-	p.mu.Lock()
-	idle := p.idle[t]
-	delete(p.idle, t)
-	delete(p.most, t)
-	p.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
-}
-
 func (p *Pool) pop(t Target) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -66,9 +66,6 @@
 // Conn is a connection with at most one call on it. It is not safe for concurrent
 // use, but for Close.
 type Conn struct {
-	// Reused tells whether the connection carried a call before.
-	Reused bool
-
 	pool    *Pool
 	target  Target
 	conn    net.Conn
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -316,10 +316,3 @@
 	s.strikes++
 	s.ejected = now.Add(min(ejectFirst<<min(s.strikes-1, 6), ejectMost))
 }
-
-// Suspect leaves a server out that was silent for too long.
-func (b *Book) Suspect(id string, now time.Time) {
-	if s := b.servers[id]; s != nil {
-		s.strike(now)
-	}
-}
