--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -46,8 +46,10 @@
 	// last event passed on.
 	begun bool
 	event string
-	// firstAt is when the first part of the answer was passed on.
-	firstAt time.Time
+	// firstAt and lastAt are when the first and the last part of the answer were passed
+	// on, pause is the longest time between two parts.
+	firstAt, lastAt time.Time
+	pause           time.Duration
 	// kept is a failure that a server answered, passed on if no other answer comes.
 	kept *answer
 	// outcome is for the log.
@@ -182,6 +184,7 @@
 		m.served.Inc(1)
 		m.first.RecordDuration(c.firstAt.Sub(c.need.Arrived))
 		m.total.RecordDuration(now.Sub(c.need.Arrived))
+		m.pause.RecordDuration(c.pause)
 	case o.result == code.CallerGone:
 		m.left.Inc(1)
 	case o.status == http.StatusServiceUnavailable:
@@ -200,7 +203,7 @@
 		zap.Duration("waited", o.waited), zap.Duration("took", now.Sub(c.need.Arrived)),
 	}
 	if !c.firstAt.IsZero() {
-		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.need.Arrived)))
+		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.need.Arrived)), zap.Duration("pause", c.pause))
 	}
 	if o.reason != "" {
 		fields = append(fields, zap.String("reason", o.reason))
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -17,6 +17,7 @@
 	resumed  tally.Counter
 	first    tally.Histogram
 	total    tally.Histogram
+	pause    tally.Histogram
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -32,5 +33,6 @@
 		resumed:  s.Counter("resumed"),
 		first:    s.Histogram("first_event", buckets),
 		total:    s.Histogram("answer", buckets),
+		pause:    s.Histogram("pause", buckets),
 	}
 }
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -127,6 +127,10 @@
 		return err
 	}
 	now := time.Now()
+	if !c.lastAt.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.lastAt))
+	}
+	c.lastAt = now
 	if !s.started {
 		s.begin(a, r)
 	} else {
