sched, steer, stock: Reserve time of engines for the prompts of all daemons

A signal from the last pause (no call to an engine whose last events came late) was tried and is worse: daemons stop and begin together.

The steerer now gives every call the time of an engine; a daemon without a link chooses by itself as before. How fast engines read each model is learned from first events, and the part of their time that prompts get from streams that paused too long.

The plan counts replicas that were ordered to go no more (the last replica of a model could go while another one was still closing), makes room only for loads that may begin, weighs demand by the speed of models and by its trend, and ranks missing models with busy ones.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -55,6 +55,8 @@
 	// at is when the call was sent, pending how many calls then waited there.
 	at      time.Time
 	pending int
+	// alone tells that the engine read no other prompt, by what was reserved.
+	alone bool
 	// heard is when the last events came.
 	heard time.Time
 }
@@ -66,7 +68,7 @@
 	c.outcome.sends++
 	c.outcome.server, c.outcome.load, c.outcome.age = choice.Server.ID, choice.Load, choice.Age
 	c.need.Tried = append(c.need.Tried, choice.Server.ID)
-	s := &send{call: c, server: choice.Server, at: time.Now(), pending: choice.Pending}
+	s := &send{call: c, server: choice.Server, at: time.Now(), pending: choice.Pending, alone: choice.Alone}
 	idle := maxIdle
 	if !c.need.Route.Repeatable() {
 		idle = maxIdleUnsafe
@@ -112,9 +114,14 @@
 	if r.Load != nil {
 		f.book.Told(s.server.ID, *r.Load, now)
 	}
+	first := !s.started
 	s.started = true
 	f.dispatch(now)
 	f.mu.Unlock()
+	if first && s.alone {
+		n := &s.call.need
+		f.deps.Reserver.Sampled(sched.Sample{Service: n.Service, Model: n.Model, Tokens: n.PromptTokens, Took: now.Sub(s.at)})
+	}
 }
 
 // exchange writes the call and passes the answer on.
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -89,8 +89,20 @@
 type Loader interface {
 	// Want asks for a model or, unless empty, an adapter of it.
 	Want(service, model, adapter string)
-	// Used notes a call, from which the demand is counted.
-	Used(service, model, adapter string, tokens int)
+	// Used notes a call, from which the demand is counted. Its work is told in tokens of
+	// a prompt.
+	Used(service, model, adapter string, tokens float64)
+}
+
+// Reserver gives calls time of engines, for all daemons together.
+type Reserver interface {
+	// Reserve answers an ask; an error if nobody does, and the daemon has to choose by
+	// itself.
+	Reserve(ctx context.Context, a sched.Ask) (sched.Grant, error)
+	// Sampled notes how fast an engine read a prompt.
+	Sampled(s sched.Sample)
+	// Streamed notes that a stream ended, and whether it had too long a pause.
+	Streamed(service string, paused bool)
 }
 
 // Deps are what a Front uses.
@@ -98,8 +110,10 @@
 	Dialect Dialect
 	Pool    *conns.Pool
 	Loader  Loader
-	Log     *zap.Logger
-	Scope   tally.Scope
+	// Reserver is nil where each daemon chooses by itself.
+	Reserver Reserver
+	Log      *zap.Logger
+	Scope    tally.Scope
 }
 
 // Option changes a Front.
@@ -132,6 +146,26 @@
 type state struct {
 	config *layout.Config
 	paths  *layout.Paths
+	// demands are those of streams, by service.
+	demands map[string]sched.Demands
+}
+
+func newState(c *layout.Config) *state {
+	s := &state{config: c, paths: layout.NewPaths(c.Routes), demands: map[string]sched.Demands{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != layout.Stream || r.Expectation <= 0 {
+			continue
+		}
+		for _, t := range r.Targets {
+			d, ok := s.demands[t.Service]
+			if !ok {
+				d = sched.Demands{Tightest: r.Expectation, First: r.Priority}
+			}
+			s.demands[t.Service] = sched.Demands{Tightest: min(d.Tightest, r.Expectation), First: min(d.First, r.Priority)}
+		}
+	}
+	return s
 }
 
 var _ http.Handler = (*Front)(nil)
@@ -155,7 +189,7 @@
 		if old != nil && old.config.Version >= c.Version {
 			return false
 		}
-		if f.state.CompareAndSwap(old, &state{config: c, paths: layout.NewPaths(c.Routes)}) {
+		if f.state.CompareAndSwap(old, newState(c)) {
 			f.notify()
 			return true
 		}
@@ -209,6 +243,37 @@
 	return f.book.Own(time.Now())
 }
 
+// Reserve gives an ask of any daemon time of an engine.
+func (f *Front) Reserve(a sched.Ask) sched.Grant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Reserve(&a, time.Now())
+}
+
+// Learn notes how fast engines read prompts.
+func (f *Front) Learn(list []sched.Sample) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range list {
+		f.book.Learn(s)
+	}
+}
+
+// Streamed notes how many streams of a service ended, and how many of them had too long a
+// pause.
+func (f *Front) Streamed(service string, streams, paused int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book.Streamed(service, streams, paused)
+}
+
+// PerToken returns the time that engines take to read a token of a model's prompts.
+func (f *Front) PerToken(service, model string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.PerToken(service, model)
+}
+
 // notify gives servers to the calls that wait, as far as they now can be had.
 func (f *Front) notify() {
 	f.mu.Lock()
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -25,8 +25,6 @@
 	// leavingReturn is when a caller of a leaving daemon returns; a new connection
 	// reaches another daemon.
 	leavingReturn = 20 * time.Millisecond
-	// outputWork is the work of a token that an engine makes, in tokens that it reads.
-	outputWork = 5
 	// maxSends bounds the servers that a call is sent to while they say that they
 	// did not run it.
 	maxSends = 4
@@ -42,6 +40,8 @@
 	body    []byte
 	// runs counts the servers that may have run the call.
 	runs int
+	// waited tells that the call waited for a server.
+	waited bool
 	// begun tells that the head of the answer was written; event is the id of the
 	// last event passed on.
 	begun bool
@@ -160,7 +160,8 @@
 	f.book.Arrived(c.need.Service, c.need.Arrived)
 	f.mu.Unlock()
 	if c.need.Model != "" {
-		f.deps.Loader.Used(c.need.Service, c.need.Model, c.need.Adapter, c.need.PromptTokens+outputWork*c.need.OutputTokens)
+		work := sched.Work(&c.need, f.state.Load().demands[c.need.Service])
+		f.deps.Loader.Used(c.need.Service, c.need.Model, c.need.Adapter, work)
 	}
 	for {
 		choice, ok := c.choose(ctx)
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -47,6 +47,9 @@
 		s.conn.Release(a)
 		s.end(sched.Answered)
 		c.outcome.result, c.outcome.status = code.OK, http.StatusOK
+		if v := c.front.deps.Reserver; v != nil && c.need.Route.MaxPause > 0 && c.outcome.sends == 1 {
+			v.Streamed(c.need.Service, c.pause > c.need.Route.MaxPause)
+		}
 		return false
 	}
 	s.conn.Close()
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
@@ -16,6 +17,10 @@
 	call *call
 	// got brings the choice; it has room for one.
 	got chan sched.Choice
+	// again is when the call asks the steerer again; zero if it waits for a choice of
+	// this daemon. lacking tells that no engine holds its model.
+	again   time.Time
+	lacking bool
 }
 
 // dispatch gives servers to waiters in order. The lock is held.
@@ -36,6 +41,14 @@
 	full := map[group]bool{}
 	for _, o := range order {
 		w := by[o]
+		if !w.again.IsZero() {
+			if w.lacking && f.book.Loaded(&w.call.need, now) {
+				w.got <- sched.Choice{Verdict: sched.AskAgain}
+			} else {
+				f.waiters = append(f.waiters, w)
+			}
+			continue
+		}
 		g := group{w.call.need.Service, w.call.need.Model, w.call.need.Adapter}
 		if !full[g] {
 			choice := f.take(w.call, now)
@@ -77,11 +90,22 @@
 
 // choose waits until a server is found for the call; false if the call was ended.
 func (c *call) choose(ctx context.Context) (sched.Choice, bool) {
+	for {
+		choice, ok := c.chooseOnce(ctx)
+		if ok || choice.Verdict != sched.AskAgain {
+			return choice, ok
+		}
+	}
+}
+
+// chooseOnce looks for a server and waits for one; the verdict is AskAgain if it is to
+// look once more.
+func (c *call) chooseOnce(ctx context.Context) (sched.Choice, bool) {
 	f := c.front
+	choice, grant := c.place(ctx)
 	now := time.Now()
 	f.mu.Lock()
-	choice := f.take(c, now)
-	worth := choice.Verdict == sched.Full && f.book.Worth(&c.need, f.ahead(c), now)
+	worth := choice.Verdict == sched.Full && (c.waited || f.book.Worth(&c.need, f.ahead(c), now))
 	f.mu.Unlock()
 	var until time.Time
 	switch choice.Verdict {
@@ -99,15 +123,72 @@
 		if sched.Hold(&c.need, choice.Return, now) {
 			until = sched.HoldUntil(&c.need)
 		}
-	case sched.NoServer, sched.NoRepeat:
+	case sched.NoServer, sched.NoRepeat, sched.AskAgain:
 	}
 	if until.After(now) {
-		return c.wait(ctx, choice, until)
+		c.waited = true
+		return c.wait(ctx, choice, grant, until)
 	}
 	c.unplaced(choice)
 	return choice, false
 }
 
+// place finds a server for the call: the one whose time the steerer reserves, or without
+// a steerer the one that this daemon chooses. The grant is nil without a steerer.
+func (c *call) place(ctx context.Context) (sched.Choice, *sched.Grant) {
+	f := c.front
+	now := time.Now()
+	if r := f.deps.Reserver; r != nil && c.need.Model != "" && c.mayRepeat(now) {
+		f.mu.Lock()
+		ask := f.book.Ask(&c.need, f.state.Load().demands[c.need.Service], now)
+		f.mu.Unlock()
+		grant, err := r.Reserve(ctx, ask)
+		if err == nil {
+			if choice, ok := c.granted(ctx, grant); ok {
+				return choice, &grant
+			}
+		}
+		now = time.Now()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.take(c, now), nil
+}
+
+// mayRepeat tells whether the call is sent for the first time or may be sent again.
+func (c *call) mayRepeat(now time.Time) bool {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return c.outcome.sends == 0 || f.book.CanRepeat(c.need.Service, now)
+}
+
+// granted waits until a granted call is to be sent; false if this daemon can't use the
+// grant.
+func (c *call) granted(ctx context.Context, g sched.Grant) (sched.Choice, bool) {
+	f := c.front
+	if g.Verdict == sched.Chosen && g.After > 0 {
+		life.Sleep(ctx, g.After)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	choice := f.book.Granted(g, &c.need, now)
+	switch choice.Verdict {
+	case sched.NoServer:
+		return choice, false
+	case sched.Full:
+		choice = f.book.Busy(&c.need, now)
+	case sched.Chosen:
+		if c.outcome.sends > 0 && !f.book.Repeat(c.need.Service, now) {
+			choice.Verdict = sched.NoRepeat
+			return choice, true
+		}
+		f.book.Sent(choice.Server.ID, &c.need, now)
+	}
+	return choice, true
+}
+
 // chosen notes when the call got a server.
 func (c *call) chosen(choice sched.Choice, now time.Time) sched.Choice {
 	if c.outcome.sends > 0 {
@@ -126,19 +207,30 @@
 		c.giveUp(code.NoEngine, choice, "no engine holds the model")
 	case sched.Full:
 		c.giveUp(code.ShedDeadline, choice, "no engine has room in time")
-	case sched.NoServer, sched.Chosen:
+	case sched.NoServer, sched.Chosen, sched.AskAgain:
 		c.giveUp(code.NoBackend, choice, "no server of the service can be used")
 	}
 }
 
 // wait queues the call until a time; false if the call was ended.
-func (c *call) wait(ctx context.Context, choice sched.Choice, until time.Time) (sched.Choice, bool) {
+func (c *call) wait(ctx context.Context, choice sched.Choice, grant *sched.Grant, until time.Time) (sched.Choice, bool) {
 	f := c.front
 	w := &waiter{Waiter: sched.Waiter{Call: &c.need, Until: until}, call: c, got: make(chan sched.Choice, 1)}
+	ends := until
+	if grant != nil {
+		w.lacking = grant.Verdict == sched.NotLoaded
+		w.again = until
+		if !w.lacking {
+			w.again = time.Now().Add(grant.After)
+		}
+		if w.again.Before(until) {
+			ends = w.again
+		}
+	}
 	f.mu.Lock()
 	f.waiters = append(f.waiters, w)
 	f.mu.Unlock()
-	timer := time.NewTimer(time.Until(until))
+	timer := time.NewTimer(time.Until(ends))
 	defer timer.Stop()
 	select {
 	case got := <-w.got:
@@ -163,6 +255,8 @@
 		c.giveUp(code.Stopping, sched.Choice{Return: leavingReturn}, "leaving")
 	case ctx.Err() != nil:
 		c.expire("no server was found")
+	case time.Now().Before(until):
+		choice.Verdict = sched.AskAgain
 	default:
 		c.unplaced(choice)
 	}
@@ -171,8 +265,11 @@
 
 // take takes the choice that a waiting call got.
 func (c *call) take(got sched.Choice) (sched.Choice, bool) {
-	if got.Verdict == sched.Chosen {
+	switch got.Verdict {
+	case sched.Chosen:
 		return c.chosen(got, time.Now()), true
+	case sched.AskAgain:
+		return got, false
 	}
 	c.unplaced(got)
 	return got, false
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -38,7 +38,7 @@
 		}
 	}
 	if len(list) == 0 {
-		return Choice{Verdict: Full, Return: b.comeBackFull(c, now)}
+		return b.Busy(c, now)
 	}
 	least := list[0].load
 	for _, l := range list {
@@ -53,6 +53,16 @@
 	return Choice{Verdict: Chosen, Server: s.entry, Load: best.load, Age: age, Pending: b.pending(s, now) + 1}
 }
 
+// Loaded tells whether a server holds the call's model and adapter.
+func (b *Book) Loaded(c *Call, now time.Time) bool {
+	return len(b.holding(b.usable(c, now), c, now)) > 0
+}
+
+// Busy returns the choice for a call that no engine has room for.
+func (b *Book) Busy(c *Call, now time.Time) Choice {
+	return Choice{Verdict: Full, Return: b.comeBackFull(c, now)}
+}
+
 // usable are the servers of the call's service that it may be sent to: first those
 // that answer, else those that are left out for failures.
 func (b *Book) usable(c *Call, now time.Time) []*server {
--- /dev/null
+++ b/limpetd/sched/reserve_test.go
@@ -0,0 +1,308 @@
+package sched_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+const tightest = 600 * time.Millisecond
+
+func ask(tokens int, within time.Duration) *sched.Ask {
+	return &sched.Ask{Service: "llm", Model: "m", Tokens: tokens, Within: within, Pause: 300 * time.Millisecond, Tightest: tightest}
+}
+
+func TestReservedPromptsTakeTheIdleEngineThenFollowEachOther(t *testing.T) {
+	b := book(engine("e1", "m"), engine("e2", "m"), engine("e3", "n"))
+	first, second := b.Reserve(ask(1000, 500*time.Millisecond), start), b.Reserve(ask(1000, 500*time.Millisecond), start)
+	require.Equal(t, sched.Chosen, first.Verdict)
+	require.True(t, first.Alone && second.Alone)
+	require.NotEqual(t, first.Server, second.Server)
+	third := b.Reserve(ask(1000, 500*time.Millisecond), start)
+	require.Positive(t, third.After)
+	require.False(t, third.Alone)
+}
+
+func TestReserveSaysWhyThereIsNoEngine(t *testing.T) {
+	b := book(engine("e1", "m"))
+	a := ask(100, time.Second)
+	a.Model = "other"
+	require.Equal(t, sched.NotLoaded, b.Reserve(a, start).Verdict)
+	a = ask(100, time.Second)
+	a.Not = []string{"e1"}
+	require.Equal(t, sched.NoServer, b.Reserve(a, start).Verdict)
+}
+
+// TestBacklogIsKeptForUrgentCalls: calls that have seconds of time, and those that are late
+// already, do not fill the time that urgent ones can still wait for.
+func TestBacklogIsKeptForUrgentCalls(t *testing.T) {
+	b := book(engine("e1", "m"))
+	granted := func(within time.Duration) int {
+		n := 0
+		for b.Reserve(ask(500, within), start).Verdict == sched.Chosen {
+			n++
+			require.Less(t, n, 100)
+		}
+		return n
+	}
+	late := granted(0)
+	relaxed := granted(8 * time.Second)
+	urgent := granted(510 * time.Millisecond)
+	require.Positive(t, late)
+	require.Positive(t, relaxed)
+	require.Positive(t, urgent)
+	first := ask(500, time.Second)
+	first.First = true
+	require.Equal(t, sched.Chosen, b.Reserve(first, start).Verdict, "the most urgent calls go before")
+	refused := b.Reserve(ask(500, 510*time.Millisecond), start)
+	require.Equal(t, sched.Full, refused.Verdict)
+	require.Positive(t, refused.After, "it says when to ask again")
+}
+
+func TestAskLeavesOutServersThatThisDaemonCannotUse(t *testing.T) {
+	b := book(engine("e1", "m"), engine("e2", "m"), engine("e3", "m"))
+	c := call("m")
+	c.Tried = []string{"e1"}
+	b.Sent("e2", c, start)
+	b.Ended("e2", c, sched.Unreached, false, start)
+	a := b.Ask(c, sched.Demands{Tightest: tightest}, start)
+	require.ElementsMatch(t, []string{"e1", "e2"}, a.Not)
+	require.Equal(t, "e3", b.Reserve(&a, start).Server)
+}
+
+func TestGrantOfAServerThatLeftIsNotUsed(t *testing.T) {
+	b := book(engine("e1", "m"))
+	require.Equal(t, sched.NoServer, b.Granted(sched.Grant{Verdict: sched.Chosen, Server: "gone"}, call("m"), start).Verdict)
+	e := engine("e1", "m")
+	e.State = layout.Draining
+	b.Know([]*layout.Server{e})
+	require.Equal(t, sched.NoServer, b.Granted(sched.Grant{Verdict: sched.Chosen, Server: "e1"}, call("m"), start).Verdict)
+}
+
+func TestSpeedOfModelsIsLearned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := book(engine("e1", "quick", "slow"))
+		perToken := time.Duration(rapid.IntRange(20, 80).Draw(t, "microseconds")) * time.Microsecond
+		for i := range 80 {
+			tokens := 100 + 37*i%3000
+			for _, m := range []struct {
+				name string
+				by   int
+			}{{"quick", 8}, {"slow", 1}} {
+				took := 50*time.Millisecond + time.Duration(tokens)*perToken/time.Duration(m.by)
+				b.Learn(sched.Sample{Service: "llm", Model: m.name, Tokens: tokens, Took: took})
+			}
+		}
+		require.InEpsilon(t, float64(perToken), float64(b.PerToken("llm", "slow")), 0.33)
+		require.InEpsilon(t, float64(perToken)/8, float64(b.PerToken("llm", "quick")), 0.5)
+	})
+}
+
+func TestWorkOfRelaxedCallsCountsLess(t *testing.T) {
+	urgent, relaxed := call("m"), call("m")
+	urgent.PromptTokens, relaxed.PromptTokens = 1000, 1000
+	relaxed.Route.Expectation = 8 * time.Second
+	require.Less(t, sched.Work(relaxed, sched.Demands{Tightest: tightest}), sched.Work(urgent, sched.Demands{Tightest: tightest}))
+	require.Equal(t, sched.Work(urgent, sched.Demands{Tightest: tightest}), sched.Work(urgent, sched.Demands{}))
+}
+
+// reader is an engine that reads prompts in pieces between the tokens of its streams: an
+// event of a stream holds the tokens of three steps, and each step may read a piece.
+type reader struct {
+	prompts []prompt
+	streams []*stream
+	steps   []time.Duration
+	next    time.Time
+}
+
+type prompt struct {
+	tokens, size  int
+	sent, arrived time.Time
+	from          int
+	alone         bool
+}
+
+const (
+	pieceTokens  = 2048
+	tokensPerMS  = 20
+	stepTime     = 11 * time.Millisecond
+	stepsAnEvent = 3
+	streamEvents = 40
+)
+
+// stream is one that runs.
+type stream struct {
+	events int
+	late   bool
+}
+
+// run works until now. It calls started for each prompt that was read, and ended for each
+// stream.
+func (r *reader) run(now time.Time, started func(p prompt, at time.Time), ended func(s *stream)) {
+	for !r.next.After(now) {
+		piece := 0
+		var read []prompt
+		for len(r.prompts) > 0 && piece < pieceTokens {
+			p := &r.prompts[0]
+			n := min(p.tokens, pieceTokens-piece)
+			p.tokens -= n
+			piece += n
+			if p.tokens == 0 {
+				read = append(read, *p)
+				r.prompts = r.prompts[1:]
+			}
+		}
+		took := stepTime + time.Duration(piece)*time.Millisecond/tokensPerMS
+		r.next = r.next.Add(took)
+		for _, p := range read {
+			started(p, r.next)
+			r.streams = append(r.streams, &stream{late: r.next.Sub(p.arrived) > tightest})
+		}
+		if r.steps = append(r.steps, took); len(r.steps) == stepsAnEvent {
+			pause := r.steps[0] + r.steps[1] + r.steps[2]
+			r.steps = r.steps[:0]
+			r.streams = slices.DeleteFunc(r.streams, func(s *stream) bool {
+				s.late = s.late || pause > route().MaxPause
+				if s.events++; s.events < streamEvents {
+					return false
+				}
+				ended(s)
+				return true
+			})
+		}
+	}
+}
+
+// TestStreamsGoOnWhileManyDaemonsSend plays callers of six daemons that ask for a model on
+// three engines at seven tenths of what these can read, with prompts of very unequal size.
+// Daemons that choose by themselves, with counts of the others that are a quarter of a
+// second old, send prompts to the same engine at the same time, and its streams pause for
+// longer than callers expect. With reserved time they hardly do, and more calls are in time.
+func TestStreamsGoOnWhileManyDaemonsSend(t *testing.T) {
+	var own, reserved played
+	for seed := range uint32(4) {
+		own.add(playDaemons(t, false, seed))
+		reserved.add(playDaemons(t, true, seed))
+	}
+	t.Logf("own choice: %+v; reserved: %+v", own, reserved)
+	require.Greater(t, float64(reserved.onTime), 0.8*float64(reserved.ended), "the target")
+	require.Less(t, reserved.ended-reserved.onTime, (own.ended-own.onTime)/4)
+	require.GreaterOrEqual(t, reserved.ended, own.ended*95/100, "it refuses hardly more")
+}
+
+// played counts calls, their streams that ended, and those of them that began in time and
+// never paused for too long.
+type played struct{ calls, ended, onTime int }
+
+func (p *played) add(o played) {
+	p.calls += o.calls
+	p.ended += o.ended
+	p.onTime += o.onTime
+}
+
+func playDaemons(t *testing.T, reserve bool, seed uint32) played {
+	t.Helper()
+	const daemons, engines = 6, 3
+	var servers []*layout.Server
+	readers := map[string]*reader{}
+	for i := range engines {
+		e := engine(fmt.Sprint("e", i), "m")
+		servers = append(servers, e)
+		readers[e.ID] = &reader{next: start}
+	}
+	books := make([]*sched.Book, daemons)
+	for i := range books {
+		books[i] = book(servers...)
+		books[i].Daemons(daemons)
+	}
+	type due struct {
+		at   time.Time
+		call *sched.Call
+		from int
+		to   string
+		// alone is that of the grant.
+		alone bool
+	}
+	var waiting []due
+	var out played
+	random := seed
+	for ms := range 20_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%250 == 0 {
+			all := map[string]sched.Shared{}
+			for _, b := range books {
+				for id, one := range b.Own(now) {
+					sum := all[id]
+					all[id] = sched.Shared{Calls: sum.Calls + one.Calls, Pending: sum.Pending + one.Pending, Gap: max(sum.Gap, one.Gap)}
+				}
+			}
+			for _, b := range books {
+				b.Share(all, now)
+			}
+		}
+		random = random*1664525 + 1013904223
+		// 29 calls a second of 1,300 tokens on the mean; three engines read 54,000 tokens.
+		if random>>16%34 == 0 {
+			c := call("m")
+			c.Arrived, c.PromptTokens = now, 200+int(random>>9%2200)
+			out.calls++
+			waiting = append(waiting, due{at: now, call: c, from: int(random >> 3 % daemons)})
+		}
+		var rest []due
+		for _, w := range waiting {
+			if w.at.After(now) {
+				rest = append(rest, w)
+				continue
+			}
+			if w.to == "" {
+				choice := books[w.from].Choose(w.call, now)
+				if reserve {
+					a := books[w.from].Ask(w.call, sched.Demands{Tightest: tightest, First: -1}, now)
+					g := books[0].Reserve(&a, now)
+					if g.Verdict == sched.Chosen && g.After > 0 {
+						rest = append(rest, due{now.Add(g.After), w.call, w.from, g.Server, g.Alone})
+						continue
+					}
+					choice = books[w.from].Granted(g, w.call, now)
+				}
+				if choice.Verdict != sched.Chosen {
+					w.at = now.Add(50 * time.Millisecond)
+					if w.at.Before(sched.WaitUntil(w.call)) {
+						rest = append(rest, w)
+					}
+					continue
+				}
+				w.to, w.alone = choice.Server.ID, choice.Alone
+			}
+			books[w.from].Sent(w.to, w.call, now)
+			r := readers[w.to]
+			r.prompts = append(r.prompts, prompt{w.call.PromptTokens, w.call.PromptTokens, now, w.call.Arrived, w.from, w.alone})
+		}
+		waiting = rest
+		for id, r := range readers {
+			r.run(now, func(p prompt, at time.Time) {
+				books[p.from].Started(id, call("m"), 1, p.sent, at)
+				books[p.from].Ended(id, call("m"), sched.Answered, true, at)
+				if p.alone {
+					books[0].Learn(sched.Sample{Service: "llm", Model: "m", Tokens: p.size, Took: at.Sub(p.sent)})
+				}
+			}, func(s *stream) {
+				out.ended++
+				paused := 1
+				if !s.late {
+					out.onTime++
+					paused = 0
+				}
+				books[0].Streamed("llm", 1, paused)
+			})
+		}
+	}
+	return out
+}
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -67,6 +67,8 @@
 	Full
 	// NoRepeat means that the call was sent before and the retries are spent.
 	NoRepeat
+	// AskAgain means that there may be a server now, and that it is looked for again.
+	AskAgain
 )
 
 // Choice is the outcome of Choose.
@@ -80,6 +82,8 @@
 	// Pending counts the calls that wait at the server for a first event, this one
 	// included.
 	Pending int
+	// Alone tells that the server was reserved for the call and reads no other prompt.
+	Alone bool
 	// Return is when a refused caller had best come back.
 	Return time.Duration
 }
@@ -134,6 +138,9 @@
 	// shared is what all daemons together told of the server, mine what this one
 	// had told by then.
 	shared, mine Shared
+	// booked is until when the engine reads prompts, by what was reserved, and block since
+	// when it does so without a gap.
+	booked, block time.Time
 	// refuses holds until when the server is known to lack a model or adapter.
 	refuses map[string]time.Time
 }
@@ -151,6 +158,8 @@
 	// sends are the rates of calls sent, by service and model.
 	sends    map[string]*sends
 	sharedAt time.Time
+	speeds   speeds
+	shares   shares
 	// prefill is the smoothed time to a first event per call that waits for one.
 	prefill time.Duration
 }
@@ -165,6 +174,8 @@
 		service:  map[string][]*server{},
 		budgets:  map[string]*budget{},
 		sends:    map[string]*sends{},
+		speeds:   newSpeeds(),
+		shares:   shares{},
 		prefill:  firstPrefill,
 	}
 }
--- a/limpetd/steer/books.go
+++ b/limpetd/steer/books.go
@@ -174,7 +174,7 @@
 			ID: v.server.ID, DataCentre: v.server.DataCentre,
 			Free:   v.known && !v.sending && v.loading == "" && v.unloading == "" && v.server.State == layout.Ready && v.failing.IsZero(),
 			Alive:  v.server.State == layout.Ready && (cut || !v.lost(now)),
-			Models: v.models, Loading: v.loading, Promised: v.promise(now), Coming: v.coming, Moved: v.moved,
+			Models: v.models, Closing: v.closing, Loading: v.loading, Promised: v.promise(now), Coming: v.coming, Moved: v.moved,
 			InMemory: v.inMemory, OnDisk: v.onDisk,
 		}
 		f.Engines = append(f.Engines, e)
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -32,19 +32,34 @@
 	Waiting []int  `msgpack:"waiting"`
 	// Loads is the load that the daemon puts on servers.
 	Loads map[string]sched.Shared `msgpack:"loads"`
+	// Samples tell how fast engines read prompts.
+	Samples []sched.Sample `msgpack:"samples,omitempty"`
+	// Streams are those that ended, by service.
+	Streams map[string]streams `msgpack:"streams,omitempty"`
+}
+
+// streams counts streams that ended, and those of them that had too long a pause.
+type streams struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
+	Ended    int
+	Paused   int
 }
 
 // counts collects what a daemon has to report.
 type counts struct {
 	used    map[slot]use
 	waiting map[slot]int
+	samples []sched.Sample
+	streams map[string]streams
 }
 
-func newCounts() counts { return counts{used: map[slot]use{}, waiting: map[slot]int{}} }
+func newCounts() counts {
+	return counts{used: map[slot]use{}, waiting: map[slot]int{}, streams: map[string]streams{}}
+}
 
 // take returns the report and starts a new one.
 func (c *counts) take(vm string) told {
-	t := told{VM: vm}
+	t := told{VM: vm, Samples: c.samples, Streams: c.streams}
 	for s, u := range c.used {
 		t.Slots = append(t.Slots, s)
 		t.Used = append(t.Used, u)
@@ -73,11 +88,12 @@
 
 // rate is the demand for a slot.
 type rate struct {
-	work    float64
-	at      time.Time
-	used    time.Time
-	waiting int
-	until   time.Time
+	// work is the smoothed work a second, slow the same over a longer time.
+	work, slow float64
+	at         time.Time
+	used       time.Time
+	waiting    int
+	until      time.Time
 }
 
 func (d *demand) add(t told, now time.Time) {
@@ -94,6 +110,7 @@
 			d.rates[s] = r
 		}
 		r.work = r.current(now) + t.Used[i].Work/demandWindow.Seconds()
+		r.slow = decayed(r.slow, r.at, now, trendWindow) + t.Used[i].Work/trendWindow.Seconds()
 		r.at = now
 		if t.Used[i].Calls > 0 || t.Waiting[i] > 0 {
 			r.used = now
@@ -105,7 +122,21 @@
 }
 
 func (r *rate) current(now time.Time) float64 {
-	return r.work * math.Exp(-now.Sub(r.at).Seconds()/demandWindow.Seconds())
+	return decayed(r.work, r.at, now, demandWindow)
+}
+
+// decayed returns an average that was told at a time, some time later.
+func decayed(average float64, at, now time.Time, window time.Duration) float64 {
+	return average * math.Exp(-now.Sub(at).Seconds()/window.Seconds())
+}
+
+// soon returns the work a second that is to be expected when a load that is ordered now
+// ends. A model that rises is given replicas before its calls have to wait for them, and
+// one that falls gives its own up.
+func (r *rate) soon(now time.Time) float64 {
+	work := r.current(now)
+	trend := (work - decayed(r.slow, r.at, now, trendWindow)) / (trendWindow - demandWindow).Seconds()
+	return min(max(work+trend*(demandWindow+trendAhead).Seconds(), 0), trendMost*work)
 }
 
 // served notes that calls no longer wait for a slot.
@@ -131,7 +162,7 @@
 		if now.Before(r.until) {
 			waiting = r.waiting
 		}
-		n.Work += r.current(now)
+		n.Work += r.soon(now)
 		if r.used.After(n.Used) {
 			n.Used = r.used
 		}
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -50,6 +50,11 @@
 	// from it.
 	steerer Member
 	linked  time.Time
+	// peer is the connection to the steerer; nil without a link. misses counts asks in a
+	// row that were not answered, and mute is until when none are sent.
+	peer   *grpc.ClientConn
+	misses int
+	mute   time.Time
 
 	// reports brings the reports of daemons to the plan; when it is full, a report
 	// is dropped, and the next one tells of later calls.
@@ -125,8 +130,8 @@
 	s.mu.Unlock()
 }
 
-// Used notes a call and its work.
-func (s *Steerer) Used(service, model, adapter string, work int) {
+// Used notes a call and its work, in tokens of a prompt.
+func (s *Steerer) Used(service, model, adapter string, work float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.declared(service, model) {
@@ -135,7 +140,7 @@
 	k := slot{service, model, adapter}
 	u := s.counts.used[k]
 	u.Calls++
-	u.Work += float64(work)
+	u.Work += work
 	s.counts.used[k] = u
 }
 
@@ -235,15 +240,17 @@
 	defer cancel()
 	// A frozen VM accepts connections and says nothing.
 	late := time.AfterFunc(openTimeout, cancel)
-	stream, closer, err := dialLink(ctx, to.Address)
+	stream, conn, err := dialLink(ctx, to.Address)
 	if err != nil {
 		return err
 	}
 	if !late.Stop() {
-		return errors.Join(errSilentSteerer, closer.Close())
+		return errors.Join(errSilentSteerer, conn.Close())
 	}
+	s.connected(conn)
 	defer func() {
-		if err := closer.Close(); err != nil {
+		s.connected(nil)
+		if err := conn.Close(); err != nil {
 			s.deps.Log.Debug("link_not_closed", zap.Error(err))
 		}
 	}()
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -85,12 +84,14 @@
 	Version  int64  `msgpack:"version"`
 }
 
-// linkService and linkMethod name the one call of the link: a stream of reports to the
-// steerer and of words back.
+// linkMethod is a stream of reports to the steerer and of words back, askMethod a call
+// that asks for time of an engine.
 const (
 	linkService = "limpet.Steer"
 	linkMethod  = "Link"
 	linkPath    = "/" + linkService + "/" + linkMethod
+	askMethod   = "Reserve"
+	askPath     = "/" + linkService + "/" + askMethod
 )
 
 var linkStream = grpc.StreamDesc{StreamName: linkMethod, ServerStreams: true, ClientStreams: true}
@@ -98,6 +99,7 @@
 // linkServer answers links.
 type linkServer interface {
 	link(stream grpc.ServerStream) error
+	reserve(a sched.Ask) (sched.Grant, error)
 }
 
 // serveLinks serves links at l until ctx ends.
@@ -106,6 +108,16 @@
 	description := grpc.ServiceDesc{
 		ServiceName: linkService,
 		HandlerType: (*linkServer)(nil),
+		Methods: []grpc.MethodDesc{{
+			MethodName: askMethod,
+			Handler: func(srv any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+				var a sched.Ask
+				if err := decode(&a); err != nil {
+					return nil, err
+				}
+				return srv.(linkServer).reserve(a)
+			},
+		}},
 		Streams: []grpc.StreamDesc{{
 			StreamName: linkMethod, ServerStreams: true, ClientStreams: true,
 			Handler: func(srv any, stream grpc.ServerStream) error { return srv.(linkServer).link(stream) },
@@ -122,7 +134,7 @@
 }
 
 // dialLink opens a link to the steerer at address.
-func dialLink(ctx context.Context, address string) (grpc.ClientStream, io.Closer, error) {
+func dialLink(ctx context.Context, address string) (grpc.ClientStream, *grpc.ClientConn, error) {
 	dialer := conns.NewDialer()
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -27,6 +27,7 @@
 		case t := <-s.reports:
 			now := time.Now()
 			b.demand.add(t, now)
+			s.learnPace(&t)
 			b.loads.by[t.VM] = daemonLoads{at: now, loads: t.Loads}
 			if !t.urgent() {
 				continue
@@ -43,6 +44,14 @@
 	}
 }
 
+// learnPace takes in how fast engines are.
+func (s *Steerer) learnPace(t *told) {
+	s.deps.Listener.Learn(t.Samples)
+	for service, n := range t.Streams {
+		s.deps.Listener.Streamed(service, n.Ended, n.Paused)
+	}
+}
+
 func newBooks(fence int64, now time.Time) *books {
 	return &books{
 		demand: demand{rates: map[slot]*rate{}},
@@ -92,7 +101,11 @@
 			continue
 		}
 		b.stores.perSecond = service.Engines.LoadsPerSecond
-		s.order(ctx, b, stock.Plan(b.facts(service, now)), now)
+		facts := b.facts(service, now)
+		for model, n := range facts.Demand {
+			n.Work *= s.deps.Listener.PerToken(service.Name, model).Seconds()
+		}
+		s.order(ctx, b, stock.Plan(facts), now)
 	}
 	s.publish(b)
 	return b
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -114,6 +114,14 @@
 	Own() map[string]sched.Shared
 	// Share sets the load that all daemons put on them.
 	Share(all map[string]sched.Shared)
+	// Reserve gives an ask of any daemon time of an engine, while this daemon steers.
+	Reserve(a sched.Ask) sched.Grant
+	// Learn notes how fast engines read prompts, PerToken tells the time for a token of
+	// a model.
+	Learn(list []sched.Sample)
+	PerToken(service, model string) time.Duration
+	// Streamed notes how many streams ended, and how many had too long a pause.
+	Streamed(service string, streams, paused int)
 	// Holdings sets the adapters of engines and the models that are about to go.
 	Holdings(adapters, closing map[string]map[string]bool)
 }
@@ -159,6 +167,14 @@
 	urgentPeriod = 20 * time.Millisecond
 	// openTimeout bounds the opening of a link, a few round trips.
 	openTimeout = 500 * time.Millisecond
+	// reserveTimeout bounds an ask for time of an engine: some round trips.
+	reserveTimeout = 40 * time.Millisecond
+	// reserveMisses is how many asks in a row go without an answer before none are sent
+	// for reservePause.
+	reserveMisses = 2
+	reservePause  = 500 * time.Millisecond
+	// maxSamples bounds the samples in a report.
+	maxSamples = 16
 	// linkTimeout is the silence after which a link counts as lost.
 	linkTimeout = 1500 * time.Millisecond
 	// orderTimeout bounds an order, reportTimeout a report: both are answered in
@@ -178,7 +194,13 @@
 	promiseFor = 8 * time.Second
 	// demandWindow is the time constant of the average of demand: it follows a rise
 	// within two seconds and has several calls of each busy model in it.
-	demandWindow = 2 * time.Second
+	demandWindow = 1500 * time.Millisecond
+	// trendWindow is the time constant of the average from which the trend of demand
+	// follows, trendAhead how far it is followed into the future, and trendMost how many
+	// times its present demand a model is expected to have at most.
+	trendWindow = 4 * time.Second
+	trendAhead  = 2 * time.Second
+	trendMost   = 3
 	// storeBurst is how many loads from the weight store may begin at once; the
 	// bound over a window leaves as much above the steady rate.
 	storeBurst = 3
--- a/limpetd/steer/steer_test.go
+++ b/limpetd/steer/steer_test.go
@@ -133,6 +133,16 @@
 	l.adapters = adapters
 }
 
+func (l *listener) Reserve(sched.Ask) sched.Grant {
+	return sched.Grant{Verdict: sched.Chosen, Server: "e1"}
+}
+
+func (l *listener) Learn([]sched.Sample) {}
+
+func (l *listener) Streamed(string, int, int) {}
+
+func (l *listener) PerToken(_, _ string) time.Duration { return 50 * time.Microsecond }
+
 func (l *listener) holds(engine, name string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/limpetd/stock/plan.go
+++ b/limpetd/stock/plan.go
@@ -22,7 +22,9 @@
 	mean float64
 	// reserve is the memory kept for adapters.
 	reserve float64
-	loads   int
+	// loads are those from the weight store that may begin, owed those of them that
+	// room was made for.
+	loads, owed int
 }
 
 // Plan returns the orders to send now, at most one about a model to an engine.
@@ -31,9 +33,9 @@
 	p.count()
 	p.adapters()
 	p.promised()
-	p.asked()
-	p.spread()
 	p.reachable()
+	p.spread()
+	p.hedge()
 	return p.orders
 }
 
@@ -54,14 +56,19 @@
 		}
 		alive++
 		for m := range e.Models {
-			p.replicas[m]++
-			p.holding[m]++
+			if !e.Closing[m] {
+				p.replicas[m]++
+				p.holding[m]++
+			}
 		}
 		if e.Loading != "" {
 			p.replicas[e.Loading]++
 		}
 		if e.Promised != "" && e.Promised != e.Loading {
 			p.replicas[e.Promised]++
+			if !e.InMemory[e.Promised] && !e.OnDisk[e.Promised] {
+				p.owed++
+			}
 		}
 	}
 	total := 0.0
@@ -72,7 +79,9 @@
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		for m := range e.Models {
-			p.work[e.ID] += p.perReplica(m)
+			if !e.Closing[m] {
+				p.work[e.ID] += p.perReplica(m)
+			}
 		}
 		if e.Loading != "" {
 			p.work[e.ID] += p.perReplica(e.Loading)
@@ -104,57 +113,76 @@
 		}
 		if o := p.option(e, m, ReasonDemand); o != nil && len(o.victims) == 0 {
 			p.replicas[m.Name]--
+			if o.store {
+				p.owed--
+			}
 			p.load(o, m, ReasonDemand)
 		}
 	}
 }
 
-// asked gives a place to models that no engine holds and calls ask for.
-func (p *plan) asked() {
-	var list []*layout.Model
+// reachable gives a place to models that no engine holds and nobody asks for, where there
+// is room: the next ones that rise may be among them. Under load it is one at a time, as an
+// engine that loads takes no other order for many seconds.
+func (p *plan) reachable() {
+	if p.mean > 0 && p.restoring() {
+		return
+	}
 	for i := range p.Spec.Models {
 		m := &p.Spec.Models[i]
-		if n := p.Demand[m.Name]; p.replicas[m.Name] == 0 && n != nil && (n.Waiting > 0 || p.inUse(m.Name)) {
-			list = append(list, m)
+		if p.replicas[m.Name] > 0 || p.asked(m.Name) {
+			continue
+		}
+		if p.give(m, ReasonReachable) && p.mean > 0 {
+			return
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *layout.Model) int {
-		x, y := p.Demand[a.Name], p.Demand[b.Name]
-		return cmp.Or(cmp.Compare(y.Work, x.Work), cmp.Compare(y.Waiting, x.Waiting))
-	})
-	for _, m := range list {
-		p.give(m, ReasonAsked)
+}
+
+// restoring tells whether an engine loads a model that no other one holds.
+func (p *plan) restoring() bool {
+	for i := range p.Engines {
+		if l := p.Engines[i].Loading; l != "" && p.holding[l] == 0 && p.workOf(l) == 0 {
+			return true
+		}
 	}
+	return false
 }
 
-// reachable gives a place to a model that no engine holds and nobody asks for: one at a
-// time, where there is room, and while no busy model needs a replica. An engine that
-// loads takes no other order for many seconds.
-func (p *plan) reachable() {
+// hedge gives a second replica to models that have one, where memory is free and while no
+// busy model needs it. A model that rises, or whose engine is lost, has one ready then.
+func (p *plan) hedge() {
 	if p.pressed() {
 		return
 	}
-	for i := range p.Engines {
-		if p.mean > 0 && p.Engines[i].Loading != "" {
-			return
-		}
-	}
+	moves := p.loading()
+	most := max(int(hedgeMoves*float64(len(p.Engines))), 1)
 	for i := range p.Spec.Models {
 		m := &p.Spec.Models[i]
-		if p.replicas[m.Name] > 0 {
-			continue
-		}
-		if p.give(m, ReasonReachable) && p.mean > 0 {
+		if p.mean > 0 && moves >= most {
 			return
 		}
+		if p.replicas[m.Name] == 1 && p.give(m, ReasonHedge) {
+			moves++
+		}
 	}
 }
 
-// pressed tells whether the replicas of some model have more work than an engine has on
-// the mean.
+// loading counts the engines that load a model.
+func (p *plan) loading() int {
+	n := 0
+	for i := range p.Engines {
+		if p.Engines[i].Loading != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// pressed tells whether the replicas of some model are busy.
 func (p *plan) pressed() bool {
 	for i := range p.Spec.Models {
-		if name := p.Spec.Models[i].Name; p.mean > 0 && p.perReplica(name) > p.mean {
+		if p.perReplica(p.Spec.Models[i].Name) > busyShare {
 			return true
 		}
 	}
@@ -171,36 +199,55 @@
 	return work / math.Pow(float64(replicas), hedge)
 }
 
-// spread gives replicas to the models that need them most, in place of those that need
-// theirs far less.
-func (p *plan) spread() {
-	if p.Now.Sub(p.Since) < observe {
-		return
+// asked tells whether calls ask for a model that no engine holds.
+func (p *plan) asked(model string) bool {
+	n := p.Demand[model]
+	return p.replicas[model] == 0 && n != nil && (n.Waiting > 0 || p.inUse(model))
+}
+
+// value tells how much a model needs another replica now: first by the work that its
+// replicas can't do, then by score. A model that nobody asks for has none.
+func (p *plan) value(m *layout.Model) float64 {
+	n, work := p.replicas[m.Name], p.workOf(m.Name)
+	switch {
+	case p.asked(m.Name):
+		return work + askedValue
+	case n == 0 || p.Now.Sub(p.Since) < observe || p.perReplica(m.Name) < busyShare:
+		return 0
 	}
-	moves := 0
-	for i := range p.Engines {
-		if p.Engines[i].Loading != "" {
-			moves++
-		}
+	if excess := work - fullShare*float64(n); excess > 0 {
+		return excess
 	}
+	return askedValue * score(work, n) / (1 + score(work, n))
+}
+
+// spread gives replicas to the models that need them most, in place of those that need
+// theirs far less. Models that no engine holds and calls ask for are among them: each of
+// them is served late without one, but a busy model without enough serves many calls late.
+func (p *plan) spread() {
+	moves := p.loading()
 	most := max(int(maxMoves*float64(len(p.Engines))), 1)
 	passed := map[string]bool{}
-	for moves < most {
+	for {
 		var hot *layout.Model
 		best := 0.0
 		for i := range p.Spec.Models {
 			m := &p.Spec.Models[i]
-			if n := p.replicas[m.Name]; n == 0 || passed[m.Name] || p.perReplica(m.Name) < leastShare*p.mean {
+			if passed[m.Name] || moves >= most && !p.asked(m.Name) {
 				continue
 			}
-			if v := score(p.workOf(m.Name), p.replicas[m.Name]); v > best {
+			if v := p.value(m); v > best {
 				hot, best = m, v
 			}
 		}
 		if hot == nil {
 			return
 		}
-		if p.give(hot, ReasonDemand) {
+		why := ReasonDemand
+		if p.asked(hot.Name) {
+			why = ReasonAsked
+		}
+		if p.give(hot, why) {
 			moves++
 		} else {
 			passed[hot.Name] = true
@@ -241,6 +288,9 @@
 	p.taken[best.engine.ID] = true
 	if len(best.victims) > 0 {
 		v := best.victims[0]
+		if best.store {
+			p.owed++
+		}
 		p.orders = append(p.orders, Order{Engine: best.engine.ID, Unload: true, Model: v, For: m.Name, Reason: ReasonRoom})
 		p.replicas[v]--
 		p.holding[v]--
@@ -280,7 +330,7 @@
 		o.cost += costStore
 		o.store = true
 	}
-	if o.store && p.loads <= 0 {
+	if o.store && (p.loads <= 0 || e.Promised != m.Name && p.loads <= p.owed) {
 		return nil
 	}
 	if p.mean > 0 {
@@ -290,7 +340,7 @@
 	if free >= m.MemoryMB {
 		return o
 	}
-	if why == ReasonReachable || why == ReasonDemand && p.Now.Sub(e.Moved) < dwell {
+	if why == ReasonReachable || why == ReasonHedge || why == ReasonDemand && p.Now.Sub(e.Moved) < dwell {
 		return nil
 	}
 	victims := p.victims(e, m, m.MemoryMB-free)
@@ -331,7 +381,7 @@
 func (p *plan) victims(e *Engine, m *layout.Model, room float64) []string {
 	var list []string
 	for name := range e.Models {
-		if p.spare(name, m.Name) {
+		if !e.Closing[name] && p.spare(name, m.Name) {
 			list = append(list, name)
 		}
 	}
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -34,6 +34,8 @@
 	Alive bool
 	// Models are those that it holds, with their adapters.
 	Models map[string]map[string]bool
+	// Closing are the models that were ordered to go; they take memory until they have.
+	Closing map[string]bool
 	// Loading is the model that it loads; empty if none.
 	Loading string
 	// Promised is the model that room was made for here; empty if none.
@@ -48,7 +50,7 @@
 
 // Need is the demand for a model.
 type Need struct {
-	// Work is the smoothed work a second, in any unit that is the same for all.
+	// Work is the smoothed work a second, in seconds of an engine.
 	Work float64
 	// Waiting is the number of calls that wait for the model to be loaded.
 	Waiting int
@@ -102,6 +104,8 @@
 	ReasonReachable Reason = "reachable"
 	// ReasonDemand means that the replicas of the model have much work.
 	ReasonDemand Reason = "demand"
+	// ReasonHedge means that the model has one replica and there is free memory.
+	ReasonHedge Reason = "hedge"
 	// ReasonRoom means that memory is freed for another model.
 	ReasonRoom Reason = "room"
 )
@@ -110,9 +114,14 @@
 	// hedge is the power of score. With 1 replicas would follow work; the more above
 	// it, the more are kept for models that may rise.
 	hedge = 1.4
-	// leastShare is the work of a replica, in parts of the mean work of an engine,
-	// above which a model may get another one.
-	leastShare = 0.12
+	// busyShare is the work of a replica above which its model may get another one:
+	// calls that come by chance at the same time wait little below it.
+	busyShare = 0.4
+	// fullShare is the work of a replica beyond which calls wait for it or are refused.
+	fullShare = 0.6
+	// askedValue is the value of a replica of a model that no engine holds, beside its
+	// work: that of a tenth of an engine's time.
+	askedValue = 0.1
 	// observe is how long demand is watched before replicas move for it: the first
 	// calls say little.
 	observe = 1500 * time.Millisecond
@@ -125,6 +134,9 @@
 	// maxMoves bounds the engines that change models for demand at the same time,
 	// in parts of all engines.
 	maxMoves = 0.6
+	// hedgeMoves bounds the engines that load second replicas at the same time, in parts
+	// of all engines.
+	hedgeMoves = 0.2
 	// recent is how long a model counts as in use after it was asked for.
 	recent = 8 * time.Second
 )
