--- a/limpetd/front/front_test.go
+++ b/limpetd/front/front_test.go
@@ -63,6 +63,12 @@
 }
 
 func newWorld(t *testing.T, route layout.Route, handlers ...http.HandlerFunc) *world {
+	t.Helper()
+	return newReservedWorld(t, nil, route, handlers...)
+}
+
+// newReservedWorld is a world whose front asks a reserver, unless it is nil.
+func newReservedWorld(t *testing.T, r front.Reserver, route layout.Route, handlers ...http.HandlerFunc) *world {
 	t.Helper()
 	var servers []*layout.Server
 	for i, h := range handlers {
@@ -75,7 +81,7 @@
 	}
 	w := &world{loader: &loader{}}
 	w.front = front.New(t.Context(), front.Deps{
-		Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: w.loader, Log: zap.NewNop(), Scope: tally.NoopScope,
+		Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: w.loader, Reserver: r, Log: zap.NewNop(), Scope: tally.NoopScope,
 	}, front.WithSettings(sched.Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}))
 	route.Host, route.Prefix, route.Targets = "127.0.0.1", "/r/", []layout.Target{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -164,7 +164,7 @@
 }
 
 // granted waits until a granted call is to be sent; false if this daemon can't use the
-// grant.
+// grant, or knows of an engine that the steerer does not know.
 func (c *call) granted(ctx context.Context, g sched.Grant) (sched.Choice, bool) {
 	f := c.front
 	if g.Verdict == sched.Chosen && g.After > 0 {
@@ -177,6 +177,8 @@
 	switch choice.Verdict {
 	case sched.NoServer:
 		return choice, false
+	case sched.NotLoaded:
+		return choice, !f.book.Loaded(&c.need, now)
 	case sched.Full:
 		choice = f.book.Busy(&c.need, now)
 	case sched.Chosen:
--- a/limpetd/steer/steer_test.go
+++ b/limpetd/steer/steer_test.go
@@ -117,6 +117,10 @@
 	adapters map[string]map[string]bool
 	shared   map[string]sched.Shared
 	own      map[string]sched.Shared
+	// learned and paused count samples and streams that paused.
+	learned, paused int
+	// freeze holds up asks while it is locked.
+	freeze sync.Mutex
 }
 
 func (l *listener) Own() map[string]sched.Shared { return l.own }
@@ -134,12 +138,22 @@
 }
 
 func (l *listener) Reserve(sched.Ask) sched.Grant {
+	l.freeze.Lock()
+	defer l.freeze.Unlock()
 	return sched.Grant{Verdict: sched.Chosen, Server: "e1"}
 }
 
-func (l *listener) Learn([]sched.Sample) {}
+func (l *listener) Learn(list []sched.Sample) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learned += len(list)
+}
 
-func (l *listener) Streamed(string, int, int) {}
+func (l *listener) Streamed(_ string, _, paused int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused += paused
+}
 
 func (l *listener) PerToken(_, _ string) time.Duration { return 50 * time.Microsecond }
 
@@ -367,3 +381,46 @@
 		return two.listener.shared != nil
 	}, 8*time.Second, 5*time.Millisecond)
 }
+
+func TestDaemonAsksTheSteererForTimeOfAnEngine(t *testing.T) {
+	l, e := newLeases(), newEngines()
+	holder, other := pair(t, l, e)
+	require.Eventually(t, func() bool {
+		g, err := other.Reserve(t.Context(), sched.Ask{Service: "s", Model: "m"})
+		return err == nil && g.Server == "e1"
+	}, patience, 5*time.Millisecond)
+	g, err := holder.Reserve(t.Context(), sched.Ask{Service: "s", Model: "m"})
+	require.NoError(t, err)
+	require.Equal(t, "e1", g.Server)
+	other.Sampled(sched.Sample{Service: "s", Model: "m", Tokens: 10, Took: time.Millisecond})
+	other.Streamed("s", true)
+	require.Eventually(t, func() bool {
+		holder.listener.mu.Lock()
+		defer holder.listener.mu.Unlock()
+		return holder.listener.learned == 1 && holder.listener.paused == 1
+	}, patience, 5*time.Millisecond)
+	holder.stop()
+	require.Eventually(t, func() bool {
+		_, err := other.Reserve(t.Context(), sched.Ask{Service: "s", Model: "m"})
+		return err != nil || other.Holds()
+	}, patience, time.Millisecond)
+}
+
+// TestAskOfASteererThatIsSilentTakesLittleTime: calls do not wait for a steerer that was
+// suspended, and after two of them in a row none does.
+func TestAskOfASteererThatIsSilentTakesLittleTime(t *testing.T) {
+	l, e := newLeases(), newEngines()
+	holder, other := pair(t, l, e)
+	require.Eventually(t, func() bool {
+		_, err := other.Reserve(t.Context(), sched.Ask{Service: "s", Model: "m"})
+		return err == nil
+	}, patience, 5*time.Millisecond)
+	holder.listener.freeze.Lock()
+	defer holder.listener.freeze.Unlock()
+	begin := time.Now()
+	for range 20 {
+		_, err := other.Reserve(t.Context(), sched.Ask{Service: "s", Model: "m"})
+		require.Error(t, err)
+	}
+	require.Less(t, time.Since(begin), 400*time.Millisecond)
+}
--- a/limpetd/stock/stock_test.go
+++ b/limpetd/stock/stock_test.go
@@ -105,6 +105,65 @@
 	}
 }
 
+// TestModelThatGoesIsNoReplica: while the unload of one replica was under way, the other one
+// did not count as the last, and went too.
+func TestModelThatGoesIsNoReplica(t *testing.T) {
+	a, b := engine("a", "m1", "m2", "m3"), engine("b", "m1", "m4", "m5")
+	a.Closing = map[string]bool{"m1": true}
+	a.Free = false
+	d := map[string]*stock.Need{"m0": need(50, 0), "m2": need(20, 0), "m3": need(20, 0), "m4": need(20, 0), "m5": need(20, 0)}
+	c := engine("c", "m0", "m6", "m7")
+	c.Free = false
+	for _, o := range stock.Plan(facts(spec(8), []stock.Engine{a, b, c}, d)) {
+		require.False(t, o.Unload && o.Model == "m1", "%+v", o)
+	}
+}
+
+// TestRoomIsMadeOnlyForLoadsThatMayBegin: after a change of steerer, replicas of a dozen
+// engines were unloaded at once for models whose loads the weight store did not allow yet.
+func TestRoomIsMadeOnlyForLoadsThatMayBegin(t *testing.T) {
+	var engines []stock.Engine
+	for i := range 8 {
+		engines = append(engines, engine(fmt.Sprint("e", i), "m0", "m1", "m2"))
+	}
+	d := map[string]*stock.Need{"m3": need(50, 0), "m4": need(50, 0)}
+	engines = append(engines, engine("f", "m3"), engine("g", "m4"))
+	engines[8].Free, engines[9].Free = false, false
+	f := facts(spec(5), engines, d)
+	f.StoreLoads = 2
+	require.Len(t, stock.Plan(f), 2)
+	// Room that was made already uses the loads up.
+	for i, m := range []string{"m3", "m4"} {
+		engines[i].Promised, engines[i].Free = m, false
+		engines[i].Closing = map[string]bool{"m0": true}
+	}
+	for _, o := range stock.Plan(f) {
+		require.False(t, o.Unload, "%+v", o)
+	}
+}
+
+// TestBusyModelGoesBeforeRareOnes: after engines were lost, each of the rare models that were
+// missing got a replica before the busiest one got its second.
+func TestBusyModelGoesBeforeRareOnes(t *testing.T) {
+	engines := []stock.Engine{engine("a", "m0"), engine("b"), engine("c")}
+	d := map[string]*stock.Need{"m0": need(4, 0), "m1": need(0.01, 1), "m2": need(0.01, 1), "m3": need(0.01, 1)}
+	f := facts(spec(4), engines, d)
+	f.StoreLoads = 1
+	orders := stock.Plan(f)
+	require.Len(t, orders, 1)
+	require.Equal(t, "m0", orders[0].Model)
+}
+
+func TestModelsWithOneReplicaGetAnotherWhereMemoryIsFree(t *testing.T) {
+	full := []stock.Engine{engine("a", "m0", "m1", "m2"), engine("b", "m0", "m1", "m2")}
+	require.Empty(t, stock.Plan(facts(spec(3), full, nil)))
+	orders := stock.Plan(facts(spec(3), []stock.Engine{engine("a", "m0", "m1"), engine("b", "m0", "m2")}, nil))
+	require.Len(t, orders, 2)
+	for _, o := range orders {
+		require.Equal(t, stock.ReasonHedge, o.Reason)
+	}
+}
+
 func TestIdleModelsStayForBusyOnes(t *testing.T) {
 	// Three engines are full; the busy model is held once, all others are idle.
 	engines := []stock.Engine{engine("a", "m0", "m1", "m2"), engine("b", "m3", "m4", "m5"), engine("c", "m6", "m7", "m8")}
