--- a/limpetd/mirror/follower.go
+++ b/limpetd/mirror/follower.go
@@ -19,9 +19,12 @@
 	shortWait = 500 * time.Millisecond
 	// longWait is the same at a daemon that follows for itself.
 	longWait = 1200 * time.Millisecond
-	// feedPause is the least time between two feeds: changes that come together
-	// are fetched together.
+	// feedPause is the least time between two feeds of a daemon that passes changes on,
+	// ownPause of one that follows for itself: changes that come together are fetched
+	// together. All daemons follow for themselves at once when they start or lose the
+	// one that passes changes on, and changes have some seconds to be in force.
 	feedPause = 120 * time.Millisecond
+	ownPause  = 600 * time.Millisecond
 	// retryPause is the mean pause after a call that failed.
 	retryPause = 150 * time.Millisecond
 	// freshFor is how long after the last word of another daemon its changes count
@@ -191,11 +194,29 @@
 			}
 			lost = false
 			f.reached(true, now)
-			life.Sleep(ctx, feedPause-now.Sub(started))
+			f.pause(ctx, started)
 		}
 	}
 }
 
+// pause waits until the next feed, or until another daemon passes changes on.
+func (f *Follower) pause(ctx context.Context, started time.Time) {
+	pause := ownPause
+	if f.passing() {
+		pause = feedPause
+	}
+	f.mu.Lock()
+	woken := f.woken
+	f.mu.Unlock()
+	timer := time.NewTimer(pause - time.Since(started))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-woken:
+	}
+}
+
 // step reads the table, or waits for its changes if it was read before.
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
--- a/limpetd/mirror/mirror_test.go
+++ b/limpetd/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -197,3 +198,30 @@
 		require.False(t, ok)
 	})
 }
+
+// TestDaemonsThatFollowForThemselvesAskSeldom: while engines registered at the start of a
+// fleet, each of its daemons asked for the changes of each table eight times a second.
+func TestDaemonsThatFollowForThemselvesAskSeldom(t *testing.T) {
+	for _, c := range []struct {
+		passing     bool
+		least, most int
+	}{{false, 10, 20}, {true, 60, 90}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &source{}
+			s.set("k", "0")
+			_, value := follow(t.Context(), s, mirror.WithPassing(func() bool { return c.passing }))
+			time.Sleep(time.Second)
+			before := s.count()
+			last := ""
+			for i := range 200 {
+				last = strconv.Itoa(i)
+				s.set("k", last)
+				time.Sleep(50 * time.Millisecond)
+			}
+			require.LessOrEqual(t, s.count()-before, c.most)
+			require.GreaterOrEqual(t, s.count()-before, c.least)
+			time.Sleep(time.Second)
+			require.Equal(t, last, value("k"), "a change is known within a second")
+		})
+	}
+}
