soak: Run the daemons as processes under faults from outside

limpetlab soak starts limpetp as processes against the stand-in of the platform. Links to the store and to servers are cut, reset, slowed and silenced one way or both; processes are killed, also all at once, asked to leave, stopped and reloaded; the store and servers fail, the configuration changes. Calls go on all the while, and the promises are checked from what callers and servers see.

front: Refuse calls at once that no engine has time for, if their expectation is the tightest.

--- a/limpetd/front/reserve_test.go
+++ b/limpetd/front/reserve_test.go
@@ -95,10 +95,28 @@
 	}
 }
 
+// TestUrgentCallThatGotNoTimeIsRefusedAtOnce: such calls used to wait for a second, and
+// were refused then.
+func TestUrgentCallThatGotNoTimeIsRefusedAtOnce(t *testing.T) {
+	r := &reserver{grants: []sched.Grant{{Verdict: sched.Full, After: 30 * time.Millisecond}}}
+	w := newReservedWorld(t, r, streamRoute, event)
+	begin := time.Now()
+	a, _, err := w.do(t, "/r/1", map[string]string{"Model": "m"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
+	require.NotEmpty(t, a.Header.Get("Retry-After"))
+	require.Less(t, time.Since(begin), streamRoute.Expectation/4)
+}
+
 func TestCallThatGotNoTimeAsksAgain(t *testing.T) {
 	full := sched.Grant{Verdict: sched.Full, After: 30 * time.Millisecond}
 	r := &reserver{grants: []sched.Grant{full, full, {Verdict: sched.Chosen, Server: "i0"}}}
 	w := newReservedWorld(t, r, streamRoute, event)
+	c := *w.front.Config()
+	urgent := c.Routes[0]
+	urgent.Prefix, urgent.Expectation = "/urgent/", streamRoute.Expectation/4
+	c.Version, c.Routes = c.Version+1, append(c.Routes, urgent)
+	require.True(t, w.front.Apply(&c))
 	// Calls that were sent before tell that waiting is worth it.
 	r.mu.Lock()
 	r.grants = append([]sched.Grant{{Verdict: sched.Chosen, Server: "i0"}, {Verdict: sched.Chosen, Server: "i0"}}, r.grants...)
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -107,6 +107,9 @@
 	f.mu.Lock()
 	worth := choice.Verdict == sched.Full && (c.waited || f.book.Worth(&c.need, f.ahead(c), now))
 	f.mu.Unlock()
+	if grant != nil {
+		worth = worth && sched.Patient(&c.need, f.state.Load().demands[c.need.Service])
+	}
 	var until time.Time
 	switch choice.Verdict {
 	case sched.Chosen:
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -59,6 +59,14 @@
 	return until
 }
 
+// Patient tells whether a call for which no engine has time waits until one has. One with
+// the tightest expectation of its service does not: engines read prompts for longer than it
+// could wait, and calls that come later do not let it in before it is late.
+//
+// It answers a load that lasts: callers are told at once when to return, rather than after
+// they waited in vain.
+func Patient(c *Call, d Demands) bool { return c.Route.Expectation > d.Tightest }
+
 // sendWindow is the time constant of the rate at which a daemon sends calls to a model.
 const sendWindow = time.Second
 
--- a/limpetlab/link/link.go
+++ b/limpetlab/link/link.go
@@ -1,10 +1,13 @@
-// Package link is a TCP link between data centres that can be cut.
+// Package link is a TCP link that can be cut, reset, slowed and silenced.
 //
 // # Usage
 //
 //	l, err := link.Start(target, 500*time.Microsecond)
 //	dial(l.Address()) // reaches target
 //	l.Cut()           // connections break, dials are refused
+//	l.Silence(true, false) // bytes to the target are held, the others pass
+//	l.Slow(50 * time.Millisecond)
+//	l.Reset()         // connections break, new ones work
 //	l.Heal()
 package link
 
@@ -26,11 +29,19 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	// there and back tell which bytes are held, delay how late the others pass.
+	there, back bool
+	delay       time.Duration
+	// healed is closed when nothing is held any more.
+	healed chan struct{}
 }
 
+// holdStep is the time between looks at whether a cut connection still has to be held.
+const holdStep = 50 * time.Millisecond
+
 // Start opens a link to target on a loopback address of its own.
 func Start(target string) (*Link, error) {
-	l := &Link{target: target, address: "127.0.0.1:0", conns: make(map[net.Conn]bool)}
+	l := &Link{target: target, address: "127.0.0.1:0", conns: make(map[net.Conn]bool), healed: make(chan struct{})}
 	return l, l.Heal()
 }
 
@@ -41,10 +52,46 @@
 	return l.address
 }
 
-// Heal opens the link again. It does nothing while the link is open.
+// Silence holds the bytes to the target, those back, or both, of connections that are open
+// and of new ones, without breaking them.
+func (l *Link) Silence(there, back bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.there, l.back = there, back
+}
+
+// Slow makes bytes pass late, each way.
+func (l *Link) Slow(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// Reset breaks all connections; new ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breakAll()
+}
+
+// breakAll closes the connections without a proper end. The lock is held.
+func (l *Link) breakAll() {
+	for c := range l.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	clear(l.conns)
+}
+
+// Heal opens the link again and ends its other faults.
 func (l *Link) Heal() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.there, l.back, l.delay = false, false, 0
+	close(l.healed)
+	l.healed = make(chan struct{})
 	if l.listener != nil {
 		return nil
 	}
@@ -67,10 +114,7 @@
 	}
 	_ = l.listener.Close()
 	l.listener = nil
-	for c := range l.conns {
-		_ = c.Close()
-	}
-	clear(l.conns)
+	l.breakAll()
 }
 
 // accept forwards connections until the listener closes.
@@ -94,8 +138,8 @@
 	if !l.keep(listener, near, far) {
 		return
 	}
-	go l.copy(far, near)
-	l.copy(near, far)
+	go l.copy(far, near, true)
+	l.copy(near, far, false)
 }
 
 // keep notes a pair of connections, unless the link was cut meanwhile.
@@ -113,8 +157,8 @@
 }
 
 // copy carries bytes one way and closes both ends after the last.
-func (l *Link) copy(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
+func (l *Link) copy(to, from net.Conn, there bool) {
+	_, _ = io.Copy(&gate{link: l, to: to, there: there}, from)
 	_ = to.Close()
 	_ = from.Close()
 	l.mu.Lock()
@@ -122,3 +166,32 @@
 	delete(l.conns, to)
 	delete(l.conns, from)
 }
+
+// gate is one way of a connection.
+type gate struct {
+	link  *Link
+	to    net.Conn
+	there bool
+}
+
+// Write implements io.Writer: it holds or delays the bytes as the link says.
+func (g *gate) Write(p []byte) (int, error) {
+	for {
+		g.link.mu.Lock()
+		held := g.there && g.link.there || !g.there && g.link.back
+		delay, healed, open := g.link.delay, g.link.healed, g.link.conns[g.to]
+		g.link.mu.Unlock()
+		switch {
+		case !open:
+			return 0, net.ErrClosed
+		case held:
+			select {
+			case <-healed:
+			case <-time.After(holdStep):
+			}
+			continue
+		}
+		time.Sleep(delay)
+		return g.to.Write(p)
+	}
+}
--- a/limpetlab/main.go
+++ b/limpetlab/main.go
@@ -18,6 +18,7 @@
 	Bench benchCommand `cmd:"" help:"Measure the decisions against baselines, with bounds."`
 	Demo  demoCommand  `cmd:"" help:"Run a whole deployment in one process, with load and faults, and judge it."`
 	Load  loadCommand  `cmd:"" help:"Drive running daemons, or one started here, and print percentiles."`
+	Soak  soakCommand  `cmd:"" help:"Run the daemons of the users' platform as processes under faults, and judge them."`
 	Stand standCommand `cmd:"" help:"Run the stand-ins alone, for daemons started by hand."`
 }
 
