--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -55,10 +56,10 @@
 // heal ends what faults may have left.
 func (r *run) heal() {
 	r.world.Store.SetFault(nil)
-	for _, e := range append(r.world.Engines, r.world.Plain) {
+	for _, e := range slices.Concat(r.world.Engines, []*stand.Engine{r.world.Plain}) {
 		e.SetFault(nil)
 	}
-	for _, l := range append(r.stores, r.servers...) {
+	for _, l := range slices.Concat(r.stores, r.servers) {
 		if err := l.Heal(); err != nil {
 			r.breaks("a link did not heal: %v", err)
 		}
@@ -151,7 +152,7 @@
 }
 
 func (r *run) serverFaults(s *rand.Rand) {
-	all := append(r.world.Engines[:engines:engines], r.world.Plain)
+	all := slices.Concat(r.world.Engines, []*stand.Engine{r.world.Plain})
 	e := all[s.IntN(len(all))]
 	e.SetFault(sometimes(s, 0.1+0.4*s.Float64(), stand.Busy, stand.LostAnswer, stand.Reset))
 	time.Sleep(between(s, 300*time.Millisecond, 3*time.Second))
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -21,6 +21,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -167,7 +168,7 @@
 	for _, d := range r.daemons {
 		err = errors.Join(err, d.end())
 	}
-	for _, l := range append(r.stores, r.servers...) {
+	for _, l := range slices.Concat(r.stores, r.servers) {
 		l.Cut()
 	}
 	return err
