--- a/limpet/cmds/cmds.go
+++ b/limpet/cmds/cmds.go
@@ -78,6 +78,7 @@
 	Events   eventsCommand   `cmd:"" help:"Show the time line over all daemons."`
 	Drain    drainCommand    `cmd:"" help:"Make a VM leave."`
 	Codes    codesCommand    `cmd:"" help:"List the result codes."`
+	Explain  explainCommand  `cmd:"" help:"Tell from log files what became of a request, and why."`
 }
 
 // exited is the panic value by which kong's exit ends the parse.
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -66,6 +66,10 @@
 	age    time.Duration
 	sends  int
 	waited time.Duration
+	// asks counts the asks that the steerer answered; granted tells that the last server
+	// was its choice.
+	asks    int
+	granted bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -198,10 +202,10 @@
 		route = c.need.Route.Name
 	}
 	fields := []zap.Field{
-		zap.String("request", c.asked.ID), zap.String("route", route), zap.String("model", c.asked.Model),
+		zap.String("request", c.asked.ID), zap.String("route", route), zap.String("model", c.asked.Model), zap.String("adapter", c.asked.Adapter),
 		zap.Int("code", int(o.result)), zap.Int("status", o.status), zap.String("server", o.server),
 		zap.Int("sends", o.sends), zap.Float64("load", math.Round(o.load*100)/100), zap.Duration("load_age", o.age),
-		zap.Duration("waited", o.waited), zap.Duration("took", now.Sub(c.need.Arrived)),
+		zap.Int("asks", o.asks), zap.Bool("granted", o.granted), zap.Duration("waited", o.waited), zap.Duration("took", now.Sub(c.need.Arrived)),
 	}
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.need.Arrived)), zap.Duration("pause", c.pause))
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -147,12 +147,15 @@
 		f.mu.Unlock()
 		grant, err := r.Reserve(ctx, ask)
 		if err == nil {
+			c.outcome.asks++
 			if choice, ok := c.granted(ctx, grant); ok {
+				c.outcome.granted = choice.Verdict == sched.Chosen
 				return choice, &grant
 			}
 		}
 		now = time.Now()
 	}
+	c.outcome.granted = false
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.take(c, now), nil
