front: Let begun streams wait for another engine

A stream whose engine broke off was cut at once if no other engine had time, as it counted as late. Its caller has a part of the answer and waits for the rest, so it now waits as long as that caller does, and asks as one that is in time.

--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -168,6 +168,9 @@
 		f.deps.Loader.Used(c.need.Service, c.need.Model, c.need.Adapter, work)
 	}
 	for {
+		if c.begun {
+			c.need.Passed = c.lastAt
+		}
 		choice, ok := c.choose(ctx)
 		if !ok {
 			return
--- a/limpetd/front/reserve_test.go
+++ b/limpetd/front/reserve_test.go
@@ -129,6 +129,28 @@
 	require.Len(t, r.asks, 5)
 }
 
+// TestBegunStreamWaitsForAnotherEngine: a stream whose engine broke off used to be cut at once
+// if no other engine had time.
+func TestBegunStreamWaitsForAnotherEngine(t *testing.T) {
+	full := sched.Grant{Verdict: sched.Full, After: 30 * time.Millisecond}
+	r := &reserver{grants: []sched.Grant{{Verdict: sched.Chosen, Server: "i0"}, full, full, full, {Verdict: sched.Chosen, Server: "i1"}}}
+	breaks := func(w http.ResponseWriter, r *http.Request) {
+		event(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	rest := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 2\ndata: y\n\n"))
+	}
+	w := newReservedWorld(t, r, streamRoute, breaks, rest)
+	a, body, err := w.do(t, "/r/1", map[string]string{"Model": "m"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.StatusCode)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", body)
+	require.Positive(t, r.asks[1].Within, "it is not late for the others")
+}
+
 func TestCallThatWaitsForItsTimeIsNotSentAfterItsCallerLeft(t *testing.T) {
 	sent := make(chan struct{}, 1)
 	r := &reserver{grants: []sched.Grant{{Verdict: sched.Chosen, Server: "i0", After: 150 * time.Millisecond}}}
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -105,7 +105,7 @@
 	choice, grant := c.place(ctx)
 	now := time.Now()
 	f.mu.Lock()
-	worth := choice.Verdict == sched.Full && (c.waited || f.book.Worth(&c.need, f.ahead(c), now))
+	worth := choice.Verdict == sched.Full && (c.waited || c.begun || f.book.Worth(&c.need, f.ahead(c), now))
 	f.mu.Unlock()
 	if grant != nil {
 		worth = worth && sched.Patient(&c.need, f.state.Load().demands[c.need.Service])
--- a/limpetd/sched/hold.go
+++ b/limpetd/sched/hold.go
@@ -44,9 +44,12 @@
 
 // HoldUntil returns until when a call may be held before it is sent.
 func HoldUntil(c *Call) time.Time {
-	until := c.Until
-	if give := c.Route.Abandon; give > 0 && c.Arrived.Add(give).Before(until) {
-		until = c.Arrived.Add(give)
+	until, since := c.Until, c.Arrived
+	if c.Resumes() {
+		since = c.Passed
+	}
+	if give := c.Route.Abandon; give > 0 && since.Add(give).Before(until) {
+		until = since.Add(give)
 	}
 	return until.Add(-holdMargin)
 }
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -50,8 +50,12 @@
 
 // WaitUntil returns until when a call waits for room at an engine: as long as it can be
 // answered in time, and a little longer behind those that can. After that its caller is
-// told to return instead, while it has time to.
+// told to return instead, while it has time to. A stream that was begun waits as long as its
+// caller does.
 func WaitUntil(c *Call) time.Time {
+	if c.Resumes() {
+		return HoldUntil(c)
+	}
 	until := c.Arrived.Add(max(time.Duration(expectationShare*float64(c.Route.Expectation)), leastWait))
 	if most := HoldUntil(c); most.Before(until) {
 		return most
@@ -65,7 +69,7 @@
 //
 // It answers a load that lasts: callers are told at once when to return, rather than after
 // they waited in vain.
-func Patient(c *Call, d Demands) bool { return c.Route.Expectation > d.Tightest }
+func Patient(c *Call, d Demands) bool { return c.Resumes() || c.Route.Expectation > d.Tightest }
 
 // sendWindow is the time constant of the rate at which a daemon sends calls to a model.
 const sendWindow = time.Second
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -74,6 +74,10 @@
 // answer, to have no room or to lack the model.
 func (b *Book) Ask(c *Call, d Demands, now time.Time) Ask {
 	within := time.Duration(expectationShare*float64(c.Route.Expectation)) - now.Sub(c.Arrived)
+	if c.Resumes() {
+		// Its caller has a part of the answer, and waits less long for the rest.
+		within = time.Duration(urgentBacklog * float64(d.Tightest))
+	}
 	not := slices.Clone(c.Tried)
 	for _, s := range b.service[c.Service] {
 		if !s.usableNow(c, now) {
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -50,8 +50,13 @@
 	Arrived, Until time.Time
 	// Tried are the servers that the call was sent to.
 	Tried []string
+	// Passed is when the last event of its answer was passed on; zero if none was.
+	Passed time.Time
 }
 
+// Resumes tells whether the call goes on with an answer that was begun.
+func (c *Call) Resumes() bool { return !c.Passed.IsZero() }
+
 // Verdict is the outcome of a choice.
 type Verdict int
 
