--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -86,6 +86,7 @@
 		return c.again(ctx, code.BackendFailed, "connect: "+err.Error())
 	}
 	s.conn = conn
+	c.reached++
 	stop := conn.Bind(ctx)
 	more := s.exchange(ctx)
 	if !stop() {
--- /dev/null
+++ b/limpetd/front/budget_test.go
@@ -0,0 +1,50 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/front"
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+// TestConnectionsThatDoNotComeAboutAreNoRepeats: in a data centre that was cut off, the
+// retries went to connections that reached no server, and calls were refused though a server
+// of their own data centre would have answered.
+func TestConnectionsThatDoNotComeAboutAreNoRepeats(t *testing.T) {
+	servers := []*layout.Server{}
+	for _, id := range []string{"cut1", "cut2"} {
+		// Nothing listens at the address any more.
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		servers = append(servers, &layout.Server{ID: id, Service: "s", Address: l.Addr().String(), Slots: 8})
+		require.NoError(t, l.Close())
+	}
+	sound := httptest.NewServer(stamped(ok("done")))
+	t.Cleanup(sound.Close)
+	servers = append(servers, &layout.Server{ID: "sound", Service: "s", Address: sound.Listener.Addr().String(), Slots: 1})
+	f := front.New(t.Context(), front.Deps{
+		Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: &loader{}, Log: zap.NewNop(), Scope: tally.NoopScope,
+	}, front.WithSettings(sched.Settings{RetryWindow: 10 * time.Second}))
+	f.Apply(&layout.Config{Version: 1, Services: map[string]*layout.Service{"s": {Name: "s"}}, Routes: []layout.Route{{
+		Host: "127.0.0.1", Prefix: "/r/", Kind: layout.Unsafe, Attempts: 1, Timeout: 10 * time.Second, Targets: []layout.Target{{Service: "s", Weight: 1}},
+	}}})
+	f.Know(servers)
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	w := &world{url: s.URL}
+	for range 4 {
+		a, body, err := w.do(t, "/r/1", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.StatusCode, body)
+	}
+}
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -38,8 +38,9 @@
 	asked   Call
 	need    sched.Call
 	body    []byte
-	// runs counts the servers that may have run the call.
-	runs int
+	// runs counts the servers that may have run the call, reached the connections on which
+	// it was sent: only those are repeats for a server.
+	runs, reached int
 	// waited tells that the call waited for a server.
 	waited bool
 	// begun tells that the head of the answer was written; event is the id of the
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -80,7 +80,7 @@
 	if choice.Verdict != sched.Chosen {
 		return choice
 	}
-	if c.outcome.sends > 0 && !f.book.Repeat(c.need.Service, now) {
+	if c.reached > 0 && !f.book.Repeat(c.need.Service, now) {
 		choice.Verdict = sched.NoRepeat
 		return choice
 	}
@@ -161,12 +161,12 @@
 	return f.take(c, now), nil
 }
 
-// mayRepeat tells whether the call is sent for the first time or may be sent again.
+// mayRepeat tells whether the call was sent to no server yet or may be sent again.
 func (c *call) mayRepeat(now time.Time) bool {
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return c.outcome.sends == 0 || f.book.CanRepeat(c.need.Service, now)
+	return c.reached == 0 || f.book.CanRepeat(c.need.Service, now)
 }
 
 // granted waits until a granted call is to be sent; false if this daemon can't use the
@@ -188,7 +188,7 @@
 	case sched.Full:
 		choice = f.book.Busy(&c.need, now)
 	case sched.Chosen:
-		if c.outcome.sends > 0 && !f.book.Repeat(c.need.Service, now) {
+		if c.reached > 0 && !f.book.Repeat(c.need.Service, now) {
 			choice.Verdict = sched.NoRepeat
 			return choice, true
 		}
