--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -7,6 +7,9 @@
 // server itself says that it did not run it. A stream is passed on event by event; a
 // resumable one goes on at another engine after the last whole event.
 //
+// Calls to engines ask a Reserver for time of one, so that the prompts of many daemons
+// reach it one by one; where nobody answers, the daemon chooses by itself.
+//
 // Names of headers belong to a Dialect, so that the same front serves deployments
 // with other names.
 //
--- a/limpetd/sched/share.go
+++ b/limpetd/sched/share.go
@@ -7,7 +7,7 @@
 	leastShare = 0.7
 	mostShare  = 1.0
 	// shareDown and shareUp are the steps for a stream that paused too long and for one
-	// that did not: the share stays where one in 25 streams does.
+	// that did not: the share stays where one in twelve does.
 	shareDown = 0.0055
 	shareUp   = 0.0005
 )
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -8,6 +8,9 @@
 // orders; each names the state of the engine that it was planned on, and the fence of
 // the lease, so an order that comes late or from an earlier steerer does no harm.
 //
+// Daemons also ask the steerer for time of engines, so that prompts of all of them reach
+// an engine one by one. A daemon that gets no answer chooses by itself.
+//
 // # Usage
 //
 //	s := steer.New(ctx, steer.Config{Self: member}, steer.Deps{...})
--- a/limpetd/stock/spread.go
+++ b/limpetd/stock/spread.go
@@ -81,7 +81,7 @@
 	if replicas <= 0 {
 		return math.Inf(1)
 	}
-	return work / math.Pow(float64(replicas), hedge)
+	return work / math.Pow(float64(replicas), hedgePower)
 }
 
 // asked tells whether calls ask for a model that no engine holds.
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -111,9 +111,9 @@
 )
 
 const (
-	// hedge is the power of score. With 1 replicas would follow work; the more above
+	// hedgePower is the power of score. With 1 replicas would follow work; the more above
 	// it, the more are kept for models that may rise.
-	hedge = 1.4
+	hedgePower = 1.4
 	// busyShare is the work of a replica above which its model may get another one:
 	// calls that come by chance at the same time wait little below it.
 	busyShare = 0.4
