--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -134,13 +134,14 @@
 // sometimes returns a fault for a part of the calls.
 func sometimes(s *rand.Rand, share float64, of ...stand.Fault) func(*http.Request) stand.Fault {
 	var mu sync.Mutex
+	own := rand.New(rand.NewPCG(s.Uint64(), 5))
 	return func(*http.Request) stand.Fault {
 		mu.Lock()
 		defer mu.Unlock()
-		if s.Float64() >= share {
+		if own.Float64() >= share {
 			return stand.Sound
 		}
-		return of[s.IntN(len(of))]
+		return of[own.IntN(len(of))]
 	}
 }
 
