--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,14 +30,36 @@
 				"signals are handled first now, and the soak sends none before the process accepts connections",
 		},
 	} {
-		report, err := Run(t.Context(), Config{Program: program, Folder: t.TempDir(), Seed: c.seed, Duration: c.length, Daemons: c.daemons, Rate: 60})
+		folder := t.TempDir()
+		report, err := Run(t.Context(), Config{Program: program, Folder: folder, Seed: c.seed, Duration: c.length, Daemons: c.daemons, Rate: 60})
 		require.NoError(t, err)
+		if len(report.Broken) > 0 {
+			t.Log(ends(t, folder))
+		}
 		require.Empty(t, report.Broken, "seed %d %s: %+v", c.seed, c.cause, report)
 		require.NotEmpty(t, report.Faults)
 		require.Positive(t, report.Storm.Served)
 	}
 }
 
+// ends returns the lines that tell why daemons ended or did not start.
+func ends(t *testing.T, folder string) string {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	require.NoError(t, err)
+	var out []string
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, "daemon_not_started") || strings.Contains(line, "daemon_ended") || strings.Contains(line, "panic") {
+				out = append(out, filepath.Base(path)+": "+line)
+			}
+		}
+	}
+	return strings.Join(out, "")
+}
+
 // TestEachPromiseCanBreak shows that each check fails on what it is there for.
 func TestEachPromiseCanBreak(t *testing.T) {
 	good := stand.Counts{Calls: 10, Served: 10}
