--- a/limpetlab/deploy/deploy.go
+++ b/limpetlab/deploy/deploy.go
@@ -25,7 +25,7 @@
 // AcceleratorsPerEngine is the number of accelerators of an engine.
 const AcceleratorsPerEngine = 4
 
-// Deployment is the size of a customer's installation.
+// Deployment is the size of an organisation's installation.
 type Deployment struct {
 	Name        string
 	DataCentres []string
