sched, front, steer: Say once what stood twice

Whether a server is left out or lacks a model, how long a call can be in time, how a chosen server is charged to the repeats and noted, and how a list becomes a set each stood in two or three places. A waiting call no longer keeps when it asks again: only its timer needed that. Behaviour is the same.

--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -17,10 +17,9 @@
 	call *call
 	// got brings the choice; it has room for one.
 	got chan sched.Choice
-	// again is when the call asks the steerer again; zero if it waits for a choice of
-	// this daemon. lacking tells that no engine holds its model.
-	again   time.Time
-	lacking bool
+	// asks tells that the call asks the steerer again, and does not wait for a choice of
+	// this daemon; lacking that no engine holds its model.
+	asks, lacking bool
 }
 
 // dispatch gives servers to waiters in order. The lock is held.
@@ -41,7 +40,7 @@
 	full := map[group]bool{}
 	for _, o := range order {
 		w := by[o]
-		if !w.again.IsZero() {
+		if w.asks {
 			if w.lacking && f.book.Loaded(&w.call.need, now) {
 				w.got <- sched.Choice{Verdict: sched.AskAgain}
 			} else {
@@ -76,7 +75,12 @@
 
 // take chooses a server for a call and notes it. The lock is held.
 func (f *Front) take(c *call, now time.Time) sched.Choice {
-	choice := f.book.Choose(&c.need, now)
+	return f.claim(c, f.book.Choose(&c.need, now), now)
+}
+
+// claim notes a call at the server that was chosen, unless it may not be repeated. The lock
+// is held.
+func (f *Front) claim(c *call, choice sched.Choice, now time.Time) sched.Choice {
 	if choice.Verdict != sched.Chosen {
 		return choice
 	}
@@ -187,14 +191,8 @@
 		return choice, !f.book.Loaded(&c.need, now)
 	case sched.Full:
 		choice = f.book.Busy(&c.need, now)
-	case sched.Chosen:
-		if c.reached > 0 && !f.book.Repeat(c.need.Service, now) {
-			choice.Verdict = sched.NoRepeat
-			return choice, true
-		}
-		f.book.Sent(choice.Server.ID, &c.need, now)
 	}
-	return choice, true
+	return f.claim(c, choice, now), true
 }
 
 // chosen notes when the call got a server.
@@ -226,13 +224,9 @@
 	w := &waiter{Waiter: sched.Waiter{Call: &c.need, Until: until}, call: c, got: make(chan sched.Choice, 1)}
 	ends := until
 	if grant != nil {
-		w.lacking = grant.Verdict == sched.NotLoaded
-		w.again = until
-		if !w.lacking {
-			w.again = time.Now().Add(grant.After)
-		}
-		if w.again.Before(until) {
-			ends = w.again
+		w.asks, w.lacking = true, grant.Verdict == sched.NotLoaded
+		if again := time.Now().Add(grant.After); !w.lacking && again.Before(until) {
+			ends = again
 		}
 	}
 	f.mu.Lock()
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -71,7 +71,7 @@
 		if s.entry.State != layout.Ready || slices.Contains(c.Tried, s.entry.ID) {
 			continue
 		}
-		if now.Before(s.ejected) || now.Before(s.full) {
+		if s.leftOut(now) {
 			others = append(others, s)
 			continue
 		}
@@ -90,6 +90,14 @@
 	return others
 }
 
+// leftOut tells whether a server gets no calls for a while, as it did not answer or was full.
+func (s *server) leftOut(now time.Time) bool { return now.Before(s.ejected) || now.Before(s.full) }
+
+// lacks tells whether a server said lately that it lacks the call's model or adapter.
+func (s *server) lacks(c *Call, now time.Time) bool {
+	return now.Before(s.refuses[c.Model+"/"+c.Adapter])
+}
+
 // holding are the servers that hold the call's model and adapter.
 func (b *Book) holding(list []*server, c *Call, now time.Time) []*server {
 	if c.Model == "" {
@@ -97,7 +105,7 @@
 	}
 	var holding []*server
 	for _, s := range list {
-		if b.Holds(s.entry, c.Model, c.Adapter) && !now.Before(s.refuses[c.Model+"/"+c.Adapter]) {
+		if b.Holds(s.entry, c.Model, c.Adapter) && !s.lacks(c, now) {
 			holding = append(holding, s)
 		}
 	}
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -23,9 +23,14 @@
 // silence after which callers give up, so that the answer can still begin.
 const leastWait = 1100 * time.Millisecond
 
+// inTime is how long after its arrival a call can still be answered in time.
+func inTime(c *Call) time.Duration {
+	return time.Duration(expectationShare * float64(c.Route.Expectation))
+}
+
 // Late tells whether a call can no longer be answered within its expectation.
 func Late(c *Call, now time.Time) bool {
-	return now.Sub(c.Arrived) > time.Duration(expectationShare*float64(c.Route.Expectation))
+	return now.Sub(c.Arrived) > inTime(c)
 }
 
 // Order sorts waiters in the order in which they get servers: calls that can still be
@@ -56,7 +61,7 @@
 	if c.Resumes() {
 		return HoldUntil(c)
 	}
-	until := c.Arrived.Add(max(time.Duration(expectationShare*float64(c.Route.Expectation)), leastWait))
+	until := c.Arrived.Add(max(inTime(c), leastWait))
 	if most := HoldUntil(c); most.Before(until) {
 		return most
 	}
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -73,14 +73,14 @@
 // Ask returns the ask for a call. It leaves out servers that this daemon found not to
 // answer, to have no room or to lack the model.
 func (b *Book) Ask(c *Call, d Demands, now time.Time) Ask {
-	within := time.Duration(expectationShare*float64(c.Route.Expectation)) - now.Sub(c.Arrived)
+	within := inTime(c) - now.Sub(c.Arrived)
 	if c.Resumes() {
 		// Its caller has a part of the answer, and waits less long for the rest.
 		within = time.Duration(urgentBacklog * float64(d.Tightest))
 	}
 	not := slices.Clone(c.Tried)
 	for _, s := range b.service[c.Service] {
-		if !s.usableNow(c, now) {
+		if s.leftOut(now) || s.lacks(c, now) {
 			not = append(not, s.entry.ID)
 		}
 	}
@@ -186,17 +186,12 @@
 	if g.Verdict != Chosen {
 		return Choice{Verdict: g.Verdict}
 	}
-	if s == nil || s.entry.State != layout.Ready || !s.usableNow(c, now) {
+	if s == nil || s.entry.State != layout.Ready || s.leftOut(now) || s.lacks(c, now) {
 		return Choice{Verdict: NoServer}
 	}
 	return Choice{Verdict: Chosen, Server: s.entry, Load: b.load(s, now), Age: now.Sub(b.sharedAt), Pending: b.pending(s, now) + 1, Alone: g.Alone}
 }
 
-// usableNow tells whether a server is not left out for how calls ended there.
-func (s *server) usableNow(c *Call, now time.Time) bool {
-	return !now.Before(s.ejected) && !now.Before(s.full) && !now.Before(s.refuses[c.Model+"/"+c.Adapter])
-}
-
 // Streamed notes how many streams of a service ended, and how many of them had too long a
 // pause.
 func (b *Book) Streamed(service string, streams, paused int) {
--- a/limpetd/steer/duties.go
+++ b/limpetd/steer/duties.go
@@ -276,11 +276,7 @@
 func sets(lists map[string][]string) map[string]map[string]bool {
 	out := make(map[string]map[string]bool, len(lists))
 	for key, list := range lists {
-		set := make(map[string]bool, len(list))
-		for _, name := range list {
-			set[name] = true
-		}
-		out[key] = set
+		out[key] = set(list)
 	}
 	return out
 }
