--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -160,7 +160,8 @@
 		p.uncount(t)
 		return nil, err
 	}
-	return &Conn{pool: p, target: t, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	input := &trackingReader{source: conn}
+	return &Conn{pool: p, target: t, conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
 }
 
 // Reachable reports whether t accepts a connection. Reachable closes the connection
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -52,6 +52,18 @@
 	MaybeSent
 )
 
+// Framing is what determines the end of a response's body.
+type Framing string
+
+// The values of Framing.
+const (
+	// Length means a Content-Length, Chunked the chunked transfer encoding.
+	Length  Framing = "length"
+	Chunked Framing = "chunked"
+	// UntilClose means that the body ends with its connection.
+	UntilClose Framing = "close"
+)
+
 // Error is the failure to write a request or to read its response.
 type Error struct {
 	Sent SendState
@@ -70,6 +82,7 @@
 	pool   *Pool
 	target Target
 	conn   net.Conn
+	input  *trackingReader
 	reader *bufio.Reader
 	// idleSince is when the connection was last released, expires when it may no longer be
 	// reused.
@@ -96,6 +109,10 @@
 	return context.AfterFunc(ctx, c.Close)
 }
 
+// ReadError returns the first error of the reads from the connection, except timeouts: io.EOF
+// if the server closed the connection, nil if the connection has not ended.
+func (c *Conn) ReadError() error { return c.input.err }
+
 // setReadDeadline sets the deadline for reads; the zero time means no deadline.
 func (c *Conn) setReadDeadline(until time.Time) {
 	// The error can be ignored: a closed connection also fails the next read.
@@ -196,6 +213,17 @@
 	}
 }
 
+// FramingOf returns what determines the end of a response's body.
+func FramingOf(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return Chunked
+	case r.ContentLength >= 0:
+		return Length
+	}
+	return UntilClose
+}
+
 // hasKnownEnd reports whether the headers of the response determine where its body ends, and
 // not the end of the connection.
 func hasKnownEnd(r *http.Response) bool {
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -70,6 +70,7 @@
 func (c *call) sendTo(ctx context.Context, choice sched.Choice) bool {
 	f := c.front
 	c.outcome.attempts++
+	c.outcome.received = received{}
 	c.outcome.server, c.outcome.load, c.outcome.loadAge = choice.Server.ID, choice.Load, choice.Age
 	c.schedCall.Tried = append(c.schedCall.Tried, choice.Server.ID)
 	a := &attempt{call: c, server: choice.Server, sentAt: time.Now(), pending: choice.Pending, alone: choice.Exclusive}
@@ -93,6 +94,7 @@
 	c.connected++
 	unbind := conn.Bind(ctx)
 	retry := a.exchange(ctx)
+	c.outcome.received.readError = conn.ReadError()
 	if !unbind() {
 		conn.Close()
 	}
@@ -149,6 +151,7 @@
 		a.conn.Close()
 		return a.handleFailure(ctx, err)
 	}
+	c.outcome.received.framing = conns.FramingOf(resp)
 	// Each path below reads the body to its end or closes the connection.
 	defer func() { _ = resp.Body.Close() }()
 	reply := c.front.deps.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
@@ -273,6 +276,7 @@
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
 	c := a.call
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	c.outcome.received.bytes = len(body)
 	if err == nil && len(body) > maxBuffered {
 		err = errors.New("response body over the limit")
 	}
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -80,6 +81,19 @@
 	// whether the Reserver chose the last server.
 	asks    int
 	granted bool
+	// received is what the last attempt received.
+	received received
+}
+
+// received describes what an attempt received from its server.
+type received struct {
+	// framing is empty if there was no response.
+	framing conns.Framing
+	// bytes is the size of the part of the body that was read. events counts the complete
+	// events of a stream.
+	bytes, events int
+	// readError is the first read error of the connection; nil if there was none.
+	readError error
 }
 
 // ServeHTTP implements http.Handler.
@@ -224,6 +238,12 @@
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
+	if o.received.framing != "" {
+		fields = append(fields, zap.String("framing", string(o.received.framing)), zap.Int("bytes", o.received.bytes), zap.Int("events", o.received.events))
+	}
+	if o.received.readError != nil {
+		fields = append(fields, zap.String("read_error", o.received.readError.Error()))
+	}
 	if o.reason != "" {
 		fields = append(fields, zap.String("reason", o.reason))
 	}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -80,6 +80,7 @@
 			}
 		}
 		n, err := resp.Body.Read(buffer)
+		c.outcome.received.bytes += n
 		if n > 0 {
 			unsent = append(unsent, buffer[:n]...)
 			end := bytes.LastIndex(unsent, eventEnd) + len(eventEnd)
@@ -152,6 +153,7 @@
 		return errors.Join(errCallerGone, err)
 	}
 	c.lastEvent = last
+	c.outcome.received.events += bytes.Count(events, eventEnd)
 	return nil
 }
 
