--- a/limpetd/front/front_test.go
+++ b/limpetd/front/front_test.go
@@ -69,12 +69,22 @@
 // newFixtureWithReserver returns a fixture whose Front uses a Reserver; nil for none.
 func newFixtureWithReserver(t *testing.T, r front.Reserver, route layout.Route, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
-	var servers []*layout.Server
-	for i, h := range handlers {
+	var addresses []string
+	for _, h := range handlers {
 		s := httptest.NewServer(withStamp(h))
 		t.Cleanup(s.Close)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	return newFixtureWithServers(t, r, route, addresses...)
+}
+
+// newFixtureWithServers returns a fixture whose backend servers have the given addresses.
+func newFixtureWithServers(t *testing.T, r front.Reserver, route layout.Route, addresses ...string) *fixture {
+	t.Helper()
+	var servers []*layout.Server
+	for i, a := range addresses {
 		servers = append(servers, &layout.Server{
-			ID: fmt.Sprint("i", i), Service: "s", Address: s.Listener.Addr().String(), Slots: 8,
+			ID: fmt.Sprint("i", i), Service: "s", Address: a, Slots: 8,
 			Models: map[string]layout.HeldModel{"m": {}},
 		})
 	}
