conns: Return the first read error of a connection from each later read

Callers saw a stream that had been broken off as complete: its response had neither a length nor chunks, and the engine's connection was reset.

Cause: WaitReadable peeks at the connection before each read of a body and discards the error, because the next read is to return it. A bufio.Reader returns an error once, and so does the socket: after ECONNRESET or ETIMEDOUT has been reported, the next read returns the end of the stream, which ends such a body properly.

The connection now keeps its first error, timeouts excepted, and returns it from each later read, so that no reader above can consume it. This holds for resets, for unacknowledged data and for failed keep-alive probes alike.

--- a/limpetd/conns/conns_test.go
+++ b/limpetd/conns/conns_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -229,3 +230,31 @@
 	_, err := p.Get(t.Context(), target, time.Second)
 	require.ErrorIs(t, err, conns.ErrTooManyConns)
 }
+
+// TestResetIsReportedByEachRead guards against a reset that WaitReadable meets and that looks
+// like the end of the response to the next read.
+func TestResetIsReportedByEachRead(t *testing.T) {
+	target, _ := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id := readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	c, err := conns.New(t.Context()).Get(t.Context(), target, time.Second)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.Write(newRequest("a")))
+	response, err := c.ReadHead(newRequest("a"))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, response.Body.Close()) }()
+	buffer := make([]byte, 4)
+	_, err = io.ReadFull(response.Body, buffer)
+	require.NoError(t, err)
+	require.True(t, c.WaitReadable(time.Now().Add(time.Minute)))
+	for range 3 {
+		require.True(t, c.WaitReadable(time.Now().Add(time.Minute)))
+		_, err = response.Body.Read(buffer)
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+	require.ErrorIs(t, c.ReadError(), syscall.ECONNRESET)
+}
--- a/limpetd/conns/reader.go
+++ b/limpetd/conns/reader.go
@@ -6,7 +6,9 @@
 	"os"
 )
 
-// trackingReader reads from a connection and records the first error, except timeouts.
+// trackingReader reads from a connection and returns its first error, except timeouts, again
+// from each later read. The operating system reports a reset only once; the next read of the
+// socket returns the end of the stream.
 type trackingReader struct {
 	source io.Reader
 	err    error
@@ -14,8 +16,11 @@
 
 // Read implements io.Reader.
 func (r *trackingReader) Read(b []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
 	n, err := r.source.Read(b)
-	if err != nil && r.err == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		r.err = err
 	}
 	return n, err
