front: Treat a stream without length, chunks and events as broken off

Callers saw an empty stream as complete: the engine had sent the head of a response with neither a length nor chunks, and its connection was closed before the first event.

Cause: copyEvents took the end of the connection for the end of the stream when no part of an event was left over, also when there had been no event at all. A daemon cannot tell such a response from one that broke before its first event.

Evidence: TestStreamWithoutEventsIsNotComplete and TestBrokenStreamIsResumed/close/0/fin failed before and pass now.

Such a stream now counts as broken off. Nothing has been forwarded by then, so a resumable stream goes to another engine, and any other caller gets 502. A stream with a length or chunks may still be empty, since its framing says so.

--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
@@ -68,7 +69,7 @@
 var errCallerGone = errors.New("writing to the caller failed")
 
 // copyEvents forwards complete events until the response ends. It returns nil if the
-// response ended after a complete event.
+// response is complete.
 func (a *attempt) copyEvents(ctx context.Context, resp *http.Response, r ResponseHeaders, controller *http.ResponseController) error {
 	c := a.call
 	buffer := make([]byte, streamBuffer)
@@ -95,7 +96,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(unsent)) == 0:
+		case errors.Is(err, io.EOF) && a.isComplete(resp, unsent):
 			if !c.responseBegun {
 				a.beginResponse(resp, r)
 			}
@@ -108,6 +109,16 @@
 	}
 }
 
+// isComplete reports whether a stream whose body has ended is complete. unsent is what followed
+// the last complete event. If only the end of the connection ends the body, a stream without
+// events can't be distinguished from one that broke before its first event.
+func (a *attempt) isComplete(resp *http.Response, unsent []byte) bool {
+	if len(bytes.TrimSpace(unsent)) > 0 {
+		return false
+	}
+	return conns.FramingOf(resp) != conns.UntilClose || !a.lastEventAt.IsZero()
+}
+
 // eventEnd terminates an event.
 var eventEnd = []byte("\n\n")
 
