abort, front: Reset the connection of a broken response to HTTP/1.0

A caller that uses HTTP/1.0 saw every stream that the daemon broke off as complete.

Cause: the daemon aborts a response by closing its connection. A caller that uses HTTP/1.1 misses the last chunk, but HTTP/1.0 has no chunks: a response without a length is complete when its connection is closed.

Without the reset the new test of package abort fails too.

The new package abort resets such a connection, also below TLS, whose alert would announce a proper end. Responses of HTTP/1.1 end as before.

--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
@@ -113,8 +114,7 @@
 	}
 	c.recordOutcome()
 	if c.outcome.status == statusAborted {
-		// Aborting the connection keeps the truncated response from looking complete.
-		panic(http.ErrAbortHandler)
+		abort.Response(w, r)
 	}
 }
 
