gate, abort: Reset the connection of a broken service response to HTTP/1.0

A caller of a plain service that uses HTTP/1.0 got a response that the service, or its timeout, had broken off as complete: the same fault as in package front.

Cause: the gate closes the connection of such a response, and to HTTP/1.0 the end of the connection is the end of the response. In the daemon a reset could not be sent either, because the limit on connections hid the TCP connection.

The gate uses package abort, and a listener of its own whose connections give access to the connection below. BrokenServer of package fakes replaces the server of the tests of front.

--- a/limpetd/abort/abort.go
+++ b/limpetd/abort/abort.go
@@ -17,7 +17,6 @@
 package abort
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 )
@@ -31,22 +30,28 @@
 	panic(http.ErrAbortHandler)
 }
 
-// resetConn resets the connection of a response. A connection of TLS is reset without the
-// alert that announces a proper end.
+// resetConn resets the connection of a response. Connections that wrap another one are closed
+// after it, so that TLS sends no alert that announces a proper end.
 func resetConn(w http.ResponseWriter) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		// The connection has been closed or taken over before.
 		return
 	}
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
+	raw := c
+	for {
+		wrapper, ok := raw.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		raw = wrapper.NetConn()
 	}
-	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+	if l, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
 		// The error can be ignored: the connection is closed already.
 		_ = l.SetLinger(0)
 	}
-	// The error can be ignored because the connection is not used again.
+	// The errors can be ignored because the connection is not used again.
+	_ = raw.Close()
 	_ = c.Close()
 }
 
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -15,91 +15,35 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 )
 
-// ending is how a server stops sending a response.
-type ending string
-
-const (
-	// closed ends the connection with FIN, reset with RST. silent keeps it open.
-	closed ending = "fin"
-	reset  ending = "rst"
-	silent ending = "silence"
-)
-
-// brokenResponse is a response that a server breaks off.
-type brokenResponse struct {
-	framing conns.Framing
-	// whole is the complete body; the server sends only the first sent bytes of it.
-	whole string
-	sent  int
-	end   ending
-}
-
-// start starts a server that answers the first of all requests with the broken response and
-// the others, from the event after the header Last on, with the rest of the body.
-func (b brokenResponse) start(t *testing.T, requests *atomic.Int64) string {
+// startBroken starts s, which answers the requests after the first one, from the event after
+// the header Last on, with the rest of the body.
+func startBroken(t *testing.T, s fakes.BrokenServer) string {
 	t.Helper()
+	if s.Requests == nil {
+		s.Requests = &atomic.Int64{}
+	}
+	s.Header = func(r *http.Request) http.Header {
+		return http.Header{"Id": {r.Header.Get("Id")}, "Stamp": {"1"}, "Content-Type": {"text/event-stream"}}
+	}
+	s.Rest = func(r *http.Request) string {
+		last := r.Header.Get("Last")
+		if last == "" {
+			return s.Body
+		}
+		_, rest, _ := strings.Cut(s.Body, "data: e"+last+"\n\n")
+		return rest
+	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, l.Close()) })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err != nil {
-					return
-				}
-				if requests.Add(1) == 1 {
-					b.send(c.(*net.TCPConn), r.Header.Get("Id"))
-					return
-				}
-				rest := b.whole
-				if last := r.Header.Get("Last"); last != "" {
-					_, rest, _ = strings.Cut(b.whole, "data: e"+last+"\n\n")
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(rest), rest)
-			}()
-		}
-	}()
+	go s.Serve(l)
 	return l.Addr().String()
 }
 
-// send writes the broken response and ends the connection.
-func (b brokenResponse) send(c *net.TCPConn, id string) {
-	message := "HTTP/1.1 200 OK\r\nId: " + id + "\r\nStamp: 1\r\nContent-Type: text/event-stream\r\n"
-	part := b.whole[:b.sent]
-	switch b.framing {
-	case conns.Length:
-		message += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(b.whole), part)
-	case conns.Chunked:
-		message += "Transfer-Encoding: chunked\r\n\r\n"
-		if part != "" {
-			message += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-		}
-	default:
-		message += "\r\n" + part
-	}
-	_, _ = io.WriteString(c, message)
-	switch b.end {
-	case reset:
-		// A server that crashes resets its connections some time after its last bytes.
-		time.Sleep(20 * time.Millisecond)
-		_ = c.SetLinger(0)
-	case silent:
-		_, _ = c.Read(make([]byte, 1))
-	}
-}
-
 // received is what a caller received.
 type received struct {
 	status int
@@ -136,7 +80,7 @@
 // TestStreamWithoutEventsIsNotComplete guards against a stream that is forwarded as complete
 // because its connection was closed before the first event.
 func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
-	fx := newFixtureWithServers(t, nil, streamKind, brokenResponse{framing: conns.UntilClose, whole: eventText(0, 3), end: closed}.start(t, &atomic.Int64{}))
+	fx := newFixtureWithServers(t, nil, streamKind, startBroken(t, fakes.BrokenServer{Framing: conns.UntilClose, Body: eventText(0, 3), Ending: fakes.Closed}))
 	got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
@@ -145,8 +89,8 @@
 // the error of a reset connection was lost.
 func TestResetStreamIsNotComplete(t *testing.T) {
 	for _, events := range []int{0, 2} {
-		b := brokenResponse{framing: conns.UntilClose, whole: eventText(0, 3), sent: len(eventText(0, events-1)), end: reset}
-		got := newFixtureWithServers(t, nil, streamKind, b.start(t, &atomic.Int64{})).callRaw(t, "HTTP/1.1", http.MethodGet)
+		b := fakes.BrokenServer{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, events-1)), Ending: fakes.Reset}
+		got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b)).callRaw(t, "HTTP/1.1", http.MethodGet)
 		require.False(t, got.complete && got.status == http.StatusOK, "%d events: %+v", events, got)
 	}
 }
@@ -154,8 +98,8 @@
 // TestBrokenStreamIsNotCompleteForHTTP10 guards against a broken response whose end a caller
 // that uses HTTP/1.0 takes for complete, because its connection was closed without an error.
 func TestBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
-	b := brokenResponse{framing: conns.Chunked, whole: eventText(0, 3), sent: len(eventText(0, 1)), end: reset}
-	got := newFixtureWithServers(t, nil, streamKind, b.start(t, &atomic.Int64{})).callRaw(t, "HTTP/1.0", http.MethodGet)
+	b := fakes.BrokenServer{Framing: conns.Chunked, Body: eventText(0, 3), Sent: len(eventText(0, 1)), Ending: fakes.Reset}
+	got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b)).callRaw(t, "HTTP/1.0", http.MethodGet)
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
 
@@ -177,16 +121,16 @@
 	} {
 		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 			for _, sent := range c.sent {
-				for _, end := range []ending{closed, reset, silent} {
+				for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset, fakes.Silent} {
 					for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 						name := fmt.Sprintf("%s/%s/%d/%s/%s", c.name, framing, sent, end, protocol)
 						t.Run(name, func(t *testing.T) {
 							t.Parallel()
 							part := c.whole[:sent]
-							ended := framing == conns.UntilClose && end == closed &&
+							ended := framing == conns.UntilClose && end == fakes.Closed &&
 								(c.name == "call" || strings.HasSuffix(part, "\n\n"))
-							b := brokenResponse{framing: framing, whole: c.whole, sent: sent, end: end}
-							got := newFixtureWithServers(t, nil, c.route, b.start(t, &atomic.Int64{})).callRaw(t, protocol, http.MethodGet)
+							b := fakes.BrokenServer{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
+							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b)).callRaw(t, protocol, http.MethodGet)
 							require.Equal(t, ended, got.complete && got.status == http.StatusOK, "%+v", got)
 							if ended {
 								require.Equal(t, part, got.body)
@@ -206,15 +150,14 @@
 	stream := eventText(0, 3)
 	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 		for _, sent := range []int{0, 5, len(eventText(0, 1)), len(stream) - 1} {
-			for _, end := range []ending{closed, reset} {
-				if framing == conns.UntilClose && end == closed && sent == len(eventText(0, 1)) {
+			for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset} {
+				if framing == conns.UntilClose && end == fakes.Closed && sent == len(eventText(0, 1)) {
 					continue // complete by the framing
 				}
 				t.Run(fmt.Sprintf("%s/%d/%s", framing, sent, end), func(t *testing.T) {
 					t.Parallel()
-					b := brokenResponse{framing: framing, whole: stream, sent: sent, end: end}
-					requests := &atomic.Int64{}
-					fx := newFixtureWithServers(t, nil, route, b.start(t, requests), b.start(t, requests))
+					b := fakes.BrokenServer{Framing: framing, Body: stream, Sent: sent, Ending: end, Requests: &atomic.Int64{}}
+					fx := newFixtureWithServers(t, nil, route, startBroken(t, b), startBroken(t, b))
 					got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
 					require.True(t, got.complete, "%+v", got)
 					require.Equal(t, stream, got.body)
--- /dev/null
+++ b/limpetd/gate/broken_test.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
+)
+
+// startBroken starts s with the given content type and returns its address.
+func startBroken(t *testing.T, s fakes.BrokenServer, contentType string) string {
+	t.Helper()
+	s.Requests = &atomic.Int64{}
+	s.Header = func(*http.Request) http.Header { return http.Header{"Content-Type": {contentType}} }
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, l.Close()) })
+	go s.Serve(l)
+	return l.Addr().String()
+}
+
+// receivesComplete sends a call in the given version of HTTP and reports whether the response
+// has status 200 and is complete by its framing.
+func (g *testGate) receivesComplete(t *testing.T, protocol, call string) bool {
+	t.Helper()
+	c, err := net.Dial("tcp4", strings.TrimPrefix(g.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = fmt.Fprintf(c, "%s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n", call, protocol, appKey)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// TestBrokenServiceResponseLooksBroken breaks off responses of plain services of each framing
+// at each point. A response that ends with its connection is complete if the service closes
+// the connection and, in a stream of events, the last event is complete.
+func TestBrokenServiceResponseLooksBroken(t *testing.T) {
+	const events = "data: a\n\ndata: b\n\n"
+	calls := map[string]string{"repeatable": "GET /services/app/schedule/x", "keyed": "POST /services/app/bookings"}
+	for _, contentType := range []string{"text/plain"} {
+		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
+			for _, sent := range []int{0, 5, 8, 9, len(events) - 1} {
+				for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset, fakes.Silent} {
+					for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+						for name, call := range calls {
+							t.Run(fmt.Sprintf("%s/%s/%s/%d/%s/%s", name, contentType, framing, sent, end, protocol), func(t *testing.T) {
+								t.Parallel()
+								ended := framing == conns.UntilClose && end == fakes.Closed && (contentType == "text/plain" || sent == 9)
+								s := fakes.BrokenServer{Framing: framing, Body: events, Sent: sent, Ending: end}
+								c := testConfig{doc: testDocument(), services: []string{startBroken(t, s, contentType)}}
+								if end == fakes.Silent {
+									c.serviceTimeout = 200 * time.Millisecond
+								}
+								g := startGate(t, c)
+								require.Equal(t, ended, g.receivesComplete(t, protocol, call))
+							})
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
@@ -270,7 +271,7 @@
 		x.logFailure(err)
 	}
 	if err != nil && x.proxied {
-		panic(http.ErrAbortHandler)
+		abort.Response(x.writer, x.request)
 	}
 }
 
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -25,7 +25,6 @@
 	"go.uber.org/zap"
 	"goji.io"
 	"goji.io/pat"
-	"golang.org/x/net/netutil"
 
 	"github.com/limpetlb/limpetlb/limpetd/batch"
 	"github.com/limpetlb/limpetlb/limpetd/claim"
@@ -221,7 +220,7 @@
 // Listener returns a listener that accepts at most MaxConnections connections
 // of l at a time. Further connections wait to be accepted.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	return netutil.LimitListener(l, g.config.MaxConnections)
+	return newLimitListener(l, g.config.MaxConnections)
 }
 
 // InFlight returns the number of requests in flight, without health checks.
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -82,6 +82,8 @@
 	services []string
 	doc      *envdoc.Document
 	engines  *fakes.Generator
+	// serviceTimeout is the timeout of calls to plain services.
+	serviceTimeout time.Duration
 }
 
 // startGate starts a Gate that is stopped at the end of the test.
@@ -98,7 +100,11 @@
 	}
 	docs := staticDocuments{c.doc}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := relay.New(relay.Deps{Generator: c.engines, Admitter: &fakes.Admitter{VMs: vms}})
+	var options []relay.Option
+	if c.serviceTimeout > 0 {
+		options = append(options, relay.WithServiceTimeout(c.serviceTimeout))
+	}
+	r := relay.New(relay.Deps{Generator: c.engines, Admitter: &fakes.Admitter{VMs: vms}}, options...)
 	claims := claim.New(ctx, claim.Config{Environment: "test"}, claim.Deps{Table: c.table})
 	batches := batch.New(ctx, batch.Config{Instance: "i", Environment: "test"}, batch.Deps{
 		Table: c.table, Objects: &fakes.Objects{}, Answerer: r, Documents: docs,
@@ -106,6 +112,7 @@
 	g := New(c.config, Deps{Documents: docs, Relay: r, Claims: claims, Batches: batches})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = g.Server()
+	server.Listener = g.Listener(server.Listener)
 	server.Start()
 	t.Cleanup(func() {
 		server.Close()
