front, conns: Do not wait for the body of a response without one

A caller that sent HEAD to a stream route got 504 at the timeout of the route.

Cause: a response to HEAD has no length, and copyEvents took each response without a length for one whose events are still to come. FramingOf had the same fault, and would have taken the end of such a response for a broken stream.

Evidence: TestResponseWithoutBodyIsComplete got 504 before and 200 now.

FramingOf reports a response without a body as one of known length, and is the only place that decides on the framing.

--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -57,7 +57,7 @@
 
 // The values of Framing.
 const (
-	// Length means a Content-Length, Chunked the chunked transfer encoding.
+	// Length means a Content-Length, or that there is no body, Chunked the chunked transfer encoding.
 	Length  Framing = "length"
 	Chunked Framing = "chunked"
 	// UntilClose means that the body ends with its connection.
@@ -203,7 +203,7 @@
 			return response, nil
 		}
 		skipped++
-		if skipped > maxSkipped || !hasKnownEnd(response) || response.Close {
+		if skipped > maxSkipped || FramingOf(response) == UntilClose || response.Close {
 			return nil, fmt.Errorf("a response with status %d belongs to another request", response.StatusCode)
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
@@ -216,6 +216,8 @@
 // FramingOf returns what determines the end of a response's body.
 func FramingOf(r *http.Response) Framing {
 	switch {
+	case r.Body == http.NoBody:
+		return Length
 	case len(r.TransferEncoding) > 0:
 		return Chunked
 	case r.ContentLength >= 0:
@@ -224,12 +226,6 @@
 	return UntilClose
 }
 
-// hasKnownEnd reports whether the headers of the response determine where its body ends, and
-// not the end of the connection.
-func hasKnownEnd(r *http.Response) bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-}
-
 // Release returns the connection to the pool if the connection can be reused after response
 // r, whose body must have been read to its end. Otherwise, also if the request is still being
 // written, Release closes the connection.
@@ -244,7 +240,7 @@
 		c.written = nil
 	}
 	idle := idleTimeout(r.Header.Get("Keep-Alive"))
-	if r.Close || !hasKnownEnd(r) || idle <= 0 || c.reader.Buffered() > 0 {
+	if r.Close || FramingOf(r) == UntilClose || idle <= 0 || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -166,3 +166,11 @@
 		}
 	}
 }
+
+// TestResponseWithoutBodyIsComplete guards against waiting for the events of a response to HEAD.
+func TestResponseWithoutBodyIsComplete(t *testing.T) {
+	fx := newFixture(t, streamKind, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+	})
+	require.Equal(t, received{http.StatusOK, "", true}, fx.callRaw(t, "HTTP/1.1", http.MethodHead))
+}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -72,10 +72,11 @@
 // response is complete.
 func (a *attempt) copyEvents(ctx context.Context, resp *http.Response, r ResponseHeaders, controller *http.ResponseController) error {
 	c := a.call
+	framing := conns.FramingOf(resp)
 	buffer := make([]byte, streamBuffer)
 	var unsent []byte
 	for {
-		if resp.ContentLength < 0 {
+		if framing != conns.Length {
 			if err := a.awaitBytes(ctx); err != nil {
 				return err
 			}
@@ -96,7 +97,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && a.isComplete(resp, unsent):
+		case errors.Is(err, io.EOF) && a.isComplete(framing, unsent):
 			if !c.responseBegun {
 				a.beginResponse(resp, r)
 			}
@@ -112,11 +113,11 @@
 // isComplete reports whether a stream whose body has ended is complete. unsent is what followed
 // the last complete event. If only the end of the connection ends the body, a stream without
 // events can't be distinguished from one that broke before its first event.
-func (a *attempt) isComplete(resp *http.Response, unsent []byte) bool {
+func (a *attempt) isComplete(framing conns.Framing, unsent []byte) bool {
 	if len(bytes.TrimSpace(unsent)) > 0 {
 		return false
 	}
-	return conns.FramingOf(resp) != conns.UntilClose || !a.lastEventAt.IsZero()
+	return framing != conns.UntilClose || !a.lastEventAt.IsZero()
 }
 
 // eventEnd terminates an event.
