wire, relay, front: Check the end of each stream of events in one place

A caller of a plain service got a stream of events that ended inside an event, or before its first event, as complete, if the response had neither a length nor chunks. A keyed call even stored such a response as the outcome of its key, and repeated calls got it again.

Cause: the relay took the end of the connection for the end of the response without looking at the body. Only package front knew that a stream that ends inside an event has been broken off, and it knew only lines that end with a line feed: a stream with carriage returns was held back and then counted as broken.

TestEventScannerFindsEnds and TestEventReaderReportsBrokenStream break streams off at each byte.

wire.EventScanner finds the ends of events and decides whether a stream that has ended is complete; front and relay use it. Compressed streams and responses without a body are forwarded unchecked (TestEventsWithoutVisibleEndAreForwarded).

--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -12,6 +12,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
 
 const (
@@ -75,6 +76,7 @@
 	framing := conns.FramingOf(resp)
 	buffer := make([]byte, streamBuffer)
 	var unsent []byte
+	var scanner wire.EventScanner
 	for {
 		if framing != conns.Length {
 			if err := a.awaitBytes(ctx); err != nil {
@@ -84,9 +86,13 @@
 		n, err := resp.Body.Read(buffer)
 		c.outcome.received.bytes += n
 		if n > 0 {
+			end := scanner.Scan(buffer[:n])
+			c.outcome.received.events = scanner.Events()
+			if end > 0 {
+				end += len(unsent)
+			}
 			unsent = append(unsent, buffer[:n]...)
-			end := bytes.LastIndex(unsent, eventEnd) + len(eventEnd)
-			if end >= len(eventEnd) {
+			if end > 0 {
 				if err := a.forwardEvents(unsent[:end], resp, r, controller); err != nil {
 					return err
 				}
@@ -97,7 +103,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && a.isComplete(framing, unsent):
+		case errors.Is(err, io.EOF) && scanner.Complete(framing == conns.UntilClose):
 			if !c.responseBegun {
 				a.beginResponse(resp, r)
 			}
@@ -110,19 +116,6 @@
 	}
 }
 
-// isComplete reports whether a stream whose body has ended is complete. unsent is what followed
-// the last complete event. If only the end of the connection ends the body, a stream without
-// events can't be distinguished from one that broke before its first event.
-func (a *attempt) isComplete(framing conns.Framing, unsent []byte) bool {
-	if len(bytes.TrimSpace(unsent)) > 0 {
-		return false
-	}
-	return framing != conns.UntilClose || !a.lastEventAt.IsZero()
-}
-
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
-
 // beginResponse writes the head of the response to the caller, unless the head was written
 // by an earlier attempt.
 func (a *attempt) beginResponse(resp *http.Response, r ResponseHeaders) {
@@ -165,7 +158,6 @@
 		return errors.Join(errCallerGone, err)
 	}
 	c.lastEvent = last
-	c.outcome.received.events += bytes.Count(events, eventEnd)
 	return nil
 }
 
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -54,7 +54,7 @@
 func TestBrokenServiceResponseLooksBroken(t *testing.T) {
 	const events = "data: a\n\ndata: b\n\n"
 	calls := map[string]string{"repeatable": "GET /services/app/schedule/x", "keyed": "POST /services/app/bookings"}
-	for _, contentType := range []string{"text/plain"} {
+	for _, contentType := range []string{"text/plain", "text/event-stream; charset=utf-8"} {
 		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 			for _, sent := range []int{0, 5, 8, 9, len(events) - 1} {
 				for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset, fakes.Silent} {
--- a/limpetd/gate/generate.go
+++ b/limpetd/gate/generate.go
@@ -114,7 +114,7 @@
 // writeHeader writes the response header of the stream.
 func (s *stream) writeHeader() {
 	h := s.writer.Header()
-	h.Set("Content-Type", "text/event-stream")
+	h.Set("Content-Type", wire.EventStreamType)
 	h.Set("Cache-Control", "no-cache")
 	s.headerWritten = true
 	s.writer.WriteHeader(http.StatusOK)
--- a/limpetd/gate/service_test.go
+++ b/limpetd/gate/service_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
 )
 
@@ -206,3 +207,23 @@
 	require.Equal(t, []string{"0"}, resp.header.Values(headerCode))
 	require.Equal(t, "1", resp.header.Get("X-Own"))
 }
+
+// TestEventsWithoutVisibleEndAreForwarded guards against cutting off responses whose end the
+// check of broken streams can't judge: compressed ones, and those to HEAD.
+func TestEventsWithoutVisibleEndAreForwarded(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if r.Method != http.MethodHead {
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(w, "compressed")
+		}
+	}))
+	defer s.Close()
+	doc := testDocument()
+	doc.Services[0].Paths = append(doc.Services[0].Paths, envdoc.Path{Method: "HEAD", Path: "/schedule/*", Repeatable: true})
+	g := startGate(t, testConfig{doc: doc, services: []string{strings.TrimPrefix(s.URL, "http://")}})
+	require.Equal(t, http.StatusOK, g.do(t, "HEAD", "/services/app/schedule/x", "").status)
+	response := g.do(t, "GET", "/services/app/schedule/x", "", "Accept-Encoding", "gzip")
+	require.Equal(t, http.StatusOK, response.status)
+	require.Equal(t, "compressed", response.body)
+}
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -17,7 +17,9 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/admit"
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
 
 // RunHeader is the header of answers that states whether the call ran. A backend
@@ -205,7 +207,7 @@
 		return nil, true, r.serviceError(ctx, c, choice.VM, true, errOtherRequest)
 	}
 	t.FirstToken()
-	body := &ticketBody{ReadCloser: response.Body, cancel: cancel, ticket: t, caller: ctx}
+	body := &ticketBody{ReadCloser: response.Body, reader: bodyReader(response), cancel: cancel, ticket: t, caller: ctx}
 	if response.StatusCode >= http.StatusBadGateway {
 		body.outcome = admit.OutcomeFailed
 	}
@@ -217,6 +219,16 @@
 	}, true, nil
 }
 
+// bodyReader returns a reader of the body of a response. If the body is a stream of events, the
+// reader checks that it is complete; a compressed one is not checked.
+func bodyReader(response *http.Response) io.Reader {
+	h := response.Header
+	if !wire.IsEventStream(h.Get("Content-Type")) || h.Get("Content-Encoding") != "" {
+		return response.Body
+	}
+	return wire.NewEventReader(response.Body, conns.FramingOf(response) == conns.UntilClose)
+}
+
 // errOtherRequest is the error of a call that received the answer to another request.
 var errOtherRequest = errors.New("the answer has the id of another request")
 
@@ -272,6 +284,8 @@
 // call.
 type ticketBody struct {
 	io.ReadCloser
+	// reader reads the body, and checks the end of a stream of events.
+	reader  io.Reader
 	cancel  context.CancelFunc
 	ticket  admit.Ticket
 	caller  context.Context
@@ -281,7 +295,7 @@
 
 // Read records a failed outcome if reading the answer fails.
 func (b *ticketBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.reader.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.outcome = serviceOutcome(b.caller)
 	}
