--- a/limpetd/docs/body.go
+++ b/limpetd/docs/body.go
@@ -32,8 +32,8 @@
 	return body, nil
 }
 
-// unpack decompresses a stored body, truncated to envdoc.MaxBytes plus one byte. A
-// body that is not compressed is returned unchanged.
+// unpack decompresses a stored body of at most envdoc.MaxBytes. A body that is not
+// compressed is returned unchanged.
 func unpack(stored []byte) ([]byte, error) {
-	return store.Decompress(stored, envdoc.MaxBytes+1)
+	return store.Decompress(stored, envdoc.MaxBytes)
 }
--- a/limpetd/engine/client.go
+++ b/limpetd/engine/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
 // Limits of the client.
@@ -227,14 +228,14 @@
 	return fmt.Sprintf("status %d: %s", response.StatusCode, bytes.TrimSpace(text))
 }
 
-// decodeJSON decodes a JSON response into dst. The body is read to its end, up to
-// maxResponseBytes, so that the connection can be reused.
+// decodeJSON decodes a JSON response of at most maxResponseBytes into dst. The body is read to
+// its end, so that the connection can be reused.
 func decodeJSON(response *http.Response, dst any) error {
 	reader, err := decompress(response)
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(reader, maxResponseBytes))
+	body, err := conns.ReadBody(reader, maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -275,11 +275,8 @@
 // is to be sent again.
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
 	c := a.call
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	body, err := conns.ReadBody(resp.Body, maxBuffered)
 	c.outcome.received.bytes = len(body)
-	if err == nil && len(body) > maxBuffered {
-		err = errors.New("response body over the limit")
-	}
 	if err != nil {
 		a.conn.Close()
 		return a.handleFailure(ctx, err)
--- a/limpetd/ledger/compress.go
+++ b/limpetd/ledger/compress.go
@@ -18,8 +18,8 @@
 	return store.Compress(encoded)
 }
 
-// decompress returns the encoded row of a stored value, compressed or not. The
-// result is cut off at maxRowBytes.
+// decompress returns the encoded row of a stored value, compressed or not. A
+// row over maxRowBytes is an error.
 func decompress(stored []byte) ([]byte, error) {
 	return store.Decompress(stored, maxRowBytes)
 }
--- a/limpetd/store/client.go
+++ b/limpetd/store/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
 // Limits of the client.
@@ -213,7 +213,7 @@
 		return nil, transportError(connected.Load(), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	reply, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	reply, err := conns.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, transportError(true, err)
 	}
--- a/limpetd/store/compress.go
+++ b/limpetd/store/compress.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 	"sync"
+
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
 // gzipMagic is the prefix of each compressed value. Uncompressed values must not start
@@ -29,8 +30,8 @@
 	return buffer.Bytes(), nil
 }
 
-// Decompress returns the decompressed form of a value, truncated to limit bytes. A value that
-// is not compressed is returned unchanged.
+// Decompress returns the decompressed form of a value of at most limit bytes. A value that is
+// not compressed is returned unchanged.
 func Decompress(stored []byte, limit int64) ([]byte, error) {
 	if !bytes.HasPrefix(stored, gzipMagic) {
 		return stored, nil
@@ -39,5 +40,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(r, limit))
+	return conns.ReadBody(r, limit)
 }
