stand, soak, link: Break off responses of each framing

Neither the tests nor the soak could find the faults of the incident: the engines of the stand-in answer in chunks only, break off only before the first byte, the links turn a reset into a proper end, and all callers use HTTP/1.1.

Servers of the stand-in now can answer with neither a length nor chunks, and break off responses of each framing before, after and inside events, by FIN, RST and silence.

--- a/limpetd/fakes/broken.go
+++ b/limpetd/fakes/broken.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -23,26 +26,81 @@
 	Silent Ending = "silence"
 )
 
-// resetDelay is the time between the last bytes of a response and a reset, so that the bytes
-// are read before.
-const resetDelay = 20 * time.Millisecond
+const (
+	// resetDelay is the time between the last bytes of a response and a reset, so that the
+	// bytes are read before.
+	resetDelay    = 20 * time.Millisecond
+	silentTimeout = 30 * time.Second
+)
 
-// BrokenServer is a backend server that breaks off the response to the first request.
-type BrokenServer struct {
+// BrokenResponse is a response with status 200 that a server breaks off.
+type BrokenResponse struct {
 	Framing conns.Framing
-	// Header returns the headers of a response besides those of its framing.
-	Header func(*http.Request) http.Header
-	// Body is the complete body of the first response; the server sends Sent bytes of it.
+	// Header holds the headers besides those of the framing.
+	Header http.Header
+	// Body is the complete body; Sent bytes of it are sent.
 	Body   string
 	Sent   int
 	Ending Ending
+}
+
+// Send writes the response to c and closes c. A silent response ends when the other side
+// closes the connection, or after silentTimeout.
+func (b BrokenResponse) Send(c net.Conn) error {
+	header := b.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	part := b.Body[:b.Sent]
+	switch b.Framing {
+	case conns.Length:
+		header.Set("Content-Length", strconv.Itoa(len(b.Body)))
+	case conns.Chunked:
+		header.Set("Transfer-Encoding", "chunked")
+		if part != "" {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+	}
+	err := writeResponse(c, header, part)
+	switch b.Ending {
+	case Reset:
+		time.Sleep(resetDelay)
+		if t, ok := c.(*net.TCPConn); ok {
+			err = errors.Join(err, t.SetLinger(0))
+		}
+	case Silent:
+		err = errors.Join(err, c.SetReadDeadline(time.Now().Add(silentTimeout)))
+		// The error is the end of the connection or the timeout.
+		_, _ = c.Read(make([]byte, 1))
+	}
+	return errors.Join(err, c.Close())
+}
+
+// writeResponse writes a response with status 200.
+func writeResponse(w io.Writer, h http.Header, body string) error {
+	var message bytes.Buffer
+	message.WriteString("HTTP/1.1 200 OK\r\n")
+	if err := h.Write(&message); err != nil {
+		return err
+	}
+	message.WriteString("\r\n" + body)
+	_, err := w.Write(message.Bytes())
+	return err
+}
+
+// BrokenServer is a backend server that breaks off the response to the first request.
+type BrokenServer struct {
+	// Response is the response to the first request.
+	Response BrokenResponse
+	// Header returns the headers of a response besides those of its framing; nil for none.
+	Header func(*http.Request) http.Header
 	// Rest returns the bodies of the other responses.
 	Rest func(*http.Request) string
 	// Requests counts the requests. Servers that share it break off one response together.
 	Requests *atomic.Int64
 }
 
-// Serve answers requests, one on each connection, until l is closed.
+// Serve answers one request on each connection until l is closed.
 func (s *BrokenServer) Serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -53,7 +111,8 @@
 	}
 }
 
-// serveConn answers the first request on a connection.
+// serveConn answers the first request on a connection. Errors mean that the daemon has closed
+// the connection.
 func (s *BrokenServer) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
@@ -70,42 +129,11 @@
 	if s.Requests.Add(1) > 1 {
 		body := s.Rest(r)
 		header.Set("Connection", "close")
-		header.Set("Content-Length", fmt.Sprint(len(body)))
-		_ = writeHead(c, header)
-		_, _ = io.WriteString(c, body)
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+		_ = writeResponse(c, header, body)
 		return
 	}
-	part := s.Body[:s.Sent]
-	switch s.Framing {
-	case conns.Length:
-		header.Set("Content-Length", fmt.Sprint(len(s.Body)))
-	case conns.Chunked:
-		header.Set("Transfer-Encoding", "chunked")
-		if part != "" {
-			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-		}
-	}
-	_ = writeHead(c, header)
-	_, _ = io.WriteString(c, part)
-	switch s.Ending {
-	case Reset:
-		time.Sleep(resetDelay)
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-	case Silent:
-		_, _ = c.Read(make([]byte, 1))
-	}
-}
-
-// writeHead writes the head of a response with status 200.
-func writeHead(w io.Writer, h http.Header) error {
-	if _, err := io.WriteString(w, "HTTP/1.1 200 OK\r\n"); err != nil {
-		return err
-	}
-	if err := h.Write(w); err != nil {
-		return err
-	}
-	_, err := io.WriteString(w, "\r\n")
-	return err
+	response := s.Response
+	response.Header = header
+	_ = response.Send(c)
 }
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -19,22 +19,20 @@
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 )
 
-// startBroken starts s, which answers the requests after the first one, from the event after
-// the header Last on, with the rest of the body.
-func startBroken(t *testing.T, s fakes.BrokenServer) string {
+// startBroken starts a server that breaks off the response to the first of all requests. It
+// answers the others, from the event after the header Last on, with the rest of the body.
+func startBroken(t *testing.T, b fakes.BrokenResponse, requests *atomic.Int64) string {
 	t.Helper()
-	if s.Requests == nil {
-		s.Requests = &atomic.Int64{}
-	}
+	s := fakes.BrokenServer{Response: b, Requests: requests}
 	s.Header = func(r *http.Request) http.Header {
 		return http.Header{"Id": {r.Header.Get("Id")}, "Stamp": {"1"}, "Content-Type": {"text/event-stream"}}
 	}
 	s.Rest = func(r *http.Request) string {
 		last := r.Header.Get("Last")
 		if last == "" {
-			return s.Body
+			return b.Body
 		}
-		_, rest, _ := strings.Cut(s.Body, "data: e"+last+"\n\n")
+		_, rest, _ := strings.Cut(b.Body, "data: e"+last+"\n\n")
 		return rest
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -80,7 +78,7 @@
 // TestStreamWithoutEventsIsNotComplete guards against a stream that is forwarded as complete
 // because its connection was closed before the first event.
 func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
-	fx := newFixtureWithServers(t, nil, streamKind, startBroken(t, fakes.BrokenServer{Framing: conns.UntilClose, Body: eventText(0, 3), Ending: fakes.Closed}))
+	fx := newFixtureWithServers(t, nil, streamKind, startBroken(t, fakes.BrokenResponse{Framing: conns.UntilClose, Body: eventText(0, 3), Ending: fakes.Closed}, &atomic.Int64{}))
 	got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
@@ -89,8 +87,8 @@
 // the error of a reset connection was lost.
 func TestResetStreamIsNotComplete(t *testing.T) {
 	for _, events := range []int{0, 2} {
-		b := fakes.BrokenServer{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, events-1)), Ending: fakes.Reset}
-		got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b)).callRaw(t, "HTTP/1.1", http.MethodGet)
+		b := fakes.BrokenResponse{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, events-1)), Ending: fakes.Reset}
+		got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b, &atomic.Int64{})).callRaw(t, "HTTP/1.1", http.MethodGet)
 		require.False(t, got.complete && got.status == http.StatusOK, "%d events: %+v", events, got)
 	}
 }
@@ -98,8 +96,8 @@
 // TestBrokenStreamIsNotCompleteForHTTP10 guards against a broken response whose end a caller
 // that uses HTTP/1.0 takes for complete, because its connection was closed without an error.
 func TestBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
-	b := fakes.BrokenServer{Framing: conns.Chunked, Body: eventText(0, 3), Sent: len(eventText(0, 1)), Ending: fakes.Reset}
-	got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b)).callRaw(t, "HTTP/1.0", http.MethodGet)
+	b := fakes.BrokenResponse{Framing: conns.Chunked, Body: eventText(0, 3), Sent: len(eventText(0, 1)), Ending: fakes.Reset}
+	got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b, &atomic.Int64{})).callRaw(t, "HTTP/1.0", http.MethodGet)
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
 
@@ -129,8 +127,8 @@
 							part := c.whole[:sent]
 							ended := framing == conns.UntilClose && end == fakes.Closed &&
 								(c.name == "call" || strings.HasSuffix(part, "\n\n"))
-							b := fakes.BrokenServer{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
-							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b)).callRaw(t, protocol, http.MethodGet)
+							b := fakes.BrokenResponse{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
+							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b, &atomic.Int64{})).callRaw(t, protocol, http.MethodGet)
 							require.Equal(t, ended, got.complete && got.status == http.StatusOK, "%+v", got)
 							if ended {
 								require.Equal(t, part, got.body)
@@ -156,8 +154,9 @@
 				}
 				t.Run(fmt.Sprintf("%s/%d/%s", framing, sent, end), func(t *testing.T) {
 					t.Parallel()
-					b := fakes.BrokenServer{Framing: framing, Body: stream, Sent: sent, Ending: end, Requests: &atomic.Int64{}}
-					fx := newFixtureWithServers(t, nil, route, startBroken(t, b), startBroken(t, b))
+					b := fakes.BrokenResponse{Framing: framing, Body: stream, Sent: sent, Ending: end}
+					requests := &atomic.Int64{}
+					fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
 					got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
 					require.True(t, got.complete, "%+v", got)
 					require.Equal(t, stream, got.body)
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -17,10 +17,10 @@
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
 )
 
-// startBroken starts s with the given content type and returns its address.
-func startBroken(t *testing.T, s fakes.BrokenServer, contentType string) string {
+// startBroken starts a server that breaks off the response to its first request.
+func startBroken(t *testing.T, b fakes.BrokenResponse, contentType string) string {
 	t.Helper()
-	s.Requests = &atomic.Int64{}
+	s := fakes.BrokenServer{Response: b, Requests: &atomic.Int64{}}
 	s.Header = func(*http.Request) http.Header { return http.Header{"Content-Type": {contentType}} }
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -63,7 +63,7 @@
 							t.Run(fmt.Sprintf("%s/%s/%s/%d/%s/%s", name, contentType, framing, sent, end, protocol), func(t *testing.T) {
 								t.Parallel()
 								ended := framing == conns.UntilClose && end == fakes.Closed && (contentType == "text/plain" || sent == 9)
-								s := fakes.BrokenServer{Framing: framing, Body: events, Sent: sent, Ending: end}
+								s := fakes.BrokenResponse{Framing: framing, Body: events, Sent: sent, Ending: end}
 								c := testConfig{doc: testDocument(), services: []string{startBroken(t, s, contentType)}}
 								if end == fakes.Silent {
 									c.serviceTimeout = 200 * time.Millisecond
--- a/limpetlab/link/link.go
+++ b/limpetlab/link/link.go
@@ -13,9 +13,11 @@
 package link
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -161,9 +163,15 @@
 }
 
 // copy copies bytes in one direction. When the direction ends, copy closes both
-// connections.
+// connections; if one of them was reset, it resets the other one.
 func (l *Link) copy(to, from net.Conn, toTarget bool) {
-	_, _ = io.Copy(&faultWriter{link: l, to: to, toTarget: toTarget}, from)
+	if _, err := io.Copy(&faultWriter{link: l, to: to, toTarget: toTarget}, from); errors.Is(err, syscall.ECONNRESET) {
+		for _, c := range []net.Conn{to, from} {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+		}
+	}
 	_ = to.Close()
 	_ = from.Close()
 	l.mu.Lock()
--- a/limpetlab/link/link_test.go
+++ b/limpetlab/link/link_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,3 +78,32 @@
 	require.Error(t, roundTrip(t, c, 5*time.Second))
 	require.NoError(t, roundTrip(t, dial(), 5*time.Second), "new connections must work after Reset")
 }
+
+// TestResetIsPassedOn guards against a link that turns the reset of a connection into its
+// proper end.
+func TestResetIsPassedOn(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "part")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	forward, err := link.Start(l.Addr().String())
+	require.NoError(t, err)
+	defer forward.Cut()
+	c, err := net.Dial("tcp4", forward.Address())
+	require.NoError(t, err)
+	received, err := io.ReadAll(c)
+	require.Equal(t, "part", string(received))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	_ = c.Close()
+}
--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -42,12 +42,19 @@
 // overlap, and waits until all faults have ended.
 func (r *run) injectFaults(ctx context.Context) {
 	end := time.Now().Add(r.config.Duration)
+	breaking, stop := context.WithDeadline(ctx, end)
+	defer stop()
+	// The random source is separate, so that the other faults of a seed stay the same.
+	breakRandom := rand.New(rand.NewPCG(r.config.Seed, 7))
+	r.running.Go(func() { r.breakResponses(breaking, breakRandom) })
 	for time.Now().Before(end) && ctx.Err() == nil {
 		kind := faultKinds[r.random.IntN(len(faultKinds))]
 		// Each fault has its own random source, so that the order in which overlapping
 		// faults draw numbers does not matter.
 		faultRandom := rand.New(rand.NewPCG(r.random.Uint64(), 3))
+		r.mu.Lock()
 		r.faults[kind.name]++
+		r.mu.Unlock()
 		r.running.Go(func() { kind.inject(r, faultRandom) })
 		select {
 		case <-ctx.Done():
@@ -174,6 +181,24 @@
 	e.SetFault(nil)
 }
 
+// breakResponses makes one server at a time answer a share of the calls without length and
+// chunks, or break off their responses, until ctx ends.
+func (r *run) breakResponses(ctx context.Context, random *rand.Rand) {
+	servers := slices.Concat(r.platform.Engines, []*stand.Engine{r.platform.Plain})
+	for ctx.Err() == nil {
+		e := servers[random.IntN(len(servers))]
+		r.mu.Lock()
+		r.faults["broken_responses"]++
+		r.mu.Unlock()
+		e.SetResponseFault(randomFaults(random, 0.1+0.4*random.Float64(), stand.Unframed, stand.Broken))
+		select {
+		case <-ctx.Done():
+		case <-time.After(randomDuration(random, 300*time.Millisecond, 2*time.Second)):
+		}
+		e.SetResponseFault(nil)
+	}
+}
+
 // disturbLink cuts, silences or slows a link for a while, or resets its connections.
 func disturbLink(l *link.Link, random *rand.Rand) {
 	duration := randomDuration(random, 100*time.Millisecond, 3*time.Second)
