front: Log and count each response that a server broke off

request_ended describes only the last attempt of a call, so that nothing told how the response of an engine had broken whose stream was resumed on another one.

response_broken has the framing, the bytes and events that arrived and the read error of the connection, and front_broken counts these responses; TestBrokenResponseIsLogged. The tests of broken responses also cover callers that close the connection after the response or ask HTTP/1.0 to keep it.

--- a/limpetd/abort/abort_test.go
+++ b/limpetd/abort/abort_test.go
@@ -29,6 +29,7 @@
 		abort.Response(w, r)
 	}))
 	if secure {
+		s.EnableHTTP2 = true
 		s.StartTLS()
 	} else {
 		s.Start()
@@ -57,11 +58,14 @@
 }
 
 func TestAbortedResponseIsIncomplete(t *testing.T) {
-	s := startServer(t, false)
-	response, err := http.Get(s.URL + "/part")
-	require.NoError(t, err)
-	body, err := io.ReadAll(response.Body)
-	require.Error(t, err)
-	require.Equal(t, "part", string(body))
-	require.NoError(t, response.Body.Close())
+	for _, version := range []int{1, 2} {
+		s := startServer(t, version == 2)
+		response, err := s.Client().Get(s.URL + "/part")
+		require.NoError(t, err)
+		require.Equal(t, version, response.ProtoMajor)
+		body, err := io.ReadAll(response.Body)
+		require.Error(t, err)
+		require.Equal(t, "part", string(body))
+		require.NoError(t, response.Body.Close())
+	}
 }
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
@@ -263,13 +264,25 @@
 // handleFailure handles a server that was reached and did not answer properly.
 func (a *attempt) handleFailure(ctx context.Context, err error) bool {
 	result := sched.Broken
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		result = sched.Cancelled
+	case a.call.outcome.received.framing != "":
+		a.recordBroken(err)
 	}
 	a.finish(result)
 	return a.call.retryOrEnd(ctx, code.BackendLost, err.Error())
 }
 
+// recordBroken logs and counts a response that the server broke off.
+func (a *attempt) recordBroken(err error) {
+	f, received := a.call.front, a.call.outcome.received
+	f.metrics.broken.Inc(1)
+	f.deps.Log.Info("response_broken", append([]zap.Field{
+		zap.String("request", a.call.info.ID), zap.String("server", a.server.ID), zap.String("reason", err.Error()),
+	}, received.fields(a.conn.ReadError())...)...)
+}
+
 // forwardBuffered reads a response that is not an event stream to its end and forwards it,
 // or keeps a failure for the case that no later attempt succeeds. It returns true if the call
 // is to be sent again.
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -50,14 +50,15 @@
 	complete bool
 }
 
-// callRaw sends a call in the given version of HTTP and reads the response.
-func (fx *fixture) callRaw(t *testing.T, protocol, method string) received {
+// callRaw sends a call in the given version of HTTP, with additional header lines, and reads
+// the response.
+func (fx *fixture) callRaw(t *testing.T, protocol, method string, headers ...string) received {
 	t.Helper()
 	c, err := net.Dial("tcp4", strings.TrimPrefix(fx.url, "http://"))
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
 	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
-	_, err = fmt.Fprintf(c, "%s /r/1 %s\r\nHost: 127.0.0.1\r\nId: x1\r\nModel: m\r\n\r\n", method, protocol)
+	_, err = fmt.Fprintf(c, "%s /r/1 %s\r\nHost: 127.0.0.1\r\nId: x1\r\nModel: m\r\n%s\r\n", method, protocol, strings.Join(headers, ""))
 	require.NoError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	if err != nil {
@@ -71,8 +72,8 @@
 
 // streamKind and callKind are routes to one server. Their timeout ends the silent responses.
 var (
-	streamKind = layout.Route{Kind: layout.Stream, MaxAttempts: 1, ToEngines: true, Expectation: time.Second, Timeout: 500 * time.Millisecond}
-	callKind   = layout.Route{Kind: layout.Idempotent, MaxAttempts: 1, Timeout: 500 * time.Millisecond}
+	streamKind = layout.Route{Kind: layout.Stream, MaxAttempts: 1, ToEngines: true, Expectation: time.Second, Timeout: 300 * time.Millisecond}
+	callKind   = layout.Route{Kind: layout.Idempotent, MaxAttempts: 1, Timeout: 300 * time.Millisecond}
 )
 
 // TestStreamWithoutEventsIsNotComplete guards against a stream that is forwarded as complete
@@ -101,6 +102,14 @@
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
 
+// callers are the ways in which callers let responses end.
+var callers = []struct{ name, protocol, header string }{
+	{"1.1", "HTTP/1.1", ""},
+	{"1.1_close", "HTTP/1.1", "Connection: close\r\n"},
+	{"1.0", "HTTP/1.0", ""},
+	{"1.0_keep_alive", "HTTP/1.0", "Connection: keep-alive\r\n"},
+}
+
 // TestBrokenResponseLooksBroken breaks off responses of each framing at each point. A response
 // that ends with its connection is complete if the server closes the connection and, in a
 // stream, the last event is complete.
@@ -120,15 +129,15 @@
 		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 			for _, sent := range c.sent {
 				for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset, fakes.Silent} {
-					for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
-						name := fmt.Sprintf("%s/%s/%d/%s/%s", c.name, framing, sent, end, protocol)
+					for _, caller := range callers {
+						name := fmt.Sprintf("%s/%s/%d/%s/%s", c.name, framing, sent, end, caller.name)
 						t.Run(name, func(t *testing.T) {
 							t.Parallel()
 							part := c.whole[:sent]
 							ended := framing == conns.UntilClose && end == fakes.Closed &&
 								(c.name == "call" || strings.HasSuffix(part, "\n\n"))
 							b := fakes.BrokenResponse{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
-							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b, &atomic.Int64{})).callRaw(t, protocol, http.MethodGet)
+							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
 							require.Equal(t, ended, got.complete && got.status == http.StatusOK, "%+v", got)
 							if ended {
 								require.Equal(t, part, got.body)
@@ -166,6 +175,23 @@
 	}
 }
 
+// TestBrokenResponseIsLogged checks that the log tells how a broken response was framed, how
+// much of it arrived and how its connection ended, also if the stream was resumed.
+func TestBrokenResponseIsLogged(t *testing.T) {
+	route := layout.Route{Kind: layout.Stream, Resumable: true, MaxAttempts: 2, ToEngines: true, Expectation: time.Second}
+	b := fakes.BrokenResponse{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, 1)) + 3, Ending: fakes.Reset}
+	requests := &atomic.Int64{}
+	fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
+	require.True(t, fx.callRaw(t, "HTTP/1.1", http.MethodGet).complete)
+	lines := fx.logs.FilterMessage("response_broken").All()
+	require.Len(t, lines, 1)
+	fields := lines[0].ContextMap()
+	require.Equal(t, "close", fields["framing"])
+	require.EqualValues(t, b.Sent, fields["bytes"])
+	require.EqualValues(t, 2, fields["events"])
+	require.Contains(t, fields["read_error"], "reset by peer")
+}
+
 // TestResponseWithoutBodyIsComplete guards against waiting for the events of a response to HEAD.
 func TestResponseWithoutBodyIsComplete(t *testing.T) {
 	fx := newFixture(t, streamKind, func(w http.ResponseWriter, _ *http.Request) {
--- a/limpetd/front/front_test.go
+++ b/limpetd/front/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/front"
@@ -58,6 +59,7 @@
 type fixture struct {
 	front  *front.Front
 	loader *loader
+	logs   *observer.ObservedLogs
 	url    string
 }
 
@@ -88,9 +90,10 @@
 			Models: map[string]layout.HeldModel{"m": {}},
 		})
 	}
-	fx := &fixture{loader: &loader{}}
+	core, logs := observer.New(zap.InfoLevel)
+	fx := &fixture{loader: &loader{}, logs: logs}
 	fx.front = front.New(t.Context(), front.Deps{
-		Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: fx.loader, Reserver: r, Log: zap.NewNop(), Scope: tally.NoopScope,
+		Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: fx.loader, Reserver: r, Log: zap.New(core), Scope: tally.NoopScope,
 	}, front.WithSettings(sched.Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}))
 	route.Host, route.Prefix, route.Targets = "127.0.0.1", "/r/", []layout.Target{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -97,6 +97,18 @@
 	readError error
 }
 
+// fields returns the log fields of what was received and of the read error of the connection.
+func (r received) fields(readError error) []zap.Field {
+	var fields []zap.Field
+	if r.framing != "" {
+		fields = append(fields, zap.String("framing", string(r.framing)), zap.Int("bytes", r.bytes), zap.Int("events", r.events))
+	}
+	if readError != nil {
+		fields = append(fields, zap.String("read_error", readError.Error()))
+	}
+	return fields
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
@@ -238,12 +250,7 @@
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
-	if o.received.framing != "" {
-		fields = append(fields, zap.String("framing", string(o.received.framing)), zap.Int("bytes", o.received.bytes), zap.Int("events", o.received.events))
-	}
-	if o.received.readError != nil {
-		fields = append(fields, zap.String("read_error", o.received.readError.Error()))
-	}
+	fields = append(fields, o.received.fields(o.received.readError)...)
 	if o.reason != "" {
 		fields = append(fields, zap.String("reason", o.reason))
 	}
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -15,6 +15,8 @@
 	callersGone tally.Counter
 	retried     tally.Counter
 	resumed     tally.Counter
+	// broken counts the responses that servers broke off.
+	broken tally.Counter
 	// firstEvent, total and maxPause measure answered calls: the time to the first event or to
 	// the response, the time to the end of the response, and the longest pause between events.
 	firstEvent tally.Histogram
@@ -33,6 +35,7 @@
 		callersGone: s.Counter("callers_left"),
 		retried:     s.Counter("repeated"),
 		resumed:     s.Counter("resumed"),
+		broken:      s.Counter("broken"),
 		firstEvent:  s.Histogram("first_event", buckets),
 		total:       s.Histogram("answer", buckets),
 		maxPause:    s.Histogram("pause", buckets),
