abort, front, gate: Keep a daemon's end from completing an HTTP/1.0 response

A caller that uses HTTP/1.0 got a part of a stream as complete when the daemon was killed or stopped while it forwarded the stream.

Cause: the system closes the connections of a process that ends, and to HTTP/1.0 the end of the connection is the end of a response without a length. The daemon could reset the connection only of responses that it aborted itself.

TestStreamOfEndedDaemonIsNotComplete and TestResponseOfEndedDaemonIsNotComplete fail without abort.Begin.

abort.Begin makes a reset the end of the connection before the first byte of a response without a length, and abort.Complete restores the proper end when all of it has been passed to the system. The connection comes from ConnContext of the server, in place of Hijack.

The soak now prints the calls with a wrong answer.

--- a/limpetd/abort/abort_test.go
+++ b/limpetd/abort/abort_test.go
@@ -16,18 +16,31 @@
 	"github.com/limpetlb/limpetlb/limpetd/abort"
 )
 
-// startServer starts a server whose response to /part is aborted after its first bytes, and
-// before them otherwise.
+// startServer starts a server. It aborts the response to /part after the first bytes, closes
+// all connections at this point of the response to /closed, completes the response to /whole,
+// and aborts other responses before they begin.
 func startServer(t *testing.T, secure bool) *httptest.Server {
 	t.Helper()
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/part" {
-			_, _ = io.WriteString(w, "part")
-			_ = http.NewResponseController(w).Flush()
-			time.Sleep(20 * time.Millisecond)
+		abort.Begin(r)
+		if r.URL.Path == "/" {
+			abort.Response(r)
+		}
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+		switch r.URL.Path {
+		case "/part":
+			abort.Response(r)
+		case "/closed":
+			// As at the end of a process, the TCP connection is closed without TLS.
+			_ = abort.ConnOf(r).Close()
+		default:
+			_, _ = io.WriteString(w, " whole")
+			abort.Complete(w, r)
 		}
-		abort.Response(w, r)
 	}))
+	s.Config.ConnContext = abort.ConnContext
 	if secure {
 		s.EnableHTTP2 = true
 		s.StartTLS()
@@ -40,7 +53,7 @@
 
 func TestAbortedHTTP10ResponseEndsWithError(t *testing.T) {
 	for _, secure := range []bool{false, true} {
-		for _, path := range []string{"/part", "/"} {
+		for _, path := range []string{"/part", "/closed", "/"} {
 			s := startServer(t, secure)
 			c, err := net.Dial("tcp4", s.Listener.Addr().String())
 			require.NoError(t, err)
@@ -51,12 +64,29 @@
 			require.NoError(t, err)
 			received, err := io.ReadAll(c)
 			require.ErrorIs(t, err, syscall.ECONNRESET, "%s", received)
-			require.Equal(t, path == "/part", len(received) > 0)
+			require.Equal(t, path != "/", len(received) > 0)
 			_ = c.Close() // fails: the connection was reset
 		}
 	}
 }
 
+func TestCompletedHTTP10ResponseEndsProperly(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		s := startServer(t, secure)
+		c, err := net.Dial("tcp4", s.Listener.Addr().String())
+		require.NoError(t, err)
+		if secure {
+			c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+		}
+		_, err = fmt.Fprintf(c, "GET /whole HTTP/1.0\r\n\r\n")
+		require.NoError(t, err)
+		received, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Contains(t, string(received), "part whole")
+		require.NoError(t, c.Close())
+	}
+}
+
 func TestAbortedResponseIsIncomplete(t *testing.T) {
 	for _, version := range []int{1, 2} {
 		s := startServer(t, version == 2)
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -70,6 +70,23 @@
 	return received{response.StatusCode, string(body), err == nil}
 }
 
+// TestStreamOfEndedDaemonIsNotComplete guards against a stream that looks complete to a caller
+// that uses HTTP/1.0 because the daemon ended, which closes its connections.
+func TestStreamOfEndedDaemonIsNotComplete(t *testing.T) {
+	for _, caller := range callers {
+		fx := newFixture(t, streamKind, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, eventText(0, 1))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})
+		time.AfterFunc(100*time.Millisecond, fx.server.CloseClientConnections)
+		got := fx.callRaw(t, caller.protocol, http.MethodGet, caller.header)
+		require.False(t, got.complete, "%s: %+v", caller.name, got)
+		require.Equal(t, eventText(0, 1), got.body, caller.name)
+	}
+}
+
 // streamKind and callKind are routes to one server. Their timeout ends the silent responses.
 var (
 	streamKind = layout.Route{Kind: layout.Stream, MaxAttempts: 1, ToEngines: true, Expectation: time.Second, Timeout: 300 * time.Millisecond}
--- a/limpetd/front/front_test.go
+++ b/limpetd/front/front_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/front"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
@@ -60,6 +61,7 @@
 	front  *front.Front
 	loader *loader
 	logs   *observer.ObservedLogs
+	server *httptest.Server
 	url    string
 }
 
@@ -105,9 +107,11 @@
 	}
 	fx.front.Apply(&layout.Config{Version: 1, Routes: []layout.Route{route}, Services: map[string]*layout.Service{"s": service}})
 	fx.front.SetServers(servers)
-	s := httptest.NewServer(fx.front)
-	t.Cleanup(s.Close)
-	fx.url = s.URL
+	fx.server = httptest.NewUnstartedServer(fx.front)
+	fx.server.Config.ConnContext = abort.ConnContext
+	fx.server.Start()
+	t.Cleanup(fx.server.Close)
+	fx.url = fx.server.URL
 	return fx
 }
 
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -126,7 +126,7 @@
 	}
 	c.recordOutcome()
 	if c.outcome.status == statusAborted {
-		abort.Response(w, r)
+		abort.Response(r)
 	}
 }
 
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
@@ -48,6 +49,7 @@
 	if err == nil {
 		a.conn.Release(resp)
 		a.finish(sched.Answered)
+		abort.Complete(c.writer, c.request)
 		c.outcome.result, c.outcome.status = code.OK, http.StatusOK
 		if reserver := c.front.deps.Reserver; reserver != nil && c.schedCall.Route.MaxPause > 0 && c.outcome.attempts == 1 {
 			reserver.RecordStream(c.schedCall.Service, c.maxPause > c.schedCall.Route.MaxPause)
@@ -126,6 +128,7 @@
 	}
 	c.responseBegun = true
 	c.firstAt = time.Now()
+	abort.Begin(c.request)
 	copyHeader(c.writer.Header(), resp.Header)
 	c.writeHead(resp.StatusCode)
 }
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -78,3 +78,14 @@
 		}
 	}
 }
+
+// TestResponseOfEndedDaemonIsNotComplete guards against a response of a plain service that looks
+// complete because the daemon ended, which closes its connections.
+func TestResponseOfEndedDaemonIsNotComplete(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		s := fakes.BrokenResponse{Framing: conns.UntilClose, Body: "body", Sent: 2, Ending: fakes.Silent}
+		g := startGate(t, testConfig{doc: testDocument(), services: []string{startBroken(t, s, "text/plain")}})
+		time.AfterFunc(100*time.Millisecond, g.server.CloseClientConnections)
+		require.False(t, g.receivesComplete(t, protocol, "GET /services/app/schedule/x"), protocol)
+	}
+}
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -52,6 +52,8 @@
 	// error then aborts the connection, so that the caller does not take a
 	// truncated response for a complete one.
 	proxied bool
+	// unframed reports whether the response has no length.
+	unframed bool
 }
 
 // callerHandler returns an HTTP handler for requests that need a caller's key.
@@ -244,6 +246,12 @@
 	_, _ = x.writer.Write(body)
 }
 
+// beginUnframed is called before a response without a length is written.
+func (x *exchange) beginUnframed() {
+	x.unframed = true
+	abort.Begin(x.request)
+}
+
 // extendWriteDeadline sets the deadline for the caller to accept the next part of
 // the response.
 func (x *exchange) extendWriteDeadline() {
@@ -260,6 +268,9 @@
 	} else if x.headerWritten && !x.resultWritten {
 		x.setResult(code.OK, code.RunYes)
 	}
+	if x.unframed && (err == nil || !x.proxied) {
+		abort.Complete(x.writer, x.request)
+	}
 	_ = x.controller.SetWriteDeadline(time.Time{})
 	x.gate.metrics.record(c, x.gate.now().Sub(x.start))
 	kind := event.RequestEnded
@@ -271,7 +282,7 @@
 		x.logFailure(err)
 	}
 	if err != nil && x.proxied {
-		abort.Response(x.writer, x.request)
+		abort.Response(x.request)
 	}
 }
 
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -26,6 +26,7 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/batch"
 	"github.com/limpetlb/limpetlb/limpetd/claim"
 	"github.com/limpetlb/limpetlb/limpetd/code"
@@ -210,6 +211,7 @@
 func (g *Gate) Server() *http.Server {
 	return &http.Server{
 		Handler:           g.mux,
+		ConnContext:       abort.ConnContext,
 		MaxHeaderBytes:    headerLimitFactor * g.config.MaxHeaderBytes,
 		ReadHeaderTimeout: g.config.HeaderTimeout,
 		IdleTimeout:       g.config.IdleTimeout,
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -69,6 +69,7 @@
 // testGate is a running Gate with fakes of the platform and the engines.
 type testGate struct {
 	gate    *Gate
+	server  *httptest.Server
 	url     string
 	table   *fakes.Table
 	engines *fakes.Generator
@@ -120,7 +121,7 @@
 		require.NoError(t, claims.Wait())
 		require.NoError(t, batches.Wait())
 	})
-	return &testGate{gate: g, url: server.URL, table: c.table, engines: c.engines}
+	return &testGate{gate: g, server: server, url: server.URL, table: c.table, engines: c.engines}
 }
 
 // response is the HTTP response that a caller received.
--- a/limpetd/gate/generate.go
+++ b/limpetd/gate/generate.go
@@ -116,6 +116,7 @@
 	h := s.writer.Header()
 	h.Set("Content-Type", wire.EventStreamType)
 	h.Set("Cache-Control", "no-cache")
+	s.beginUnframed()
 	s.headerWritten = true
 	s.writer.WriteHeader(http.StatusOK)
 }
--- a/limpetd/gate/service.go
+++ b/limpetd/gate/service.go
@@ -171,6 +171,9 @@
 	x.setResult(code.OK, relay.RunFromResponse(status, h))
 	x.headerWritten = true
 	x.proxied = true
+	if length == "" {
+		x.beginUnframed()
+	}
 	x.extendWriteDeadline()
 	x.writer.WriteHeader(status)
 	return x.copyBody(body, length == "")
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -23,6 +23,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -217,7 +218,7 @@
 func (r *run) check(storm, calm stand.Counts) {
 	for _, c := range []stand.Counts{storm, calm} {
 		if c.WrongResponse > 0 {
-			r.recordViolation("%d answers that were incomplete or belonged to another call", c.WrongResponse)
+			r.recordViolation("%d answers that were incomplete or belonged to another call: %s", c.WrongResponse, strings.Join(c.WrongCalls, ", "))
 		}
 		if c.RanTwice > 0 {
 			r.recordViolation("%d calls that may run once ran more than once", c.RanTwice)
