front: Forward what follows the last event of a stream

Blank lines and comments after the last event of a complete stream were dropped, so that the caller got a body that differs from that of the engine.

Cause: copyEvents forwards up to the last end of an event, and only looked at the rest to tell whether the stream was complete.

Evidence: TestStreamIsForwardedUnchanged fails without the change.

--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -57,8 +57,9 @@
 
 // The values of Framing.
 const (
-	// Length means a Content-Length, or that there is no body, Chunked the chunked transfer encoding.
-	Length  Framing = "length"
+	// Length means a Content-Length, or that there is no body.
+	Length Framing = "length"
+	// Chunked means the chunked transfer encoding.
 	Chunked Framing = "chunked"
 	// UntilClose means that the body ends with its connection.
 	UntilClose Framing = "close"
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -276,11 +276,11 @@
 
 // recordBroken logs and counts a response that the server broke off.
 func (a *attempt) recordBroken(err error) {
-	f, received := a.call.front, a.call.outcome.received
+	f, got := a.call.front, a.call.outcome.received
 	f.metrics.broken.Inc(1)
 	f.deps.Log.Info("response_broken", append([]zap.Field{
 		zap.String("request", a.call.info.ID), zap.String("server", a.server.ID), zap.String("reason", err.Error()),
-	}, received.fields(a.conn.ReadError())...)...)
+	}, got.fields(a.conn.ReadError())...)...)
 }
 
 // forwardBuffered reads a response that is not an event stream to its end and forwards it,
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -216,3 +216,18 @@
 	})
 	require.Equal(t, received{http.StatusOK, "", true}, fx.callRaw(t, "HTTP/1.1", http.MethodHead))
 }
+
+// TestStreamIsForwardedUnchanged sends streams with other line ends, comments, and bytes after
+// the last event.
+func TestStreamIsForwardedUnchanged(t *testing.T) {
+	for _, stream := range []string{"data: a\r\n\r\ndata: b\r\n\r\n", "data: a\r\r", ": a\n\ndata: b\n\n: c\n", "data: a\n\n\n\n", ": a\n"} {
+		for _, framing := range []conns.Framing{conns.Length, conns.UntilClose} {
+			if framing == conns.UntilClose && !strings.Contains(stream, "data") {
+				continue // no event
+			}
+			whole := fakes.BrokenResponse{Framing: framing, Body: stream, Sent: len(stream), Ending: fakes.Closed}
+			got := newFixtureWithServers(t, nil, streamKind, startBroken(t, whole, &atomic.Int64{})).callRaw(t, "HTTP/1.1", http.MethodGet)
+			require.Equal(t, received{http.StatusOK, stream, true}, got, "%s %q", framing, stream)
+		}
+	}
+}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -109,7 +109,7 @@
 			if !c.responseBegun {
 				a.beginResponse(resp, r)
 			}
-			return nil
+			return c.writeRest(unsent)
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil:
@@ -118,6 +118,17 @@
 	}
 }
 
+// writeRest writes what follows the last event of a complete stream: blank lines and comments.
+func (c *call) writeRest(rest []byte) error {
+	if len(rest) == 0 {
+		return nil
+	}
+	if _, err := c.writer.Write(rest); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	return nil
+}
+
 // beginResponse writes the head of the response to the caller, unless the head was written
 // by an earlier attempt.
 func (a *attempt) beginResponse(resp *http.Response, r ResponseHeaders) {
