--- a/limpetd/admin/broken_test.go
+++ b/limpetd/admin/broken_test.go
@@ -8,17 +8,17 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetlb/limpetlb/limpetd/admin"
+	"github.com/limpetlb/limpetlb/limpetd/broken"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
-	"github.com/limpetlb/limpetlb/limpetd/fakes"
 )
 
 // TestBrokenResponseIsAnError breaks off the response to an operator at each byte.
 func TestBrokenResponseIsAnError(t *testing.T) {
 	const body = `{"events":[{"kind":"x"}]}`
 	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-		for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset} {
+		for _, end := range []broken.Ending{broken.Closed, broken.Reset} {
 			for sent := range len(body) + 1 {
-				s := fakes.BrokenServer{Requests: &atomic.Int64{}, Response: fakes.BrokenResponse{Framing: framing, Body: body, Sent: sent, Ending: end}}
+				s := broken.Server{Requests: &atomic.Int64{}, Response: broken.Response{Framing: framing, Body: body, Sent: sent, Ending: end}}
 				l, err := net.Listen("tcp4", "127.0.0.1:0")
 				require.NoError(t, err)
 				go s.Serve(l)
--- a/limpetd/fakes/broken.go
+++ b/limpetd/broken/broken.go
@@ -1,4 +1,13 @@
-package fakes
+// Package broken simulates backend servers that break off responses, for tests: with each
+// framing, at any point of the body, by closing or resetting the connection or by silence.
+//
+// # Usage
+//
+//	s := broken.Server{Requests: &atomic.Int64{}, Response: broken.Response{
+//		Framing: conns.Chunked, Body: "data: a\n\n", Sent: 3, Ending: broken.Reset,
+//	}}
+//	go s.Serve(listener) // until listener is closed
+package broken
 
 import (
 	"bufio"
@@ -33,8 +42,8 @@
 	silentTimeout = 30 * time.Second
 )
 
-// BrokenResponse is a response with status 200 that a server breaks off.
-type BrokenResponse struct {
+// Response is a response with status 200 that a server breaks off.
+type Response struct {
 	Framing conns.Framing
 	// Header holds the headers besides those of the framing.
 	Header http.Header
@@ -46,7 +55,7 @@
 
 // Send writes the response to c and closes c. A silent response ends when the other side
 // closes the connection, or after silentTimeout.
-func (b BrokenResponse) Send(c net.Conn) error {
+func (b Response) Send(c net.Conn) error {
 	header := b.Header.Clone()
 	if header == nil {
 		header = http.Header{}
@@ -88,10 +97,10 @@
 	return err
 }
 
-// BrokenServer is a backend server that breaks off the response to the first request.
-type BrokenServer struct {
+// Server is a backend server that breaks off the response to the first request.
+type Server struct {
 	// Response is the response to the first request.
-	Response BrokenResponse
+	Response Response
 	// Header returns the headers of a response besides those of its framing; nil for none.
 	Header func(*http.Request) http.Header
 	// Rest returns the bodies of the other responses.
@@ -101,7 +110,7 @@
 }
 
 // Serve answers one request on each connection until l is closed.
-func (s *BrokenServer) Serve(l net.Listener) {
+func (s *Server) Serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -113,7 +122,7 @@
 
 // serveConn answers the first request on a connection. Errors mean that the daemon has closed
 // the connection.
-func (s *BrokenServer) serveConn(c net.Conn) {
+func (s *Server) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
--- a/limpetd/engine/broken_test.go
+++ b/limpetd/engine/broken_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/broken"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
-	"github.com/limpetlb/limpetlb/limpetd/fakes"
 )
 
 // TestBrokenFramesAreNotComplete breaks off a stream of frames at each byte. Only a stream whose
@@ -25,11 +25,11 @@
 		whole = first + `{"attempt":"a","offset":1,"done":true,"reason":"stop"}` + "\n"
 	)
 	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-		for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset} {
+		for _, end := range []broken.Ending{broken.Closed, broken.Reset} {
 			for sent := range len(whole) + 1 {
 				t.Run(fmt.Sprintf("%s/%s/%d", framing, end, sent), func(t *testing.T) {
 					t.Parallel()
-					s := fakes.BrokenServer{Requests: &atomic.Int64{}, Response: fakes.BrokenResponse{Framing: framing, Body: whole, Sent: sent, Ending: end}}
+					s := broken.Server{Requests: &atomic.Int64{}, Response: broken.Response{Framing: framing, Body: whole, Sent: sent, Ending: end}}
 					l, err := net.Listen("tcp4", "127.0.0.1:0")
 					require.NoError(t, err)
 					defer func() { require.NoError(t, l.Close()) }()
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -14,16 +14,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/broken"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
-	"github.com/limpetlb/limpetlb/limpetd/fakes"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 )
 
 // startBroken starts a server that breaks off the response to the first of all requests. It
 // answers the others, from the event after the header Last on, with the rest of the body.
-func startBroken(t *testing.T, b fakes.BrokenResponse, requests *atomic.Int64) string {
+func startBroken(t *testing.T, b broken.Response, requests *atomic.Int64) string {
 	t.Helper()
-	s := fakes.BrokenServer{Response: b, Requests: requests}
+	s := broken.Server{Response: b, Requests: requests}
 	s.Header = func(r *http.Request) http.Header {
 		return http.Header{"Id": {r.Header.Get("Id")}, "Stamp": {"1"}, "Content-Type": {"text/event-stream"}}
 	}
@@ -96,7 +96,7 @@
 // TestStreamWithoutEventsIsNotComplete guards against a stream that is forwarded as complete
 // because its connection was closed before the first event.
 func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
-	fx := newFixtureWithServers(t, nil, streamKind, startBroken(t, fakes.BrokenResponse{Framing: conns.UntilClose, Body: eventText(0, 3), Ending: fakes.Closed}, &atomic.Int64{}))
+	fx := newFixtureWithServers(t, nil, streamKind, startBroken(t, broken.Response{Framing: conns.UntilClose, Body: eventText(0, 3), Ending: broken.Closed}, &atomic.Int64{}))
 	got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
@@ -105,7 +105,7 @@
 // the error of a reset connection was lost.
 func TestResetStreamIsNotComplete(t *testing.T) {
 	for _, events := range []int{0, 2} {
-		b := fakes.BrokenResponse{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, events-1)), Ending: fakes.Reset}
+		b := broken.Response{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, events-1)), Ending: broken.Reset}
 		got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b, &atomic.Int64{})).callRaw(t, "HTTP/1.1", http.MethodGet)
 		require.False(t, got.complete && got.status == http.StatusOK, "%d events: %+v", events, got)
 	}
@@ -114,7 +114,7 @@
 // TestBrokenStreamIsNotCompleteForHTTP10 guards against a broken response whose end a caller
 // that uses HTTP/1.0 takes for complete, because its connection was closed without an error.
 func TestBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
-	b := fakes.BrokenResponse{Framing: conns.Chunked, Body: eventText(0, 3), Sent: len(eventText(0, 1)), Ending: fakes.Reset}
+	b := broken.Response{Framing: conns.Chunked, Body: eventText(0, 3), Sent: len(eventText(0, 1)), Ending: broken.Reset}
 	got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b, &atomic.Int64{})).callRaw(t, "HTTP/1.0", http.MethodGet)
 	require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
 }
@@ -145,15 +145,15 @@
 	} {
 		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 			for _, sent := range c.sent {
-				for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset, fakes.Silent} {
+				for _, end := range []broken.Ending{broken.Closed, broken.Reset, broken.Silent} {
 					for _, caller := range callers {
 						name := fmt.Sprintf("%s/%s/%d/%s/%s", c.name, framing, sent, end, caller.name)
 						t.Run(name, func(t *testing.T) {
 							t.Parallel()
 							part := c.whole[:sent]
-							ended := framing == conns.UntilClose && end == fakes.Closed &&
+							ended := framing == conns.UntilClose && end == broken.Closed &&
 								(c.name == "call" || strings.HasSuffix(part, "\n\n"))
-							b := fakes.BrokenResponse{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
+							b := broken.Response{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
 							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
 							require.Equal(t, ended, got.complete && got.status == http.StatusOK, "%+v", got)
 							if ended {
@@ -174,13 +174,13 @@
 	stream := eventText(0, 3)
 	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 		for _, sent := range []int{0, 5, len(eventText(0, 1)), len(stream) - 1} {
-			for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset} {
-				if framing == conns.UntilClose && end == fakes.Closed && sent == len(eventText(0, 1)) {
+			for _, end := range []broken.Ending{broken.Closed, broken.Reset} {
+				if framing == conns.UntilClose && end == broken.Closed && sent == len(eventText(0, 1)) {
 					continue // complete by the framing
 				}
 				t.Run(fmt.Sprintf("%s/%d/%s", framing, sent, end), func(t *testing.T) {
 					t.Parallel()
-					b := fakes.BrokenResponse{Framing: framing, Body: stream, Sent: sent, Ending: end}
+					b := broken.Response{Framing: framing, Body: stream, Sent: sent, Ending: end}
 					requests := &atomic.Int64{}
 					fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
 					got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
@@ -196,7 +196,7 @@
 // much of it arrived and how its connection ended, also if the stream was resumed.
 func TestBrokenResponseIsLogged(t *testing.T) {
 	route := layout.Route{Kind: layout.Stream, Resumable: true, MaxAttempts: 2, ToEngines: true, Expectation: time.Second}
-	b := fakes.BrokenResponse{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, 1)) + 3, Ending: fakes.Reset}
+	b := broken.Response{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, 1)) + 3, Ending: broken.Reset}
 	requests := &atomic.Int64{}
 	fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
 	require.True(t, fx.callRaw(t, "HTTP/1.1", http.MethodGet).complete)
@@ -225,7 +225,7 @@
 			if framing == conns.UntilClose && !strings.Contains(stream, "data") {
 				continue // no event
 			}
-			whole := fakes.BrokenResponse{Framing: framing, Body: stream, Sent: len(stream), Ending: fakes.Closed}
+			whole := broken.Response{Framing: framing, Body: stream, Sent: len(stream), Ending: broken.Closed}
 			got := newFixtureWithServers(t, nil, streamKind, startBroken(t, whole, &atomic.Int64{})).callRaw(t, "HTTP/1.1", http.MethodGet)
 			require.Equal(t, received{http.StatusOK, stream, true}, got, "%s %q", framing, stream)
 		}
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -13,14 +13,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/broken"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
-	"github.com/limpetlb/limpetlb/limpetd/fakes"
 )
 
 // startBroken starts a server that breaks off the response to its first request.
-func startBroken(t *testing.T, b fakes.BrokenResponse, contentType string) string {
+func startBroken(t *testing.T, b broken.Response, contentType string) string {
 	t.Helper()
-	s := fakes.BrokenServer{Response: b, Requests: &atomic.Int64{}}
+	s := broken.Server{Response: b, Requests: &atomic.Int64{}}
 	s.Header = func(*http.Request) http.Header { return http.Header{"Content-Type": {contentType}} }
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -57,15 +57,15 @@
 	for _, contentType := range []string{"text/plain", "text/event-stream; charset=utf-8"} {
 		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
 			for _, sent := range []int{0, 5, 8, 9, len(events) - 1} {
-				for _, end := range []fakes.Ending{fakes.Closed, fakes.Reset, fakes.Silent} {
+				for _, end := range []broken.Ending{broken.Closed, broken.Reset, broken.Silent} {
 					for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 						for name, call := range calls {
 							t.Run(fmt.Sprintf("%s/%s/%s/%d/%s/%s", name, contentType, framing, sent, end, protocol), func(t *testing.T) {
 								t.Parallel()
-								ended := framing == conns.UntilClose && end == fakes.Closed && (contentType == "text/plain" || sent == 9)
-								s := fakes.BrokenResponse{Framing: framing, Body: events, Sent: sent, Ending: end}
+								ended := framing == conns.UntilClose && end == broken.Closed && (contentType == "text/plain" || sent == 9)
+								s := broken.Response{Framing: framing, Body: events, Sent: sent, Ending: end}
 								c := testConfig{doc: testDocument(), services: []string{startBroken(t, s, contentType)}}
-								if end == fakes.Silent {
+								if end == broken.Silent {
 									c.serviceTimeout = 200 * time.Millisecond
 								}
 								g := startGate(t, c)
@@ -83,7 +83,7 @@
 // complete because the daemon ended, which closes its connections.
 func TestResponseOfEndedDaemonIsNotComplete(t *testing.T) {
 	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
-		s := fakes.BrokenResponse{Framing: conns.UntilClose, Body: "body", Sent: 2, Ending: fakes.Silent}
+		s := broken.Response{Framing: conns.UntilClose, Body: "body", Sent: 2, Ending: broken.Silent}
 		g := startGate(t, testConfig{doc: testDocument(), services: []string{startBroken(t, s, "text/plain")}})
 		time.AfterFunc(100*time.Millisecond, g.server.CloseClientConnections)
 		require.False(t, g.receivesComplete(t, protocol, "GET /services/app/schedule/x"), protocol)
