--- a/limpetd/store/limit_test.go
+++ b/limpetd/store/limit_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,7 +21,7 @@
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write(make([]byte, maxResponseBytes+over))
 		}))
-		c := NewClient(s.URL)
+		c := NewClient(s.URL, WithTimeout(time.Minute))
 		body, err := c.Objects().Get(t.Context(), "key")
 		if over == 0 {
 			require.NoError(t, err)
