--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -50,23 +49,28 @@
 	complete bool
 }
 
-// callRaw sends a call in the given version of HTTP, with additional header lines, and reads
-// the response.
-func (fx *fixture) callRaw(t *testing.T, protocol, method string, headers ...string) received {
+// openRaw sends a call in the given version of HTTP, with additional header lines, and reads the
+// head of the response.
+func (fx *fixture) openRaw(t *testing.T, protocol, method string, headers ...string) (*http.Response, error) {
 	t.Helper()
 	c, err := net.Dial("tcp4", strings.TrimPrefix(fx.url, "http://"))
 	require.NoError(t, err)
-	defer func() { _ = c.Close() }()
+	t.Cleanup(func() { _ = c.Close() })
 	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
 	_, err = fmt.Fprintf(c, "%s /r/1 %s\r\nHost: 127.0.0.1\r\nId: x1\r\nModel: m\r\n%s\r\n", method, protocol, strings.Join(headers, ""))
 	require.NoError(t, err)
-	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	return http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+}
+
+// callRaw sends a call like openRaw and reads the response.
+func (fx *fixture) callRaw(t *testing.T, protocol, method string, headers ...string) received {
+	t.Helper()
+	response, err := fx.openRaw(t, protocol, method, headers...)
 	if err != nil {
 		return received{}
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	require.False(t, errors.Is(err, net.ErrClosed))
 	return received{response.StatusCode, string(body), err == nil}
 }
 
@@ -80,19 +84,26 @@
 			_ = http.NewResponseController(w).Flush()
 			<-r.Context().Done()
 		})
-		time.AfterFunc(100*time.Millisecond, fx.server.CloseClientConnections)
-		got := fx.callRaw(t, caller.protocol, http.MethodGet, caller.header)
-		require.False(t, got.complete, "%s: %+v", caller.name, got)
-		require.Equal(t, eventText(0, 1), got.body, caller.name)
+		response, err := fx.openRaw(t, caller.protocol, http.MethodGet, caller.header)
+		require.NoError(t, err)
+		_, err = io.ReadFull(response.Body, make([]byte, len(eventText(0, 1))))
+		require.NoError(t, err)
+		fx.server.CloseClientConnections()
+		_, err = io.ReadAll(response.Body)
+		require.Error(t, err, caller.name)
+		_ = response.Body.Close()
 	}
 }
 
-// streamKind and callKind are routes to one server. Their timeout ends the silent responses.
+// streamKind and callKind are routes to one server.
 var (
-	streamKind = layout.Route{Kind: layout.Stream, MaxAttempts: 1, ToEngines: true, Expectation: time.Second, Timeout: 300 * time.Millisecond}
-	callKind   = layout.Route{Kind: layout.Idempotent, MaxAttempts: 1, Timeout: 300 * time.Millisecond}
+	streamKind = layout.Route{Kind: layout.Stream, MaxAttempts: 1, ToEngines: true, Expectation: time.Second}
+	callKind   = layout.Route{Kind: layout.Idempotent, MaxAttempts: 1}
 )
 
+// silentTimeout is the timeout of a route that ends a silent response.
+const silentTimeout = 300 * time.Millisecond
+
 // TestStreamWithoutEventsIsNotComplete guards against a stream that is forwarded as complete
 // because its connection was closed before the first event.
 func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
@@ -154,7 +165,11 @@
 							ended := framing == conns.UntilClose && end == broken.Closed &&
 								(c.name == "call" || strings.HasSuffix(part, "\n\n"))
 							b := broken.Response{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
-							got := newFixtureWithServers(t, nil, c.route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
+							route := c.route
+							if end == broken.Silent {
+								route.Timeout = silentTimeout
+							}
+							got := newFixtureWithServers(t, nil, route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
 							require.Equal(t, ended, got.complete && got.status == http.StatusOK, "%+v", got)
 							if ended {
 								require.Equal(t, part, got.body)
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -29,17 +29,23 @@
 	return l.Addr().String()
 }
 
-// receivesComplete sends a call in the given version of HTTP and reports whether the response
-// has status 200 and is complete by its framing.
-func (g *testGate) receivesComplete(t *testing.T, protocol, call string) bool {
+// openRaw sends a call in the given version of HTTP and reads the head of the response.
+func (g *testGate) openRaw(t *testing.T, protocol, call string) (*http.Response, error) {
 	t.Helper()
 	c, err := net.Dial("tcp4", strings.TrimPrefix(g.url, "http://"))
 	require.NoError(t, err)
-	defer func() { _ = c.Close() }()
+	t.Cleanup(func() { _ = c.Close() })
 	require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
 	_, err = fmt.Fprintf(c, "%s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n", call, protocol, appKey)
 	require.NoError(t, err)
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return http.ReadResponse(bufio.NewReader(c), nil)
+}
+
+// receivesComplete sends a call in the given version of HTTP and reports whether the response
+// has status 200 and is complete by its framing.
+func (g *testGate) receivesComplete(t *testing.T, protocol, call string) bool {
+	t.Helper()
+	response, err := g.openRaw(t, protocol, call)
 	if err != nil {
 		return false
 	}
@@ -85,7 +91,13 @@
 	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		s := broken.Response{Framing: conns.UntilClose, Body: "body", Sent: 2, Ending: broken.Silent}
 		g := startGate(t, testConfig{doc: testDocument(), services: []string{startBroken(t, s, "text/plain")}})
-		time.AfterFunc(100*time.Millisecond, g.server.CloseClientConnections)
-		require.False(t, g.receivesComplete(t, protocol, "GET /services/app/schedule/x"), protocol)
+		response, err := g.openRaw(t, protocol, "GET /services/app/schedule/x")
+		require.NoError(t, err)
+		_, err = io.ReadFull(response.Body, make([]byte, s.Sent))
+		require.NoError(t, err)
+		g.server.CloseClientConnections()
+		_, err = io.ReadAll(response.Body)
+		require.Error(t, err, protocol)
+		_ = response.Body.Close()
 	}
 }
