link: Reset both connections of a pair

Cause: the link closed the connections of a pair one after the other when it was reset or cut. In between, copy noticed the first one and closed the other one properly. A response with neither a length nor chunks is complete then, so that the daemon was right to forward it: a fault of the test, not of the daemon.

The link prepares all connections for a reset before it closes any.

--- a/limpetlab/link/link.go
+++ b/limpetlab/link/link.go
@@ -79,17 +79,26 @@
 	l.resetAll()
 }
 
-// resetAll closes all connections with a TCP reset. The caller holds l.mu.
+// resetAll closes all connections with a TCP reset. The caller holds l.mu. All connections are
+// prepared before any is closed, since copy closes the other one of a pair at once.
 func (l *Link) resetAll() {
 	for c := range l.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+		closeByReset(c)
+	}
+	for c := range l.conns {
 		_ = c.Close()
 	}
 	clear(l.conns)
 }
 
+// closeByReset makes a reset the end of a connection that is closed.
+func closeByReset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// The error can be ignored: the connection is closed already.
+		_ = t.SetLinger(0)
+	}
+}
+
 // ClearFaults ends all faults and accepts connections again after Cut.
 func (l *Link) ClearFaults() error {
 	l.mu.Lock()
@@ -166,11 +175,8 @@
 // connections; if one of them was reset, it resets the other one.
 func (l *Link) copy(to, from net.Conn, toTarget bool) {
 	if _, err := io.Copy(&faultWriter{link: l, to: to, toTarget: toTarget}, from); errors.Is(err, syscall.ECONNRESET) {
-		for _, c := range []net.Conn{to, from} {
-			if t, ok := c.(*net.TCPConn); ok {
-				_ = t.SetLinger(0)
-			}
-		}
+		closeByReset(to)
+		closeByReset(from)
 	}
 	_ = to.Close()
 	_ = from.Close()
--- a/limpetlab/link/link_test.go
+++ b/limpetlab/link/link_test.go
@@ -107,3 +107,34 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 	_ = c.Close()
 }
+
+// TestResetIsNotAProperEnd guards against a reset of the link that reaches one of the ends as the
+// proper end of the connection.
+func TestResetIsNotAProperEnd(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	for i := range 300 {
+		forward, err := link.Start(l.Addr().String())
+		require.NoError(t, err)
+		client, err := net.Dial("tcp4", forward.Address())
+		require.NoError(t, err)
+		server, err := l.Accept()
+		require.NoError(t, err)
+		_, err = server.Write([]byte("part"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(client, make([]byte, 4))
+		require.NoError(t, err)
+		if i%2 == 0 {
+			forward.Reset()
+		} else {
+			forward.Cut()
+		}
+		for _, c := range []net.Conn{client, server} {
+			_, err = c.Read(make([]byte, 1))
+			require.ErrorIs(t, err, syscall.ECONNRESET, "connection %d", i)
+			_ = c.Close()
+		}
+		forward.Cut()
+	}
+}
