--- a/limpetd/admin/broken_test.go
+++ b/limpetd/admin/broken_test.go
@@ -9,23 +9,25 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/admin"
 	"github.com/limpetlb/limpetlb/limpetd/broken"
-	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
 // TestBrokenResponseIsAnError breaks off the response to an operator at each byte.
 func TestBrokenResponseIsAnError(t *testing.T) {
 	const body = `{"events":[{"kind":"x"}]}`
-	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-		for _, end := range []broken.Ending{broken.Closed, broken.Reset} {
-			for sent := range len(body) + 1 {
-				s := broken.Server{Requests: &atomic.Int64{}, Response: broken.Response{Framing: framing, Body: body, Sent: sent, Ending: end}}
-				l, err := net.Listen("tcp4", "127.0.0.1:0")
-				require.NoError(t, err)
-				go s.Serve(l)
-				_, err = admin.NewClient("http://"+l.Addr().String(), "token").Plan(t.Context())
-				require.Equal(t, sent < len(body), err != nil, "%s %s %d: %v", framing, end, sent, err)
-				require.NoError(t, l.Close())
-			}
+	var sent []int
+	for n := range len(body) + 1 {
+		sent = append(sent, n)
+	}
+	for _, b := range broken.Responses(body, sent...) {
+		if b.Ending == broken.Silent {
+			continue // The timeout of the client is too long for a test.
 		}
+		s := broken.Server{Requests: &atomic.Int64{}, Response: b}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		go s.Serve(l)
+		_, err = admin.NewClient("http://"+l.Addr().String(), "token").Plan(t.Context())
+		require.Equal(t, b.Sent < len(body), err != nil, "%s: %v", b, err)
+		require.NoError(t, l.Close())
 	}
 }
--- a/limpetd/broken/broken.go
+++ b/limpetd/broken/broken.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,38 @@
 	Ending Ending
 }
 
+// Responses returns a response with the given body for each framing, each of the numbers of bytes
+// that are sent, and each ending.
+func Responses(body string, sent ...int) []Response {
+	var all []Response
+	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
+		for _, n := range sent {
+			for _, ending := range []Ending{Closed, Reset, Silent} {
+				all = append(all, Response{Framing: framing, Body: body, Sent: n, Ending: ending})
+			}
+		}
+	}
+	return all
+}
+
+// String returns the framing, the number of bytes that are sent, and the ending.
+func (b Response) String() string {
+	return fmt.Sprintf("%s/%d/%s", b.Framing, b.Sent, b.Ending)
+}
+
+// LooksComplete reports whether the sent part can't be told from a complete response: all of its
+// length was sent, or only the proper end of the connection ends it and, in a stream of events,
+// the last event is complete.
+func (b Response) LooksComplete(stream bool) bool {
+	switch b.Framing {
+	case conns.Length:
+		return b.Sent == len(b.Body)
+	case conns.UntilClose:
+		return b.Ending == Closed && (!stream || strings.HasSuffix(b.Body[:b.Sent], "\n\n"))
+	}
+	return false
+}
+
 // Send writes the response to c and closes c. A silent response ends when the other side
 // closes the connection, or after silentTimeout.
 func (b Response) Send(c net.Conn) error {
--- a/limpetd/engine/broken_test.go
+++ b/limpetd/engine/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -13,7 +12,6 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/broken"
 	"github.com/limpetlb/limpetlb/limpetd/code"
-	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 )
 
@@ -24,38 +22,46 @@
 		first = `{"attempt":"a","offset":0,"text":"x","tokens":1}` + "\n"
 		whole = first + `{"attempt":"a","offset":1,"done":true,"reason":"stop"}` + "\n"
 	)
-	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-		for _, end := range []broken.Ending{broken.Closed, broken.Reset} {
-			for sent := range len(whole) + 1 {
-				t.Run(fmt.Sprintf("%s/%s/%d", framing, end, sent), func(t *testing.T) {
-					t.Parallel()
-					s := broken.Server{Requests: &atomic.Int64{}, Response: broken.Response{Framing: framing, Body: whole, Sent: sent, Ending: end}}
-					l, err := net.Listen("tcp4", "127.0.0.1:0")
-					require.NoError(t, err)
-					defer func() { require.NoError(t, l.Close()) }()
-					go s.Serve(l)
-					c := engine.NewClient()
-					defer c.Close()
-					frames, err := c.Generate(t.Context(), l.Addr().String(), engine.Request{Attempt: "a"})
-					require.NoError(t, err)
-					defer func() { _ = frames.Close() }()
-					n := 0
-					for {
-						var f engine.Frame
-						if f, err = frames.Next(); err != nil {
-							break
-						}
-						require.Equal(t, n, f.Offset)
-						n++
-					}
-					if complete := sent >= len(whole)-1; complete {
-						require.True(t, errors.Is(err, io.EOF), "%v", err)
-					} else {
-						require.Equal(t, code.BackendLost, code.Of(err), "%v", err)
-						require.Equal(t, strings.Count(whole[:sent]+"\n", "}\n"), n, "complete frames are returned")
-					}
-				})
+	var sent []int
+	for n := range len(whole) + 1 {
+		sent = append(sent, n)
+	}
+	for _, b := range broken.Responses(whole, sent...) {
+		if b.Ending == broken.Silent {
+			continue // Package relay limits the time between frames.
+		}
+		t.Run(b.String(), func(t *testing.T) {
+			t.Parallel()
+			n, err := readFrames(t, b)
+			if b.Sent >= len(whole)-1 {
+				require.True(t, errors.Is(err, io.EOF), "%v", err)
+				return
 			}
+			require.Equal(t, code.BackendLost, code.Of(err), "%v", err)
+			require.Equal(t, strings.Count(whole[:b.Sent]+"\n", "}\n"), n, "complete frames are returned")
+		})
+	}
+}
+
+// readFrames reads the frames of a response. It returns their number and the error that ended
+// them.
+func readFrames(t *testing.T, b broken.Response) (int, error) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	s := broken.Server{Requests: &atomic.Int64{}, Response: b}
+	go s.Serve(l)
+	c := engine.NewClient()
+	defer c.Close()
+	frames, err := c.Generate(t.Context(), l.Addr().String(), engine.Request{Attempt: "a"})
+	require.NoError(t, err)
+	defer func() { _ = frames.Close() }()
+	for n := 0; ; n++ {
+		f, err := frames.Next()
+		if err != nil {
+			return n, err
 		}
+		require.Equal(t, n, f.Offset)
 	}
 }
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -154,29 +154,21 @@
 		{"stream", streamKind, stream, []int{0, 5, len(eventText(0, 0)) - 1, len(eventText(0, 0)), len(eventText(0, 1)), inside, len(stream) - 1}},
 		{"call", callKind, call, []int{0, 1, len(call) - 1}},
 	} {
-		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-			for _, sent := range c.sent {
-				for _, end := range []broken.Ending{broken.Closed, broken.Reset, broken.Silent} {
-					for _, caller := range callers {
-						name := fmt.Sprintf("%s/%s/%d/%s/%s", c.name, framing, sent, end, caller.name)
-						t.Run(name, func(t *testing.T) {
-							t.Parallel()
-							part := c.whole[:sent]
-							ended := framing == conns.UntilClose && end == broken.Closed &&
-								(c.name == "call" || strings.HasSuffix(part, "\n\n"))
-							b := broken.Response{Framing: framing, Body: c.whole, Sent: sent, Ending: end}
-							route := c.route
-							if end == broken.Silent {
-								route.Timeout = silentTimeout
-							}
-							got := newFixtureWithServers(t, nil, route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
-							require.Equal(t, ended, got.complete && got.status == http.StatusOK, "%+v", got)
-							if ended {
-								require.Equal(t, part, got.body)
-							}
-						})
+		for _, b := range broken.Responses(c.whole, c.sent...) {
+			for _, caller := range callers {
+				t.Run(fmt.Sprintf("%s/%s/%s", c.name, b, caller.name), func(t *testing.T) {
+					t.Parallel()
+					route := c.route
+					if b.Ending == broken.Silent {
+						route.Timeout = silentTimeout
+					}
+					got := newFixtureWithServers(t, nil, route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
+					complete := b.LooksComplete(c.name == "stream")
+					require.Equal(t, complete, got.complete && got.status == http.StatusOK, "%+v", got)
+					if complete {
+						require.Equal(t, b.Body[:b.Sent], got.body)
 					}
-				}
+				})
 			}
 		}
 	}
@@ -187,23 +179,18 @@
 func TestBrokenStreamIsResumed(t *testing.T) {
 	route := layout.Route{Kind: layout.Stream, Resumable: true, MaxAttempts: 2, ToEngines: true, Expectation: time.Second}
 	stream := eventText(0, 3)
-	for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-		for _, sent := range []int{0, 5, len(eventText(0, 1)), len(stream) - 1} {
-			for _, end := range []broken.Ending{broken.Closed, broken.Reset} {
-				if framing == conns.UntilClose && end == broken.Closed && sent == len(eventText(0, 1)) {
-					continue // complete by the framing
-				}
-				t.Run(fmt.Sprintf("%s/%d/%s", framing, sent, end), func(t *testing.T) {
-					t.Parallel()
-					b := broken.Response{Framing: framing, Body: stream, Sent: sent, Ending: end}
-					requests := &atomic.Int64{}
-					fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
-					got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
-					require.True(t, got.complete, "%+v", got)
-					require.Equal(t, stream, got.body)
-				})
-			}
+	for _, b := range broken.Responses(stream, 0, 5, len(eventText(0, 1)), len(stream)-1) {
+		if b.LooksComplete(true) || b.Ending == broken.Silent {
+			continue // A silent engine that accepts connections keeps its streams.
 		}
+		t.Run(b.String(), func(t *testing.T) {
+			t.Parallel()
+			requests := &atomic.Int64{}
+			fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
+			got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
+			require.True(t, got.complete, "%+v", got)
+			require.Equal(t, stream, got.body)
+		})
 	}
 }
 
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -61,24 +61,18 @@
 	const events = "data: a\n\ndata: b\n\n"
 	calls := map[string]string{"repeatable": "GET /services/app/schedule/x", "keyed": "POST /services/app/bookings"}
 	for _, contentType := range []string{"text/plain", "text/event-stream; charset=utf-8"} {
-		for _, framing := range []conns.Framing{conns.Length, conns.Chunked, conns.UntilClose} {
-			for _, sent := range []int{0, 5, 8, 9, len(events) - 1} {
-				for _, end := range []broken.Ending{broken.Closed, broken.Reset, broken.Silent} {
-					for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
-						for name, call := range calls {
-							t.Run(fmt.Sprintf("%s/%s/%s/%d/%s/%s", name, contentType, framing, sent, end, protocol), func(t *testing.T) {
-								t.Parallel()
-								ended := framing == conns.UntilClose && end == broken.Closed && (contentType == "text/plain" || sent == 9)
-								s := broken.Response{Framing: framing, Body: events, Sent: sent, Ending: end}
-								c := testConfig{doc: testDocument(), services: []string{startBroken(t, s, contentType)}}
-								if end == broken.Silent {
-									c.serviceTimeout = 200 * time.Millisecond
-								}
-								g := startGate(t, c)
-								require.Equal(t, ended, g.receivesComplete(t, protocol, call))
-							})
+		for _, b := range broken.Responses(events, 0, 5, 8, 9, len(events)-1) {
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				for name, call := range calls {
+					t.Run(fmt.Sprintf("%s/%s/%s/%s", name, contentType, b, protocol), func(t *testing.T) {
+						t.Parallel()
+						c := testConfig{doc: testDocument(), services: []string{startBroken(t, b, contentType)}}
+						if b.Ending == broken.Silent {
+							c.serviceTimeout = 200 * time.Millisecond
 						}
-					}
+						complete := b.LooksComplete(contentType != "text/plain")
+						require.Equal(t, complete, startGate(t, c).receivesComplete(t, protocol, call))
+					})
 				}
 			}
 		}
