--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -29,6 +29,16 @@
 			cause: "a process received SIGHUP milliseconds after its start, before it handled signals, and ended; " +
 				"limpetp handles signals first, and the soak sends none before the process accepts connections",
 		},
+		{
+			seed: 2401, duration: 10 * time.Second, daemons: 4,
+			cause: "a daemon was killed while it forwarded a stream to a caller of HTTP/1.0, to whom the stream looked complete; " +
+				"such a connection now ends with a reset until the response is complete",
+		},
+		{
+			seed: 3207, duration: 10 * time.Second, daemons: 4,
+			cause: "a link closed a connection properly that it was to reset, so that an unframed response looked complete; " +
+				"the link now prepares both connections of a pair for the reset",
+		},
 	} {
 		directory := t.TempDir()
 		report, err := Run(t.Context(), Config{Program: program, Directory: directory, Seed: c.seed, Duration: c.duration, Daemons: c.daemons, Rate: 60})
