relay, wire: Trust the framing of a plain service's events

A caller of a plain service got a whole stream of events as broken, if no blank line ended the last event, although its length or last chunk said that it was complete.

Cause: the check for streams that end inside an event was made for each framing. It is needed only where nothing but the end of the connection ends the stream; a length or chunks tell by themselves whether a part is missing.

The relay checks only streams that end with their connection.

--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -219,14 +219,15 @@
 	}, true, nil
 }
 
-// bodyReader returns a reader of the body of a response. If the body is a stream of events, the
-// reader checks that it is complete; a compressed one is not checked.
+// bodyReader returns a reader of the body of a response. If the body is a stream of events that
+// only the end of its connection ends, the reader checks that it is complete. Any other stream
+// ends as its framing says, and a compressed one can't be checked.
 func bodyReader(response *http.Response) io.Reader {
 	h := response.Header
-	if !wire.IsEventStream(h.Get("Content-Type")) || h.Get("Content-Encoding") != "" {
+	if conns.FramingOf(response) != conns.UntilClose || !wire.IsEventStream(h.Get("Content-Type")) || h.Get("Content-Encoding") != "" {
 		return response.Body
 	}
-	return wire.NewEventReader(response.Body, conns.FramingOf(response) == conns.UntilClose)
+	return wire.NewEventReader(response.Body)
 }
 
 // errOtherRequest is the error of a call that received the answer to another request.
--- a/limpetd/wire/events.go
+++ b/limpetd/wire/events.go
@@ -67,24 +67,21 @@
 	return !s.inEvent && (!untilClose || s.events > 0)
 }
 
-// EventReader reads a stream of server-sent events. At the end of a stream that is not complete
-// its error is io.ErrUnexpectedEOF.
+// EventReader reads a stream of server-sent events that only the end of its connection ends. At
+// the end of a stream that is not complete its error is io.ErrUnexpectedEOF.
 type EventReader struct {
-	source     io.Reader
-	scanner    EventScanner
-	untilClose bool
+	source  io.Reader
+	scanner EventScanner
 }
 
-// NewEventReader returns a reader of source. For untilClose see EventScanner.Complete.
-func NewEventReader(source io.Reader, untilClose bool) *EventReader {
-	return &EventReader{source: source, untilClose: untilClose}
-}
+// NewEventReader returns a reader of source.
+func NewEventReader(source io.Reader) *EventReader { return &EventReader{source: source} }
 
 // Read implements io.Reader.
 func (r *EventReader) Read(b []byte) (int, error) {
 	n, err := r.source.Read(b)
 	r.scanner.Scan(b[:n])
-	if errors.Is(err, io.EOF) && !r.scanner.Complete(r.untilClose) {
+	if errors.Is(err, io.EOF) && !r.scanner.Complete(true) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
