front: Do not resume a stream whose events lack ids

A caller of a resumable stream got events twice, joined from two runs, in a response that looked complete, if the engine sends events without ids and its stream broke.

Cause: a stream is resumed after the last id that the caller has received. Without an id the next engine starts anew, and events after the last one with an id come again.

A call whose caller has received an event without an id counts as one that can't be repeated from then on.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -205,7 +205,7 @@
 			return ctx.Err()
 		}
 		now := time.Now()
-		if !c.schedCall.Route.Repeatable() || now.Sub(since) < silenceProbe || a.silence(now) < silenceProbe {
+		if !c.mayRepeat() || now.Sub(since) < silenceProbe || a.silence(now) < silenceProbe {
 			continue
 		}
 		if !probed {
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -194,8 +194,24 @@
 	}
 }
 
-// TestBrokenResponseIsLogged checks that the log tells how a broken response was framed, how
-// much of it arrived and how its connection ended, also if the stream was resumed.
+// TestStreamWithoutIDsIsNotResumed guards against a resumed stream that repeats events, because the
+// caller has received events without an id.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	route := layout.Route{Kind: layout.Stream, Resumable: true, MaxAttempts: 2, ToEngines: true, Expectation: time.Second}
+	for _, stream := range []string{"data: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\ndata: c\n\n"} {
+		sent := len(stream) - len("data: c\n\n")
+		b := broken.Response{Framing: conns.Chunked, Body: stream, Sent: sent, Ending: broken.Reset}
+		requests := &atomic.Int64{}
+		fx := newFixtureWithServers(t, nil, route, startBroken(t, b, requests), startBroken(t, b, requests))
+		got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
+		require.False(t, got.complete, "%+v", got)
+		require.Equal(t, stream[:sent], got.body)
+		require.EqualValues(t, 1, requests.Load())
+	}
+}
+
+// TestBrokenResponseIsLogged checks the fields of the log line of a broken response whose stream
+// was resumed.
 func TestBrokenResponseIsLogged(t *testing.T) {
 	route := layout.Route{Kind: layout.Stream, Resumable: true, MaxAttempts: 2, ToEngines: true, Expectation: time.Second}
 	b := broken.Response{Framing: conns.UntilClose, Body: eventText(0, 3), Sent: len(eventText(0, 1)) + 3, Ending: broken.Reset}
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -53,6 +53,9 @@
 	// of the last event that the caller received.
 	responseBegun bool
 	lastEvent     string
+	// unnumbered is whether the caller received an event without an id. A server that
+	// continued after lastEvent would send this event again.
+	unnumbered bool
 	// firstAt and lastAt are when the first and the last part of the response were
 	// written. maxPause is the longest time between two parts.
 	firstAt, lastAt time.Time
@@ -64,6 +67,9 @@
 	outcome outcome
 }
 
+// mayRepeat reports whether the call may be sent again after a server may have run it.
+func (c *call) mayRepeat() bool { return c.schedCall.Route.Repeatable() && !c.unnumbered }
+
 // outcome describes how a call ended, for its log line.
 type outcome struct {
 	result code.Code
--- a/limpetd/front/retry.go
+++ b/limpetd/front/retry.go
@@ -54,7 +54,7 @@
 		c.expire(reason)
 	case time.Until(c.schedCall.Deadline) < minTimeLeft:
 		c.expire(reason)
-	case c.runs > 0 && !c.schedCall.Route.Repeatable():
+	case c.runs > 0 && !c.mayRepeat():
 		c.fail(result, http.StatusBadGateway, reason)
 	case c.runs >= c.schedCall.Route.MaxAttempts, c.outcome.attempts >= maxAttempts:
 		c.giveUp(result, sched.Choice{RetryAfter: minRetryAfter}, reason)
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -62,7 +62,7 @@
 		c.abort(code.CallerGone, err.Error())
 		return false
 	}
-	if c.responseBegun && c.schedCall.Route.Repeatable() && ctx.Err() == nil {
+	if c.responseBegun && c.mayRepeat() && ctx.Err() == nil {
 		c.front.metrics.resumed.Inc(1)
 	}
 	return a.handleFailure(ctx, err)
@@ -88,6 +88,7 @@
 		n, err := resp.Body.Read(buffer)
 		c.outcome.received.bytes += n
 		if n > 0 {
+			before := scanner.Events()
 			end := scanner.Scan(buffer[:n])
 			c.outcome.received.events = scanner.Events()
 			if end > 0 {
@@ -95,7 +96,7 @@
 			}
 			unsent = append(unsent, buffer[:n]...)
 			if end > 0 {
-				if err := a.forwardEvents(unsent[:end], resp, r, controller); err != nil {
+				if err := a.forwardEvents(unsent[:end], scanner.Events()-before, resp, r, controller); err != nil {
 					return err
 				}
 				unsent = append(unsent[:0], unsent[end:]...)
@@ -144,13 +145,14 @@
 	c.writeHead(resp.StatusCode)
 }
 
-// forwardEvents writes complete events to the caller.
-func (a *attempt) forwardEvents(events []byte, resp *http.Response, r ResponseHeaders, controller *http.ResponseController) error {
+// forwardEvents writes complete events, of which there are count, to the caller.
+func (a *attempt) forwardEvents(events []byte, count int, resp *http.Response, r ResponseHeaders, controller *http.ResponseController) error {
 	c := a.call
-	last, err := checkEventIDs(events, c.lastEvent)
+	last, numbered, err := checkEventIDs(events, c.lastEvent)
 	if err != nil {
 		return err
 	}
+	c.unnumbered = c.unnumbered || numbered < count
 	now := time.Now()
 	if !c.lastAt.IsZero() {
 		c.maxPause = max(c.maxPause, now.Sub(c.lastAt))
@@ -178,9 +180,10 @@
 // idField starts the line of an event that holds the event's id.
 var idField = []byte("id:")
 
-// checkEventIDs checks that the ids of events increase by one, starting after last, and
-// returns the last id. Ids that are not numbers are not checked.
-func checkEventIDs(events []byte, last string) (string, error) {
+// checkEventIDs checks that the ids of events increase by one, starting after last. It returns
+// the last id and the number of ids. Ids that are not numbers are not checked.
+func checkEventIDs(events []byte, last string) (string, int, error) {
+	numbered := 0
 	for len(events) > 0 {
 		line, rest, _ := bytes.Cut(events, []byte("\n"))
 		events = rest
@@ -191,9 +194,10 @@
 		previous, errPrevious := strconv.ParseInt(last, 10, 64)
 		current, errCurrent := strconv.ParseInt(id, 10, 64)
 		if errPrevious == nil && errCurrent == nil && current != previous+1 {
-			return last, errEventOrder
+			return last, numbered, errEventOrder
 		}
 		last = id
+		numbered++
 	}
-	return last, nil
+	return last, numbered, nil
 }
