abort, conns, link, broken: Remove sleeps from tests, clarify comments

Three new tests slept 20 ms so that a part of a response arrived before the connection was reset. They now wait until the reader has received the part. The comments of package broken and of the gate's listener name the headers and methods they mean.

--- a/limpetd/abort/abort_test.go
+++ b/limpetd/abort/abort_test.go
@@ -1,15 +1,16 @@
 package abort_test
 
 import (
+	"bufio"
 	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -18,9 +19,11 @@
 
 // startServer starts a server. It aborts the response to /part after the first bytes, closes
 // all connections at this point of the response to /closed, completes the response to /whole,
-// and aborts other responses before they begin.
-func startServer(t *testing.T, secure bool) *httptest.Server {
+// and aborts other responses before they begin. After the first bytes of a response it waits
+// for a value from the returned channel.
+func startServer(t *testing.T, secure bool) (*httptest.Server, chan<- struct{}) {
 	t.Helper()
+	received := make(chan struct{}, 1)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		abort.Begin(r)
 		if r.URL.Path == "/" {
@@ -28,7 +31,7 @@
 		}
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(20 * time.Millisecond)
+		<-received
 		switch r.URL.Path {
 		case "/part":
 			abort.Response(r)
@@ -48,51 +51,57 @@
 		s.Start()
 	}
 	t.Cleanup(s.Close)
-	return s
+	return s, received
+}
+
+// getHTTP10 requests a path in HTTP/1.0. It returns what was received, and the error that ended it.
+func getHTTP10(t *testing.T, secure bool, path string) (string, error) {
+	t.Helper()
+	s, received := startServer(t, secure)
+	c, err := net.Dial("tcp4", s.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }() // fails if the connection was reset
+	if secure {
+		c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+	}
+	_, err = fmt.Fprintf(c, "GET %s HTTP/1.0\r\n\r\n", path)
+	require.NoError(t, err)
+	reader := bufio.NewReader(c)
+	var text strings.Builder
+	for path != "/" && !strings.HasSuffix(text.String(), "part") {
+		b, err := reader.ReadByte()
+		require.NoError(t, err)
+		text.WriteByte(b)
+	}
+	received <- struct{}{}
+	rest, err := io.ReadAll(reader)
+	return text.String() + string(rest), err
 }
 
 func TestAbortedHTTP10ResponseEndsWithError(t *testing.T) {
 	for _, secure := range []bool{false, true} {
 		for _, path := range []string{"/part", "/closed", "/"} {
-			s := startServer(t, secure)
-			c, err := net.Dial("tcp4", s.Listener.Addr().String())
-			require.NoError(t, err)
-			if secure {
-				c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
-			}
-			_, err = fmt.Fprintf(c, "GET %s HTTP/1.0\r\n\r\n", path)
-			require.NoError(t, err)
-			received, err := io.ReadAll(c)
-			require.ErrorIs(t, err, syscall.ECONNRESET, "%s", received)
-			require.Equal(t, path != "/", len(received) > 0)
-			_ = c.Close() // fails: the connection was reset
+			_, err := getHTTP10(t, secure, path)
+			require.ErrorIs(t, err, syscall.ECONNRESET, "%s %v", path, secure)
 		}
 	}
 }
 
 func TestCompletedHTTP10ResponseEndsProperly(t *testing.T) {
 	for _, secure := range []bool{false, true} {
-		s := startServer(t, secure)
-		c, err := net.Dial("tcp4", s.Listener.Addr().String())
-		require.NoError(t, err)
-		if secure {
-			c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
-		}
-		_, err = fmt.Fprintf(c, "GET /whole HTTP/1.0\r\n\r\n")
-		require.NoError(t, err)
-		received, err := io.ReadAll(c)
+		text, err := getHTTP10(t, secure, "/whole")
 		require.NoError(t, err)
-		require.Contains(t, string(received), "part whole")
-		require.NoError(t, c.Close())
+		require.True(t, strings.HasSuffix(text, "part whole"), text)
 	}
 }
 
 func TestAbortedResponseIsIncomplete(t *testing.T) {
 	for _, version := range []int{1, 2} {
-		s := startServer(t, version == 2)
+		s, received := startServer(t, version == 2)
 		response, err := s.Client().Get(s.URL + "/part")
 		require.NoError(t, err)
 		require.Equal(t, version, response.ProtoMajor)
+		received <- struct{}{}
 		body, err := io.ReadAll(response.Body)
 		require.Error(t, err)
 		require.Equal(t, "part", string(body))
--- a/limpetd/broken/broken.go
+++ b/limpetd/broken/broken.go
@@ -46,7 +46,7 @@
 // Response is a response with status 200 that a server breaks off.
 type Response struct {
 	Framing conns.Framing
-	// Header holds the headers besides those of the framing.
+	// Header holds the headers other than Content-Length and Transfer-Encoding.
 	Header http.Header
 	// Body is the complete body; Sent bytes of it are sent.
 	Body   string
@@ -73,9 +73,9 @@
 	return fmt.Sprintf("%s/%d/%s", b.Framing, b.Sent, b.Ending)
 }
 
-// LooksComplete reports whether the sent part can't be told from a complete response: all of its
-// length was sent, or only the proper end of the connection ends it and, in a stream of events,
-// the last event is complete.
+// LooksComplete reports whether a reader takes the response for complete: its whole length was
+// sent, or it ends with its connection, the connection is closed and not reset, and, in a stream
+// of events, the last event is complete.
 func (b Response) LooksComplete(stream bool) bool {
 	switch b.Framing {
 	case conns.Length:
@@ -134,7 +134,8 @@
 type Server struct {
 	// Response is the response to the first request.
 	Response Response
-	// Header returns the headers of a response besides those of its framing; nil for none.
+	// Header returns the headers of a response other than Content-Length and
+	// Transfer-Encoding. If Header is nil, there are none.
 	Header func(*http.Request) http.Header
 	// Rest returns the bodies of the other responses.
 	Rest func(*http.Request) string
--- a/limpetd/conns/conns_test.go
+++ b/limpetd/conns/conns_test.go
@@ -234,10 +234,11 @@
 // TestResetIsReportedByEachRead guards against a reset that WaitReadable meets and that looks
 // like the end of the response to the next read.
 func TestResetIsReportedByEachRead(t *testing.T) {
+	received := make(chan struct{})
 	target, _ := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		id := readRequest(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n\r\npart")
-		time.Sleep(20 * time.Millisecond)
+		<-received
 		_ = c.(*net.TCPConn).SetLinger(0)
 	})
 	c, err := conns.New(t.Context()).Get(t.Context(), target, time.Second)
@@ -250,6 +251,7 @@
 	buffer := make([]byte, 4)
 	_, err = io.ReadFull(response.Body, buffer)
 	require.NoError(t, err)
+	close(received)
 	require.True(t, c.WaitReadable(time.Now().Add(time.Minute)))
 	for range 3 {
 		require.True(t, c.WaitReadable(time.Now().Add(time.Minute)))
--- a/limpetd/gate/listener.go
+++ b/limpetd/gate/listener.go
@@ -5,9 +5,8 @@
 	"sync"
 )
 
-// limitListener limits the number of open connections. Unlike those of the listener in
-// golang.org/x/net/netutil, its connections give access to the connections below and to
-// CloseWrite, so that a response can be aborted by a reset.
+// limitListener limits the number of open connections. Its connections implement NetConn, which
+// package abort needs to reset them, and CloseWrite; those of golang.org/x/net/netutil do not.
 type limitListener struct {
 	net.Listener
 	// slots holds one element for each open connection. Accept waits while it is full.
--- a/limpetlab/link/link_test.go
+++ b/limpetlab/link/link_test.go
@@ -85,27 +85,22 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, l.Close()) }()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, "part")
-			time.Sleep(20 * time.Millisecond)
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}()
 	forward, err := link.Start(l.Addr().String())
 	require.NoError(t, err)
 	defer forward.Cut()
-	c, err := net.Dial("tcp4", forward.Address())
+	client, err := net.Dial("tcp4", forward.Address())
+	require.NoError(t, err)
+	server, err := l.Accept()
+	require.NoError(t, err)
+	_, err = server.Write([]byte("part"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(client, make([]byte, 4))
 	require.NoError(t, err)
-	received, err := io.ReadAll(c)
-	require.Equal(t, "part", string(received))
+	require.NoError(t, server.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, server.Close())
+	_, err = client.Read(make([]byte, 1))
 	require.ErrorIs(t, err, syscall.ECONNRESET)
-	_ = c.Close()
+	_ = client.Close()
 }
 
 // TestResetIsNotAProperEnd guards against a reset of the link that reaches one of the ends as the
