conns, front: Check the end of events that are buffered too

A caller of a route that is not a stream got events that ended inside an event as a whole response with a length, if the server's response had neither a length nor chunks.

Cause: forwardBuffered took the end of the connection for the end of the body without looking at it. Only the streams of front and the plain services of the relay were checked.

The relay's check is conns.BodyReader now, and front reads buffered bodies by it too. Other buffered bodies are accepted as before.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -288,7 +288,7 @@
 // is to be sent again.
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
 	c := a.call
-	body, err := conns.ReadBody(resp.Body, maxBuffered)
+	body, err := conns.ReadBody(conns.BodyReader(resp), maxBuffered)
 	c.outcome.received.bytes = len(body)
 	if err != nil {
 		a.conn.Close()
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -19,12 +19,17 @@
 )
 
 // startBroken starts a server that breaks off the response to the first of all requests. It
-// answers the others, from the event after the header Last on, with the rest of the body.
+// answers the others, from the event after the header Last on, with the rest of the body. The
+// body is a stream of events if it begins like one.
 func startBroken(t *testing.T, b broken.Response, requests *atomic.Int64) string {
 	t.Helper()
+	contentType := "text/event-stream"
+	if strings.HasPrefix(b.Body, "x") {
+		contentType = "text/plain"
+	}
 	s := broken.Server{Response: b, Requests: requests}
 	s.Header = func(r *http.Request) http.Header {
-		return http.Header{"Id": {r.Header.Get("Id")}, "Stamp": {"1"}, "Content-Type": {"text/event-stream"}}
+		return http.Header{"Id": {r.Header.Get("Id")}, "Stamp": {"1"}, "Content-Type": {contentType}}
 	}
 	s.Rest = func(r *http.Request) string {
 		last := r.Header.Get("Last")
@@ -153,6 +158,7 @@
 	}{
 		{"stream", streamKind, stream, []int{0, 5, len(eventText(0, 0)) - 1, len(eventText(0, 0)), len(eventText(0, 1)), inside, len(stream) - 1}},
 		{"call", callKind, call, []int{0, 1, len(call) - 1}},
+		{"buffered_events", callKind, stream, []int{0, 5, len(eventText(0, 1)), inside}},
 	} {
 		for _, b := range broken.Responses(c.whole, c.sent...) {
 			for _, caller := range callers {
@@ -163,7 +169,7 @@
 						route.Timeout = silentTimeout
 					}
 					got := newFixtureWithServers(t, nil, route, startBroken(t, b, &atomic.Int64{})).callRaw(t, caller.protocol, http.MethodGet, caller.header)
-					complete := b.LooksComplete(c.name == "stream")
+					complete := b.LooksComplete(c.name != "call")
 					require.Equal(t, complete, got.complete && got.status == http.StatusOK, "%+v", got)
 					if complete {
 						require.Equal(t, b.Body[:b.Sent], got.body)
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -19,7 +19,6 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/event"
-	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
 
 // RunHeader is the header of answers that states whether the call ran. A backend
@@ -207,7 +206,7 @@
 		return nil, true, r.serviceError(ctx, c, choice.VM, true, errOtherRequest)
 	}
 	t.FirstToken()
-	body := &ticketBody{ReadCloser: response.Body, reader: bodyReader(response), cancel: cancel, ticket: t, caller: ctx}
+	body := &ticketBody{ReadCloser: response.Body, reader: conns.BodyReader(response), cancel: cancel, ticket: t, caller: ctx}
 	if response.StatusCode >= http.StatusBadGateway {
 		body.outcome = admit.OutcomeFailed
 	}
@@ -219,17 +218,6 @@
 	}, true, nil
 }
 
-// bodyReader returns a reader of the body of a response. If the body is a stream of events that
-// only the end of its connection ends, the reader checks that it is complete. Any other stream
-// ends as its framing says, and a compressed one can't be checked.
-func bodyReader(response *http.Response) io.Reader {
-	h := response.Header
-	if conns.FramingOf(response) != conns.UntilClose || !wire.IsEventStream(h.Get("Content-Type")) || h.Get("Content-Encoding") != "" {
-		return response.Body
-	}
-	return wire.NewEventReader(response.Body)
-}
-
 // errOtherRequest is the error of a call that received the answer to another request.
 var errOtherRequest = errors.New("the answer has the id of another request")
 
