steer: Count the delay of a weak VM from the first read of a free lease

Cause: a weak VM leaves a free lease to strong ones for 700 ms. The delay was counted from the last read that did not find the lease free, up to 600 ms before the read that did, so 100 ms could remain, less than the time between two reads of the strong VM. Besides, a strong VM may read the last renewal one pause later than the weak one, and then finds the lease free later by as much.

Change: the delay begins with the first read that finds the lease free, and is longer than two pauses between reads (1.3 s). It applies only where VMs differ in power by more than a factor of 1.3.

--- a/limpetd/steer/lease.go
+++ b/limpetd/steer/lease.go
@@ -124,20 +124,24 @@
 // leaseDeferral delays taking a free lease on a weak VM, so that a daemon on a stronger VM
 // can take it first.
 type leaseDeferral struct {
-	// freeSince is the time since which the lease could be taken; zero while there is a
-	// lease holder.
+	// freeSince is the time of the first read that found the lease free; zero while there
+	// is a lease holder.
 	freeSince time.Time
 }
 
 // reset records that there is a lease holder.
 func (d *leaseDeferral) reset() { d.freeSince = time.Time{} }
 
-// apply returns action, or Wait in place of Take if the lease is left to a stronger VM.
+// apply returns action, or Wait in place of Acquire if the lease is left to a stronger VM.
 func (d *leaseDeferral) apply(action lease.Action, strongerPeer bool, now time.Time) lease.Action {
-	if d.freeSince.IsZero() || action != lease.Acquire {
+	if action != lease.Acquire {
+		d.reset()
+		return action
+	}
+	if d.freeSince.IsZero() {
 		d.freeSince = now
 	}
-	if action == lease.Acquire && strongerPeer && now.Sub(d.freeSince) < weakVMDelay {
+	if strongerPeer && now.Sub(d.freeSince) < weakVMDelay {
 		return lease.Wait
 	}
 	return action
--- a/limpetd/steer/lease_test.go
+++ b/limpetd/steer/lease_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
+	"github.com/limpetlb/limpetlb/limpetd/random"
 )
 
 // TestWeakVMWaitsFromWhenLeaseBecomesFree guards against counting the delay from the last
@@ -24,6 +25,44 @@
 	require.Equal(t, lease.Acquire, d.apply(lease.Acquire, false, now))
 }
 
+// TestWeakVMWaitsFromFirstReadOfFreeLease guards against counting the delay from the read
+// before, so that a stronger VM may not have read the free lease when the delay is over.
+func TestWeakVMWaitsFromFirstReadOfFreeLease(t *testing.T) {
+	longestPause := leasePollPeriod * 3 / 2
+	require.Greater(t, weakVMDelay, 2*longestPause)
+	var d leaseDeferral
+	now := time.Unix(100, 0)
+	require.Equal(t, lease.Wait, d.apply(lease.Wait, true, now))
+	now = now.Add(longestPause)
+	require.Equal(t, lease.Wait, d.apply(lease.Acquire, true, now))
+	require.Equal(t, lease.Wait, d.apply(lease.Acquire, true, now.Add(weakVMDelay-1)))
+	require.Equal(t, lease.Acquire, d.apply(lease.Acquire, true, now.Add(weakVMDelay)))
+}
+
+// TestStrongVMTakesFreeLeaseFirst guards against a weak VM that takes the lease because a
+// strong one reads the lease at unfavourable times.
+func TestStrongVMTakesFreeLeaseFirst(t *testing.T) {
+	const candidates = 2
+	source := random.Seeded(1, t.Name())
+	start := time.Unix(100, 0)
+	for range 20_000 {
+		taken := [candidates]time.Time{}
+		for i := range taken {
+			var d leaseDeferral
+			weak := i == 0
+			c := lease.NewCandidate(lease.Config{VM: "vm", Instance: "vm-1", Term: leaseTerm})
+			c.Observe(lease.Row{Instance: "holder"}, 1, start)
+			for now := start.Add(random.Jitter(source, leasePollPeriod)); taken[i].IsZero(); now = now.Add(random.Jitter(source, leasePollPeriod)) {
+				c.Observe(lease.Row{Instance: "holder"}, 2, now)
+				if d.apply(c.Next(now), weak, now) == lease.Acquire {
+					taken[i] = now
+				}
+			}
+		}
+		require.True(t, taken[1].Before(taken[0]), "weak VM after %v, strong VM after %v", taken[0].Sub(start), taken[1].Sub(start))
+	}
+}
+
 // TestOnlyDeclaredModelsAreCounted guards against reports that grow with the model names of
 // callers, which can name any model.
 func TestOnlyDeclaredModelsAreCounted(t *testing.T) {
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -179,8 +179,11 @@
 	// a link.
 	leasePollPeriod = 400 * time.Millisecond
 	// weakVMDelay is how long a daemon leaves a free lease to daemons on stronger VMs.
-	// A VM counts as stronger if its power is more than strongerFactor times as high.
-	weakVMDelay    = 700 * time.Millisecond
+	// It exceeds two pauses between reads of the lease, since a stronger VM may be one
+	// read behind in its view of the last renewal, and may find the lease free one read
+	// later. A VM counts as stronger if its power is more than strongerFactor times as
+	// high.
+	weakVMDelay    = 1300 * time.Millisecond
 	strongerFactor = 1.3
 	// planPeriod is the time between plans that no event triggers.
 	planPeriod = 250 * time.Millisecond
