front: Buffer documents on stream routes

Callers got a 502 or an aborted response for a complete 200 on a stream route whose body is no stream of events, such as a JSON document.

Cause: each 200 on a stream route was scanned for events. A document never ends after one, so its end counted as a break, whatever its framing.

Change: a response whose headers name another media type than that of events is read to its end and forwarded, as on other routes. It is broken off if its framing says so. A response without a media type still counts as a stream.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
 
 const (
@@ -162,12 +163,19 @@
 	case !reply.HasStamp:
 		a.conn.Close()
 		return a.handleFailure(ctx, errors.New("answer "+resp.Status+" bears no stamp of the server"))
-	case c.schedCall.Route.Kind == layout.Stream && resp.StatusCode == http.StatusOK:
+	case c.schedCall.Route.Kind == layout.Stream && resp.StatusCode == http.StatusOK && mayHoldEvents(resp):
 		return a.forwardStream(ctx, resp, reply)
 	}
 	return a.forwardBuffered(ctx, resp, reply)
 }
 
+// mayHoldEvents reports whether the body of a response may be a stream of events: its headers
+// name no other media type.
+func mayHoldEvents(r *http.Response) bool {
+	contentType := r.Header.Get("Content-Type")
+	return contentType == "" || wire.IsEventStream(contentType)
+}
+
 // request returns the request that is written to the server.
 func (a *attempt) request() conns.Request {
 	c := a.call
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -255,3 +255,20 @@
 		}
 	}
 }
+
+// TestDocumentOnStreamRouteIsForwarded guards against aborting a complete response on a stream
+// route because it is no stream of events.
+func TestDocumentOnStreamRouteIsForwarded(t *testing.T) {
+	const document = "xml"
+	for _, b := range broken.Responses(document, 0, len(document)-1, len(document)) {
+		if b.Sent == len(document) && b.Framing == conns.Chunked || b.Ending == broken.Silent {
+			continue // The last chunk is missing, or the route's timeout ends the response.
+		}
+		got := newFixtureWithServers(t, nil, streamKind, startBroken(t, b, &atomic.Int64{})).callRaw(t, "HTTP/1.1", http.MethodGet)
+		complete := b.LooksComplete(false)
+		require.Equal(t, complete, got.complete && got.status == http.StatusOK, "%s: %+v", b, got)
+		if complete {
+			require.Equal(t, document[:b.Sent], got.body, b.String())
+		}
+	}
+}
