lease: Take a new lease in each era of the store

A store that was restored from a copy of its data shows an earlier lease or none, although the lease holder of the lost data still acts. It would have been taken at once if the copy had a free lease, and by the process that an earlier row names without taking it, with a fencing number that was given out before.

A lease is now valid only in the era in which it was taken. The first lease of an era is taken when the era has been known for a term: by then nobody trusts a lease of the era before. Fencing numbers contain the era, so that they exceed those that were lost. Rows without an era, as those of limpetd, are of era 0, for which nothing changes.

--- a/limpetd/lease/keeper.go
+++ b/limpetd/lease/keeper.go
@@ -150,7 +150,7 @@
 	k.mu.Lock()
 	k.leaving = true
 	mine := k.candidate.IsHolder()
-	row := Row{Fence: k.candidate.Row().Fence}
+	row := k.candidate.FreeRow()
 	version := k.candidate.Version()
 	k.mu.Unlock()
 	if !mine {
--- a/limpetd/lease/lease.go
+++ b/limpetd/lease/lease.go
@@ -16,6 +16,11 @@
 // the lease, the next write of the paused daemon fails, and the memory for any
 // order that the paused daemon still sends is already charged (see package ledger).
 //
+// A store that was restored from a copy of its data begins a new era. The lease row may then name
+// an earlier lease holder or be missing, although a later one still acts. A lease is therefore
+// valid only in the era in which it was taken, and a daemon takes the first lease of an era only
+// when it has known the era for a term. The era is a part of the fencing number, which hence exceeds those that were lost.
+//
 // # Usage
 //
 //	c := lease.NewCandidate(lease.Config{...})
@@ -44,10 +49,16 @@
 	// free.
 	VM       string `msgpack:"vm"`
 	Instance string `msgpack:"instance"`
-	// Fence is the fencing number. It grows by one each time the lease is taken.
+	// Fence is the fencing number. It grows each time the lease is taken.
 	Fence int64 `msgpack:"fence"`
+	// Era is the era of the store in which the lease was taken.
+	Era int64 `msgpack:"era,omitempty"`
 }
 
+// fencesPerEra is the minimum distance between the fencing numbers of two eras. It exceeds the
+// number of leases that can be lost when the store is restored, one in two seconds at most.
+const fencesPerEra = 1 << 20
+
 // Encode returns the stored form of r, with Level in place of r.Level.
 func Encode(r Row) ([]byte, error) {
 	r.Level = Level
@@ -119,6 +130,9 @@
 // own. A Candidate is not safe for concurrent use.
 type Candidate struct {
 	config Config
+	// era is the era of the store, eraSince when this daemon first knew it.
+	era      int64
+	eraSince time.Time
 	// row is the lease row that was last read or written.
 	row Row
 	// version is the version of the lease row, and firstSeen when this version was
@@ -140,6 +154,21 @@
 	return &Candidate{config: c}
 }
 
+// EnterEra records that the store is in the given era, and reports whether the era is later than
+// the one known before. The trust in a lease of an earlier era ends. Without EnterEra, all is one
+// era, whose first term is over.
+func (m *Candidate) EnterEra(era int64, now time.Time) bool {
+	if era <= m.era {
+		return false
+	}
+	m.era, m.eraSince = era, now
+	m.Invalidate()
+	return true
+}
+
+// Era returns the era of the store.
+func (m *Candidate) Era() int64 { return m.era }
+
 // Observe records the lease row as read at now. Version 0 means that the table has
 // no lease row.
 func (m *Candidate) Observe(row Row, version int64, now time.Time) {
@@ -156,6 +185,8 @@
 		return Wait
 	case m.IsHolder():
 		return Renew
+	case m.row.Era > m.era, m.row.Era < m.era && now.Sub(m.eraSince) < m.config.Term:
+		return Wait
 	case m.row.Instance == "":
 		return Acquire
 	case now.Sub(m.firstSeen) >= m.config.Term:
@@ -165,9 +196,9 @@
 }
 
 // IsHolder reports whether the last observed row names this process as the lease
-// holder.
+// holder in the era of the store.
 func (m *Candidate) IsHolder() bool {
-	return m.observed && m.row.Instance == m.config.Instance
+	return m.observed && m.row.Instance == m.config.Instance && m.row.Era == m.era
 }
 
 // Trusted reports whether this daemon trusts, at now, that it holds the lease.
@@ -177,9 +208,13 @@
 
 // TakeoverRow returns the lease row to write in order to take the lease.
 func (m *Candidate) TakeoverRow() Row {
-	return Row{VM: m.config.VM, Instance: m.config.Instance, Fence: m.row.Fence + 1}
+	fence := m.row.Fence + (m.era-m.row.Era)*fencesPerEra + 1
+	return Row{VM: m.config.VM, Instance: m.config.Instance, Fence: fence, Era: m.era}
 }
 
+// FreeRow returns the lease row to write in order to release the lease.
+func (m *Candidate) FreeRow() Row { return Row{Fence: m.row.Fence, Era: m.row.Era} }
+
 // Row returns the last observed lease row.
 func (m *Candidate) Row() Row { return m.row }
 
