layout: Remember departures beyond the list of servers

The list of servers is not the only source of a departure. After the store was restored from a copy, servers that were leaving or gone are listed as ready, and servers whose entries were written since the copy are missing; and a server can announce itself that it leaves before its entry says so.

An announced departure holds for the start whatever the list says; one known from the list holds against a restored list until the server has written its entry again. Servers that are missing from a restored list are kept as after an outage.

--- a/limpetd/layout/roster.go
+++ b/limpetd/layout/roster.go
@@ -12,7 +12,9 @@
 
 // Roster is the list of backend servers, corrected for outages of the list: a server whose
 // entry expired while the list could not be read is kept until its entry has had time to
-// return. A Roster is not safe for concurrent use and reads no clock.
+// return. It is also corrected for what the list can't tell: a server that has announced to leave,
+// or that had departed before the list was restored from an earlier state. A Roster is not safe for
+// concurrent use and reads no clock.
 type Roster struct {
 	// listed are the servers with an entry, and kept are the servers whose entry expired
 	// during an outage.
@@ -22,11 +24,15 @@
 	// outage of the list ended.
 	unreadable    bool
 	readableSince time.Time
+	// departures are the starts of servers that are leaving or gone, by ID. restored is whether
+	// the next list is an earlier state of the list.
+	departures map[string]departure
+	restored   bool
 }
 
 // NewRoster returns an empty roster.
 func NewRoster() *Roster {
-	return &Roster{listed: map[string]*Server{}, kept: map[string]*Server{}}
+	return &Roster{listed: map[string]*Server{}, kept: map[string]*Server{}, departures: map[string]departure{}}
 }
 
 // SetReachable records whether the list could be read.
@@ -49,6 +55,7 @@
 	for id := range servers {
 		delete(r.kept, id)
 	}
+	r.recordDepartures(servers, now)
 	r.listed = servers
 }
 
@@ -61,16 +68,20 @@
 	if len(r.kept) > 0 {
 		dropAt = r.readableSince.Add(relistGrace)
 		if !r.unreadable && !now.Before(dropAt) {
+			for _, s := range r.kept {
+				r.recordGone(s, now)
+			}
 			clear(r.kept)
 			dropAt = time.Time{}
 		}
 	}
 	all := make([]*Server, 0, len(r.listed)+len(r.kept))
-	for _, s := range r.listed {
-		all = append(all, s)
-	}
-	for _, s := range r.kept {
-		all = append(all, s)
+	for _, list := range []map[string]*Server{r.listed, r.kept} {
+		for _, s := range list {
+			if s = r.current(s); s != nil {
+				all = append(all, s)
+			}
+		}
 	}
 	slices.SortFunc(all, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 	return all, dropAt
