mirror, steer, platform: Compare versions within one era of the store

The store gives out versions again after it was restored from a copy of its data, and says so by its header Store-Era. Copies of tables kept rows of the lost state because their versions were higher, or mixed both states; the lease holder went on with a lease that the store no longer has; a daemon whose own row was lost, or could not be written once, was not listed again.

Positions of the store are ordered by era, then by version. A follower reads its table again in a new era and tells the roster; changes relayed by another daemon apply within one era. The client of the store notices the era on each answer, before its status, and does not use answers of an earlier era. The lease holder checks the era whenever it checks its lease.

--- a/limpetd/mirror/follower.go
+++ b/limpetd/mirror/follower.go
@@ -40,14 +40,14 @@
 
 // Source reads tables from the store.
 type Source interface {
-	// Read returns all rows of a table and a version; the rows include every change up
-	// to that version, and may include later ones.
-	Read(ctx context.Context, table string) ([]Row, int64, error)
-	// Changes returns the rows that changed after a version, and the version up to which
+	// Read returns all rows of a table and a position; the rows include every change up
+	// to that position, and may include later ones of its era.
+	Read(ctx context.Context, table string) ([]Row, Position, error)
+	// Changes returns the rows that changed after a position, and the position up to which
 	// the changes are complete. If nothing has changed, it waits for a change for up to
 	// wait. It returns ErrHistoryLost if the store no longer holds all changes after the
-	// version.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
+	// position, and any rows if the returned position is of another era.
+	Changes(ctx context.Context, table string, after Position, wait time.Duration) ([]Row, Position, error)
 }
 
 // Option configures a Follower.
@@ -59,6 +59,12 @@
 	return func(f *Follower) { f.onReached = onReached }
 }
 
+// WithRestored sets a function that is called when the store has been restored from a copy of
+// its data, before onChange receives the restored rows.
+func WithRestored(onRestored func(now time.Time)) Option {
+	return func(f *Follower) { f.onRestored = onRestored }
+}
+
 // WithLog sets the logger and the metrics scope.
 func WithLog(log *zap.Logger, scope tally.Scope) Option {
 	return func(f *Follower) { f.log, f.scope = log, scope }
@@ -72,13 +78,14 @@
 
 // Follower keeps a table up to date. It is safe for concurrent use.
 type Follower struct {
-	name      string
-	source    Source
-	onChange  func(rows map[string]Row)
-	onReached func(ok bool, now time.Time)
-	relaying  func() bool
-	log       *zap.Logger
-	scope     tally.Scope
+	name       string
+	source     Source
+	onChange   func(rows map[string]Row)
+	onReached  func(ok bool, now time.Time)
+	onRestored func(now time.Time)
+	relaying   func() bool
+	log        *zap.Logger
+	scope      tally.Scope
 
 	mu    sync.Mutex
 	table Table
@@ -96,9 +103,10 @@
 func NewFollower(name string, s Source, onChange func(rows map[string]Row), opts ...Option) *Follower {
 	f := &Follower{
 		name: name, source: s, onChange: onChange,
-		onReached: func(bool, time.Time) {},
-		relaying:  func() bool { return false },
-		log:       zap.NewNop(), scope: tally.NoopScope,
+		onReached:  func(bool, time.Time) {},
+		onRestored: func(time.Time) {},
+		relaying:   func() bool { return false },
+		log:        zap.NewNop(), scope: tally.NoopScope,
 		relayReceived: make(chan struct{}),
 	}
 	for _, o := range opts {
@@ -110,32 +118,33 @@
 // Name returns the name of the table.
 func (f *Follower) Name() string { return f.name }
 
-// Since returns the changes after a version, to be relayed to another daemon. It returns
+// Since returns the changes after a position, to be relayed to another daemon. It returns
 // false if the copy lacks some of the changes, or if the store has not responded to this
 // follower within storeTimeout.
-func (f *Follower) Since(version int64, now time.Time) (Update, bool) {
+func (f *Follower) Since(after Position, now time.Time) (Update, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.read || now.Sub(f.polledAt) > storeTimeout {
 		return Update{}, false
 	}
-	u, ok := f.table.Since(version)
+	u, ok := f.table.Since(after)
 	u.Table = f.name
 	return u, ok
 }
 
-// Version returns the version of the copy.
-func (f *Follower) Version() int64 {
+// Position returns the position of the copy.
+func (f *Follower) Position() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.version
+	return f.table.position
 }
 
 // ApplyRelayed applies an update that another daemon relays. It ignores an update that starts
-// after the version of the copy, because the changes between the two would be missing.
+// after the position of the copy, because the changes between the two would be missing, and one
+// of another era. A follower whose copy is behind polls the store itself.
 func (f *Follower) ApplyRelayed(u Update, now time.Time) {
 	f.mu.Lock()
-	if !f.read || u.From > f.table.version {
+	if !f.read || u.Era != f.table.position.Era || u.From > f.table.position.Version {
 		f.mu.Unlock()
 		return
 	}
@@ -190,10 +199,10 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryLost):
-			f.log.Info("history_lost", zap.String("table", f.name), zap.Int64("version", f.Version()))
+			f.log.Info("history_lost", f.logFields()...)
 		case err != nil:
 			if !lost {
-				f.log.Warn("store_lost", zap.String("table", f.name), zap.Int64("version", f.Version()), zap.Error(err))
+				f.log.Warn("store_lost", append(f.logFields(), zap.Error(err))...)
 			}
 			lost = true
 			f.scope.Counter("store_failures").Inc(1)
@@ -201,7 +210,7 @@
 			life.Sleep(ctx, random.Jitter(rng, retryDelay))
 		default:
 			if lost {
-				f.log.Info("store_regained", zap.String("table", f.name), zap.Int64("version", f.Version()))
+				f.log.Info("store_regained", f.logFields()...)
 			}
 			lost = false
 			f.onReached(true, now)
@@ -210,6 +219,12 @@
 	}
 }
 
+// logFields returns the log fields of the table and its position.
+func (f *Follower) logFields() []zap.Field {
+	at := f.Position()
+	return []zap.Field{zap.String("table", f.name), zap.Int64("era", at.Era), zap.Int64("version", at.Version)}
+}
+
 // awaitNextPoll waits until the poll that follows the one begun at started is due, or until
 // another daemon relays an update.
 func (f *Follower) awaitNextPoll(ctx context.Context, started time.Time) {
@@ -233,7 +248,7 @@
 // changes after the version of the copy, waits at the store for them, and applies them.
 func (f *Follower) poll(ctx context.Context) error {
 	f.mu.Lock()
-	read, version := f.read, f.table.version
+	read, position := f.read, f.table.position
 	f.mu.Unlock()
 	if !read {
 		return f.readAll(ctx)
@@ -242,8 +257,11 @@
 	if f.relaying() {
 		wait = relayPollWait
 	}
-	list, to, err := f.source.Changes(ctx, f.name, version, wait)
+	list, to, err := f.source.Changes(ctx, f.name, position, wait)
 	f.mu.Lock()
+	if err == nil && to.Era != position.Era {
+		err = ErrHistoryLost
+	}
 	if errors.Is(err, ErrHistoryLost) {
 		f.read = false
 	}
@@ -252,7 +270,7 @@
 		return err
 	}
 	f.polledAt = time.Now()
-	f.table.Merge(list, to)
+	f.table.Merge(list, to.Version)
 	rows := f.table.Rows()
 	f.mu.Unlock()
 	if len(list) > 0 {
@@ -264,18 +282,24 @@
 // readAll replaces the copy by a full read of the table. It returns ErrStale if the read is
 // older than the copy.
 func (f *Follower) readAll(ctx context.Context) error {
-	list, version, err := f.source.Read(ctx, f.name)
+	list, at, err := f.source.Read(ctx, f.name)
 	if err != nil {
 		return err
 	}
+	now := time.Now()
 	f.mu.Lock()
-	if !f.table.Replace(list, version) {
+	previous := f.table.position
+	if !f.table.Replace(list, at) {
 		f.mu.Unlock()
 		return ErrStale
 	}
-	f.read, f.polledAt = true, time.Now()
+	f.read, f.polledAt = true, now
 	rows := f.table.Rows()
 	f.mu.Unlock()
+	if previous != (Position{}) && previous.Era != at.Era {
+		f.log.Warn("table_restored", zap.String("table", f.name), zap.Int64("era", at.Era), zap.Int64("version", at.Version), zap.Int64("version_before", previous.Version))
+		f.onRestored(now)
+	}
 	f.onChange(rows)
 	return nil
 }
--- a/limpetd/mirror/mirror_test.go
+++ b/limpetd/mirror/mirror_test.go
@@ -19,6 +19,7 @@
 type source struct {
 	mu      sync.Mutex
 	rows    map[string]mirror.Row
+	era     int64
 	version int64
 	calls   int
 	down    bool
@@ -44,12 +45,25 @@
 	return s.calls
 }
 
-func (s *source) Read(context.Context, string) ([]mirror.Row, int64, error) {
+// restore replaces the state of the store by an earlier one, in which it has the given rows, and
+// begins a new era.
+func (s *source) restore(version int64, rows ...mirror.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version = version
+	s.rows = map[string]mirror.Row{}
+	for _, r := range rows {
+		s.rows[r.Key] = r
+	}
+}
+
+func (s *source) Read(context.Context, string) ([]mirror.Row, mirror.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errors.New("down")
+		return nil, mirror.Position{}, errors.New("down")
 	}
 	var list []mirror.Row
 	for _, r := range s.rows {
@@ -57,10 +71,10 @@
 			list = append(list, r)
 		}
 	}
-	return list, s.version - s.lag, nil
+	return list, mirror.Position{Era: s.era, Version: s.version - s.lag}, nil
 }
 
-func (s *source) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]mirror.Row, int64, error) {
+func (s *source) Changes(ctx context.Context, _ string, after mirror.Position, wait time.Duration) ([]mirror.Row, mirror.Position, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -72,43 +86,46 @@
 				err, s.historyLost = mirror.ErrHistoryLost, false
 			}
 			s.mu.Unlock()
-			return nil, 0, err
+			return nil, mirror.Position{}, err
 		}
 		var list []mirror.Row
 		for _, r := range s.rows {
-			if r.Version > after {
+			if r.Version > after.Version {
 				list = append(list, r)
 			}
 		}
-		version := s.version
+		at := mirror.Position{Era: s.era, Version: s.version}
 		s.mu.Unlock()
 		if len(list) > 0 || !time.Now().Before(deadline) {
-			return list, version, ctx.Err()
+			return list, at, ctx.Err()
 		}
 		if !life.Sleep(ctx, 10*time.Millisecond) {
-			return nil, 0, ctx.Err()
+			return nil, mirror.Position{}, ctx.Err()
 		}
 	}
 }
 
+// at returns a position in the first era.
+func at(version int64) mirror.Position { return mirror.Position{Version: version} }
+
 func TestTableKeepsNewerRows(t *testing.T) {
 	var table mirror.Table
-	require.True(t, table.Replace([]mirror.Row{{Key: "a", Version: 5, Value: []byte("new")}}, 5))
+	require.True(t, table.Replace([]mirror.Row{{Key: "a", Version: 5, Value: []byte("new")}}, at(5)))
 	table.Merge([]mirror.Row{{Key: "a", Version: 3, Value: []byte("old")}}, 3)
 	require.Equal(t, "new", string(table.Rows()["a"].Value))
-	require.False(t, table.Replace([]mirror.Row{{Key: "a", Version: 3, Value: []byte("old")}}, 4))
+	require.False(t, table.Replace([]mirror.Row{{Key: "a", Version: 3, Value: []byte("old")}}, at(4)))
 }
 
 func TestSinceReturnsChangesAndDeletions(t *testing.T) {
 	var sender, receiver mirror.Table
-	require.True(t, sender.Replace([]mirror.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, 2))
-	require.True(t, receiver.Replace([]mirror.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, 2))
+	require.True(t, sender.Replace([]mirror.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, at(2)))
+	require.True(t, receiver.Replace([]mirror.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, at(2)))
 	sender.Merge([]mirror.Row{{Key: "a", Version: 3, Deleted: true}, {Key: "c", Version: 4}}, 4)
-	u, ok := sender.Since(2)
+	u, ok := sender.Since(at(2))
 	require.True(t, ok)
 	receiver.Merge(u.Rows, u.To)
 	require.Equal(t, sender.Rows(), receiver.Rows())
-	_, ok = sender.Since(1)
+	_, ok = sender.Since(at(1))
 	require.False(t, ok, "the table has no record of deletions before its first read")
 }
 
@@ -167,7 +184,7 @@
 		time.Sleep(time.Second)
 		relayEvery := func(period time.Duration) {
 			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(period) {
-				if u, ok := relay.Since(f.Version(), time.Now()); ok {
+				if u, ok := relay.Since(f.Position(), time.Now()); ok {
 					f.ApplyRelayed(u, time.Now())
 				}
 			}
@@ -189,13 +206,13 @@
 		s.set("k", "1")
 		f, _ := follow(t.Context(), s, mirror.WithRelay(func() bool { return true }))
 		time.Sleep(time.Second)
-		_, ok := f.Since(1, time.Now())
+		_, ok := f.Since(at(1), time.Now())
 		require.True(t, ok)
 		s.mu.Lock()
 		s.down = true
 		s.mu.Unlock()
 		time.Sleep(1500 * time.Millisecond)
-		_, ok = f.Since(1, time.Now())
+		_, ok = f.Since(at(1), time.Now())
 		require.False(t, ok)
 	})
 }
--- a/limpetd/mirror/table.go
+++ b/limpetd/mirror/table.go
@@ -1,7 +1,9 @@
 // Package mirror keeps copies of the store's tables in daemons.
 //
 // A Table is a copy of a table. A row of the copy is replaced only by a newer version,
-// also if the store returns an older state. A Follower keeps a Table up to date: it polls
+// also if the store returns an older state. A store that was restored from a copy of its data
+// begins a new era, in which it gives out versions again: positions are ordered by era, then by
+// version, and a copy is replaced as a whole when its era ends. A Follower keeps a Table up to date: it polls
 // the store for changes or, as long as another daemon polls the store and relays the
 // changes, applies the relayed changes. Because of the relay, the number of requests to the
 // store does not grow with the number of daemons. A daemon that receives no relayed update
@@ -29,9 +31,22 @@
 	Deleted bool  `msgpack:"deleted,omitempty"`
 }
 
-// Update holds the changes of a table after version From, up to version To.
+// Position is a state of the store: the newest version of an era. An era begins when the store
+// has been restored from a copy of its data. The zero Position comes before all others.
+type Position struct {
+	Era     int64 `msgpack:"era"`
+	Version int64 `msgpack:"version"`
+}
+
+// Before reports whether p is an earlier state than o.
+func (p Position) Before(o Position) bool {
+	return p.Era < o.Era || p.Era == o.Era && p.Version < o.Version
+}
+
+// Update holds the changes of a table after version From, up to version To of the same era.
 type Update struct {
 	Table string `msgpack:"table"`
+	Era   int64  `msgpack:"era,omitempty"`
 	From  int64  `msgpack:"from"`
 	To    int64  `msgpack:"to"`
 	Rows  []Row  `msgpack:"rows,omitempty"`
@@ -48,15 +63,15 @@
 
 // Table is a local copy of a table of the store. It is not safe for concurrent use.
 type Table struct {
-	rows    map[string]Row
-	version int64
+	rows     map[string]Row
+	position Position
 	// deletions are the latest deletions, complete after version deletionsAfter.
 	deletions      []Row
 	deletionsAfter int64
 }
 
 // Merge applies changed rows, except those that are not newer than the row of the copy.
-// version is the version up to which the changes are complete.
+// version is the version up to which the changes are complete, in the era of the copy.
 func (t *Table) Merge(list []Row, version int64) {
 	for _, r := range list {
 		if old, ok := t.rows[r.Key]; ok && old.Version >= r.Version {
@@ -69,7 +84,7 @@
 		}
 		t.rows[r.Key] = r
 	}
-	t.version = max(t.version, version)
+	t.position.Version = max(t.position.Version, version)
 	if excess := len(t.deletions) - maxDeletions; excess > 0 {
 		t.deletionsAfter = t.deletions[excess-1].Version
 		t.deletions = append([]Row(nil), t.deletions[excess:]...)
@@ -78,30 +93,31 @@
 
 // Replace replaces all rows by those of a full read. If the read is older than the copy,
 // Replace returns false and changes nothing.
-func (t *Table) Replace(list []Row, version int64) bool {
-	if version < t.version {
+func (t *Table) Replace(list []Row, at Position) bool {
+	if at.Before(t.position) {
 		return false
 	}
 	t.rows = make(map[string]Row, len(list))
-	t.deletions, t.deletionsAfter = nil, version
-	t.Merge(list, version)
+	t.deletions, t.deletionsAfter = nil, at.Version
+	t.position = at
+	t.Merge(list, at.Version)
 	return true
 }
 
-// Since returns the changes after a version. It returns false if the table was never read or
-// if deletions after the version are no longer kept.
-func (t *Table) Since(version int64) (Update, bool) {
-	u := Update{From: version, To: t.version}
-	if version < t.deletionsAfter || t.rows == nil {
+// Since returns the changes after a position. It returns false if the table was never read, if
+// the position is of another era, or if deletions after it are no longer kept.
+func (t *Table) Since(after Position) (Update, bool) {
+	u := Update{Era: t.position.Era, From: after.Version, To: t.position.Version}
+	if after.Era != t.position.Era || after.Version < t.deletionsAfter || t.rows == nil {
 		return u, false
 	}
 	for _, r := range t.rows {
-		if r.Version > version {
+		if r.Version > after.Version {
 			u.Rows = append(u.Rows, r)
 		}
 	}
 	for _, r := range t.deletions {
-		if r.Version > version {
+		if r.Version > after.Version {
 			u.Rows = append(u.Rows, r)
 		}
 	}
--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -26,8 +26,8 @@
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
-	// sent are the versions of the tables up to which changes were sent to all daemons.
-	sent map[string]int64
+	// sent are the positions of the tables up to which changes were sent to all daemons.
+	sent map[string]mirror.Position
 	// adapters and unloading are those of the last update to all daemons.
 	adapters, unloading map[string][]string
 }
@@ -39,20 +39,20 @@
 	waiting map[modelKey]bool
 	// needsFull indicates whether the next update must contain the full state.
 	needsFull bool
-	// versions are those of the daemon's tables when the link was opened.
-	versions map[string]int64
+	// positions are those of the daemon's tables when the link was opened.
+	positions map[string]mirror.Position
 	// overflowed indicates whether an update was dropped.
 	overflowed bool
 }
 
 func newBroadcaster(tables []*mirror.Follower) *broadcaster {
-	return &broadcaster{tables: tables, subscribers: map[*subscriber]bool{}, sent: map[string]int64{}}
+	return &broadcaster{tables: tables, subscribers: map[*subscriber]bool{}, sent: map[string]mirror.Position{}}
 }
 
-// add adds a daemon with the versions of its tables. The next update sends the daemon the
+// add adds a daemon with the positions of its tables. The next update sends the daemon the
 // full state.
-func (b *broadcaster) add(versions map[string]int64) *subscriber {
-	s := &subscriber{queue: make(chan queuedMessage, subscriberQueueSize), waiting: map[modelKey]bool{}, needsFull: true, versions: versions}
+func (b *broadcaster) add(positions map[string]mirror.Position) *subscriber {
+	s := &subscriber{queue: make(chan queuedMessage, subscriberQueueSize), waiting: map[modelKey]bool{}, needsFull: true, positions: positions}
 	b.mu.Lock()
 	b.subscribers[s] = true
 	b.mu.Unlock()
@@ -130,10 +130,10 @@
 	for _, f := range b.tables {
 		if changes, ok := f.Since(b.sent[f.Name()], now); ok {
 			u.Tables = append(u.Tables, changes)
-			next[f.Name()] = changes.To
-		} else if version := f.Version(); version > 0 {
+			next[f.Name()] = mirror.Position{Era: changes.Era, Version: changes.To}
+		} else if at := f.Position(); at != (mirror.Position{}) {
 			// Daemons whose tables fall behind follow the store themselves.
-			next[f.Name()] = version
+			next[f.Name()] = at
 		}
 	}
 	raw, err := encode(u)
@@ -149,7 +149,7 @@
 		s.needsFull = false
 		full := stateUpdate{Full: true, Adapters: adapters, Unloading: unloading}
 		for _, f := range b.tables {
-			if changes, ok := f.Since(s.versions[f.Name()], now); ok {
+			if changes, ok := f.Since(s.positions[f.Name()], now); ok {
 				full.Tables = append(full.Tables, changes)
 			}
 		}
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -227,9 +227,10 @@
 		}
 	})
 	first := s.takeReport()
-	first.Versions = map[string]int64{}
+	first.Versions, first.Eras = map[string]int64{}, map[string]int64{}
 	for name, f := range s.tables {
-		first.Versions[name] = f.Version()
+		at := f.Position()
+		first.Versions[name], first.Eras[name] = at.Version, at.Era
 	}
 	if err := stream.SendMsg(first); err != nil {
 		return err
@@ -266,7 +267,11 @@
 	s.mu.Lock()
 	s.lastUpdate = now
 	if u.Loads != nil && !s.lease.IsHolder() {
-		s.lease.Observe(lease.Row{VM: u.Lease.VM, Instance: u.Lease.Instance, Fence: u.Lease.Fence}, u.Lease.Version, s.deps.Clock())
+		s.enterEra()
+		s.lease.EnterEra(u.Lease.Era, s.deps.Clock())
+		if u.Lease.Era == s.lease.Era() {
+			s.lease.Observe(u.Lease.row(), u.Lease.Version, s.deps.Clock())
+		}
 	}
 	s.mu.Unlock()
 	if u.Full || len(u.Adapters) > 0 || len(u.Unloading) > 0 {
@@ -302,7 +307,7 @@
 	if err := stream.RecvMsg(&first); err != nil {
 		return err
 	}
-	sub := s.broadcaster.add(first.Versions)
+	sub := s.broadcaster.add(first.positions())
 	defer s.broadcaster.remove(sub)
 	s.broadcaster.setWaiting(sub, &first)
 	s.submitReport(first)
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/mirror"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 	"github.com/limpetlb/limpetlb/limpetd/stock"
 )
@@ -25,8 +26,10 @@
 // daemonReport is a report of a daemon to the lease holder.
 type daemonReport struct {
 	VM string `msgpack:"vm"`
-	// Versions are the versions of the daemon's tables, in the first report of a link.
+	// Versions and Eras are the positions of the daemon's tables, in the first report of a
+	// link.
 	Versions map[string]int64 `msgpack:"versions,omitempty"`
+	Eras     map[string]int64 `msgpack:"eras,omitempty"`
 	// Models are the models and adapters that calls asked for. Usage and Waiting are the
 	// usage and the number of waiting calls of each, in the same order.
 	Models  []modelKey `msgpack:"slots"`
@@ -40,6 +43,15 @@
 	Streams map[string]streams `msgpack:"streams,omitempty"`
 }
 
+// positions returns the positions of the daemon's tables.
+func (r *daemonReport) positions() map[string]mirror.Position {
+	positions := make(map[string]mirror.Position, len(r.Versions))
+	for name, version := range r.Versions {
+		positions[name] = mirror.Position{Era: r.Eras[name], Version: version}
+	}
+	return positions
+}
+
 // streams counts streams that ended, and those of them that had too long a pause.
 type streams struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
--- a/limpetd/steer/lease.go
+++ b/limpetd/steer/lease.go
@@ -18,6 +18,7 @@
 	source := random.New()
 	for ctx.Err() == nil {
 		s.mu.Lock()
+		s.enterEra()
 		mine := s.lease.IsHolder()
 		s.mu.Unlock()
 		switch {
@@ -62,6 +63,7 @@
 func (s *Controller) IsLeaseHolder() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enterEra()
 	now := s.deps.Clock()
 	switch {
 	case s.leaving:
@@ -73,6 +75,14 @@
 		2*(s.broadcaster.count()+1) > len(s.members)
 }
 
+// enterEra ends the trust in the lease if the store was restored since it was taken. The caller
+// must hold mu.
+func (s *Controller) enterEra() {
+	if era := s.deps.Leases.Era(); s.lease.EnterEra(era, s.deps.Clock()) {
+		s.deps.Log.Info("lease_era", zap.Int64("era", era))
+	}
+}
+
 // renewLease writes the lease again.
 func (s *Controller) renewLease(ctx context.Context) {
 	s.mu.Lock()
@@ -94,6 +104,7 @@
 	s.leaseUnconfirmed = false
 	s.mu.Lock()
 	s.storeUnreachable = false
+	s.enterEra()
 	s.lease.Observe(row, version, s.deps.Clock())
 	s.mu.Unlock()
 	return true
@@ -164,6 +175,7 @@
 	written, err := s.deps.Leases.Write(ctx, row, version, announce)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enterEra()
 	s.storeUnreachable = err != nil && code.Of(err) != code.StoreConflict
 	switch code.Of(err) {
 	case code.OK:
@@ -199,7 +211,7 @@
 	s.mu.Lock()
 	s.leaving = true
 	mine, version := s.lease.IsHolder(), s.lease.Version()
-	row := lease.Row{Fence: s.lease.Row().Fence}
+	row := s.lease.FreeRow()
 	s.lease.Invalidate()
 	s.mu.Unlock()
 	if !mine {
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/encoding"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 	"github.com/limpetlb/limpetlb/limpetd/store"
@@ -86,9 +87,15 @@
 	VM       string `msgpack:"vm"`
 	Instance string `msgpack:"instance"`
 	Fence    int64  `msgpack:"fence"`
+	Era      int64  `msgpack:"era,omitempty"`
 	Version  int64  `msgpack:"version"`
 }
 
+// row returns the lease row.
+func (l leaseState) row() lease.Row {
+	return lease.Row{VM: l.VM, Instance: l.Instance, Fence: l.Fence, Era: l.Era}
+}
+
 // linkMethod is a stream of reports to the lease holder and of updates from it.
 // reserveMethod is a call that requests time of an engine.
 const (
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -358,7 +358,7 @@
 	s.mu.Unlock()
 	encodeWithLoads := func(u stateUpdate) (encodedMessage, error) {
 		u.Loads = shared
-		u.Lease = leaseState{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Version: version}
+		u.Lease = leaseState{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Era: row.Era, Version: version}
 		return encode(u)
 	}
 	if err := s.broadcaster.broadcast(adapters, unloading, encodeWithLoads, now); err != nil {
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -120,6 +120,9 @@
 // LeaseStore stores the lease. Errors of Write have the codes StoreConflict, StoreUnknown
 // (the write may have taken effect), StoreDown or StoreLimited.
 type LeaseStore interface {
+	// Era returns the latest era of the store that any of its answers has shown; 0 for a store
+	// without eras. An answer is not returned after one of a later era.
+	Era() int64
 	// Read returns the lease and its version, which is 0 if there is no lease.
 	Read(ctx context.Context) (lease.Row, int64, error)
 	// Write replaces the given version of the lease and returns the new version. With
--- a/limpetd/steer/steer_test.go
+++ b/limpetd/steer/steer_test.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	row     lease.Row
 	version int64
+	era     int64
 	// announced is the VM that was announced last as the lease holder.
 	announced string
 	// loseAnswers makes the writes of a VM take effect but return an error, down makes
@@ -39,6 +40,23 @@
 	vm string
 }
 
+func (l leaseClient) Era() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down[l.vm] {
+		return 0
+	}
+	return l.era
+}
+
+// restore replaces the lease by an earlier one and begins a new era.
+func (l *leaseStore) restore(row lease.Row, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.row, l.version = row, version
+	l.era++
+}
+
 func (l leaseClient) Read(context.Context) (lease.Row, int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -44,9 +44,11 @@
 	end := time.Now().Add(r.config.Duration)
 	breaking, stop := context.WithDeadline(ctx, end)
 	defer stop()
-	// The random source is separate, so that the other faults of a seed stay the same.
+	// The random sources are separate, so that the other faults of a seed stay the same.
 	breakRandom := rand.New(rand.NewPCG(r.config.Seed, 7))
 	r.running.Go(func() { r.breakResponses(breaking, breakRandom) })
+	restoreRandom := rand.New(rand.NewPCG(r.config.Seed, 8))
+	r.running.Go(func() { r.restoreStore(breaking, restoreRandom) })
 	for time.Now().Before(end) && ctx.Err() == nil {
 		kind := faultKinds[r.random.IntN(len(faultKinds))]
 		// Each fault has its own random source, so that the order in which overlapping
@@ -199,6 +201,28 @@
 	}
 }
 
+// Copies from which the store is restored have an age below maxCopyAge. The operator and the
+// servers write again within maxRewriteDelay.
+const (
+	maxCopyAge      = 8 * time.Second
+	maxRewriteDelay = 2 * time.Second
+)
+
+// restoreStore restores the store from copies of its data, until ctx ends.
+func (r *run) restoreStore(ctx context.Context, random *rand.Rand) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(randomDuration(random, time.Second, 6*time.Second)):
+		}
+		r.mu.Lock()
+		r.faults["store_restored"]++
+		r.mu.Unlock()
+		r.platform.Store.Restore(randomDuration(random, 0, maxCopyAge), randomDuration(random, 0, maxRewriteDelay))
+	}
+}
+
 // disturbLink cuts, silences or slows a link for a while, or resets its connections.
 func disturbLink(l *link.Link, random *rand.Rand) {
 	duration := randomDuration(random, 100*time.Millisecond, 3*time.Second)
