--- a/limpetd/lease/era_test.go
+++ b/limpetd/lease/era_test.go
@@ -127,3 +127,19 @@
 	c.RecordWrite(own, 5, now, now)
 	require.False(t, c.Trusted(now), "a renewal that met another row of the same version")
 }
+
+// TestVersionThatExistsAgainIsSeenAnew guards against taking the lease from a daemon that has just
+// taken it in a new era, because its version was seen long ago in the era before.
+func TestVersionThatExistsAgainIsSeenAnew(t *testing.T) {
+	const term = time.Second
+	now := time.Unix(1000, 0)
+	c := NewCandidate(Config{VM: "a", Instance: "a1", Term: term})
+	c.EnterEra(1, now)
+	c.Observe(Row{Instance: "b1", Fence: 3, Era: 1}, 9, now)
+	now = now.Add(10 * term)
+	c.EnterEra(2, now)
+	now = now.Add(10 * term)
+	c.Observe(Row{Instance: "d1", Fence: 4, Era: 2}, 9, now)
+	require.Equal(t, Wait, c.Next(now))
+	require.Equal(t, Acquire, c.Next(now.Add(term)))
+}
