front, sched, steer, platform: Heed servers that leave or refuse calls

A server says in its responses that it is leaving (Server-Leaving), possibly before its entry does, and with a 503 for how long it wants no requests (Retry-After). Daemons went on sending to it: a leaving server by its entry, and a full one after 60 ms, or at once if no other server was left.

A leaving server counts as draining for the rest of its start, from the first response that says so to any request, orders and report requests included. The lease holder tells the other daemons, and its plan notices the state although the entry is unchanged.

A server that states a time is not used before its end, not even as the last resort, nor for reservations, orders and reports. A call that only such servers could answer is refused at once, with a time to return that lies after the end and differs between callers. Times are bounded by five minutes; invalid ones are logged and counted.

The stand-in and the soak have both.

--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -81,6 +81,12 @@
 	HasStamp bool
 	// Load is the load that the server reports; nil if it reports none.
 	Load *sched.LoadReport
+	// Leaving is whether the server announces that it is leaving.
+	Leaving bool
+	// Backoff is how long the server wants no more calls from this daemon; 0 if it states no
+	// time. InvalidBackoff is a stated time that is malformed or out of range.
+	Backoff        time.Duration
+	InvalidBackoff string
 }
 
 // Dialect maps the header names of a deployment to CallHeaders, AttemptHeaders and
@@ -118,6 +124,12 @@
 	RecordStream(service string, paused bool)
 }
 
+// DepartureRecorder receives the servers that announce that they are leaving.
+type DepartureRecorder interface {
+	// RecordLeaving is called for each response of a server that says so.
+	RecordLeaving(s *layout.Server)
+}
+
 // Deps holds the dependencies of a Front.
 type Deps struct {
 	Dialect Dialect
@@ -125,8 +137,11 @@
 	Loader  Loader
 	// Reserver is nil if each daemon chooses servers itself.
 	Reserver Reserver
-	Log      *zap.Logger
-	Scope    tally.Scope
+	// Departures is nil if servers announce their leaving in no other way than by the list of
+	// servers.
+	Departures DepartureRecorder
+	Log        *zap.Logger
+	Scope      tally.Scope
 }
 
 // Option configures a Front.
@@ -247,6 +262,34 @@
 	f.mu.Unlock()
 }
 
+// RecordResponse records what a server asks of this daemon by any response: to send no more calls
+// because it is leaving, or no requests for a time.
+func (f *Front) RecordResponse(s *layout.Server, r ResponseHeaders) {
+	if r.Leaving && f.deps.Departures != nil {
+		f.deps.Departures.RecordLeaving(s)
+	}
+	if r.InvalidBackoff != "" {
+		f.metrics.invalidBackoffs.Inc(1)
+		f.deps.Log.Warn("backoff_invalid", zap.String("server", s.ID), zap.String("value", r.InvalidBackoff))
+	}
+	if r.Backoff <= 0 {
+		return
+	}
+	f.metrics.backoffs.Inc(1)
+	f.deps.Log.Info("server_backoff", zap.String("server", s.ID), zap.Duration("length", r.Backoff))
+	f.mu.Lock()
+	f.balancer.RecordBackoff(s.ID, r.Backoff, time.Now())
+	f.mu.Unlock()
+}
+
+// BackoffUntil returns until when a server wants no requests from this daemon; the zero time if it
+// has not asked for that.
+func (f *Front) BackoffUntil(id string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.BackoffUntil(id)
+}
+
 // SetSharedLoad sets the load that all daemons together put on each server.
 func (f *Front) SetSharedLoad(all map[string]sched.ServerLoad) {
 	f.mu.Lock()
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -17,6 +17,9 @@
 	resumed     tally.Counter
 	// broken counts the responses that servers broke off.
 	broken tally.Counter
+	// backoffs counts the responses of servers that want no calls for a time, invalidBackoffs
+	// those whose time is malformed or out of range.
+	backoffs, invalidBackoffs tally.Counter
 	// firstEvent, total and maxPause measure answered calls: the time to the first event or to
 	// the response, the time to the end of the response, and the longest pause between events.
 	firstEvent tally.Histogram
@@ -28,16 +31,18 @@
 	s = s.SubScope("front")
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 	return metrics{
-		calls:       s.Counter("calls"),
-		served:      s.Counter("served"),
-		refused:     s.Counter("refused"),
-		failed:      s.Counter("failed"),
-		callersGone: s.Counter("callers_left"),
-		retried:     s.Counter("repeated"),
-		resumed:     s.Counter("resumed"),
-		broken:      s.Counter("broken"),
-		firstEvent:  s.Histogram("first_event", buckets),
-		total:       s.Histogram("answer", buckets),
-		maxPause:    s.Histogram("pause", buckets),
+		calls:           s.Counter("calls"),
+		served:          s.Counter("served"),
+		refused:         s.Counter("refused"),
+		failed:          s.Counter("failed"),
+		callersGone:     s.Counter("callers_left"),
+		retried:         s.Counter("repeated"),
+		resumed:         s.Counter("resumed"),
+		broken:          s.Counter("broken"),
+		backoffs:        s.Counter("backoffs"),
+		invalidBackoffs: s.Counter("backoffs_invalid"),
+		firstEvent:      s.Histogram("first_event", buckets),
+		total:           s.Histogram("answer", buckets),
+		maxPause:        s.Histogram("pause", buckets),
 	}
 }
--- a/limpetd/front/reserve_test.go
+++ b/limpetd/front/reserve_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/front"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -174,3 +175,17 @@
 	case <-time.After(400 * time.Millisecond):
 	}
 }
+
+// TestBackoffOfOnlyEngineRefusesAtOnce guards against holding a call for a model whose only engine
+// wants no calls, because the Reserver, which excludes the engine, finds none with the model.
+func TestBackoffOfOnlyEngineRefusesAtOnce(t *testing.T) {
+	r := &reserver{reservations: []sched.Reservation{{Verdict: sched.NotLoaded}}}
+	fx := newFixtureWithReserver(t, r, streamRoute, unexpectedServer)
+	fx.front.RecordResponse(&layout.Server{ID: "i0"}, front.ResponseHeaders{Backoff: 3 * time.Second})
+	begin := time.Now()
+	a, _, err := fx.post(t, "/r/1", map[string]string{"Model": "m"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
+	require.Less(t, time.Since(begin), time.Second)
+	require.Zero(t, fx.loader.wantCount.Load(), "the model is loaded")
+}
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -182,7 +182,7 @@
 
 // useReservation waits until the reserved time and returns the choice for the reservation.
 // It returns false if this daemon can't use the reservation, or if the Reserver found no
-// engine that holds the model but this daemon has one.
+// engine that holds the model but this daemon has one, which may want no calls from it for a time.
 func (c *call) useReservation(ctx context.Context, g sched.Reservation) (sched.Choice, bool) {
 	f := c.front
 	if g.Verdict == sched.Chosen && g.Delay > 0 {
@@ -196,7 +196,7 @@
 	case sched.NoServer:
 		return choice, false
 	case sched.NotLoaded:
-		return choice, !f.balancer.Loaded(&c.schedCall, now)
+		return choice, !f.balancer.Loaded(&c.schedCall, now) && !f.balancer.WaitsForBackoff(&c.schedCall, now)
 	case sched.Full:
 		choice = f.balancer.ChoiceWhenFull(&c.schedCall, now)
 	}
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -18,7 +18,8 @@
 // Choose returns the server for a call: the least loaded of the usable servers or, if
 // its load is nearly as low, the one that prefilled the call's prompt parts before or
 // one in the data centre of this daemon. Servers that are excluded for a time, because
-// they did not answer or were full, are used only if no other server can answer the call.
+// they did not answer or were full, are used only if no other server can answer the call. Servers
+// that want no calls for a time are not used before its end.
 //
 // Load counts are old, and many daemons choose by the same counts. To keep the daemons
 // from sending all their calls to one server, the choice among servers with similar load
@@ -26,12 +27,9 @@
 // load.
 func (b *Balancer) Choose(c *Call, now time.Time) Choice {
 	usable := b.usable(c, now)
-	if len(usable) == 0 {
-		return Choice{Verdict: NoServer, RetryAfter: b.retryAfter(c, now)}
-	}
 	withModel := b.withModel(usable, c, now)
 	if len(withModel) == 0 {
-		return Choice{Verdict: NotLoaded, RetryAfter: b.retryAfter(c, now)}
+		return b.choiceWithoutServer(c, len(usable) > 0, now)
 	}
 	list := make([]candidate, 0, len(withModel))
 	for _, s := range withModel {
@@ -55,6 +53,19 @@
 	return Choice{Verdict: Chosen, Server: s.entry, Load: best.load, Age: age, Pending: b.pending(s, now) + 1}
 }
 
+// choiceWithoutServer returns the choice for a call that no usable server can answer. usable is
+// whether there are usable servers, which then lack the model.
+func (b *Balancer) choiceWithoutServer(c *Call, usable bool, now time.Time) Choice {
+	if end := b.backoffEnd(c, now); !end.IsZero() {
+		return Choice{Verdict: NoServer, RetryAfter: b.retryAfterBackoff(end, now)}
+	}
+	verdict := NoServer
+	if usable {
+		verdict = NotLoaded
+	}
+	return Choice{Verdict: verdict, RetryAfter: b.retryAfter(c, now)}
+}
+
 // Loaded reports whether a usable server holds the call's model and adapter.
 func (b *Balancer) Loaded(c *Call, now time.Time) bool {
 	return len(b.withModel(b.usable(c, now), c, now)) > 0
@@ -70,7 +81,7 @@
 func (b *Balancer) usable(c *Call, now time.Time) []*server {
 	var healthy, excluded []*server
 	for _, s := range b.byService[c.Service] {
-		if s.entry.State != layout.Ready || slices.Contains(c.Tried, s.entry.ID) {
+		if !s.takes(c) || s.backsOff(now) {
 			continue
 		}
 		if s.isExcluded(now) {
@@ -92,10 +103,15 @@
 	return excluded
 }
 
+// takes reports whether the server takes calls and the call was not sent to it before.
+func (s *server) takes(c *Call) bool {
+	return s.entry.State == layout.Ready && !slices.Contains(c.Tried, s.entry.ID)
+}
+
 // isExcluded reports whether the server gets no calls for a time because it did not
-// answer or was full.
+// answer, was full or wants none.
 func (s *server) isExcluded(now time.Time) bool {
-	return now.Before(s.ejectedUntil) || now.Before(s.fullUntil)
+	return now.Before(s.ejectedUntil) || now.Before(s.fullUntil) || s.backsOff(now)
 }
 
 // lacksModel reports whether the server recently answered that it lacks the call's model
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -147,6 +147,8 @@
 	ejectedUntil time.Time
 	// fullUntil is until when the server is excluded because it refused a call.
 	fullUntil time.Time
+	// backoffUntil is until when the server gets no calls because it wants none for a time.
+	backoffUntil time.Time
 	// pause is the smoothed time between events of own streams, pauseAt is when the last
 	// event arrived.
 	pause   time.Duration
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -282,6 +282,7 @@
 	if u.Loads != nil {
 		s.deps.Router.SetSharedLoad(u.Loads)
 	}
+	s.markLeaving(u.Leaving)
 	for _, changes := range u.Tables {
 		if f := s.tables[changes.Table]; f != nil {
 			f.ApplyRelayed(changes, now)
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -41,6 +41,15 @@
 	Samples []sched.Sample `msgpack:"samples,omitempty"`
 	// Streams counts the streams that ended, by service.
 	Streams map[string]streams `msgpack:"streams,omitempty"`
+	// Leaving are the servers that announced to this daemon that they are leaving.
+	Leaving []serverStart `msgpack:"leaving,omitempty"`
+}
+
+// serverStart identifies one start of a backend server.
+type serverStart struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
+	ID        string
+	StartedAt int64
 }
 
 // positions returns the positions of the daemon's tables.
@@ -65,6 +74,7 @@
 	waiting map[modelKey]int
 	samples []sched.Sample
 	streams map[string]streams
+	leaving []serverStart
 }
 
 func newReportBuilder() reportBuilder {
@@ -73,7 +83,7 @@
 
 // take returns the report and resets the builder.
 func (b *reportBuilder) take(vm string) daemonReport {
-	r := daemonReport{VM: vm, Samples: b.samples, Streams: b.streams}
+	r := daemonReport{VM: vm, Samples: b.samples, Streams: b.streams, Leaving: b.leaving}
 	for key, u := range b.used {
 		r.Models = append(r.Models, key)
 		r.Usage = append(r.Usage, u)
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -71,6 +71,8 @@
 	// models that are about to be unloaded, both by engine.
 	Adapters  map[string][]string `msgpack:"adapters"`
 	Unloading map[string][]string `msgpack:"closing"`
+	// Leaving are the servers that have announced lately that they are leaving.
+	Leaving []serverStart `msgpack:"leaving,omitempty"`
 	// Loads is the load that all daemons put on servers; nil if the update does not
 	// include it.
 	Loads map[string]sched.ServerLoad `msgpack:"loads"`
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -30,6 +30,8 @@
 			p.demand.add(r, now)
 			s.recordMeasurements(&r)
 			p.loads.byVM[r.VM] = daemonLoad{receivedAt: now, servers: r.Loads}
+			p.addLeaving(r.Leaving, now)
+			s.markLeaving(r.Leaving)
 			if !r.hasWaiting() {
 				continue
 			}
@@ -60,6 +62,7 @@
 		engines:    map[string]*engineState{},
 		storeLoads: loadLimiter{unanswered: map[string]time.Time{}},
 		loads:      loadTable{byVM: map[string]daemonLoad{}},
+		leaving:    map[serverStart]time.Time{},
 		fence:      fence,
 		startedAt:  now,
 	}
@@ -87,7 +90,7 @@
 	s.mu.Unlock()
 	if fence != p.fence {
 		fresh := newPlanState(fence, now)
-		fresh.demand, fresh.loads = p.demand, p.loads
+		fresh.demand, fresh.loads, fresh.leaving = p.demand, p.loads, p.leaving
 		p = fresh
 	}
 	if config == nil || now.Sub(p.startedAt) < s.settings.FirstOrderDelay {
@@ -119,7 +122,7 @@
 func (s *Controller) requestReports(ctx context.Context, p *planState, now time.Time) {
 	for id, e := range p.engines {
 		needed := !e.synced || e.loading != "" || e.unloadInFlight != ""
-		if !needed || e.inFlight || now.Before(e.nextReportAt) || e.server.State != layout.Ready {
+		if !needed || e.inFlight || now.Before(e.nextReportAt) || e.server.State != layout.Ready || s.backsOff(id, now) {
 			continue
 		}
 		e.inFlight = true
@@ -153,9 +156,15 @@
 	s.deps.Log.Info("engine_reported", zap.String("engine", id), zap.Int64("state", r.AcceptedOrders), zap.Bool("busy", r.Busy), zap.Int("models", len(r.Models)), zap.Bool("known", e.synced))
 }
 
-// markUnreachable records that a request to an engine failed.
+// backsOff reports whether an engine wants neither requests nor orders from this daemon.
+func (s *Controller) backsOff(id string, now time.Time) bool {
+	return now.Before(s.deps.Engines.BackoffUntil(id))
+}
+
+// markUnreachable records that a request to an engine failed. An engine that wants none for a time
+// is not unreachable.
 func (s *Controller) markUnreachable(e *engineState, now time.Time, err error) {
-	if e.unreachableSince.IsZero() {
+	if e.unreachableSince.IsZero() && !s.backsOff(e.server.ID, now) {
 		e.unreachableSince = now
 		s.deps.Log.Info("engine_lost", zap.String("engine", e.server.ID), zap.Error(err))
 	}
@@ -171,7 +180,7 @@
 	}
 	for id, list := range byEngine {
 		e := p.engines[id]
-		if e == nil || e.inFlight {
+		if e == nil || e.inFlight || s.backsOff(id, now) {
 			continue
 		}
 		e.inFlight = true
@@ -351,13 +360,13 @@
 		return
 	}
 	adapters, unloading := p.placement()
-	shared := p.loads.sum(now)
+	shared, leaving := p.loads.sum(now), p.recentlyLeaving(now)
 	s.deps.Router.SetSharedLoad(shared)
 	s.mu.Lock()
 	row, version := s.lease.Row(), s.lease.Version()
 	s.mu.Unlock()
 	encodeWithLoads := func(u stateUpdate) (encodedMessage, error) {
-		u.Loads = shared
+		u.Loads, u.Leaving = shared, leaving
 		u.Lease = leaseState{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Era: row.Era, Version: version}
 		return encode(u)
 	}
--- a/limpetd/steer/plan_state.go
+++ b/limpetd/steer/plan_state.go
@@ -16,7 +16,9 @@
 	engines    map[string]*engineState
 	storeLoads loadLimiter
 	loads      loadTable
-	fence      int64
+	// leaving holds when a daemon reported that a server announced its leaving.
+	leaving map[serverStart]time.Time
+	fence   int64
 	// startedAt is when the state was created, at the start of a lease.
 	startedAt time.Time
 	// adapters and unloading are those last published to this daemon's router.
@@ -140,7 +142,7 @@
 		switch {
 		case e == nil || !e.server.SameStart(s):
 			p.engines[s.ID] = newEngineState(s)
-		case e.server.Revision != s.Revision:
+		case e.server.Revision != s.Revision, e.server.State != s.State:
 			e.updateEntry(s)
 		}
 	}
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -115,6 +115,9 @@
 	// Order sends an order. The engine may carry the order out even if Order returns
 	// an error.
 	Order(ctx context.Context, s *layout.Server, o Order) (OrderResult, error)
+	// BackoffUntil returns until when an engine wants neither requests nor orders from this
+	// daemon; the zero time if it has not asked for that.
+	BackoffUntil(id string) time.Time
 }
 
 // LeaseStore stores the lease. Errors of Write have the codes StoreConflict, StoreUnknown
@@ -152,11 +155,20 @@
 	SetPlacement(adapters, unloading map[string]map[string]bool)
 }
 
+// Departures receives the servers that announced to another daemon that they are leaving.
+type Departures interface {
+	// MarkLeaving may be called repeatedly for the same start of a server.
+	MarkLeaving(id string, startedAt int64)
+}
+
 // Deps are the dependencies of a Controller.
 type Deps struct {
 	Engines Engines
 	Leases  LeaseStore
 	Router  Router
+	// Departures is nil if servers announce their leaving in no other way than by their
+	// entries.
+	Departures Departures
 	// Tables are the tables that all daemons follow. The lease holder forwards their
 	// changes to the other daemons.
 	Tables []*mirror.Follower
--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -49,6 +49,8 @@
 	r.running.Go(func() { r.breakResponses(breaking, breakRandom) })
 	restoreRandom := rand.New(rand.NewPCG(r.config.Seed, 8))
 	r.running.Go(func() { r.restoreStore(breaking, restoreRandom) })
+	departureRandom := rand.New(rand.NewPCG(r.config.Seed, 9))
+	r.running.Go(func() { r.announceDepartures(breaking, departureRandom) })
 	for time.Now().Before(end) && ctx.Err() == nil {
 		kind := faultKinds[r.random.IntN(len(faultKinds))]
 		// Each fault has its own random source, so that the order in which overlapping
@@ -223,6 +225,33 @@
 	}
 }
 
+// announceDepartures makes one engine at a time refuse all calls for a stated time, or announce that
+// it is leaving and start again after a while, until ctx ends.
+func (r *run) announceDepartures(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		e := r.platform.Engines[random.IntN(len(r.platform.Engines))]
+		length := randomDuration(random, 300*time.Millisecond, 3*time.Second)
+		leaves := random.IntN(2) == 0
+		name := "server_backoff"
+		if leaves {
+			name = "server_leaving"
+			e.Leave()
+		} else {
+			e.RefuseCalls(length)
+		}
+		r.mu.Lock()
+		r.faults[name]++
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(length):
+		}
+		if leaves {
+			e.Restart()
+		}
+	}
+}
+
 // disturbLink cuts, silences or slows a link for a while, or resets its connections.
 func disturbLink(l *link.Link, random *rand.Rand) {
 	duration := randomDuration(random, 100*time.Millisecond, 3*time.Second)
