mirror: Reject rows that are older than their deletion

Daemons saw rows that had been deleted, such as the entry of a server that was gone, when an older version arrived late, and a deletion that arrived repeatedly displaced all other deletions, so that changes could not be relayed.

Cause: Merge compared a row with the row of the copy only, not with its deletion.

Evidence: TestDeletedRowIsNotRestoredByOlderOne and TestRepeatedDeletionIsKeptOnce failed before.

Change: the table keeps the version of each deletion by key, and the version before which deletions are no longer kept; what is not newer is skipped.

--- a/limpetd/mirror/table.go
+++ b/limpetd/mirror/table.go
@@ -65,32 +65,54 @@
 type Table struct {
 	rows     map[string]Row
 	position Position
-	// deletions are the latest deletions, complete after version deletionsAfter.
+	// deletions are the latest deletions, complete after version deletionsAfter. deletedAt holds
+	// the version of the last of them for each key.
 	deletions      []Row
+	deletedAt      map[string]int64
 	deletionsAfter int64
 }
 
-// Merge applies changed rows, except those that are not newer than the row of the copy.
-// version is the version up to which the changes are complete, in the era of the copy.
+// Merge applies changed rows, except those that are not newer than the row of the copy or its
+// deletion. version is the version up to which the changes are complete, in the era of the copy.
 func (t *Table) Merge(list []Row, version int64) {
 	for _, r := range list {
-		if old, ok := t.rows[r.Key]; ok && old.Version >= r.Version {
+		if r.Version <= t.lastChange(r.Key) {
 			continue
 		}
 		if r.Deleted {
 			delete(t.rows, r.Key)
 			t.deletions = append(t.deletions, Row{Key: r.Key, Version: r.Version, Deleted: true})
+			t.deletedAt[r.Key] = r.Version
 			continue
 		}
 		t.rows[r.Key] = r
 	}
 	t.position.Version = max(t.position.Version, version)
 	if excess := len(t.deletions) - maxDeletions; excess > 0 {
-		t.deletionsAfter = t.deletions[excess-1].Version
-		t.deletions = append([]Row(nil), t.deletions[excess:]...)
+		t.forgetDeletions(excess)
 	}
 }
 
+// lastChange returns the version in which a row was written or deleted last. The version of a
+// deletion that is no longer kept, or came before the copy, is at most that which is returned.
+func (t *Table) lastChange(key string) int64 {
+	if r, ok := t.rows[key]; ok {
+		return r.Version
+	}
+	return max(t.deletedAt[key], t.deletionsAfter)
+}
+
+// forgetDeletions drops the n oldest deletions.
+func (t *Table) forgetDeletions(n int) {
+	for _, r := range t.deletions[:n] {
+		if t.deletedAt[r.Key] == r.Version {
+			delete(t.deletedAt, r.Key)
+		}
+	}
+	t.deletionsAfter = max(t.deletionsAfter, t.deletions[n-1].Version)
+	t.deletions = append([]Row(nil), t.deletions[n:]...)
+}
+
 // Replace replaces all rows by those of a full read. If the read is older than the copy,
 // Replace returns false and changes nothing.
 func (t *Table) Replace(list []Row, at Position) bool {
@@ -98,9 +120,11 @@
 		return false
 	}
 	t.rows = make(map[string]Row, len(list))
-	t.deletions, t.deletionsAfter = nil, at.Version
+	for _, r := range list {
+		t.rows[r.Key] = r
+	}
+	t.deletions, t.deletedAt, t.deletionsAfter = nil, map[string]int64{}, at.Version
 	t.position = at
-	t.Merge(list, at.Version)
 	return true
 }
 
