steer: Send a new link the full state after a failed encoding

A daemon with a new link never got the full state if the first update could not be encoded: the mark for it was cleared before. TestFullUpdateIsSentAfterFailedEncoding failed before.

--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -146,7 +146,6 @@
 			s.enqueue(raw, now)
 			continue
 		}
-		s.needsFull = false
 		full := stateUpdate{Full: true, Adapters: adapters, Unloading: unloading}
 		for _, f := range b.tables {
 			if changes, ok := f.Since(s.positions[f.Name()], now); ok {
@@ -157,6 +156,7 @@
 		if err != nil {
 			return err
 		}
+		s.needsFull = false
 		s.enqueue(first, now)
 	}
 	return nil
--- /dev/null
+++ b/limpetd/steer/broadcast_test.go
@@ -0,0 +1,33 @@
+package steer
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestFullUpdateIsSentAfterFailedEncoding guards against a new link that never gets the full state
+// because the first update could not be encoded.
+func TestFullUpdateIsSentAfterFailedEncoding(t *testing.T) {
+	b := newBroadcaster(nil)
+	s := b.add(nil)
+	now := time.Now()
+	failFull := func(u stateUpdate) (encodedMessage, error) {
+		if u.Full {
+			return nil, errors.New("not encoded")
+		}
+		return encode(u)
+	}
+	require.Error(t, b.broadcast(nil, nil, failFull, now))
+	require.Empty(t, s.queue)
+	var sent []stateUpdate
+	record := func(u stateUpdate) (encodedMessage, error) {
+		sent = append(sent, u)
+		return encode(u)
+	}
+	require.NoError(t, b.broadcast(nil, nil, record, now))
+	require.Len(t, s.queue, 1)
+	require.True(t, sent[len(sent)-1].Full)
+}
