layout, soak: Take a server for gone only after a read of the list

Cause: the daemon was frozen (SIGSTOP) from 1.5 s after the store was restored from a copy without entries. When it went on, the 2.1 s for which servers without an entry are kept were over, and a relayed update made it drop them all, although it had not read the list since. The store had been restored again meanwhile, and the roster ignores restored entries of servers that it knows to be gone until they are written again. A plain server writes its entry only when something changes.

Evidence: the log of the daemon shows refusals in the first milliseconds after the freeze, the restored list with all entries after them, and refusals to the end. TestServerIsNotGoneByTimeAlone and TestRestoredEntryCountsAfterAWhile failed before.

Change: a kept server is dropped only when the list has been read after the time. The restored entry of a server that was gone counts for nothing for 5 s only; by then it has expired again, or the server runs. The existing tests of kept servers now read the list again before they expect the drop, and check that the servers are kept until then.

--- a/limpetd/layout/departure.go
+++ b/limpetd/layout/departure.go
@@ -6,6 +6,10 @@
 // A store may be restored from a copy that is some seconds old.
 const departureRetention = time.Minute
 
+// restoredEntryTerm is how long the entry of a server that was gone counts for nothing after the list
+// was restored. By then the entry has expired again, or the server runs.
+const restoredEntryTerm = 5 * time.Second
+
 // departure records that one start of a server is leaving or gone.
 type departure struct {
 	startedAt int64
@@ -16,10 +20,10 @@
 	// announced is whether the server itself announced that it is leaving, whatever its entry
 	// says.
 	announced bool
-	// restored is whether the list was restored since from an earlier state, and revision that
-	// of the server's entry in it.
-	restored bool
-	revision int64
+	// restoredAt is when the list was restored since from an earlier state; zero if it was not.
+	// revision is that of the server's entry in it.
+	restoredAt time.Time
+	revision   int64
 }
 
 // MarkLeaving records that a start of a server has announced that it is leaving. It reports
@@ -58,7 +62,7 @@
 	for id, s := range servers {
 		d, known := r.departures[id]
 		known = known && d.startedAt == s.StartedAt
-		writtenAgain := !r.restored && (!d.restored || d.revision != s.Revision)
+		writtenAgain := !r.restored && (d.restoredAt.IsZero() || d.revision != s.Revision)
 		if known && d.gone && writtenAgain {
 			delete(r.departures, id)
 			if known = d.announced; known {
@@ -68,7 +72,7 @@
 		}
 		switch {
 		case known && r.restored:
-			d.at, d.restored, d.revision = now, true, s.Revision
+			d.at, d.restoredAt, d.revision = now, now, s.Revision
 			r.departures[id] = d
 		case !known && s.State == Draining:
 			r.departures[id] = departure{startedAt: s.StartedAt, at: now}
@@ -90,18 +94,21 @@
 }
 
 // current returns the entry of a server as far as the server's departure is not known better, or
-// nil if the server is gone.
-func (r *Roster) current(s *Server) *Server {
+// nil if the server is gone. The returned time is zero, or when the entry of a server that is gone
+// counts again.
+func (r *Roster) current(s *Server, now time.Time) (*Server, time.Time) {
 	d, ok := r.departures[s.ID]
-	switch {
-	case !ok || d.startedAt != s.StartedAt:
-		return s
-	case d.gone && d.restored && d.revision == s.Revision:
-		return nil
-	case s.State == Ready && (d.announced || d.restored && !d.gone):
+	if !ok || d.startedAt != s.StartedAt {
+		return s, time.Time{}
+	}
+	restored := !d.restoredAt.IsZero()
+	if end := d.restoredAt.Add(restoredEntryTerm); d.gone && restored && d.revision == s.Revision && now.Before(end) {
+		return nil, end
+	}
+	if s.State == Ready && (d.announced || restored && !d.gone) {
 		leaving := *s
 		leaving.State = Draining
-		return &leaving
+		return &leaving, time.Time{}
 	}
-	return s
+	return s, time.Time{}
 }
--- a/limpetd/layout/departure_test.go
+++ b/limpetd/layout/departure_test.go
@@ -62,7 +62,9 @@
 	r.SetRestored(now)
 	r.SetServers(list(&layout.Server{ID: "a", StartedAt: 1}), now)
 	require.Equal(t, []string{"a", "b"}, ids(r, now.Add(2*time.Second)))
-	require.Equal(t, []string{"a"}, ids(r, now.Add(2200*time.Millisecond)), "a server whose entry does not return is gone")
+	later := now.Add(2200 * time.Millisecond)
+	r.SetReachable(true, later)
+	require.Equal(t, []string{"a"}, ids(r, later), "a server whose entry does not return is gone")
 }
 
 // TestAnnouncedDepartureGoesBeforeTheList guards against calls to a server that has announced that
@@ -84,3 +86,39 @@
 	r.SetServers(list(&layout.Server{ID: "a", StartedAt: 2}), now)
 	require.Equal(t, map[string]layout.State{"a": layout.Ready}, states(r, now))
 }
+
+// TestServerIsNotGoneByTimeAlone guards against concluding that a server is gone from the time since
+// the list returned, during which the daemon was suspended and did not read the list again.
+func TestServerIsNotGoneByTimeAlone(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := layout.NewRoster()
+	r.SetReachable(true, now)
+	r.SetServers(list(&layout.Server{ID: "a", StartedAt: 1, Revision: 5}), now)
+	r.SetRestored(now)
+	r.SetServers(nil, now)
+	now = now.Add(10 * time.Second)
+	require.Equal(t, []string{"a"}, ids(r, now), "the list was not read since its return")
+	r.SetRestored(now)
+	r.SetServers(list(&layout.Server{ID: "a", StartedAt: 1, Revision: 5}), now)
+	require.Equal(t, []string{"a"}, ids(r, now))
+}
+
+// TestRestoredEntryCountsAfterAWhile guards against excluding a server for ever that was thought to
+// be gone and has no reason to write its entry again.
+func TestRestoredEntryCountsAfterAWhile(t *testing.T) {
+	now := time.Unix(100, 0)
+	entry := &layout.Server{ID: "a", StartedAt: 1, Revision: 5}
+	r := layout.NewRoster()
+	r.SetServers(list(entry), now)
+	r.SetServers(nil, now)
+	r.SetRestored(now)
+	r.SetServers(list(entry), now)
+	servers, again := r.Servers(now)
+	require.Empty(t, servers)
+	require.False(t, again.IsZero())
+	servers, _ = r.Servers(again.Add(-1))
+	require.Empty(t, servers)
+	servers, again = r.Servers(again)
+	require.Len(t, servers, 1)
+	require.True(t, again.IsZero())
+}
--- a/limpetd/layout/roster.go
+++ b/limpetd/layout/roster.go
@@ -24,6 +24,8 @@
 	// outage of the list ended.
 	unreadable    bool
 	readableSince time.Time
+	// readAt is when the list was read last.
+	readAt time.Time
 	// departures are the starts of servers that are leaving or gone, by ID. restored is whether
 	// the next list is an earlier state of the list.
 	departures map[string]departure
@@ -41,6 +43,9 @@
 		r.readableSince = now
 	}
 	r.unreadable = !ok
+	if ok {
+		r.readAt = now
+	}
 }
 
 // SetServers replaces the entries of the list. Ready servers that are missing from servers are
@@ -60,29 +65,33 @@
 }
 
 // Servers returns the running servers, sorted by ID. The returned time is zero if all of
-// them have an entry. Otherwise it is when Servers must be called again to drop the servers
-// without an entry; as long as the list cannot be read, these servers are kept beyond that
-// time.
+// them have an entry that counts. Otherwise it is when Servers must be called again: to drop the
+// servers without an entry, which are kept until the list has been read after that time, or because
+// the restored entry of a server counts then.
 func (r *Roster) Servers(now time.Time) ([]*Server, time.Time) {
-	var dropAt time.Time
+	var again time.Time
 	if len(r.kept) > 0 {
-		dropAt = r.readableSince.Add(relistGrace)
-		if !r.unreadable && !now.Before(dropAt) {
+		again = r.readableSince.Add(relistGrace)
+		if !r.unreadable && !r.readAt.Before(again) {
 			for _, s := range r.kept {
 				r.recordGone(s, now)
 			}
 			clear(r.kept)
-			dropAt = time.Time{}
+			again = time.Time{}
 		}
 	}
 	all := make([]*Server, 0, len(r.listed)+len(r.kept))
 	for _, list := range []map[string]*Server{r.listed, r.kept} {
 		for _, s := range list {
-			if s = r.current(s); s != nil {
+			s, counts := r.current(s, now)
+			if s != nil {
 				all = append(all, s)
 			}
+			if again.IsZero() || !counts.IsZero() && counts.Before(again) {
+				again = counts
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
-	return all, dropAt
+	return all, again
 }
--- a/limpetd/layout/roster_test.go
+++ b/limpetd/layout/roster_test.go
@@ -30,7 +30,10 @@
 	r.SetReachable(true, restored)
 	r.SetServers(map[string]*layout.Server{"a": a}, restored)
 	require.Equal(t, []string{"a", "b"}, ids(r, restored.Add(time.Second)))
-	require.Equal(t, []string{"a"}, ids(r, restored.Add(2200*time.Millisecond)), "a server whose entry does not return is dropped")
+	later := restored.Add(2200 * time.Millisecond)
+	require.Equal(t, []string{"a", "b"}, ids(r, later), "the list was not read since")
+	r.SetReachable(true, later)
+	require.Equal(t, []string{"a"}, ids(r, later), "a server whose entry does not return is dropped")
 }
 
 func TestRosterDropsMissingServersWithoutAnOutage(t *testing.T) {
--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -39,6 +39,11 @@
 			cause: "a link closed a connection properly that it was to reset, so that an unframed response looked complete; " +
 				"the link now prepares both connections of a pair for the reset",
 		},
+		{
+			seed: 8120, duration: 10 * time.Second, daemons: 4,
+			cause: "a daemon was frozen while servers without an entry in a restored list wrote their entries again; it took " +
+				"them for gone, and ignored their entries when the list was restored again",
+		},
 	} {
 		directory := t.TempDir()
 		report, err := Run(t.Context(), Config{Program: program, Directory: directory, Seed: c.seed, Duration: c.duration, Daemons: c.daemons, Rate: 60})
