layout: Keep servers without an entry for longer after a suspension

The time begins again when nothing was heard of the list for 2 s, longer than any pause between two reads of a daemon that runs. TestAnswerFromBeforeSuspensionIsNoRead failed before.

--- a/limpetd/layout/departure_test.go
+++ b/limpetd/layout/departure_test.go
@@ -62,6 +62,7 @@
 	r.SetRestored(now)
 	r.SetServers(list(&layout.Server{ID: "a", StartedAt: 1}), now)
 	require.Equal(t, []string{"a", "b"}, ids(r, now.Add(2*time.Second)))
+	r.SetReachable(true, now.Add(time.Second))
 	later := now.Add(2200 * time.Millisecond)
 	r.SetReachable(true, later)
 	require.Equal(t, []string{"a"}, ids(r, later), "a server whose entry does not return is gone")
@@ -122,3 +123,23 @@
 	require.Len(t, servers, 1)
 	require.True(t, again.IsZero())
 }
+
+// TestAnswerFromBeforeSuspensionIsNoRead guards against dropping servers because an answer that
+// arrived before the daemon was suspended is read when it goes on.
+func TestAnswerFromBeforeSuspensionIsNoRead(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := layout.NewRoster()
+	r.SetReachable(true, now)
+	r.SetServers(list(&layout.Server{ID: "a", StartedAt: 1}), now)
+	r.SetRestored(now)
+	r.SetServers(nil, now)
+	r.SetReachable(true, now)
+	now = now.Add(4 * time.Second)
+	r.SetReachable(true, now)
+	require.Equal(t, []string{"a"}, ids(r, now))
+	for range 3 {
+		now = now.Add(800 * time.Millisecond)
+		r.SetReachable(true, now)
+	}
+	require.Empty(t, ids(r, now), "the list was read for long enough since")
+}
--- a/limpetd/layout/roster.go
+++ b/limpetd/layout/roster.go
@@ -10,6 +10,9 @@
 // during the outage. The entry of a server that still runs is back within two seconds.
 const relistGrace = 2100 * time.Millisecond
 
+// maxReadGap is the longest time between two attempts to read the list.
+const maxReadGap = 2 * time.Second
+
 // Roster is the list of backend servers, corrected for outages of the list: a server whose
 // entry expired while the list could not be read is kept until its entry has had time to
 // return. It is also corrected for what the list can't tell: a server that has announced to leave,
@@ -24,8 +27,8 @@
 	// outage of the list ended.
 	unreadable    bool
 	readableSince time.Time
-	// readAt is when the list was read last.
-	readAt time.Time
+	// triedAt is when reading the list succeeded or failed last, readAt when it succeeded last.
+	triedAt, readAt time.Time
 	// departures are the starts of servers that are leaving or gone, by ID. restored is whether
 	// the next list is an earlier state of the list.
 	departures map[string]departure
@@ -37,12 +40,15 @@
 	return &Roster{listed: map[string]*Server{}, kept: map[string]*Server{}, departures: map[string]departure{}}
 }
 
-// SetReachable records whether the list could be read.
+// SetReachable records whether the list could be read. After a long time without a call the daemon
+// was suspended, and what it read may be an answer from before; the time for which servers
+// without an entry are kept then begins again.
 func (r *Roster) SetReachable(ok bool, now time.Time) {
-	if ok && r.unreadable {
+	suspended := len(r.kept) > 0 && now.Sub(r.triedAt) > maxReadGap
+	if ok && (r.unreadable || suspended) {
 		r.readableSince = now
 	}
-	r.unreadable = !ok
+	r.unreadable, r.triedAt = !ok, now
 	if ok {
 		r.readAt = now
 	}
--- a/limpetd/layout/roster_test.go
+++ b/limpetd/layout/roster_test.go
@@ -30,6 +30,7 @@
 	r.SetReachable(true, restored)
 	r.SetServers(map[string]*layout.Server{"a": a}, restored)
 	require.Equal(t, []string{"a", "b"}, ids(r, restored.Add(time.Second)))
+	r.SetReachable(true, restored.Add(time.Second))
 	later := restored.Add(2200 * time.Millisecond)
 	require.Equal(t, []string{"a", "b"}, ids(r, later), "the list was not read since")
 	r.SetReachable(true, later)
