--- a/limpetd/sched/backoff.go
+++ b/limpetd/sched/backoff.go
@@ -26,8 +26,8 @@
 	return time.Time{}
 }
 
-// backsOff reports whether the server wants no calls from this daemon.
-func (s *server) backsOff(now time.Time) bool { return now.Before(s.backoffUntil) }
+// inBackoff reports whether the server wants no calls from this daemon.
+func (s *server) inBackoff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
 // WaitsForBackoff reports whether only servers that want no calls for a time could answer the call.
 func (b *Balancer) WaitsForBackoff(c *Call, now time.Time) bool {
@@ -39,7 +39,7 @@
 func (b *Balancer) backoffEnd(c *Call, now time.Time) time.Time {
 	var end time.Time
 	for _, s := range b.byService[c.Service] {
-		if !s.backsOff(now) || s.entry.State != layout.Ready || c.Model != "" && !b.HoldsModel(s.entry, c.Model, c.Adapter) {
+		if !s.inBackoff(now) || s.entry.State != layout.Ready || c.Model != "" && !b.HoldsModel(s.entry, c.Model, c.Adapter) {
 			continue
 		}
 		if end.IsZero() || s.backoffUntil.Before(end) {
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -81,7 +81,7 @@
 func (b *Balancer) usable(c *Call, now time.Time) []*server {
 	var healthy, excluded []*server
 	for _, s := range b.byService[c.Service] {
-		if !s.takes(c) || s.backsOff(now) {
+		if !s.takes(c) || s.inBackoff(now) {
 			continue
 		}
 		if s.isExcluded(now) {
@@ -111,7 +111,7 @@
 // isExcluded reports whether the server gets no calls for a time because it did not
 // answer, was full or wants none.
 func (s *server) isExcluded(now time.Time) bool {
-	return now.Before(s.ejectedUntil) || now.Before(s.fullUntil) || s.backsOff(now)
+	return now.Before(s.ejectedUntil) || now.Before(s.fullUntil) || s.inBackoff(now)
 }
 
 // lacksModel reports whether the server recently answered that it lacks the call's model
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -122,7 +122,7 @@
 func (s *Controller) requestReports(ctx context.Context, p *planState, now time.Time) {
 	for id, e := range p.engines {
 		needed := !e.synced || e.loading != "" || e.unloadInFlight != ""
-		if !needed || e.inFlight || now.Before(e.nextReportAt) || e.server.State != layout.Ready || s.backsOff(id, now) {
+		if !needed || e.inFlight || now.Before(e.nextReportAt) || e.server.State != layout.Ready || s.inBackoff(id, now) {
 			continue
 		}
 		e.inFlight = true
@@ -156,15 +156,15 @@
 	s.deps.Log.Info("engine_reported", zap.String("engine", id), zap.Int64("state", r.AcceptedOrders), zap.Bool("busy", r.Busy), zap.Int("models", len(r.Models)), zap.Bool("known", e.synced))
 }
 
-// backsOff reports whether an engine wants neither requests nor orders from this daemon.
-func (s *Controller) backsOff(id string, now time.Time) bool {
+// inBackoff reports whether an engine wants neither requests nor orders from this daemon.
+func (s *Controller) inBackoff(id string, now time.Time) bool {
 	return now.Before(s.deps.Engines.BackoffUntil(id))
 }
 
 // markUnreachable records that a request to an engine failed. An engine that wants none for a time
 // is not unreachable.
 func (s *Controller) markUnreachable(e *engineState, now time.Time, err error) {
-	if e.unreachableSince.IsZero() && !s.backsOff(e.server.ID, now) {
+	if e.unreachableSince.IsZero() && !s.inBackoff(e.server.ID, now) {
 		e.unreachableSince = now
 		s.deps.Log.Info("engine_lost", zap.String("engine", e.server.ID), zap.Error(err))
 	}
@@ -180,7 +180,7 @@
 	}
 	for id, list := range byEngine {
 		e := p.engines[id]
-		if e == nil || e.inFlight || s.backsOff(id, now) {
+		if e == nil || e.inFlight || s.inBackoff(id, now) {
 			continue
 		}
 		e.inFlight = true
