wire: Recognize event streams with invalid parameters

A stream whose Content-Type has a malformed parameter was held back to its end since documents on stream routes are buffered, and on other routes its end was not checked. The case of TestIsEventStream failed before.

--- a/limpetd/wire/events.go
+++ b/limpetd/wire/events.go
@@ -87,8 +87,9 @@
 	return n, err
 }
 
-// IsEventStream reports whether a Content-Type header names a stream of server-sent events.
+// IsEventStream reports whether a Content-Type header names a stream of server-sent events, whatever
+// its parameters.
 func IsEventStream(contentType string) bool {
 	mediaType, _, err := mime.ParseMediaType(contentType)
-	return err == nil && mediaType == EventStreamType
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && mediaType == EventStreamType
 }
--- a/limpetd/wire/events_test.go
+++ b/limpetd/wire/events_test.go
@@ -65,6 +65,7 @@
 func TestIsEventStream(t *testing.T) {
 	require.True(t, IsEventStream("text/event-stream"))
 	require.True(t, IsEventStream("Text/Event-Stream; charset=utf-8"))
+	require.True(t, IsEventStream("text/event-stream; charset"), "an invalid parameter")
 	require.False(t, IsEventStream("text/plain"))
 	require.False(t, IsEventStream(""))
 }
