front, docs, steer: Check that logs tell broken ends apart, clarify comments

Tests of departures in steer no longer sleep. Comments on eras, departures and the limit of connections are clearer.

--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -233,6 +233,30 @@
 	require.Contains(t, fields["read_error"], "reset by peer")
 }
 
+// TestLogsTellEndsOfEmptyStreamsApart guards against log lines that are the same for a stream whose
+// server closed the connection before the first event and for one that was reset.
+func TestLogsTellEndsOfEmptyStreamsApart(t *testing.T) {
+	for _, c := range []struct {
+		framing   conns.Framing
+		ending    broken.Ending
+		readError string
+	}{
+		{conns.UntilClose, broken.Closed, "EOF"},
+		{conns.UntilClose, broken.Reset, "reset by peer"},
+		{conns.Chunked, broken.Closed, "EOF"},
+	} {
+		b := broken.Response{Framing: c.framing, Body: eventText(0, 3), Ending: c.ending}
+		fx := newFixtureWithServers(t, nil, streamKind, startBroken(t, b, &atomic.Int64{}))
+		require.Equal(t, http.StatusBadGateway, fx.callRaw(t, "HTTP/1.1", http.MethodGet).status)
+		lines := fx.logs.FilterMessage("response_broken").All()
+		require.Len(t, lines, 1, b)
+		fields := lines[0].ContextMap()
+		require.EqualValues(t, c.framing, fields["framing"], b)
+		require.EqualValues(t, 0, fields["events"], b)
+		require.Contains(t, fields["read_error"], c.readError, b)
+	}
+}
+
 // TestResponseWithoutBodyIsComplete guards against waiting for the events of a response to HEAD.
 func TestResponseWithoutBodyIsComplete(t *testing.T) {
 	fx := newFixture(t, streamKind, func(w http.ResponseWriter, _ *http.Request) {
--- a/limpetd/gate/listener.go
+++ b/limpetd/gate/listener.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// limitListener limits the number of open connections. Its connections implement NetConn, which
-// package abort needs to reset them, and CloseWrite; those of golang.org/x/net/netutil do not.
+// limitListener limits the number of open connections. Unlike those of netutil.LimitListener, its
+// connections implement NetConn, by which package abort resets them, and CloseWrite.
 type limitListener struct {
 	net.Listener
 	// slots holds one element for each open connection. Accept waits while it is full.
--- a/limpetd/layout/departure.go
+++ b/limpetd/layout/departure.go
@@ -20,8 +20,9 @@
 	// announced is whether the server itself announced that it is leaving, whatever its entry
 	// says.
 	announced bool
-	// restoredAt is when the list was restored since from an earlier state; zero if it was not.
-	// revision is that of the server's entry in it.
+	// restoredAt is when the list was restored after the departure, and revision the revision
+	// of the server's entry in the restored list. restoredAt is zero if the list was not
+	// restored.
 	restoredAt time.Time
 	revision   int64
 }
--- a/limpetd/layout/roster.go
+++ b/limpetd/layout/roster.go
@@ -15,9 +15,9 @@
 
 // Roster is the list of backend servers, corrected for outages of the list: a server whose
 // entry expired while the list could not be read is kept until its entry has had time to
-// return. It is also corrected for what the list can't tell: a server that has announced to leave,
-// or that had departed before the list was restored from an earlier state. A Roster is not safe for
-// concurrent use and reads no clock.
+// return. A server that has announced that it is leaving, or that had departed before the list was
+// restored from an earlier state, does not count as ready although its entry says so. A Roster is
+// not safe for concurrent use and reads no clock.
 type Roster struct {
 	// listed are the servers with an entry, and kept are the servers whose entry expired
 	// during an outage.
--- a/limpetd/lease/era_test.go
+++ b/limpetd/lease/era_test.go
@@ -36,7 +36,7 @@
 				current = copies[rapid.IntRange(max(len(copies)-10, 0), len(copies)-1).Draw(rt, "copy")]
 			}
 			m := candidates[rapid.IntRange(0, 2).Draw(rt, "candidate")]
-			// A candidate that does not read still writes on the version that it knows.
+			// Without a read, the candidate writes on the version that it observed last.
 			if rapid.IntRange(0, 3).Draw(rt, "read") > 0 {
 				m.EnterEra(era, now)
 				m.Observe(current.row, current.version, now)
--- a/limpetd/lease/lease.go
+++ b/limpetd/lease/lease.go
@@ -130,7 +130,7 @@
 // own. A Candidate is not safe for concurrent use.
 type Candidate struct {
 	config Config
-	// era is the era of the store, eraSince when this daemon first knew it.
+	// era is the era of the store, and eraSince when this daemon learned of it.
 	era      int64
 	eraSince time.Time
 	// row is the lease row that was last read or written.
--- a/limpetd/steer/departures_test.go
+++ b/limpetd/steer/departures_test.go
@@ -13,7 +13,6 @@
 	l, e := newLeaseStore(), newEngines()
 	one, two, three := startDaemon(t, l, e, "one", 1), startDaemon(t, l, e, "two", 1), startDaemon(t, l, e, "three", 1)
 	require.Eventually(t, syncMembers(l, one, two, three), waitTimeout, 5*time.Millisecond)
-	time.Sleep(time.Second)
 	two.RecordLeaving("e1", 7)
 	for _, d := range []*daemon{one, two, three} {
 		require.Eventually(t, func() bool { return d.departures.startOf("e1") == 7 }, waitTimeout, 5*time.Millisecond)
@@ -27,16 +26,12 @@
 	e.backoffUntil = time.Now().Add(time.Hour)
 	d := startDaemon(t, l, e, "one", 1)
 	require.Eventually(t, d.IsLeaseHolder, waitTimeout, 5*time.Millisecond)
-	for range 50 {
+	require.Never(t, func() bool {
 		d.RequestLoad("s", "m", "a1")
-		time.Sleep(20 * time.Millisecond)
-	}
-	count := func() int {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return e.requests
-	}
-	require.Zero(t, count())
+		return e.requests > 0
+	}, time.Second, 20*time.Millisecond)
 	e.mu.Lock()
 	e.backoffUntil = time.Time{}
 	e.mu.Unlock()
