front: Buffer compressed streams

Callers got a 502 or an aborted response for a complete stream of events that is compressed: the ends of events were searched in the compressed bytes. TestCompressedStreamIsForwarded failed before with status 502.

A compressed response is read to its end and forwarded, as on other routes; its framing tells whether it is complete.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -170,11 +170,11 @@
 	return a.forwardBuffered(ctx, resp, reply)
 }
 
-// mayHoldEvents reports whether the body of a response may be a stream of events: its headers
-// name no other media type.
+// mayHoldEvents reports whether the body of a response may be a stream of events that can be told
+// apart: its headers name no other media type, and it is not compressed.
 func mayHoldEvents(r *http.Response) bool {
 	contentType := r.Header.Get("Content-Type")
-	return contentType == "" || wire.IsEventStream(contentType)
+	return r.Header.Get("Content-Encoding") == "" && (contentType == "" || wire.IsEventStream(contentType))
 }
 
 // request returns the request that is written to the server.
--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -257,6 +259,37 @@
 	}
 }
 
+// TestCompressedStreamIsForwarded guards against searching compressed bytes for the ends of events, by
+// which a complete stream counts as broken.
+func TestCompressedStreamIsForwarded(t *testing.T) {
+	compressed := gzipped(t, eventText(0, 3))
+	for _, sent := range []int{len(compressed), len(compressed) / 2} {
+		fx := newFixture(t, streamKind, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Content-Encoding", "gzip")
+			w.Header().Set("Content-Length", strconv.Itoa(len(compressed)))
+			_, _ = io.WriteString(w, compressed[:sent])
+		})
+		got := fx.callRaw(t, "HTTP/1.1", http.MethodGet)
+		if whole := sent == len(compressed); !whole {
+			require.False(t, got.complete && got.status == http.StatusOK, "%+v", got)
+			continue
+		}
+		require.Equal(t, received{http.StatusOK, compressed, true}, got)
+	}
+}
+
+// gzipped returns a text in compressed form.
+func gzipped(t *testing.T, text string) string {
+	t.Helper()
+	var b strings.Builder
+	w := gzip.NewWriter(&b)
+	_, err := io.WriteString(w, text)
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	return b.String()
+}
+
 // TestResponseWithoutBodyIsComplete guards against waiting for the events of a response to HEAD.
 func TestResponseWithoutBodyIsComplete(t *testing.T) {
 	fx := newFixture(t, streamKind, func(w http.ResponseWriter, _ *http.Request) {
