front: Log the ends of plain servers with the identity of each request

The ends of servers were noticed only for calls with a model, and the log names calls by ids that are new with each try, so that the logs could not show whether one request ends server after server.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -257,11 +257,8 @@
 	return conns.Target{Address: s.Address, Instance: s.ID}
 }
 
-// track records that the call was sent to an engine.
+// track records that the call was sent to a server.
 func (a *attempt) track() {
-	if a.call.schedCall.Model == "" {
-		return
-	}
 	f := a.call.front
 	f.mu.Lock()
 	f.ends.add(a)
--- a/limpetd/front/crashes.go
+++ b/limpetd/front/crashes.go
@@ -117,6 +117,9 @@
 			e.Suspects = append(e.Suspects, crash.Suspect{Call: hash(c.id), Parts: c.parts, Begun: c.begun, Age: c.age})
 		}
 	}
+	if len(e.Suspects) == 0 {
+		return
+	}
 	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordEnd(e, now) })
 }
 
--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -37,8 +37,9 @@
 
 // endedCall is a call that an engine did not finish.
 type endedCall struct {
-	id    string
-	parts []uint64
+	id       string
+	identity uint64
+	parts    []uint64
 	// server is the start of the engine.
 	server *layout.Server
 	// begun is whether the head of the response had arrived. age is the time from then to the
@@ -120,7 +121,7 @@
 
 // ended describes the attempt as a call that its engine did not finish.
 func (a *attempt) ended(now time.Time) endedCall {
-	e := endedCall{id: a.call.info.ID, parts: a.call.info.Parts, server: a.server, begun: !a.begunAt.IsZero(), at: now}
+	e := endedCall{id: a.call.info.ID, identity: a.call.identity, parts: a.call.info.Parts, server: a.server, begun: !a.begunAt.IsZero(), at: now}
 	if e.begun {
 		e.age = max(a.lastBytesAt.Sub(a.begunAt), 0)
 	}
@@ -236,11 +237,11 @@
 	f.recordCrash(s, calls, now)
 }
 
-// maxLoggedCalls bounds the calls that the log line of an engine's end describes.
+// maxLoggedCalls bounds the calls that the log line of a server's end describes.
 const maxLoggedCalls = 8
 
 // describeEnded describes the calls whose responses had begun last, those that had not begun first:
-// the request, the age of its response, and the parts of its prompt.
+// the id of the request, the age of its response, its identity, and the parts of its prompt.
 func describeEnded(calls []endedCall) []string {
 	calls = slices.Clone(calls)
 	slices.SortStableFunc(calls, func(a, b endedCall) int { return int(a.age - b.age) })
@@ -250,7 +251,7 @@
 		if c.begun {
 			age = c.age.Round(time.Millisecond).String()
 		}
-		out = append(out, fmt.Sprintf("%s:%s:%s", c.id, age, formatParts(c.parts)))
+		out = append(out, fmt.Sprintf("%s:%s:%x:%s", c.id, age, c.identity, formatParts(c.parts)))
 	}
 	return out
 }
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -46,6 +46,8 @@
 // CallHeaders holds the values that a Dialect reads from the headers of a call.
 type CallHeaders struct {
 	ID string
+	// Caller identifies the caller; empty if the headers don't.
+	Caller string
 	// Deadline is how long the caller waits for the response; 0 if the headers state none.
 	Deadline time.Duration
 	Model    string
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -44,6 +44,8 @@
 	info      CallHeaders
 	schedCall sched.Call
 	body      []byte
+	// identity is the same for the same request of the same caller.
+	identity uint64
 	// runs counts the servers that may have run the call. connected counts the attempts
 	// that obtained a connection: only an attempt after one of these counts as a retry.
 	runs, connected int
@@ -164,6 +166,7 @@
 	}
 	c.body = body
 	c.info = f.deps.Dialect.DecodeCall(r.Header)
+	c.identity = c.requestIdentity()
 	removeHopHeaders(r.Header)
 	c.fillSchedCall(s.config, route)
 	return true
--- /dev/null
+++ b/limpetd/front/identity.go
@@ -0,0 +1,22 @@
+package front
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// requestIdentity returns a number that a caller's request has whenever it is sent again: a hash of its
+// method, host, target, caller and body. All other headers may change from one time to the next.
+func (c *call) requestIdentity() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{c.request.Method, c.request.Host, c.request.RequestURI, c.info.Caller} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(s)))
+		// Write and WriteString of a hash return no error.
+		_, _ = d.Write(length[:])
+		_, _ = d.WriteString(s)
+	}
+	_, _ = d.Write(c.body)
+	return d.Sum64()
+}
