crash, front, steer, platform: Find requests that end servers, whatever their kind

Callers of a plain service saw it without any server for 11.6 of 14.4 s: a request without a prompt ended all three servers within 0.1 to 0.4 s, again each time they had started. Streams whose parts are all common did the same on engines.

Cause: only parts of prompts were suspects, and only of calls with a model. A repeated request left no evidence, and its common parts were cleared by the answers to others. Each daemon also sent the call to a second server as soon as the first had ended.

Change: a whole request (method, host, target, caller, body) is one more part in the ledger, for calls to all servers. It counts with full weight in each end, also while it waits. Of several requests with the same evidence none is blocked. A call under which its server ended is not sent again by the daemon, unless the request was answered before; its caller may.

--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -169,7 +169,7 @@
 	{NoBackend, "no_backend", http.StatusServiceUnavailable, RunNo, "No live backend server of the service is known.", "Check the VMs of the service."},
 	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, RunNo, "The call was not run, and the retry budget is exhausted.", "Retry after the time in the Retry-After header."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, RunNo, "The backend server could not be reached.", "Send the call again."},
-	{PromptBlocked, "prompt_blocked", http.StatusServiceUnavailable, RunNo, "Engines have ended under calls with a part of this prompt. The call was not sent.", "Send the call without that part. It is tried again after the time in the Retry-After header; operators can allow the part with `--allowed-parts`."},
+	{PromptBlocked, "prompt_blocked", http.StatusServiceUnavailable, RunNo, "Servers have ended under this request, or under calls with a part of its prompt. The call was not sent.", "Don't send the request again, or send it without that part. It is tried again after the time in the Retry-After header; operators can allow the part with `--allowed-parts`."},
 
 	{StreamBroken, "stream_broken", http.StatusBadGateway, RunYes, "The response could not be completed.", "Send the request again; discard the part that was received."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RunYes, "The engine ended the response early.", "Send the request again; discard the part that was received."},
--- a/limpetd/crash/crash.go
+++ b/limpetd/crash/crash.go
@@ -1,24 +1,29 @@
-// Package crash finds the parts of prompts that end engines.
+// Package crash finds the requests, and the parts of prompts, that end servers.
 //
-// Some prompt parts end each engine that begins to answer a call with the part, whatever
-// else its prompt contains. A Ledger records the ends of engines with the calls that ran
-// on them, and the calls that engines went on to answer, and decides which calls to refuse.
+// Some requests end each server that begins to run them, and some prompt parts end each engine that
+// begins to answer a call with the part, whatever else its prompt contains. A Ledger records the
+// ends of servers with the calls that ran on them, and the calls that servers went on to answer, and
+// decides which calls to refuse. A whole request is one more part of a call, see RequestPart: only
+// the same request has it again.
 //
 // A part is suspected in an end if the response to a call with the part had just begun or, with
-// less weight, if it had begun a little earlier or the call was waiting. An answer that goes on for survivalAge clears the
+// less weight, if it had begun a little earlier or the call was waiting. A request is suspected with
+// full weight in each case. An answer that goes on for survivalAge, or is complete, clears the
 // part of all ends before it began. Ends within roundLength of each other are one round, because a
-// fault of a rack or of a link ends many engines at once. A part with an uncleared suspicion in
+// fault of a rack or of a link ends many servers at once. A part with an uncleared suspicion in
 // blockRounds rounds is blocked: calls with it are refused. An end that a blocked part explains
 // does not count against other parts. If parts always occur together, only calls with all of
-// them are refused.
+// them are refused. Of several requests with the same evidence none is blocked.
 //
 // Before that, a part that is suspected in probationRounds rounds is on probation: a daemon sends
-// one call with it at a time, and does not repeat it. A block lasts for blockTerm; then one daemon
-// sends one call with the part at a time, and a single end blocks it again, for twice as long.
+// one call with it at a time, and does not repeat it. A request under which reservedEnds servers
+// have ended is reserved: only one daemon sends it, and nothing else on probation beside it. A block
+// lasts for blockTerm; then the part is reserved too, and a single end blocks it again, for twice as
+// long.
 //
 // Calls with a known part have been answered before. Such a part may be in all prompts, and no
 // engine may be left to answer and clear it, so it needs knownRounds rounds, parts that are not
-// known are blocked first, and its first block lasts for knownTerm only.
+// known are blocked first, and its first block is short.
 //
 // All daemons together collect the evidence: Facts carry it between their ledgers in any order.
 // A Ledger starts no goroutine and reads no clock. It is not safe for concurrent use.
@@ -48,6 +53,14 @@
 	blockRounds     = 3
 	probationRounds = 2
 	knownRounds     = 4
+	// reservedEnds is the number of ends under a request, in any rounds, after which it is
+	// reserved for reservedTerm. repeatWeight is what each further end of a round adds to the
+	// evidence against a request, up to maxRepeats of them: it may have been sent from server to
+	// server, or the round may be the fault of a rack.
+	reservedEnds = 3
+	reservedTerm = 30 * time.Second
+	repeatWeight = 0.25
+	maxRepeats   = 2
 	// freshAge is the age of a response below which the call has the weight 1. Other responses
 	// that had just begun, and waiting calls, have the weight staleWeight; beside a response that
 	// had just begun, waiting calls have waitingWeight.
@@ -57,12 +70,14 @@
 	// scoreSlack is how far the sum of weights may be below the number of rounds.
 	scoreSlack = 0.5
 	// blockTerm is how long the first block of a part lasts, and how long other evidence is
-	// kept; knownTerm is the same for a known part. Each further block lasts twice as long, up
-	// to maxStrikes and maxKnownStrikes doublings.
-	blockTerm       = 10 * time.Minute
-	knownTerm       = 10 * time.Second
-	maxStrikes      = 6
-	maxKnownStrikes = 12
+	// kept; knownTerm is the same for a known part, knownRequestTerm for a known request, which
+	// fewer callers need. Each further block lasts twice as long, up to maxStrikes and
+	// maxKnownStrikes doublings.
+	blockTerm        = 10 * time.Minute
+	knownTerm        = 10 * time.Second
+	knownRequestTerm = time.Minute
+	maxStrikes       = 6
+	maxKnownStrikes  = 12
 	// trialPause is when callers may return whose calls another daemon has to try first.
 	trialPause = 2 * time.Second
 	// strikeTerm is how long a block is remembered after its end.
@@ -83,12 +98,24 @@
 	maxRecent = 8192
 )
 
+// requestBit is set in the parts that stand for whole requests.
+const requestBit = 1 << 63
+
+// RequestPart returns the part that stands for a request. identity is the same for the same request.
+func RequestPart(identity uint64) uint64 { return identity | requestBit }
+
+// PromptPart returns the part of a prompt with an id.
+func PromptPart(id uint64) uint64 { return id &^ requestBit }
+
+func isRequest(part uint64) bool { return part&requestBit != 0 }
+
 // Suspect is a call that an engine had not answered when it ended.
 type Suspect struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	// Call identifies the call.
 	Call uint64
-	// Parts are the parts of the call's prompt that other calls may share.
+	// Parts are the request itself and the parts of its prompt that other calls may share, the
+	// request first.
 	Parts []uint64
 	// Begun is whether the response had begun, Age how long before the end.
 	Begun bool
@@ -118,7 +145,7 @@
 const (
 	// Allowed means that the call may be sent.
 	Allowed Verdict = iota
-	// Probation means that the call may be sent if no other call with a part on probation is in
+	// Probation means that the call may be sent if no other call with one of the parts is in
 	// flight, and if it was not sent before.
 	Probation
 	// Blocked means that the call must be refused.
@@ -131,6 +158,9 @@
 	// Parts are the parts behind the verdict. Until is when a block ends.
 	Parts []uint64
 	Until time.Time
+	// Alone is whether a call on probation may be sent only if no other call on probation is in
+	// flight.
+	Alone bool
 }
 
 // Block is a set of parts that end engines when they occur together.
@@ -198,6 +228,8 @@
 	blocks    []Block
 	blocked   map[uint64]bool
 	probation map[uint64]bool
+	// reserved holds the parts on probation that one daemon tries, and until when.
+	reserved map[uint64]time.Time
 }
 
 // Option configures a Ledger.
@@ -262,12 +294,18 @@
 	}
 }
 
-// remembers reports whether a call with a part was answered lately.
-func (l *Ledger) remembers(part uint64) bool { return l.recent[part] || l.older[part] }
-
 // Survived reports whether a response that began at a time has gone on for survivalAge.
 func Survived(begunAt, now time.Time) bool { return now.Sub(begunAt) >= survivalAge }
 
+// Remembers reports whether a call with a part was answered lately.
+func (l *Ledger) Remembers(part uint64) bool { return l.recent[part] || l.older[part] }
+
+// HasEnded reports whether a start of a server has ended.
+func (l *Ledger) HasEnded(server string, startedAt int64) bool {
+	e := l.ends[start{server, startedAt}]
+	return e != nil && !e.retracted
+}
+
 // Empty reports whether no part is suspected.
 func (l *Ledger) Empty() bool { return len(l.suspected) == 0 }
 
@@ -281,7 +319,7 @@
 }
 
 // Check returns the verdict on a call with parts. leads is whether this daemon sends the calls with
-// parts whose block has ended; all others refuse them until such a call is answered.
+// reserved parts; all others refuse them until such a call is answered.
 func (l *Ledger) Check(parts []uint64, leads bool, now time.Time) Decision {
 	if len(l.blocks) == 0 && len(l.probation) == 0 {
 		return Decision{}
@@ -291,17 +329,20 @@
 			return Decision{Verdict: Blocked, Parts: b.Parts, Until: b.Until}
 		}
 	}
+	d := Decision{}
 	for _, p := range parts {
-		_, struck := l.strikes[p]
-		switch {
-		case !l.probation[p]:
-		case struck && !leads:
-			return Decision{Verdict: Blocked, Parts: []uint64{p}, Until: now.Add(trialPause)}
-		default:
-			return Decision{Verdict: Probation, Parts: []uint64{p}}
+		if !l.probation[p] {
+			continue
+		}
+		if now.Before(l.reserved[p]) {
+			if !leads {
+				return Decision{Verdict: Blocked, Parts: []uint64{p}, Until: now.Add(trialPause)}
+			}
+			d.Alone = true
 		}
+		d.Verdict, d.Parts = Probation, append(d.Parts, p)
 	}
-	return Decision{}
+	return d
 }
 
 // Version increases with each change of what Since and Merge exchange.
--- a/limpetd/crash/evaluate.go
+++ b/limpetd/crash/evaluate.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,12 +12,8 @@
 	l.expireEnds(now)
 	maps.DeleteFunc(l.strikes, func(_ uint64, s strike) bool { return now.Sub(s.at) > strikeTerm })
 	l.suspected = map[uint64]period{}
-	open := make([]*end, 0, len(l.ends))
-	for _, e := range l.ends {
-		if e.retracted {
-			continue
-		}
-		open = append(open, e)
+	open := l.openEnds()
+	for _, e := range open {
 		for i := range e.suspects {
 			for _, p := range e.suspects[i].Parts {
 				l.suspect(p, e.at)
@@ -31,18 +28,12 @@
 		l.suspect(p, s.at.Add(survivalAge))
 	}
 	for p := range l.suspected {
-		if _, ok := l.known[p]; !ok && l.remembers(p) {
+		if _, ok := l.known[p]; !ok && l.Remembers(p) {
 			l.known[p] = l.nextVersion()
 		}
 	}
 	maps.DeleteFunc(l.known, func(p uint64, _ int64) bool { _, ok := l.suspected[p]; return !ok })
 	maps.DeleteFunc(l.answers, func(p uint64, _ answer) bool { _, ok := l.suspected[p]; return !ok })
-	slices.SortFunc(open, func(a, b *end) int {
-		if c := a.at.Compare(b.at); c != 0 {
-			return c
-		}
-		return compareStarts(a.start, b.start)
-	})
 	l.blocks, l.blocked = nil, map[uint64]bool{}
 	for {
 		best, ok := l.mostSuspected(open)
@@ -61,17 +52,49 @@
 		}
 		open = slices.DeleteFunc(open, func(e *end) bool { return slices.Contains(best.ends, e) })
 	}
-	l.probation = map[uint64]bool{}
+	l.restrict(open)
+}
+
+// restrict computes the parts on probation, and the reserved ones, from the ends that no block explains.
+func (l *Ledger) restrict(open []*end) {
+	l.probation, l.reserved = map[uint64]bool{}, map[uint64]time.Time{}
 	for p, s := range l.suspicions(open) {
-		if s.score >= probationRounds-scoreSlack && !l.allowed[p] {
+		_, known := l.known[p]
+		known = known && isRequest(p)
+		rounds := probationRounds
+		if known {
+			rounds = knownRounds - 1
+		}
+		if l.allowed[p] {
+			continue
+		}
+		if s.score >= float64(rounds)-scoreSlack {
 			l.probation[p] = true
+			if known {
+				l.reserved[p] = s.last().Add(reservedTerm)
+			}
+		}
+		if isRequest(p) && !known && len(s.ends) >= reservedEnds {
+			l.probation[p], l.reserved[p] = true, s.last().Add(reservedTerm)
 		}
 	}
-	for p := range l.strikes {
+	for p, s := range l.strikes {
 		if !l.allowed[p] {
-			l.probation[p] = true
+			l.probation[p], l.reserved[p] = true, s.at.Add(strikeTerm)
+		}
+	}
+}
+
+// openEnds returns the ends that have not been retracted, in the order of their times.
+func (l *Ledger) openEnds() []*end {
+	open := make([]*end, 0, len(l.ends))
+	for _, e := range l.ends {
+		if !e.retracted {
+			open = append(open, e)
 		}
 	}
+	slices.SortFunc(open, func(a, b *end) int { return cmp.Or(a.at.Compare(b.at), compareStarts(a.start, b.start)) })
+	return open
 }
 
 // suspect extends the period in which a part is suspected.
@@ -98,17 +121,23 @@
 	score float64
 }
 
+// last returns when the last of the ends was.
+func (s *suspicion) last() time.Time { return s.ends[len(s.ends)-1].at }
+
 // rate drops the ends that are too far from the last one, and computes the score.
 func (s *suspicion) rate() {
-	last := s.ends[len(s.ends)-1].at
-	for last.Sub(s.ends[0].at) > blockTerm {
+	for s.last().Sub(s.ends[0].at) > blockTerm {
 		s.ends, s.weights = s.ends[1:], s.weights[1:]
 	}
 	var roundAt time.Time
-	round := 0.0
+	round, repeats := 0.0, 0
 	for i, e := range s.ends {
-		if i == 0 || e.at.Sub(roundAt) >= roundLength {
-			roundAt, round = e.at, 0
+		switch {
+		case i == 0 || e.at.Sub(roundAt) >= roundLength:
+			roundAt, round, repeats = e.at, 0, 0
+		case isRequest(s.part) && repeats < maxRepeats:
+			s.score += repeatWeight
+			repeats++
 		}
 		s.score += max(s.weights[i]-round, 0)
 		round = max(round, s.weights[i])
@@ -151,16 +180,20 @@
 	weights, calls := map[uint64]float64{}, map[uint64]int{}
 	for i := range e.suspects {
 		s := &e.suspects[i]
-		weight := waiting
+		partWeight := waiting
 		switch {
 		case s.Begun && s.Age < freshAge:
-			weight = 1
+			partWeight = 1
 		case s.justBegun():
-			weight = staleWeight
+			partWeight = staleWeight
 		case s.Begun:
 			continue
 		}
 		for _, p := range s.Parts {
+			weight := partWeight
+			if isRequest(p) {
+				weight = 1
+			}
 			weights[p] = max(weights[p], weight)
 			calls[p]++
 		}
@@ -170,11 +203,17 @@
 
 // mostSuspected returns the part to block next: a part that is not known before those that are. Among
 // parts with equal evidence it is the one that occurs in the fewest calls, since a part that all
-// prompts share is suspected in each end.
+// prompts share is suspected in each end. A request that has a rival is not blocked.
 func (l *Ledger) mostSuspected(ends []*end) (*suspicion, bool) {
-	var best *suspicion
+	var candidates []*suspicion
 	for p, s := range l.suspicions(ends) {
-		if l.allowed[p] || s.score < float64(l.rounds(p))-scoreSlack {
+		if !l.allowed[p] && s.score >= float64(l.rounds(p))-scoreSlack {
+			candidates = append(candidates, s)
+		}
+	}
+	var best *suspicion
+	for _, s := range candidates {
+		if slices.ContainsFunc(candidates, func(o *suspicion) bool { return l.areRivals(s, o) }) {
 			continue
 		}
 		if best == nil || l.isMoreSuspected(s, best) {
@@ -184,6 +223,15 @@
 	return best, best != nil
 }
 
+// areRivals reports whether s and o are different requests with the same evidence, one of which may
+// just have run beside the other.
+func (l *Ledger) areRivals(s, o *suspicion) bool {
+	_, known := l.known[s.part]
+	_, otherKnown := l.known[o.part]
+	return s != o && isRequest(s.part) && isRequest(o.part) && known == otherKnown && s.score == o.score &&
+		slices.ContainsFunc(s.ends, func(e *end) bool { return slices.Contains(o.ends, e) })
+}
+
 // isMoreSuspected reports whether the part of s is to be blocked before the part of o.
 func (l *Ledger) isMoreSuspected(s, o *suspicion) bool {
 	_, known := l.known[s.part]
@@ -195,6 +243,8 @@
 		return s.score > o.score
 	case s.calls != o.calls:
 		return s.calls < o.calls
+	case isRequest(s.part) != isRequest(o.part):
+		return isRequest(s.part)
 	}
 	return s.part < o.part
 }
@@ -213,7 +263,11 @@
 // term returns how long a block of a part lasts after the last end.
 func (l *Ledger) term(part uint64) time.Duration {
 	if _, known := l.known[part]; known {
-		return knownTerm << min(l.strikes[part].count, maxKnownStrikes)
+		first := knownTerm
+		if isRequest(part) {
+			first = knownRequestTerm
+		}
+		return first << min(l.strikes[part].count, maxKnownStrikes)
 	}
 	return blockTerm << min(l.strikes[part].count, maxStrikes)
 }
--- a/limpetd/crash/facts.go
+++ b/limpetd/crash/facts.go
@@ -80,8 +80,9 @@
 func (l *Ledger) Lasting(now time.Time) Facts {
 	f := l.facts(now, func(e *end) bool { return !e.retracted }, func(int64) bool { return true })
 	suspected := map[uint64]bool{}
+	evidence := l.suspicions(l.openEnds())
 	for i := range f.Ends {
-		f.Ends[i].Suspects = l.lastingSuspects(f.Ends[i].Suspects)
+		f.Ends[i].Suspects = l.lastingSuspects(f.Ends[i].Suspects, evidence)
 		for _, s := range f.Ends[i].Suspects {
 			for _, p := range s.Parts {
 				suspected[p] = true
@@ -95,9 +96,20 @@
 	return f
 }
 
-// lastingSuspects returns the first of the suspects, those that are blocked before the others, with the
-// parts of their blocks or the first of their parts.
-func (l *Ledger) lastingSuspects(list []Suspect) []Suspect {
+// lastingSuspects returns the first of the suspects, those that are blocked before those with the most
+// evidence against them, with the parts of their blocks or the first of their parts.
+func (l *Ledger) lastingSuspects(list []Suspect, evidence map[uint64]*suspicion) []Suspect {
+	score := func(s Suspect) float64 {
+		most := 0.0
+		for _, p := range s.Parts {
+			if e := evidence[p]; e != nil {
+				most = max(most, e.score)
+			}
+		}
+		return most
+	}
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b Suspect) int { return cmp.Compare(score(b), score(a)) })
 	var blocked, others []Suspect
 	for _, s := range list {
 		i := slices.IndexFunc(l.blocks, func(b Block) bool { return containsAll(s.Parts, b.Parts) })
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -313,6 +313,9 @@
 		a.recordBroken(err)
 	}
 	a.finish(result)
+	if result == sched.Broken && !errors.Is(err, errSilent) && a.call.mayRepeat() {
+		a.call.underEnd = a.mayEndServers(ctx)
+	}
 	return a.call.retryOrEnd(ctx, code.BackendLost, err.Error())
 }
 
--- a/limpetd/front/crashes.go
+++ b/limpetd/front/crashes.go
@@ -15,7 +15,8 @@
 
 // CrashObserver learns that a Front knows more about the ends of engines than before.
 type CrashObserver interface {
-	CrashesChanged()
+	// CrashesChanged is called with whether this daemon has noticed an end itself since the last call.
+	CrashesChanged(noticed bool)
 }
 
 // WithAllowedParts sets prompt parts that are never blocked, whatever engines they seem to end.
@@ -101,8 +102,12 @@
 		case <-ctx.Done():
 			return
 		case <-f.crashesChanged:
+			f.mu.Lock()
+			noticed := f.endNoticed
+			f.endNoticed = false
+			f.mu.Unlock()
 			if f.deps.Crashes != nil {
-				f.deps.Crashes.CrashesChanged()
+				f.deps.Crashes.CrashesChanged(noticed)
 			}
 		}
 	}
@@ -111,14 +116,10 @@
 // recordCrash records the end of an engine with the calls that this daemon had sent to it. The
 // caller must hold mu.
 func (f *Front) recordCrash(s *layout.Server, calls []endedCall, now time.Time) {
+	f.endNoticed = true
 	e := crash.End{Server: s.ID, StartedAt: s.StartedAt}
 	for _, c := range calls {
-		if len(c.parts) > 0 {
-			e.Suspects = append(e.Suspects, crash.Suspect{Call: hash(c.id), Parts: c.parts, Begun: c.begun, Age: c.age})
-		}
-	}
-	if len(e.Suspects) == 0 {
-		return
+		e.Suspects = append(e.Suspects, crash.Suspect{Call: hash(c.id), Parts: c.parts, Begun: c.begun, Age: c.age})
 	}
 	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordEnd(e, now) })
 }
@@ -128,13 +129,13 @@
 func (a *attempt) recordAnswer(complete bool, now time.Time) {
 	f := a.call.front
 	if complete {
-		f.crashes.Remember(a.call.info.Parts, now)
+		f.crashes.Remember(a.call.parts, now)
 	}
 	if a.cleared || f.crashes.Empty() || a.begunAt.IsZero() || !complete && !crash.Survived(a.begunAt, now) {
 		return
 	}
 	a.cleared = true
-	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordAnswer(a.call.info.Parts, a.begunAt, now) })
+	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordAnswer(a.call.parts, a.begunAt, now) })
 }
 
 // recordAlive records that the engine answers. The caller must hold mu.
@@ -153,15 +154,15 @@
 	f.leading = leading
 }
 
-// checkPrompt reports whether a call may be sent now, as far as its prompt is concerned. If not, it
+// checkPrompt reports whether a call may be sent now, as far as it or its prompt may end servers. If not, it
 // returns the choice with which the call ends. The caller must hold mu.
 func (f *Front) checkPrompt(c *call, now time.Time) (sched.Choice, bool) {
 	f.expireBlocks(now)
-	d := f.crashes.Check(c.info.Parts, f.leading, now)
+	d := f.crashes.Check(c.parts, f.leading, now)
 	switch {
 	case d.Verdict == crash.Blocked:
 		return sched.Choice{Verdict: sched.PromptBlocked, RetryAfter: f.balancer.RetryAfterEnd(d.Until, now)}, false
-	case d.Verdict == crash.Probation && (c.runs > 0 || f.ends.tries(c, d.Parts, now)):
+	case d.Verdict == crash.Probation && (c.runs > 0 || f.ends.tries(c, d.Parts, now) || d.Alone && f.ends.triesAny(c)):
 		return sched.Choice{Verdict: sched.PromptBlocked, RetryAfter: f.balancer.RetryAfterEnd(now.Add(crash.RetryAfter), now)}, false
 	}
 	return sched.Choice{}, true
@@ -182,13 +183,13 @@
 // endBlocked ends a call whose prompt must not be sent now.
 func (c *call) endBlocked(choice sched.Choice) {
 	c.front.metrics.promptsRefused.Inc(1)
-	c.giveUp(code.PromptBlocked, choice, "engines have ended under calls with a part of this prompt")
+	c.giveUp(code.PromptBlocked, choice, "servers have ended under this request or calls with a part of its prompt")
 }
 
 // startTrial records that a call is about to be sent while parts of its prompt are on probation. The
 // caller must hold mu.
 func (f *Front) startTrial(c *call, now time.Time) {
-	if d := f.crashes.Check(c.info.Parts, f.leading, now); d.Verdict == crash.Probation {
+	if d := f.crashes.Check(c.parts, f.leading, now); d.Verdict == crash.Probation {
 		for _, p := range d.Parts {
 			f.ends.trials[p] = c
 		}
@@ -204,6 +205,16 @@
 	}
 }
 
+// triesAny reports whether another call was sent while one of its parts was on probation.
+func (t *endTracker) triesAny(c *call) bool {
+	for _, other := range t.trials {
+		if other != c {
+			return true
+		}
+	}
+	return false
+}
+
 // tries reports whether another call with one of parts is in flight, and its answer has not gone on
 // for a while.
 func (t *endTracker) tries(c *call, parts []uint64, now time.Time) bool {
@@ -215,7 +226,7 @@
 	for _, attempts := range t.running {
 		for a := range attempts {
 			answered := !a.begunAt.IsZero() && crash.Survived(a.begunAt, now)
-			if a.call != c && !answered && slices.ContainsFunc(parts, func(p uint64) bool { return slices.Contains(a.call.info.Parts, p) }) {
+			if a.call != c && !answered && slices.ContainsFunc(parts, func(p uint64) bool { return slices.Contains(a.call.parts, p) }) {
 				return true
 			}
 		}
--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
@@ -37,9 +38,9 @@
 
 // endedCall is a call that an engine did not finish.
 type endedCall struct {
-	id       string
-	identity uint64
-	parts    []uint64
+	id string
+	// parts are the request and the parts of its prompt.
+	parts []uint64
 	// server is the start of the engine.
 	server *layout.Server
 	// begun is whether the head of the response had arrived. age is the time from then to the
@@ -58,8 +59,9 @@
 	broken  map[string][]endedCall
 	// heardAt is when an engine last sent bytes to any call, by server ID.
 	heardAt map[string]time.Time
-	// probing holds the engines that are being probed.
-	probing map[string]bool
+	// probing holds the servers that are being probed. A channel is closed when it is known
+	// whether the server accepts connections.
+	probing map[string]chan struct{}
 	// probes carries the engines that are to be probed. An engine that does not fit is not
 	// probed; the list of servers then shows that it has ended.
 	probes chan *layout.Server
@@ -69,7 +71,7 @@
 
 func newEndTracker() endTracker {
 	return endTracker{
-		running: map[string]map[*attempt]bool{}, broken: map[string][]endedCall{}, heardAt: map[string]time.Time{}, probing: map[string]bool{},
+		running: map[string]map[*attempt]bool{}, broken: map[string][]endedCall{}, heardAt: map[string]time.Time{}, probing: map[string]chan struct{}{},
 		probes: make(chan *layout.Server, maxEndProbes), trials: map[uint64]*call{},
 	}
 }
@@ -102,10 +104,10 @@
 		list = append(list, a.ended(now))
 	}
 	t.broken[id] = list
-	if r == sched.Broken && !t.probing[id] {
+	if r == sched.Broken && t.probing[id] == nil {
 		select {
 		case t.probes <- a.server:
-			t.probing[id] = true
+			t.probing[id] = make(chan struct{})
 		default:
 		}
 	}
@@ -121,7 +123,7 @@
 
 // ended describes the attempt as a call that its engine did not finish.
 func (a *attempt) ended(now time.Time) endedCall {
-	e := endedCall{id: a.call.info.ID, identity: a.call.identity, parts: a.call.info.Parts, server: a.server, begun: !a.begunAt.IsZero(), at: now}
+	e := endedCall{id: a.call.info.ID, parts: a.call.parts, server: a.server, begun: !a.begunAt.IsZero(), at: now}
 	if e.begun {
 		e.age = max(a.lastBytesAt.Sub(a.begunAt), 0)
 	}
@@ -200,11 +202,12 @@
 	}
 }
 
-// probeEnd finds out whether an engine that broke off a response has ended.
+// probeEnd finds out whether a server that broke off a response has ended.
 func (f *Front) probeEnd(ctx context.Context, s *layout.Server) {
 	brokenAt, ended := time.Now(), false
 	for i := range endProbes {
 		if i > 0 {
+			f.endProbe(s, false)
 			life.Sleep(ctx, probePause)
 		}
 		f.mu.Lock()
@@ -217,12 +220,49 @@
 			break
 		}
 	}
+	f.endProbe(s, ended && ctx.Err() == nil)
+}
+
+// endProbe records the result of a probe. Further calls that the server breaks off are probed for again.
+func (f *Front) endProbe(s *layout.Server, ended bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.ends.probing, s.ID)
-	if ended && ctx.Err() == nil {
+	if ended {
 		f.recordEnd(s, time.Now())
 	}
+	if done := f.ends.probing[s.ID]; done != nil {
+		close(done)
+		delete(f.ends.probing, s.ID)
+	}
+}
+
+// maxProbeWait bounds the time for which a call waits for a probe, some round trips.
+const maxProbeWait = 200 * time.Millisecond
+
+// mayEndServers reports whether a server has ended under the attempt, for which the call may be the cause:
+// its response had not begun a while before, and no such call was answered lately. The caller can still
+// send such a call again; here, it would end a second server before the other daemons know of the first.
+func (a *attempt) mayEndServers(ctx context.Context) bool {
+	f := a.call.front
+	f.mu.Lock()
+	done := f.ends.probing[a.server.ID]
+	suspected := (a.begunAt.IsZero() || !crash.Survived(a.begunAt, a.lastBytesAt)) && !f.crashes.Remembers(a.call.parts[0])
+	f.mu.Unlock()
+	if !suspected {
+		return false
+	}
+	if done != nil {
+		timer := time.NewTimer(maxProbeWait)
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes.HasEnded(a.server.ID, a.server.StartedAt)
 }
 
 // recordEnd records that an engine has ended, with the calls that this daemon had sent to it. The
@@ -241,7 +281,7 @@
 const maxLoggedCalls = 8
 
 // describeEnded describes the calls whose responses had begun last, those that had not begun first:
-// the id of the request, the age of its response, its identity, and the parts of its prompt.
+// the id of the request, the age of its response, its identity and the parts of its prompt.
 func describeEnded(calls []endedCall) []string {
 	calls = slices.Clone(calls)
 	slices.SortStableFunc(calls, func(a, b endedCall) int { return int(a.age - b.age) })
@@ -251,12 +291,12 @@
 		if c.begun {
 			age = c.age.Round(time.Millisecond).String()
 		}
-		out = append(out, fmt.Sprintf("%s:%s:%x:%s", c.id, age, c.identity, formatParts(c.parts)))
+		out = append(out, fmt.Sprintf("%s:%s:%s", c.id, age, formatParts(c.parts)))
 	}
 	return out
 }
 
-// formatParts formats parts of a prompt as callers name them, in hexadecimal.
+// formatParts formats a request and the parts of its prompt, as callers name them, in hexadecimal.
 func formatParts(parts []uint64) string {
 	names := make([]string, 0, len(parts))
 	for _, p := range parts[:min(len(parts), maxLoggedCalls)] {
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -194,6 +194,8 @@
 	balancer *sched.Balancer
 	ends     endTracker
 	crashes  *crash.Ledger
+	// endNoticed is whether this daemon has noticed an end since the observer was told last.
+	endNoticed bool
 	// leading is whether this daemon is the lease holder.
 	leading bool
 	// waiters holds the calls that wait for a server. dispatch sorts it with sched.SortWaiters.
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -44,11 +44,13 @@
 	info      CallHeaders
 	schedCall sched.Call
 	body      []byte
-	// identity is the same for the same request of the same caller.
-	identity uint64
+	// parts are the request and the parts of its prompt, by which a call that ends servers is known.
+	parts []uint64
 	// runs counts the servers that may have run the call. connected counts the attempts
 	// that obtained a connection: only an attempt after one of these counts as a retry.
 	runs, connected int
+	// underEnd is whether a server has ended under the call, for which the call may be the cause.
+	underEnd bool
 	// waited is whether the call has waited for a server.
 	waited bool
 	// responseBegun is whether the head of the response was written. lastEvent is the id
@@ -166,7 +168,7 @@
 	}
 	c.body = body
 	c.info = f.deps.Dialect.DecodeCall(r.Header)
-	c.identity = c.requestIdentity()
+	c.parts = c.suspectedParts()
 	removeHopHeaders(r.Header)
 	c.fillSchedCall(s.config, route)
 	return true
--- a/limpetd/front/identity.go
+++ b/limpetd/front/identity.go
@@ -4,8 +4,20 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/limpetlb/limpetlb/limpetd/crash"
 )
 
+// suspectedParts returns the request and the parts of its prompt, for the ledger of ends.
+func (c *call) suspectedParts() []uint64 {
+	parts := make([]uint64, 0, 1+len(c.info.Parts))
+	parts = append(parts, crash.RequestPart(c.requestIdentity()))
+	for _, p := range c.info.Parts {
+		parts = append(parts, crash.PromptPart(p))
+	}
+	return parts
+}
+
 // requestIdentity returns a number that a caller's request has whenever it is sent again: a hash of its
 // method, host, target, caller and body. All other headers may change from one time to the next.
 func (c *call) requestIdentity() uint64 {
--- a/limpetd/front/retry.go
+++ b/limpetd/front/retry.go
@@ -56,6 +56,8 @@
 		c.expire(reason)
 	case c.runs > 0 && !c.mayRepeat():
 		c.fail(result, http.StatusBadGateway, reason)
+	case c.underEnd:
+		c.giveUp(result, sched.Choice{RetryAfter: minRetryAfter}, "the server ended under the call: "+reason)
 	case c.runs >= c.schedCall.Route.MaxAttempts, c.outcome.attempts >= maxAttempts:
 		c.giveUp(result, sched.Choice{RetryAfter: minRetryAfter}, reason)
 	default:
--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -123,6 +123,13 @@
 	return s.overflowed
 }
 
+// crashesSent returns the version up to which the ends of engines were sent to all daemons.
+func (b *broadcaster) crashesSent() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes
+}
+
 // crashSource returns what has become known about the ends of engines after a version, and the current
 // version.
 type crashSource func(version int64) (*crash.Facts, int64)
--- a/limpetd/steer/crashes.go
+++ b/limpetd/steer/crashes.go
@@ -1,6 +1,10 @@
 package steer
 
-import "github.com/limpetlb/limpetlb/limpetd/crash"
+import (
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/crash"
+)
 
 // ReportNow reports to the lease holder what this daemon has learned about servers: ends of engines and
 // limits.
@@ -25,3 +29,19 @@
 		s.deps.Crashes.MergeCrashFacts(*facts)
 	}
 }
+
+// hasNewCrashes reports whether more is known about the ends of engines than was sent with the last update.
+func (s *Controller) hasNewCrashes() bool {
+	facts, _ := s.crashesSince(s.broadcaster.crashesSent())
+	return facts != nil && s.IsLeaseHolder()
+}
+
+// IsInTouch reports whether this daemon is the lease holder or has lately received an update of it.
+func (s *Controller) IsInTouch() bool {
+	if s.IsLeaseHolder() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.lastUpdate) < maxUpdateAge
+}
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -21,6 +21,8 @@
 	defer ticker.Stop()
 	updates := time.NewTicker(updatePeriod)
 	defer updates.Stop()
+	// urgent fires when an update is due before the next one, because a server has ended.
+	var urgent <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -32,6 +34,9 @@
 			p.loads.byVM[r.VM] = daemonLoad{receivedAt: now, servers: r.Loads}
 			p.addLeaving(r.Leaving, now)
 			s.markLeaving(r.Leaving)
+			if urgent == nil && s.hasNewCrashes() {
+				urgent = time.After(urgentUpdateDelay)
+			}
 			if !r.hasWaiting() {
 				continue
 			}
@@ -42,6 +47,10 @@
 		case <-updates.C:
 			s.broadcastUpdate(p, time.Now())
 			continue
+		case <-urgent:
+			urgent = nil
+			s.broadcastUpdate(p, time.Now())
+			continue
 		}
 		p = s.planOnce(ctx, p, time.Now())
 	}
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -228,6 +228,11 @@
 	// daemons. Several of them fit in the time after which a daemon follows the store
 	// itself.
 	updatePeriod = 250 * time.Millisecond
+	// urgentUpdateDelay is the time in which the reports of several daemons on the end of a server
+	// are collected for one update.
+	urgentUpdateDelay = 20 * time.Millisecond
+	// maxUpdateAge is the age of the last update up to which the lease holder counts as reachable.
+	maxUpdateAge = 3 * updatePeriod
 	// reportPeriod is the time between reports of a daemon to the lease holder.
 	reportPeriod = 250 * time.Millisecond
 	// minReportPeriod is the least time between reports while calls wait.
