crash, front, conns: Don't withdraw the end of a server that started again

Cause: an engine that answered a call sent half a second after its end counted as one that had never ended. Engines may start again under their id, and the list of servers shows the new start up to some seconds later; the answers of the new start withdrew the end, and with it the block.

Change: an end is withdrawn only by an answer on a connection that was open before the end, since no connection outlives its process. The end also gets the time at which its calls broke off, not that at which it was noticed. TestRestartedServerHasEnded failed before. TestEngineThatAnswersIsNotEnded asked for the wrong rule, an answer on any connection; it now has a connection that was open before, and the ledger's test has both cases.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -161,7 +161,7 @@
 		return nil, err
 	}
 	input := &trackingReader{source: conn}
-	return &Conn{pool: p, target: t, conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
+	return &Conn{pool: p, target: t, conn: conn, openedAt: time.Now(), input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
 }
 
 // Reachable reports whether t accepts a connection. Reachable closes the connection
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -86,8 +86,10 @@
 	pool   *Pool
 	target Target
 	conn   net.Conn
-	input  *trackingReader
-	reader *bufio.Reader
+	// openedAt is when the connection was established.
+	openedAt time.Time
+	input    *trackingReader
+	reader   *bufio.Reader
 	// idleSince is when the connection was last released, expires when it may no longer be
 	// reused.
 	idleSince time.Time
@@ -98,6 +100,9 @@
 	written chan struct{}
 }
 
+// OpenedAt returns when the connection was established.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // Close closes the connection.
 func (c *Conn) Close() {
 	c.closeOnce.Do(func() {
--- a/limpetd/crash/crash.go
+++ b/limpetd/crash/crash.go
@@ -31,7 +31,7 @@
 // # Usage
 //
 //	l := crash.NewLedger()
-//	l.RecordEnd(crash.End{Server: "e1", StartedAt: 1, Suspects: suspects}, now)
+//	l.RecordEnd(crash.End{Server: "e1", StartedAt: 1, Suspects: suspects}, at, now)
 //	l.RecordAnswer(parts, begunAt, now)
 //	switch l.Check(parts, leads, now).Verdict { ... }
 //	other.Merge(l.Since(0, now), now)
@@ -253,18 +253,19 @@
 	return l
 }
 
-// RecordEnd records that an engine has ended. Reports of several daemons on one end are joined.
-func (l *Ledger) RecordEnd(e End, now time.Time) {
-	if l.mergeEnd(start{e.Server, e.StartedAt}, now, e.Suspects, false) {
+// RecordEnd records that an engine has ended at a time. Reports of several daemons on one end are joined.
+func (l *Ledger) RecordEnd(e End, at, now time.Time) {
+	if l.mergeEnd(start{e.Server, e.StartedAt}, at, e.Suspects, false) {
 		l.evaluate(now)
 	}
 }
 
-// RecordAlive records that an engine answered a call that was sent to it at a time. An end of
-// this start of the engine that was recorded before has not happened.
-func (l *Ledger) RecordAlive(server string, startedAt int64, sentAt, now time.Time) {
+// RecordAlive records that an engine answered a call that was sent to it at a time, on a connection that
+// was opened at another. An end of this start of the engine that was recorded between the two has not
+// happened. An answer on a later connection may be from another start, under the same id.
+func (l *Ledger) RecordAlive(server string, startedAt int64, openedAt, sentAt, now time.Time) {
 	e := l.ends[start{server, startedAt}]
-	if e == nil || e.retracted || sentAt.Before(e.at.Add(resendAge)) {
+	if e == nil || e.retracted || !openedAt.Before(e.at) || sentAt.Before(e.at.Add(resendAge)) {
 		return
 	}
 	e.retracted = true
--- a/limpetd/crash/crash_test.go
+++ b/limpetd/crash/crash_test.go
@@ -28,7 +28,7 @@
 // end records that an engine ended, after a pause since the last one.
 func (b *bench) end(server string, pause time.Duration, suspects ...Suspect) {
 	b.now = b.now.Add(pause)
-	b.ledger.RecordEnd(End{Server: server, Suspects: suspects}, b.now)
+	b.ledger.RecordEnd(End{Server: server, Suspects: suspects}, b.now, b.now)
 }
 
 // answer records an answer that has just gone on for survivalAge.
@@ -200,11 +200,14 @@
 	for i := range 3 {
 		b.end(string(rune('a'+i)), time.Second, b.begun(0, other))
 	}
-	b.ledger.RecordAlive("c", 0, b.now.Add(resendAge/2), b.now.Add(resendAge))
+	before, later := b.now.Add(-time.Second), b.now.Add(resendAge)
+	b.ledger.RecordAlive("c", 0, before, b.now.Add(resendAge/2), later)
 	require.Equal(t, Blocked, b.verdict(other), "its bytes were on their way")
-	b.ledger.RecordAlive("c", 1, b.now.Add(resendAge), b.now.Add(resendAge))
+	b.ledger.RecordAlive("c", 1, before, later, later)
 	require.Equal(t, Blocked, b.verdict(other), "another start")
-	b.ledger.RecordAlive("c", 0, b.now.Add(resendAge), b.now.Add(resendAge))
+	b.ledger.RecordAlive("c", 0, b.now, later, later)
+	require.Equal(t, Blocked, b.verdict(other), "a connection that was opened after the end")
+	b.ledger.RecordAlive("c", 0, before, later, later)
 	require.Equal(t, Probation, b.verdict(other))
 }
 
@@ -256,7 +259,7 @@
 	ledgers := []*Ledger{NewLedger(), NewLedger(), NewLedger()}
 	for i, l := range ledgers {
 		at := now.Add(time.Duration(i) * time.Second)
-		l.RecordEnd(End{Server: string(rune('a' + i)), Suspects: []Suspect{{Call: uint64(i), Parts: []uint64{system, bad}, Begun: true}}}, at)
+		l.RecordEnd(End{Server: string(rune('a' + i)), Suspects: []Suspect{{Call: uint64(i), Parts: []uint64{system, bad}, Begun: true}}}, at, at)
 	}
 	now = now.Add(3 * time.Second)
 	ledgers[1].RecordAnswer([]uint64{system}, now.Add(-survivalAge), now)
@@ -439,7 +442,7 @@
 		for k := range maxSuspects {
 			suspects = append(suspects, Suspect{Call: uint64(2*k + i), Parts: []uint64{uint64(k)}, Begun: true})
 		}
-		l.RecordEnd(End{Server: "a", Suspects: suspects}, now)
+		l.RecordEnd(End{Server: "a", Suspects: suspects}, now, now)
 	}
 	var sentOne, sentTwo int64
 	for range 3 {
--- a/limpetd/front/crash_request_test.go
+++ b/limpetd/front/crash_request_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -130,3 +131,24 @@
 	require.Equal(t, http.StatusOK, <-first)
 	require.Equal(t, http.StatusOK, status("/r/two"))
 }
+
+// TestRestartedServerHasEnded guards against withdrawing the end of a server because it answers again, under its
+// id and at its address, before the list of servers shows another start.
+func TestRestartedServerHasEnded(t *testing.T) {
+	var ended atomic.Int64
+	address := endingServer(t, "/r/bad", &ended)
+	fx := newFixtureWithServers(t, nil, plainRoute, address)
+	_, _, err := fx.post(t, "/r/bad", nil)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { facts, _ := fx.front.CrashFacts(0); return len(facts.Ends) == 1 }, time.Second, 10*time.Millisecond)
+	l, err := net.Listen("tcp4", address)
+	require.NoError(t, err)
+	again := &httptest.Server{Listener: l, Config: &http.Server{Handler: withStamp(respond("ok"))}}
+	again.Start()
+	t.Cleanup(again.Close)
+	require.Never(t, func() bool {
+		_, _, err := fx.post(t, "/r/good", nil)
+		facts, _ := fx.front.CrashFacts(0)
+		return err != nil || facts.Ends[0].Retracted
+	}, time.Second, 50*time.Millisecond)
+}
--- a/limpetd/front/crashes.go
+++ b/limpetd/front/crashes.go
@@ -117,11 +117,18 @@
 // caller must hold mu.
 func (f *Front) recordCrash(s *layout.Server, calls []endedCall, now time.Time) {
 	f.endNoticed = true
+	// The end may be noticed long after the calls broke off.
+	endedAt := now
+	for _, c := range calls {
+		if c.at.Before(endedAt) {
+			endedAt = c.at
+		}
+	}
 	e := crash.End{Server: s.ID, StartedAt: s.StartedAt}
 	for _, c := range calls {
 		e.Suspects = append(e.Suspects, crash.Suspect{Call: hash(c.id), Parts: c.parts, Begun: c.begun, Age: c.age})
 	}
-	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordEnd(e, now) })
+	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordEnd(e, endedAt, now) })
 }
 
 // recordAnswer records that an answer is complete, or goes on although it began a while ago. The
@@ -144,7 +151,9 @@
 	if f.crashes.Empty() {
 		return
 	}
-	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordAlive(a.server.ID, a.server.StartedAt, a.sentAt, now) })
+	f.updateCrashes(now, func(l *crash.Ledger, now time.Time) {
+		l.RecordAlive(a.server.ID, a.server.StartedAt, a.conn.OpenedAt(), a.sentAt, now)
+	})
 }
 
 // SetLeading sets whether this daemon is the lease holder, which tries the calls whose block has ended.
--- a/limpetd/front/crashes_test.go
+++ b/limpetd/front/crashes_test.go
@@ -290,15 +290,18 @@
 }
 
 // TestEngineThatAnswersIsNotEnded guards against counting the end of an engine that another daemon can't
-// reach.
+// reach, while this one has a connection to it that was open before.
 func TestEngineThatAnswersIsNotEnded(t *testing.T) {
 	fx := newFixture(t, engineRoute, streamEvents(0, 1, false))
+	retracted := func() bool {
+		_, _, err := fx.post(t, "/r/1", call("1"))
+		require.NoError(t, err)
+		facts, _ := fx.front.CrashFacts(0)
+		return slices.ContainsFunc(facts.Ends, func(e crash.EndFact) bool { return e.Server == "i0" && e.Retracted })
+	}
+	require.False(t, retracted())
 	facts := endsUnder(7, 3)
-	facts.Ends[2].Server = "i0"
+	facts.Ends[2].Server, facts.Ends[2].Age = "i0", 0
 	fx.front.MergeCrashFacts(facts)
-	_, _, err := fx.post(t, "/r/1", call("1"))
-	require.NoError(t, err)
-	facts, _ = fx.front.CrashFacts(0)
-	i := slices.IndexFunc(facts.Ends, func(e crash.EndFact) bool { return e.Server == "i0" })
-	require.True(t, facts.Ends[i].Retracted)
+	require.Eventually(t, retracted, 2*time.Second, 50*time.Millisecond)
 }
