--- a/limpetd/layout/layout.go
+++ b/limpetd/layout/layout.go
@@ -158,6 +158,8 @@
 	Revision int64
 	Service  string
 	Address  string
+	// Software is the version of the server's software; empty if the entry states none.
+	Software string
 	// DataCentre is the data centre in which the server runs.
 	DataCentre string
 	State      State
