origin, front, steer, platform: Keep streams at the software version that began them

Cause: no code read the version of an engine's software. A stream that broke went on at any engine with its model, within a response and when its caller took it up.

Change: the first event of a resumable stream pins its engine's version for the rest of the response. Package origin remembers it for a minute. While a service has had several versions in that time, daemons tell each other where streams began, with the reports and updates that carry the ends of servers, limits and departures too. A call that takes a stream up goes on at the version of the stream that Resumes names. If it is not known, the call waits for 0.6 s and is refused, also at a daemon without contact; if no engine of the version can go on, it is refused at once: 503, code 1208. Nothing is told, looked up or refused while a service has one version.

--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -65,6 +65,8 @@
 	BackendFailed Code = 1206
 	// PromptBlocked means that engines have ended under calls with a part of the prompt.
 	PromptBlocked Code = 1207
+	// StreamVersion means that a stream can't go on at the software version that began it.
+	StreamVersion Code = 1208
 )
 
 // Codes of calls that fail after they were sent to a backend server.
@@ -170,6 +172,7 @@
 	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, RunNo, "The call was not run, and the retry budget is exhausted.", "Retry after the time in the Retry-After header."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, RunNo, "The backend server could not be reached.", "Send the call again."},
 	{PromptBlocked, "prompt_blocked", http.StatusServiceUnavailable, RunNo, "Servers have ended under this request, or under calls with a part of its prompt. The call was not sent.", "Don't send the request again, or send it without that part. It is tried again after the time in the Retry-After header; operators can allow the part with `--allowed-parts`."},
+	{StreamVersion, "stream_version", http.StatusServiceUnavailable, RunNo, "The stream began at a version of the engines' software of which no engine can go on with it, or this daemon does not know the version.", "Retry after the time in the Retry-After header, or begin a new stream."},
 
 	{StreamBroken, "stream_broken", http.StatusBadGateway, RunYes, "The response could not be completed.", "Send the request again; discard the part that was received."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RunYes, "The engine ended the response early.", "Send the request again; discard the part that was received."},
--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		ms = 0
 	}
-	c := front.CallHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Deadline: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last")}
+	c := front.CallHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Deadline: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
 	for _, name := range strings.Fields(h.Get("Parts")) {
 		if part, err := strconv.ParseUint(name, 10, 64); err == nil {
 			c.Parts = append(c.Parts, part)
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -39,6 +39,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
 	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -59,8 +60,9 @@
 	Session uint64
 	// Parts identify the parts of the prompt that other calls may share, in order.
 	Parts []uint64
-	// LastEvent is the id of the last event that the caller received; empty if none.
-	LastEvent string
+	// LastEvent is the id of the last event that the caller received; empty if none. Resumes is
+	// the id of the call that brought the first one.
+	LastEvent, Resumes string
 }
 
 // AttemptHeaders holds the values that a Dialect writes to the headers of an attempt.
@@ -152,6 +154,8 @@
 	Crashes CrashObserver
 	// Limits is nil if no other daemon needs to know the limits that servers name.
 	Limits LimitObserver
+	// Contact is nil if this daemon always learns of new servers and of the streams of others.
+	Contact ContactProvider
 	// Departures is nil if servers announce their leaving in no other way than by the list of
 	// servers.
 	Departures DepartureRecorder
@@ -189,11 +193,15 @@
 	crashesChanged chan struct{}
 	allowedParts   []uint64
 
-	// mu guards balancer, ends, crashes and waiters.
+	// mu guards the fields below.
 	mu       sync.Mutex
 	balancer *sched.Balancer
 	ends     endTracker
 	crashes  *crash.Ledger
+	// origins remembers at which software version streams began. services are the services that have
+	// been listed with servers.
+	origins  *origin.Table
+	services []string
 	// endNoticed is whether this daemon has noticed an end since the observer was told last.
 	endNoticed bool
 	// leading is whether this daemon is the lease holder.
@@ -236,7 +244,7 @@
 // run until ctx ends.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
-	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), ends: newEndTracker(), crashesChanged: make(chan struct{}, 1)}
+	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1)}
 	f.leaveCtx, f.cancelLeave = context.WithCancel(ctx)
 	f.stopCtx, f.cancelStop = context.WithCancel(ctx)
 	for _, o := range opts {
@@ -293,6 +301,7 @@
 		}
 	}
 	f.ends.forget(servers)
+	f.recordVersions(servers, now)
 	f.balancer.SetServers(servers)
 	f.mu.Unlock()
 	f.notify()
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -218,6 +218,9 @@
 		work := sched.Work(&c.schedCall, f.activeConfig.Load().requirements[c.schedCall.Service])
 		f.deps.Loader.RecordCall(c.schedCall.Service, c.schedCall.Model, c.schedCall.Adapter, work)
 	}
+	if !c.pinOrigin(ctx) {
+		return
+	}
 	for {
 		if c.responseBegun {
 			c.schedCall.LastEventAt = c.lastAt
--- /dev/null
+++ b/limpetd/front/origins.go
@@ -0,0 +1,114 @@
+package front
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+const (
+	// originWait is how long a call that takes up a stream waits until this daemon knows the
+	// software version that began the stream, checked each originPoll: the other daemons tell
+	// each other of streams twice in this time.
+	originWait = 600 * time.Millisecond
+	originPoll = 50 * time.Millisecond
+	// originRetryAfter is when a caller may return whose stream can't go on now.
+	originRetryAfter = time.Second
+)
+
+// ContactProvider tells whether this daemon learns of new servers, and of the streams of other daemons.
+type ContactProvider interface {
+	HasContact() bool
+}
+
+// OriginFacts returns the streams that began at services with several software versions, after a version of
+// the records, and the current one. With own, those that other daemons told of are left out.
+func (f *Front) OriginFacts(version int64, own bool) (origin.Facts, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.origins.Since(version, own, time.Now())
+}
+
+// MergeOriginFacts adds the streams that began at other daemons.
+func (f *Front) MergeOriginFacts(facts origin.Facts) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.origins.Merge(facts, time.Now())
+}
+
+// recordVersions records the software versions of the servers of each service. The caller must hold mu.
+func (f *Front) recordVersions(servers []*layout.Server, now time.Time) {
+	versions := map[string][]string{}
+	for _, service := range f.services {
+		versions[service] = nil
+	}
+	for _, s := range servers {
+		if !slices.Contains(versions[s.Service], s.Software) {
+			versions[s.Service] = append(versions[s.Service], s.Software)
+		}
+	}
+	f.services = slices.Collect(maps.Keys(versions))
+	for service, list := range versions {
+		f.origins.SetVersions(service, list, now)
+	}
+}
+
+// pinSoftware makes the call go on only at engines of the version that sends its first event, and records this
+// version for the daemons at which its caller may take the stream up.
+func (a *attempt) pinSoftware(now time.Time) {
+	c := a.call
+	if c.schedCall.PinsSoftware || c.schedCall.Route.Kind != layout.Stream || !c.schedCall.Route.Resumable {
+		return
+	}
+	c.schedCall.Software, c.schedCall.PinsSoftware = a.server.Software, true
+	f := c.front
+	f.mu.Lock()
+	f.origins.Record(c.schedCall.Service, hash(c.info.ID), a.server.Software, now)
+	f.mu.Unlock()
+}
+
+// pinOrigin makes a call that takes up a stream go on only at the version that began it. It returns false if it
+// ended the call, because this daemon can't find out the version.
+func (c *call) pinOrigin(ctx context.Context) bool {
+	if c.info.LastEvent == "" || c.schedCall.Route.Kind != layout.Stream || !c.schedCall.Route.Resumable {
+		return true
+	}
+	until := time.Now().Add(originWait)
+	for {
+		software, known := c.lookupOrigin(time.Now())
+		if known {
+			c.schedCall.Software, c.schedCall.PinsSoftware = software, true
+			return true
+		}
+		if time.Now().After(until) || !life.Sleep(ctx, originPoll) {
+			c.refuse(code.StreamVersion, originRetryAfter, "the software version that began the stream is not known")
+			return false
+		}
+	}
+}
+
+// lookupOrigin returns the version that began the stream which the call takes up. Without contact to the
+// other daemons and the list of servers, another version may have begun it than this daemon knows of.
+func (c *call) lookupOrigin(now time.Time) (string, bool) {
+	f := c.front
+	id := hash(c.info.Resumes)
+	contact := f.deps.Contact == nil || f.deps.Contact.HasContact()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !contact && !f.origins.Known(id) {
+		return "", false
+	}
+	return f.origins.Lookup(c.schedCall.Service, id, now)
+}
+
+// endWithoutVersion ends a call whose stream began at a version of which no engine can go on with it.
+func (c *call) endWithoutVersion(choice sched.Choice) {
+	c.giveUp(code.StreamVersion, choice, "no engine of the software version that began the stream can go on with it")
+}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -159,6 +159,7 @@
 	}
 	c.lastAt = now
 	if !a.started {
+		a.pinSoftware(now)
 		a.beginResponse(resp, r)
 	} else {
 		f := c.front
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -140,6 +140,9 @@
 			until = sched.WaitUntil(&c.schedCall)
 		}
 	case sched.NotLoaded:
+		if c.schedCall.PinsSoftware {
+			break
+		}
 		f.deps.Loader.RequestLoad(c.schedCall.Service, c.schedCall.Model, c.schedCall.Adapter)
 		f.mu.Lock()
 		choice.RetryAfter = f.balancer.LoadTime(&c.schedCall, f.Config().Services[c.schedCall.Service])
@@ -238,6 +241,13 @@
 
 // endUnplaced ends a call for which no server was found.
 func (c *call) endUnplaced(choice sched.Choice) {
+	switch choice.Verdict {
+	case sched.NotLoaded, sched.NoServer:
+		if c.schedCall.PinsSoftware {
+			c.endWithoutVersion(choice)
+			return
+		}
+	}
 	switch choice.Verdict {
 	case sched.RetryBudgetSpent:
 		c.giveUp(code.RetryBudget, choice, "retry budget spent after: "+c.outcome.reason)
--- a/limpetd/sched/backoff.go
+++ b/limpetd/sched/backoff.go
@@ -39,7 +39,7 @@
 func (b *Balancer) backoffEnd(c *Call, now time.Time) time.Time {
 	var end time.Time
 	for _, s := range b.byService[c.Service] {
-		if !s.inBackoff(now) || s.entry.State != layout.Ready || c.Model != "" && !b.HoldsModel(s.entry, c.Model, c.Adapter) {
+		if !s.inBackoff(now) || s.entry.State != layout.Ready || !s.runs(c) || c.Model != "" && !b.HoldsModel(s.entry, c.Model, c.Adapter) {
 			continue
 		}
 		if end.IsZero() || s.backoffUntil.Before(end) {
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -107,11 +107,15 @@
 	return excluded
 }
 
-// takes reports whether the server takes calls and the call was not sent to it before.
+// takes reports whether the server takes calls, the call may run at its software version, and was not sent to
+// it before.
 func (s *server) takes(c *Call) bool {
-	return s.entry.State == layout.Ready && !slices.Contains(c.Tried, s.entry.ID)
+	return s.entry.State == layout.Ready && s.runs(c) && !slices.Contains(c.Tried, s.entry.ID)
 }
 
+// runs reports whether the server has the software version that the call needs.
+func (s *server) runs(c *Call) bool { return !c.PinsSoftware || s.entry.Software == c.Software }
+
 // isExcluded reports whether the server gets no calls for a time because it did not
 // answer, was full or wants none.
 func (s *server) isExcluded(now time.Time) bool {
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -79,7 +79,8 @@
 }
 
 // NewReservationRequest returns the reservation request for a call. It excludes servers
-// that this daemon found to be unreachable, to have no room or to lack the model.
+// that this daemon found to be unreachable, to have no room, to lack the model or to have another software
+// version than the call needs.
 func (b *Balancer) NewReservationRequest(c *Call, d Requirements, now time.Time) ReservationRequest {
 	within := onTimeLimit(c) - now.Sub(c.Arrived)
 	if c.Resumes() {
@@ -89,7 +90,7 @@
 	}
 	exclude := slices.Clone(c.Tried)
 	for _, s := range b.byService[c.Service] {
-		if s.isExcluded(now) || s.lacksModel(c, now) {
+		if s.isExcluded(now) || s.lacksModel(c, now) || !s.runs(c) {
 			exclude = append(exclude, s.entry.ID)
 		}
 	}
@@ -215,7 +216,7 @@
 	if g.Verdict != Chosen {
 		return Choice{Verdict: g.Verdict}
 	}
-	if s == nil || s.entry.State != layout.Ready || s.isExcluded(now) || s.lacksModel(c, now) {
+	if s == nil || s.entry.State != layout.Ready || s.isExcluded(now) || s.lacksModel(c, now) || !s.runs(c) {
 		return Choice{Verdict: NoServer}
 	}
 	return Choice{Verdict: Chosen, Server: s.entry, Load: b.load(s, now), Age: now.Sub(b.sharedAt), Pending: b.pending(s, now) + 1, Exclusive: g.Exclusive}
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -53,6 +53,9 @@
 	Arrived, Deadline time.Time
 	// Tried are the IDs of the servers that the call was already sent to.
 	Tried []string
+	// Software is the version of the software that the server must have, if PinsSoftware is set.
+	Software     string
+	PinsSoftware bool
 	// LastEventAt is when the last event of the answer was passed on to the caller; zero if
 	// none was.
 	LastEventAt time.Time
--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -8,6 +8,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
 )
 
 const (
@@ -33,6 +34,8 @@
 	// up to which the ends of engines were sent.
 	adapters, unloading map[string][]string
 	crashes             int64
+	// origins is the version up to which the streams that began were sent.
+	origins int64
 }
 
 // subscriber is a daemon with a link, and its queue of updates.
@@ -134,15 +137,20 @@
 // version.
 type crashSource func(version int64) (*crash.Facts, int64)
 
+// originSource returns the streams that began after a version of the records, and the current version.
+type originSource func(version int64) (*origin.Facts, int64)
+
 // broadcast sends the changes since the last broadcast to all daemons, and the full state to
 // daemons with a new link.
-func (b *broadcaster) broadcast(adapters, unloading map[string][]string, crashesSince crashSource, encode func(stateUpdate) (encodedMessage, error), now time.Time) error {
+func (b *broadcaster) broadcast(adapters, unloading map[string][]string, crashesSince crashSource, originsSince originSource, encode func(stateUpdate) (encodedMessage, error), now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := stateUpdate{Adapters: changedEntries(b.adapters, adapters), Unloading: changedEntries(b.unloading, unloading)}
 	next := maps.Clone(b.sent)
 	var crashes int64
 	u.Crashes, crashes = crashesSince(b.crashes)
+	var origins int64
+	u.Origins, origins = originsSince(b.origins)
 	for _, f := range b.tables {
 		if changes, ok := f.Since(b.sent[f.Name()], now); ok {
 			u.Tables = append(u.Tables, changes)
@@ -156,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	b.crashes = crashes
+	b.crashes, b.origins = crashes, origins
 	b.sent, b.adapters, b.unloading = next, maps.Clone(adapters), maps.Clone(unloading)
 	for s := range b.subscribers {
 		if !s.needsFull {
@@ -165,6 +173,7 @@
 		}
 		full := stateUpdate{Full: true, Adapters: adapters, Unloading: unloading}
 		full.Crashes, _ = crashesSince(0)
+		full.Origins, _ = originsSince(0)
 		for _, f := range b.tables {
 			if changes, ok := f.Since(s.positions[f.Name()], now); ok {
 				full.Tables = append(full.Tables, changes)
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -39,6 +39,8 @@
 	// crashesReported is the version up to which the ends of engines were reported. Only the
 	// goroutine of reportLoop uses it.
 	crashesReported int64
+	// originsReported is the same for the streams that began.
+	originsReported int64
 
 	mu         sync.Mutex
 	nextReport reportBuilder
@@ -229,7 +231,7 @@
 			s.applyUpdate(u, adapters, unloading)
 		}
 	})
-	s.crashesReported = 0
+	s.crashesReported, s.originsReported = 0, 0
 	first := s.takeReport()
 	first.Versions, first.Eras = map[string]int64{}, map[string]int64{}
 	for name, f := range s.tables {
@@ -289,6 +291,7 @@
 	}
 	s.markLeaving(u.Leaving)
 	s.mergeCrashes(u.Crashes)
+	s.mergeOrigins(u.Origins)
 	s.deps.Router.MergeLimits(u.Limits)
 	for _, changes := range u.Tables {
 		if f := s.tables[changes.Table]; f != nil {
@@ -319,6 +322,7 @@
 	defer s.broadcaster.remove(sub)
 	s.broadcaster.setWaiting(sub, &first)
 	s.mergeCrashes(first.Crashes)
+	s.mergeOrigins(first.Origins)
 	s.deps.Router.MergeLimits(first.Limits)
 	s.submitReport(first)
 	failed := make(chan error, 1)
@@ -331,6 +335,7 @@
 			}
 			s.broadcaster.setWaiting(sub, &r)
 			s.mergeCrashes(r.Crashes)
+			s.mergeOrigins(r.Origins)
 			s.deps.Router.MergeLimits(r.Limits)
 			s.submitReport(r)
 		}
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -6,6 +6,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 	"github.com/limpetlb/limpetlb/limpetd/stock"
 )
@@ -49,6 +50,9 @@
 	// Crashes is what the daemon has learned about the ends of engines since its last report, or
 	// all that it knows in the first report of a link.
 	Crashes *crash.Facts `msgpack:"crashes,omitempty"`
+	// Origins are the streams that began at the daemon since its last report, or all that it knows in
+	// the first report of a link, of services with several software versions.
+	Origins *origin.Facts `msgpack:"origins,omitempty"`
 }
 
 // serverStart identifies one start of a backend server.
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -14,6 +14,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 	"github.com/limpetlb/limpetlb/limpetd/store"
 )
@@ -81,6 +82,9 @@
 	// Crashes is what the lease holder has learned about the ends of engines since the last
 	// update, or all that it knows if Full is set.
 	Crashes *crash.Facts `msgpack:"crashes,omitempty"`
+	// Origins are the streams that began since the last update, or all that the lease holder knows if
+	// Full is set, of services with several software versions.
+	Origins *origin.Facts `msgpack:"origins,omitempty"`
 	// Loads is the load that all daemons put on servers; nil if the update does not
 	// include it.
 	Loads map[string]sched.ServerLoad `msgpack:"loads"`
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -380,7 +380,7 @@
 		u.Lease = leaseState{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Era: row.Era, Version: version}
 		return encode(u)
 	}
-	if err := s.broadcaster.broadcast(adapters, unloading, s.crashesSince, encodeWithLoads, now); err != nil {
+	if err := s.broadcaster.broadcast(adapters, unloading, s.crashesSince, s.allOriginsSince, encodeWithLoads, now); err != nil {
 		s.deps.Log.Error("word_not_encoded", zap.Error(err))
 	}
 }
--- a/limpetd/steer/reports.go
+++ b/limpetd/steer/reports.go
@@ -46,6 +46,7 @@
 	s.mu.Unlock()
 	r.Loads, r.Limits = own, s.deps.Router.Limits()
 	r.Crashes, s.crashesReported = s.crashesSince(s.crashesReported)
+	r.Origins, s.originsReported = s.originsSince(s.originsReported, s.originsReported > 0)
 	return r
 }
 
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -38,6 +38,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
@@ -181,6 +182,15 @@
 	MergeCrashFacts(f crash.Facts)
 }
 
+// Origins is what a daemon knows about the software versions at which streams began.
+type Origins interface {
+	// OriginFacts returns the records after a version, without those of other daemons if own is
+	// set, and the current version.
+	OriginFacts(version int64, own bool) (origin.Facts, int64)
+	// MergeOriginFacts adds what another daemon knows.
+	MergeOriginFacts(f origin.Facts)
+}
+
 // Deps are the dependencies of a Controller.
 type Deps struct {
 	Engines Engines
@@ -191,6 +201,8 @@
 	Departures Departures
 	// Crashes is nil if the daemons don't tell each other about the ends of engines.
 	Crashes Crashes
+	// Origins is nil if the daemons don't tell each other where streams began.
+	Origins Origins
 	// Tables are the tables that all daemons follow. The lease holder forwards their
 	// changes to the other daemons.
 	Tables []*mirror.Follower
