crash, front: Send a reserved request at most once in ten seconds

A request under which three servers have ended reaches a server once per AlonePause now, whatever becomes of it. It stays reserved as long as the evidence is kept, since after 30 s every daemon could have tried it. TestReservedRequestIsNotSentAgainAtOnce failed before: four sends instead of one.

--- a/limpetd/crash/crash.go
+++ b/limpetd/crash/crash.go
@@ -54,11 +54,12 @@
 	probationRounds = 2
 	knownRounds     = 4
 	// reservedEnds is the number of ends under a request, in any rounds, after which it is
-	// reserved for reservedTerm. repeatWeight is what each further end of a round adds to the
+	// reserved for reservedTerm, in which it is sent once per AlonePause at most: an engine may
+	// reject it without running it. repeatWeight is what each further end of a round adds to the
 	// evidence against a request, up to maxRepeats of them: it may have been sent from server to
 	// server, or the round may be the fault of a rack.
 	reservedEnds = 3
-	reservedTerm = 30 * time.Second
+	reservedTerm = blockTerm
 	repeatWeight = 0.25
 	maxRepeats   = 2
 	// freshAge is the age of a response below which the call has the weight 1. Other responses
@@ -372,6 +373,9 @@
 	return added, ended
 }
 
+// AlonePause is the least time between two sends of a reserved request.
+const AlonePause = 10 * time.Second
+
 // RetryAfter is when a call with a part on probation may be sent again.
 const RetryAfter = 2 * survivalAge
 
--- a/limpetd/front/crash_request_test.go
+++ b/limpetd/front/crash_request_test.go
@@ -132,6 +132,37 @@
 	require.Equal(t, http.StatusOK, status("/r/two"))
 }
 
+// TestReservedRequestIsNotSentAgainAtOnce guards against sending a reserved request to one server after the other
+// that rejects it, while it waits for one that runs it.
+func TestReservedRequestIsNotSentAgainAtOnce(t *testing.T) {
+	var ended, sent atomic.Int64
+	fx := newFixtureWithServers(t, nil, plainRoute, endingServer(t, "/r/bad", &ended))
+	_, _, err := fx.post(t, "/r/bad", nil)
+	require.NoError(t, err)
+	var facts crash.Facts
+	require.Eventually(t, func() bool { facts, _ = fx.front.CrashFacts(0); return len(facts.Ends) == 1 }, time.Second, 10*time.Millisecond)
+	suspects := facts.Ends[0].Suspects
+	facts.Ends = nil
+	for i := range 3 {
+		facts.Ends = append(facts.Ends, crash.EndFact{Server: "other-" + strconv.Itoa(i), Suspects: suspects})
+	}
+	fx.front.MergeCrashFacts(facts)
+	fx.front.SetLeading(true)
+	var servers []*layout.Server
+	for i := range 3 {
+		s := httptest.NewServer(withStamp(rejectUnrun(&sent)))
+		t.Cleanup(s.Close)
+		servers = append(servers, &layout.Server{ID: "r" + strconv.Itoa(i), Service: "s", Address: s.Listener.Addr().String(), Slots: 8})
+	}
+	fx.front.SetServers(servers)
+	for range 3 {
+		head, _, err := fx.post(t, "/r/bad", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, head.StatusCode)
+	}
+	require.EqualValues(t, 1, sent.Load())
+}
+
 // TestRestartedServerHasEnded guards against withdrawing the end of a server because it answers again, under its
 // id and at its address, before the list of servers shows another start.
 func TestRestartedServerHasEnded(t *testing.T) {
--- a/limpetd/front/crashes.go
+++ b/limpetd/front/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -171,7 +172,7 @@
 	switch {
 	case d.Verdict == crash.Blocked:
 		return sched.Choice{Verdict: sched.PromptBlocked, RetryAfter: f.balancer.RetryAfterEnd(d.Until, now)}, false
-	case d.Verdict == crash.Probation && (c.runs > 0 || f.ends.tries(c, d.Parts, now) || d.Alone && f.ends.triesAny(c)):
+	case d.Verdict == crash.Probation && (c.runs > 0 || f.ends.tries(c, d.Parts, now) || d.Alone && f.ends.waitsAlone(c, d.Parts, now)):
 		return sched.Choice{Verdict: sched.PromptBlocked, RetryAfter: f.balancer.RetryAfterEnd(now.Add(crash.RetryAfter), now)}, false
 	}
 	return sched.Choice{}, true
@@ -201,6 +202,9 @@
 	if d := f.crashes.Check(c.parts, f.leading, now); d.Verdict == crash.Probation {
 		for _, p := range d.Parts {
 			f.ends.trials[p] = c
+			if d.Alone {
+				f.ends.sentAlone[p] = now
+			}
 		}
 	}
 }
@@ -214,14 +218,16 @@
 	}
 }
 
-// triesAny reports whether another call was sent while one of its parts was on probation.
-func (t *endTracker) triesAny(c *call) bool {
+// waitsAlone reports whether a call with a reserved part must not be sent now: another call was sent while
+// one of its parts was on probation, or a call with one of parts was sent a short time ago.
+func (t *endTracker) waitsAlone(c *call, parts []uint64, now time.Time) bool {
+	maps.DeleteFunc(t.sentAlone, func(_ uint64, at time.Time) bool { return now.Sub(at) >= crash.AlonePause })
 	for _, other := range t.trials {
 		if other != c {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(parts, func(p uint64) bool { return !t.sentAlone[p].IsZero() })
 }
 
 // tries reports whether another call with one of parts is in flight, and its answer has not gone on
--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -67,12 +67,14 @@
 	probes chan *layout.Server
 	// trials holds the calls that were sent with a prompt part on probation, by part.
 	trials map[uint64]*call
+	// sentAlone is when a call with a reserved part was sent last, by part.
+	sentAlone map[uint64]time.Time
 }
 
 func newEndTracker() endTracker {
 	return endTracker{
 		running: map[string]map[*attempt]bool{}, broken: map[string][]endedCall{}, heardAt: map[string]time.Time{}, probing: map[string]chan struct{}{},
-		probes: make(chan *layout.Server, maxEndProbes), trials: map[uint64]*call{},
+		probes: make(chan *layout.Server, maxEndProbes), trials: map[uint64]*call{}, sentAlone: map[uint64]time.Time{},
 	}
 }
 
