--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -52,7 +52,7 @@
 	departureRandom := rand.New(rand.NewPCG(r.config.Seed, 9))
 	r.running.Go(func() { r.announceDepartures(breaking, departureRandom) })
 	crashRandom := rand.New(rand.NewPCG(r.config.Seed, 10))
-	r.running.Go(func() { r.crashEngines(breaking, crashRandom) })
+	r.running.Go(func() { r.crashServers(breaking, crashRandom) })
 	endlessRandom := rand.New(rand.NewPCG(r.config.Seed, 12))
 	r.running.Go(func() { r.answerWithoutEnd(breaking, endlessRandom) })
 	limitRandom := rand.New(rand.NewPCG(r.config.Seed, 11))
@@ -77,7 +77,7 @@
 // clearFaults ends all faults of the store, the servers and the links.
 func (r *run) clearFaults() {
 	r.platform.Store.SetFault(nil)
-	for _, e := range slices.Concat(r.platform.Engines, []*stand.Engine{r.platform.Plain}) {
+	for _, e := range slices.Concat(r.platform.Engines, r.platform.PlainServers) {
 		e.SetFault(nil)
 	}
 	for _, l := range slices.Concat(r.stores, r.servers) {
@@ -184,7 +184,7 @@
 
 // serverFaults makes an engine or the plain service fail a share of the calls for a while.
 func (r *run) serverFaults(random *rand.Rand) {
-	servers := slices.Concat(r.platform.Engines, []*stand.Engine{r.platform.Plain})
+	servers := slices.Concat(r.platform.Engines, r.platform.PlainServers)
 	e := servers[random.IntN(len(servers))]
 	e.SetFault(randomFaults(random, 0.1+0.4*random.Float64(), stand.Busy, stand.LostAnswer, stand.Reset))
 	time.Sleep(randomDuration(random, 300*time.Millisecond, 3*time.Second))
@@ -194,7 +194,7 @@
 // breakResponses makes one server at a time answer a share of the calls without length and
 // chunks, or break off their responses, until ctx ends.
 func (r *run) breakResponses(ctx context.Context, random *rand.Rand) {
-	servers := slices.Concat(r.platform.Engines, []*stand.Engine{r.platform.Plain})
+	servers := slices.Concat(r.platform.Engines, r.platform.PlainServers)
 	for ctx.Err() == nil {
 		e := servers[random.IntN(len(servers))]
 		r.mu.Lock()
@@ -209,16 +209,24 @@
 	}
 }
 
-// crashPart is the prompt part that ends engines. An engine that ended is down for less than
-// maxDowntime.
+// crashPart is the prompt part that ends engines, crashRequests the paths of the requests that end servers. A
+// server that ended is down for less than maxDowntime.
 const (
 	crashPart   = "bad"
 	maxDowntime = 1500 * time.Millisecond
 )
 
-// crashEngines makes calls with crashPart end engines, from some time on until the end of the run. The
-// downtime of engines changes until ctx ends.
-func (r *run) crashEngines(ctx context.Context, random *rand.Rand) {
+var crashRequests = []string{stand.SafeRoute + "bad", stand.UnsafeRoute + "bad", stand.EngineRoute + "bad"}
+
+// crashServers makes calls with crashPart, or one request that callers repeat, end servers, from some time on
+// until the end of the run. The downtime of servers changes until ctx ends.
+func (r *run) crashServers(ctx context.Context, random *rand.Rand) {
+	kindRandom := rand.New(rand.NewPCG(r.config.Seed, 14))
+	name, crash := "crashing_prompts", func(downtime time.Duration) { r.platform.CrashOnPart(crashPart, downtime) }
+	if kindRandom.IntN(2) == 0 {
+		path := crashRequests[kindRandom.IntN(len(crashRequests))]
+		name, crash = "crashing_requests", func(downtime time.Duration) { r.platform.CrashOnRequest(path, downtime) }
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -226,15 +234,15 @@
 		case <-time.After(randomDuration(random, 0, r.config.Duration/2)):
 		}
 		r.mu.Lock()
-		r.faults["crashing_prompts"]++
+		r.faults[name]++
 		r.mu.Unlock()
-		r.platform.CrashOnPart(crashPart, randomDuration(random, 100*time.Millisecond, maxDowntime))
+		crash(randomDuration(random, 100*time.Millisecond, maxDowntime))
 	}
 }
 
 // limitServers makes one server at a time name a limit for a while, until ctx ends.
 func (r *run) limitServers(ctx context.Context, random *rand.Rand) {
-	servers := slices.Concat(r.platform.Engines, []*stand.Engine{r.platform.Plain})
+	servers := slices.Concat(r.platform.Engines, r.platform.PlainServers)
 	for ctx.Err() == nil {
 		e := servers[random.IntN(len(servers))]
 		r.mu.Lock()
@@ -254,7 +262,7 @@
 
 // answerWithoutEnd makes one server at a time answer some calls without end, until ctx ends.
 func (r *run) answerWithoutEnd(ctx context.Context, random *rand.Rand) {
-	servers := slices.Concat(r.platform.Engines, []*stand.Engine{r.platform.Plain})
+	servers := slices.Concat(r.platform.Engines, r.platform.PlainServers)
 	for ctx.Err() == nil {
 		e := servers[random.IntN(len(servers))]
 		r.mu.Lock()
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -55,8 +55,8 @@
 	// after the recovery.
 	DuringFaults stand.Counts `json:"storm"`
 	AfterFaults  stand.Counts `json:"calm"`
-	// Ends is how often engines ended under calls with crashPart, LateCrashes the number of
-	// these calls that reached engines after the recovery.
+	// Ends is how often servers ended under the calls that end servers, LateCrashes the number of
+	// these calls that reached servers after the recovery.
 	Ends        int `json:"ends"`
 	LateCrashes int `json:"late_crashes"`
 	// PeakMemory is the largest resident memory of the daemons' last processes, in bytes.
@@ -70,6 +70,8 @@
 	engines   = 4
 	models    = 6
 	perEngine = 2
+	// plainServers is the number of servers of the plain service.
+	plainServers = 3
 	// modelLoadTime is how long an engine takes to load a model.
 	modelLoadTime = 200 * time.Millisecond
 	// recoverTimeout is how long daemons may take to be ready after the last fault.
@@ -121,7 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &run{config: c, random: rand.New(rand.NewPCG(c.Seed, 2)), faults: map[string]int{}, serverLinks: map[string]*link.Link{}}
-	r.platform, err = stand.New(ctx, stand.Config{Engines: engines, Models: models, ModelsPerEngine: perEngine, LoadTime: modelLoadTime, ProxyAddress: r.startServerLink, ServerDown: r.cutServerLink})
+	r.platform, err = stand.New(ctx, stand.Config{Engines: engines, Models: models, ModelsPerEngine: perEngine, PlainServers: plainServers, LoadTime: modelLoadTime, ProxyAddress: r.startServerLink, ServerDown: r.cutServerLink})
 	if err != nil {
 		return report, err
 	}
