--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -59,6 +59,8 @@
 	// these calls that reached servers after the recovery.
 	Ends        int `json:"ends"`
 	LateCrashes int `json:"late_crashes"`
+	// Streams counts the streams that callers take up again when they break.
+	Streams stand.StreamCounts `json:"streams"`
 	// PeakMemory is the largest resident memory of the daemons' last processes, in bytes.
 	PeakMemory int64 `json:"peak_memory"`
 	// Violations describes the violated invariants; it is empty if all invariants held.
@@ -72,6 +74,8 @@
 	perEngine = 2
 	// plainServers is the number of servers of the plain service.
 	plainServers = 3
+	// streamRate is the number of streams per second whose callers take them up again.
+	streamRate = 10
 	// modelLoadTime is how long an engine takes to load a model.
 	modelLoadTime = 200 * time.Millisecond
 	// recoverTimeout is how long daemons may take to be ready after the last fault.
@@ -97,6 +101,9 @@
 	maxFaultPause = 900 * time.Millisecond
 )
 
+// softwareVersions are the versions of the engines' software, in turn.
+var softwareVersions = []string{"v1", "v2"}
+
 // run is a run in progress.
 type run struct {
 	config   Config
@@ -123,7 +130,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &run{config: c, random: rand.New(rand.NewPCG(c.Seed, 2)), faults: map[string]int{}, serverLinks: map[string]*link.Link{}}
-	r.platform, err = stand.New(ctx, stand.Config{Engines: engines, Models: models, ModelsPerEngine: perEngine, PlainServers: plainServers, LoadTime: modelLoadTime, ProxyAddress: r.startServerLink, ServerDown: r.cutServerLink})
+	r.platform, err = stand.New(ctx, stand.Config{Engines: engines, Models: models, ModelsPerEngine: perEngine, PlainServers: plainServers, Software: softwareVersions, LoadTime: modelLoadTime, ProxyAddress: r.startServerLink, ServerDown: r.cutServerLink})
 	if err != nil {
 		return report, err
 	}
@@ -132,6 +139,10 @@
 		return report, err
 	}
 	callerAddresses := r.callerAddresses()
+	streams := make(chan stand.StreamCounts, 1)
+	go func() {
+		streams <- r.platform.SendStreams(ctx, callerAddresses, c.Seed, streamRate, c.Duration+settlingDuration)
+	}()
 	storm := make(chan stand.Counts, 1)
 	go func() { storm <- r.platform.SendCalls(ctx, callerAddresses, c.Seed, c.Rate, c.Duration) }()
 	r.injectFaults(ctx)
@@ -155,6 +166,8 @@
 	report.Ends, report.LateCrashes = len(r.platform.Ends()), r.platform.ArrivalsSince(calmFrom)
 	r.check(report.DuringFaults, []stand.Counts{settling, ending}, report.AfterFaults)
 	r.checkEnds(report.Ends, report.LateCrashes)
+	report.Streams = <-streams
+	r.checkStreams(report.Streams)
 	for _, d := range r.daemons {
 		r.checkMemory(d)
 	}
@@ -294,6 +307,13 @@
 	}
 }
 
+// checkStreams records if streams had events from engines of several software versions.
+func (r *run) checkStreams(c stand.StreamCounts) {
+	if c.Mixed > 0 {
+		r.recordViolation("%d of %d streams had events from several software versions", c.Mixed, c.Begun)
+	}
+}
+
 // check records the invariants that the calls of a run violate: each answer belongs to its
 // call and is complete, calls that may run once run at most once, refused calls don't run,
 // daemons serve calls during the faults and recover after them, and no engine crashes.
--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -96,6 +96,9 @@
 	r.checkLimit("e1", stand.LimitUse{Excess: 0.5})
 	require.Len(t, r.violations, 1, "limit")
 	r = &run{platform: &stand.Platform{}}
+	r.checkStreams(stand.StreamCounts{Begun: 9, Mixed: 1})
+	require.Len(t, r.violations, 1, "mixed streams")
+	r = &run{platform: &stand.Platform{}}
 	r.checkEnds(12, 4)
 	require.Len(t, r.violations, 1, "calls that end engines")
 	r = &run{platform: &stand.Platform{}}
@@ -103,6 +106,7 @@
 	r.checkEnds(12, 3)
 	r.checkLimit("e1", stand.LimitUse{Excess: -1})
 	r.checkEnds(5, 5)
+	r.checkStreams(stand.StreamCounts{Begun: 9, Complete: 9, Resumed: 3, WentOn: 3})
 	require.Empty(t, r.violations)
 }
 
