--- a/limpetd/crash/request_test.go
+++ b/limpetd/crash/request_test.go
@@ -63,6 +63,18 @@
 	require.Equal(t, Blocked, b.verdict(RequestPart(50), bad))
 }
 
+// TestEndedBlockOfRequestSparesItsParts guards against trying other requests with the same part one at a time, when the
+// block of a request has ended that always had the part.
+func TestEndedBlockOfRequestSparesItsParts(t *testing.T) {
+	b := newBench()
+	for i := range 3 {
+		b.end(fmt.Sprint(i), time.Second, b.begun(0, deadly, bad))
+	}
+	b.now = b.now.Add(blockTerm)
+	require.Equal(t, trialPause, b.check(deadly, bad).Until.Sub(b.now))
+	require.Equal(t, Allowed, b.verdict(sound, bad))
+}
+
 // TestBurstReservesRequest guards against sending a request at several daemons when three servers have ended
 // under it at nearly the same time, and against blocking it for the fault of a rack.
 func TestBurstReservesRequest(t *testing.T) {
