front: Count the model and prompt of a request as its identity

Its calls have one path and body, and name their prompts in headers, so that calls with a fatal prompt part and sound ones counted as one request. The model, the adapter and the shared parts of the prompt are now part of the identity; a request that is sent again has them again.

--- a/limpetd/front/identity.go
+++ b/limpetd/front/identity.go
@@ -19,16 +19,24 @@
 }
 
 // requestIdentity returns a number that a caller's request has whenever it is sent again: a hash of its
-// method, host, target, caller and body. All other headers may change from one time to the next.
+// method, host, target, caller, model, the shared parts of its prompt, and body. All other headers may change from
+// one time to the next.
 func (c *call) requestIdentity() uint64 {
 	d := xxhash.New()
-	for _, s := range []string{c.request.Method, c.request.Host, c.request.RequestURI, c.info.Caller} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(s)))
-		// Write and WriteString of a hash return no error.
-		_, _ = d.Write(length[:])
+	var number [8]byte
+	// Write and WriteString of a hash return no error.
+	writeNumber := func(n uint64) {
+		binary.LittleEndian.PutUint64(number[:], n)
+		_, _ = d.Write(number[:])
+	}
+	for _, s := range []string{c.request.Method, c.request.Host, c.request.RequestURI, c.info.Caller, c.info.Model, c.info.Adapter} {
+		writeNumber(uint64(len(s)))
 		_, _ = d.WriteString(s)
 	}
+	writeNumber(uint64(len(c.info.Parts)))
+	for _, p := range c.info.Parts {
+		writeNumber(p)
+	}
 	_, _ = d.Write(c.body)
 	return d.Sum64()
 }
--- a/limpetd/front/identity_test.go
+++ b/limpetd/front/identity_test.go
@@ -19,6 +19,22 @@
 	return c.requestIdentity()
 }
 
+// TestIdentityOfPromptsWithOneBody guards against refusing sound calls because calls with another model or prompt, which
+// their headers name, and the same path and body end engines.
+func TestIdentityOfPromptsWithOneBody(t *testing.T) {
+	identity := func(info CallHeaders) uint64 {
+		r, err := http.NewRequest("POST", "http://a/r/1", http.NoBody)
+		require.NoError(t, err)
+		c := &call{request: r, info: info}
+		return c.requestIdentity()
+	}
+	first := identity(CallHeaders{ID: "x1", Model: "m", Parts: []uint64{1, 7}})
+	require.Equal(t, first, identity(CallHeaders{ID: "x2", Model: "m", Parts: []uint64{1, 7}}))
+	require.NotEqual(t, first, identity(CallHeaders{Model: "m", Parts: []uint64{1, 8}}))
+	require.NotEqual(t, first, identity(CallHeaders{Model: "o", Parts: []uint64{1, 7}}))
+	require.NotEqual(t, first, identity(CallHeaders{Model: "m", Adapter: "a", Parts: []uint64{1, 7}}))
+}
+
 // TestRequestIdentity guards against taking one request for several because of headers that change each time,
 // and several for one.
 func TestRequestIdentity(t *testing.T) {
--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -44,6 +44,11 @@
 			cause: "a daemon was frozen while servers without an entry in a restored list wrote their entries again; it took " +
 				"them for gone, and ignored their entries when the list was restored again",
 		},
+		{
+			seed: 74002, duration: 10 * time.Second, daemons: 4,
+			cause: "sound calls with the path and body of calls whose prompts end engines counted as the same request, and were " +
+				"refused; the identity of a request now has its model and prompt",
+		},
 	} {
 		directory := t.TempDir()
 		report, err := Run(t.Context(), Config{Program: program, Directory: directory, Seed: c.seed, Duration: c.duration, Daemons: c.daemons, Rate: 60})
