front: Log when connects to a server begin to fail and succeed again

Cause: the log line of a call names the reason of its last attempt only. It does not show to which servers a daemon can't connect, how the connects fail, and whether other daemons connect to the same servers, which is what tells a lost path from a server that ended. Change: server_unreachable and server_reachable, one line for each change of a server's state at a daemon; the pool takes a dialer, so that tests can cut paths.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -68,10 +68,23 @@
 	Instance string
 }
 
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithDialer sets the dialer of a pool. The default is that of NewDialer with WithReset.
+func WithDialer(d Dialer) Option {
+	return func(p *Pool) { p.dialer = d }
+}
+
 // Pool holds the connections of a process to backend servers. It is safe for concurrent use.
 type Pool struct {
 	tomb   *tomb.Tomb
-	dialer net.Dialer
+	dialer Dialer
 
 	mu sync.Mutex
 	// idle are the idle connections, with the most recently used one last.
@@ -83,15 +96,19 @@
 }
 
 // New returns an empty pool. The pool closes expired idle connections until ctx ends.
-func New(ctx context.Context) *Pool {
+func New(ctx context.Context, opts ...Option) *Pool {
 	t, ctx := life.WithContext(ctx)
+	direct := NewDialer(WithReset())
 	p := &Pool{
 		tomb:   t,
-		dialer: NewDialer(WithReset()),
+		dialer: &direct,
 		idle:   map[Target][]*Conn{},
 		open:   map[Target]int{},
 		limit:  map[Target]int{},
 	}
+	for _, o := range opts {
+		o(p)
+	}
 	t.Go(func() error {
 		for life.Sleep(ctx, sweepPeriod) {
 			p.sweep(time.Now())
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -97,9 +97,13 @@
 		if ctx.Err() != nil {
 			result = sched.Cancelled
 		}
+		if result == sched.Unreachable {
+			f.connects.record(a.server, err, time.Now())
+		}
 		a.finish(result)
 		return c.retryOrEnd(ctx, code.BackendFailed, "connect: "+err.Error())
 	}
+	f.connects.record(a.server, nil, time.Now())
 	a.conn = conn
 	c.connected++
 	unbind := conn.Bind(ctx)
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -187,6 +187,7 @@
 	// buffered is the size in bytes of the bodies that are buffered.
 	buffered atomic.Int64
 	metrics  metrics
+	connects *connectTracker
 
 	// crashesChanged holds a value after the ledger of ends has changed. A change that does not
 	// fit is told with the one before.
@@ -244,7 +245,7 @@
 // run until ctx ends.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
-	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1)}
+	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1)}
 	if d.Contact == nil {
 		f.origins.SetComplete()
 	}
@@ -304,6 +305,7 @@
 		}
 	}
 	f.ends.forget(servers)
+	f.connects.forget(servers)
 	f.recordVersions(servers, now)
 	f.balancer.SetServers(servers)
 	f.mu.Unlock()
