--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -76,7 +76,13 @@
 // Option configures a Pool.
 type Option func(*Pool)
 
-// WithDialer sets the dialer of a pool. The default is that of NewDialer with WithReset.
+// ServerDialer returns the default dialer of connections to servers.
+func ServerDialer() Dialer {
+	d := NewDialer(WithReset())
+	return &d
+}
+
+// WithDialer sets the dialer of a pool. The default is ServerDialer.
 func WithDialer(d Dialer) Option {
 	return func(p *Pool) { p.dialer = d }
 }
@@ -98,10 +104,9 @@
 // New returns an empty pool. The pool closes expired idle connections until ctx ends.
 func New(ctx context.Context, opts ...Option) *Pool {
 	t, ctx := life.WithContext(ctx)
-	direct := NewDialer(WithReset())
 	p := &Pool{
 		tomb:   t,
-		dialer: &direct,
+		dialer: ServerDialer(),
 		idle:   map[Target][]*Conn{},
 		open:   map[Target]int{},
 		limit:  map[Target]int{},
