tunnel, conns, platform: Open connections to servers through other daemons

Callers of daemons that were partitioned from all servers got 503 while all other daemons reached these servers. Cause: a daemon has one path to a server. When connects fail it excludes the server, and no other daemon is asked. A server that refuses the others too is down.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -202,18 +202,6 @@
 	return &Conn{pool: p, target: t, conn: conn, openedAt: time.Now(), input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
 }
 
-// Reachable reports whether t accepts a connection. Reachable closes the connection
-// immediately.
-func (p *Pool) Reachable(ctx context.Context, t Target) bool {
-	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
-	if err != nil {
-		return false
-	}
-	// The error can be ignored because nothing was sent on the connection.
-	_ = conn.Close()
-	return true
-}
-
 // pop removes the most recently used idle connection to t and returns it; nil if there is
 // none.
 func (p *Pool) pop(t Target) *Conn {
@@ -244,14 +232,14 @@
 	}
 }
 
-// sweep closes the idle connections that have expired.
+// sweep closes the idle connections that have expired, and the tunnels that end.
 func (p *Pool) sweep(now time.Time) {
 	var expired []*Conn
 	p.mu.Lock()
 	for t, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.expires) {
+			if now.Before(c.expires) && !c.tunnelEnds() {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -137,22 +136,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
+	if idle, ok := c.conn.(idleConn); ok {
+		return idle.NoInput()
 	}
-	noInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noInput = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noInput
+	return NoInput(c.conn)
 }
 
 // Write writes the request. Its error is an *Error and means that nothing was written. If
--- /dev/null
+++ b/limpetd/conns/paths.go
@@ -0,0 +1,124 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+)
+
+// idleConn is a connection that buffers input itself.
+type idleConn interface {
+	// NoInput reports whether neither data nor the end of the connection has arrived.
+	NoInput() bool
+}
+
+// tunnelConn is a connection to a server through another daemon.
+type tunnelConn interface {
+	// Tunnel returns the VM of the other daemon and the id of the tunnel.
+	Tunnel() (vm, id string)
+}
+
+// pathDialer is a dialer that can lose its direct path to a server.
+type pathDialer interface {
+	// Hangs reports whether open direct connections to an address get no answer.
+	Hangs(address string) bool
+}
+
+// NoInput reports whether neither data nor the end of the connection has arrived on a connection that
+// nobody reads. It returns true for a connection that is none of the kernel's.
+func NoInput(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	noInput := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		noInput = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && noInput
+}
+
+// Tunnel returns the VM of the daemon through which the connection was opened and the id of the tunnel;
+// empty for a direct connection.
+func (c *Conn) Tunnel() (vm, id string) {
+	if t, ok := c.conn.(tunnelConn); ok {
+		return t.Tunnel()
+	}
+	return "", ""
+}
+
+// tunnelEnds reports whether the connection is an idle tunnel of a daemon that is leaving, or has ended.
+func (c *Conn) tunnelEnds() bool {
+	vm, _ := c.Tunnel()
+	return vm != "" && !c.noInput()
+}
+
+// Hangs reports whether the connection is a direct one to a server to which the path is lost, so that it
+// gets no answer any more.
+func (c *Conn) Hangs() bool {
+	d, ok := c.pool.dialer.(pathDialer)
+	if !ok {
+		return false
+	}
+	vm, _ := c.Tunnel()
+	return vm == "" && d.Hangs(c.target.Address)
+}
+
+// DropIdle closes the idle direct connections to an address.
+func (p *Pool) DropIdle(address string) {
+	var dropped []*Conn
+	p.mu.Lock()
+	for t, list := range p.idle {
+		if t.Address != address {
+			continue
+		}
+		var kept []*Conn
+		for _, c := range list {
+			if vm, _ := c.Tunnel(); vm == "" {
+				dropped = append(dropped, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		p.idle[t] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range dropped {
+		c.Close()
+	}
+}
+
+// Reach is what a server does with a new connection.
+type Reach int
+
+// The values of Reach.
+const (
+	// Accepts means that the server accepts connections.
+	Accepts Reach = iota
+	// Refuses means that the server refuses connections: its process has ended.
+	Refuses
+	// Silent means that nothing is known: the server does not answer, or can't be reached.
+	Silent
+)
+
+// Probe opens a connection to t and closes it.
+func (p *Pool) Probe(ctx context.Context, t Target) Reach {
+	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
+	switch {
+	case err == nil:
+		// The error can be ignored because nothing was sent on the connection.
+		_ = conn.Close()
+		return Accepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refuses
+	}
+	return Silent
+}
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -30,20 +30,10 @@
 	maxBufferedTotal = 12 << 20
 	// maxRejection is the largest body of a response that reports that the call was not run.
 	maxRejection = 64 << 10
-	// silenceCheckInterval is the time between checks for a silent server.
-	silenceCheckInterval = 250 * time.Millisecond
-	// After silenceProbe without bytes from a server, the daemon probes whether the server
-	// accepts connections. After silenceFailover, a call moves to another server even if
-	// the probe succeeded. Callers abandon a stream after two seconds of silence.
-	silenceProbe    = 700 * time.Millisecond
-	silenceFailover = 1600 * time.Millisecond
 	// minTimeLeft is the least time before its deadline at which a call is sent.
 	minTimeLeft = 5 * time.Millisecond
 )
 
-// errSilent means that a server sent nothing for too long.
-var errSilent = errors.New("the backend server is silent")
-
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
 
 // bufferedResponse is a response that was read to its end.
@@ -71,6 +61,8 @@
 	// begunAt is when the head of the response arrived, lastBytesAt when bytes last did. They
 	// are guarded by the mu of the Front.
 	begunAt, lastBytesAt time.Time
+	// pathLost is whether the attempt ended because the path to the server is lost.
+	pathLost bool
 	// cleared is whether the answer was recorded as evidence for the parts of the prompt.
 	cleared bool
 }
@@ -105,6 +97,7 @@
 	}
 	f.connects.record(a.server, nil, time.Now())
 	a.conn = conn
+	c.outcome.via, c.outcome.tunnel = conn.Tunnel()
 	c.connected++
 	unbind := conn.Bind(ctx)
 	retry := a.exchange(ctx)
@@ -217,45 +210,6 @@
 	}
 }
 
-// awaitBytes waits for bytes from the server. A call that can be retried stops waiting if
-// the server sends nothing to any call of this daemon and accepts no connection, or if it
-// sends nothing for longer and another server can take the call. Silence alone is no
-// failure, because a busy engine pauses its streams.
-func (a *attempt) awaitBytes(ctx context.Context) error {
-	c := a.call
-	since := time.Now()
-	probed := false
-	for {
-		if a.conn.WaitReadable(time.Now().Add(silenceCheckInterval)) {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		now := time.Now()
-		if !c.mayRepeat() || now.Sub(since) < silenceProbe || a.silence(now) < silenceProbe {
-			continue
-		}
-		if !probed {
-			probed = true
-			if !c.front.deps.Pool.Reachable(ctx, connTarget(a.server)) {
-				return errSilent
-			}
-		}
-		if a.silence(now) >= silenceFailover && c.hasAlternative(now) {
-			return errSilent
-		}
-	}
-}
-
-// silence returns how long the server has sent nothing to any call of this daemon.
-func (a *attempt) silence(now time.Time) time.Duration {
-	f := a.call.front
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.balancer.SilentFor(a.server.ID, now)
-}
-
 // connTarget identifies a server to the connection pool.
 func connTarget(s *layout.Server) conns.Target {
 	return conns.Target{Address: s.Address, Instance: s.ID}
@@ -279,16 +233,6 @@
 	f.mu.Unlock()
 }
 
-// hasAlternative reports whether the call may be attempted again and another server has room
-// for it.
-func (c *call) hasAlternative(now time.Time) bool {
-	f := c.front
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return c.runs < c.schedCall.Route.MaxAttempts && c.outcome.attempts < maxAttempts &&
-		f.balancer.Choose(&c.schedCall, now).Verdict == sched.Chosen && f.balancer.CanRetry(c.schedCall.Service, now)
-}
-
 // handleRejection handles a response that reports that the call was not run.
 func (a *attempt) handleRejection(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
 	c := a.call
@@ -313,6 +257,9 @@
 	switch {
 	case ctx.Err() != nil:
 		result = sched.Cancelled
+	case errors.Is(err, errPathLost):
+		// Nothing is known about the server.
+		result, a.pathLost = sched.Cancelled, true
 	case a.call.outcome.received.framing != "":
 		a.recordBroken(err)
 	}
--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/life"
@@ -98,7 +99,7 @@
 	if len(t.running[id]) == 0 {
 		delete(t.running, id)
 	}
-	if r != sched.Broken && r != sched.Cancelled {
+	if r != sched.Broken && r != sched.Cancelled || a.pathLost {
 		return
 	}
 	list := slices.DeleteFunc(t.broken[id], func(e endedCall) bool { return now.Sub(e.at) > endWindow })
@@ -218,7 +219,7 @@
 		if alive || ctx.Err() != nil {
 			break
 		}
-		if ended = !f.deps.Pool.Reachable(ctx, connTarget(s)); ended {
+		if ended = f.deps.Pool.Probe(ctx, connTarget(s)) != conns.Accepts; ended {
 			break
 		}
 	}
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -92,6 +92,9 @@
 	// whether the Reserver chose the last server.
 	asks    int
 	granted bool
+	// via is the daemon through which the last attempt was sent, and tunnel the id of the tunnel; empty
+	// for a direct connection.
+	via, tunnel string
 	// received is what the last attempt received.
 	received received
 }
@@ -267,6 +270,9 @@
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
+	if o.via != "" {
+		fields = append(fields, zap.String("via", o.via), zap.String("tunnel", o.tunnel))
+	}
 	fields = append(fields, o.received.fields(o.received.readError)...)
 	if o.reason != "" {
 		fields = append(fields, zap.String("reason", o.reason))
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -58,6 +58,8 @@
 	Instance string `msgpack:"instance"`
 	// Address is where other daemons open links to the daemon.
 	Address string `msgpack:"address"`
+	// TunnelAddress is where other daemons request tunnels; empty if the daemon grants none.
+	TunnelAddress string `msgpack:"tunnel_address,omitempty"`
 	// Power is the capacity of the VM in cores, reduced if its network link is slow.
 	Power float64 `msgpack:"power"`
 }
