front: Don't take a silent server for one that has ended

A sound server that answers and accepts nothing for a second lost its streams, and daemons recorded an end under the calls that ran on it, which may block their prompts everywhere. Cause: a probe that timed out counted like one that was refused. Change: only a refusal ends the wait for a stream early and counts as an end.

--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -219,7 +219,9 @@
 		if alive || ctx.Err() != nil {
 			break
 		}
-		if ended = f.deps.Pool.Probe(ctx, connTarget(s)) != conns.Accepts; ended {
+		// A server that does not answer may be silent for a while. The list of servers shows whether
+		// it has ended.
+		if ended = f.deps.Pool.Probe(ctx, connTarget(s)) == conns.Refuses; ended {
 			break
 		}
 	}
--- a/limpetd/front/silence.go
+++ b/limpetd/front/silence.go
@@ -53,7 +53,7 @@
 		}
 		if !probed {
 			probed = true
-			if c.front.deps.Pool.Probe(ctx, connTarget(a.server)) != conns.Accepts {
+			if c.front.deps.Pool.Probe(ctx, connTarget(a.server)) == conns.Refuses {
 				return errSilent
 			}
 		}
