front: Clear prompts of abandoned streams when their engine lives on

Cause: only an answer that goes on for half a second or is complete clears a part. Streams whose callers leave after a few events never did, so each end added to the suspicion. Change: while parts are suspected, a daemon remembers the streams that callers left, and clears their parts when the engine sends bytes half a second after the response had begun. Evidence: TestEngineThatLivesOnClearsAbandonedStreams failed before.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -118,6 +118,7 @@
 		a.recordAnswer(true, now)
 	}
 	f.ends.endTrial(a.call)
+	a.recordAbandoned(r, now)
 	f.ends.remove(a, r, now)
 	f.dispatch(now)
 	f.mu.Unlock()
@@ -229,6 +230,7 @@
 	f.mu.Lock()
 	a.begunAt = time.Now()
 	f.ends.hear(a, a.begunAt)
+	f.clearAbandoned(a.server, a.begunAt)
 	a.recordAlive(a.begunAt)
 	f.mu.Unlock()
 }
--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -58,6 +58,9 @@
 	// were cancelled lately, both by server ID.
 	running map[string]map[*attempt]bool
 	broken  map[string][]endedCall
+	// abandoned holds the calls whose callers left after the response had begun, while parts are
+	// suspected, by server ID.
+	abandoned map[string][]endedCall
 	// heardAt is when an engine last sent bytes to any call, by server ID.
 	heardAt map[string]time.Time
 	// probing holds the servers that are being probed. A channel is closed when it is known
@@ -74,7 +77,7 @@
 
 func newEndTracker() endTracker {
 	return endTracker{
-		running: map[string]map[*attempt]bool{}, broken: map[string][]endedCall{}, heardAt: map[string]time.Time{}, probing: map[string]chan struct{}{},
+		running: map[string]map[*attempt]bool{}, broken: map[string][]endedCall{}, abandoned: map[string][]endedCall{}, heardAt: map[string]time.Time{}, probing: map[string]chan struct{}{},
 		probes: make(chan *layout.Server, maxEndProbes), trials: map[uint64]*call{}, sentAlone: map[uint64]time.Time{},
 	}
 }
@@ -124,6 +127,36 @@
 	}
 }
 
+// recordAbandoned remembers an attempt whose caller has left, if its answer may still clear the parts of its
+// prompt. The caller must hold mu.
+func (a *attempt) recordAbandoned(r sched.Result, now time.Time) {
+	f := a.call.front
+	list := f.ends.abandoned[a.server.ID]
+	if r != sched.Cancelled || a.pathLost || a.cleared || !a.started || a.begunAt.IsZero() || f.crashes.Empty() || len(list) >= maxBrokenPerServer {
+		return
+	}
+	f.ends.abandoned[a.server.ID] = append(list, endedCall{parts: a.call.parts, server: a.server, at: a.begunAt})
+}
+
+// clearAbandoned records that an engine has lived on after the response to a call had begun whose caller left:
+// the call did not end it. The caller must hold mu.
+func (f *Front) clearAbandoned(s *layout.Server, now time.Time) {
+	list := f.ends.abandoned[s.ID]
+	if len(list) == 0 {
+		return
+	}
+	delete(f.ends.abandoned, s.ID)
+	for _, e := range list {
+		switch {
+		case !e.server.SameStart(s):
+		case !crash.Survived(e.at, now):
+			f.ends.abandoned[s.ID] = append(f.ends.abandoned[s.ID], e)
+		default:
+			f.updateCrashes(now, func(l *crash.Ledger, now time.Time) { l.RecordAnswer(e.parts, e.at, now) })
+		}
+	}
+}
+
 // ended describes the attempt as a call that its engine did not finish.
 func (a *attempt) ended(now time.Time) endedCall {
 	e := endedCall{id: a.call.info.ID, parts: a.call.parts, server: a.server, begun: !a.begunAt.IsZero(), at: now}
@@ -191,6 +224,7 @@
 		listed[s.ID] = true
 	}
 	maps.DeleteFunc(t.heardAt, func(id string, _ time.Time) bool { return !listed[id] })
+	maps.DeleteFunc(t.abandoned, func(id string, _ []endedCall) bool { return !listed[id] })
 }
 
 // probeEnds probes the engines that broke off responses until ctx ends.
@@ -274,6 +308,7 @@
 // caller must hold mu.
 func (f *Front) recordEnd(s *layout.Server, now time.Time) {
 	calls := f.ends.take(s, now)
+	delete(f.ends.abandoned, s.ID)
 	if len(calls) == 0 {
 		return
 	}
--- a/limpetd/front/paths_test.go
+++ b/limpetd/front/paths_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/front"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 )
@@ -62,3 +63,50 @@
 	require.EqualValues(t, 1, runs.Load())
 	require.Zero(t, fx.logs.FilterMessage("engine_ended").Len())
 }
+
+// TestEngineThatLivesOnClearsAbandonedStreams guards against a block of a part that all prompts share, because the
+// callers of all streams leave early and no answer goes on for long enough to clear it.
+func TestEngineThatLivesOnClearsAbandonedStreams(t *testing.T) {
+	fx := newFixture(t, engineRoute, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 0; r.Context().Err() == nil && i < 1000; i++ {
+			_, _ = io.WriteString(w, eventText(i, i))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	facts := endsUnder(7, 2)
+	fx.front.MergeCrashFacts(facts)
+	leave := func(after time.Duration, parts string) {
+		ctx, cancel := context.WithTimeout(t.Context(), after)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, fx.url+"/r/1", http.NoBody)
+		require.NoError(t, err)
+		request.Header.Set("Id", "left")
+		for name, value := range call(parts) {
+			request.Header.Set(name, value)
+		}
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		require.NoError(t, response.Body.Close())
+	}
+	require.Equal(t, 2, suspectedEnds(fx, 7))
+	leave(100*time.Millisecond, "7 8")
+	require.Equal(t, 2, suspectedEnds(fx, 7), "the engine may still end")
+	leave(900*time.Millisecond, "9 9")
+	require.Zero(t, suspectedEnds(fx, 7), "the engine has lived on")
+}
+
+// suspectedEnds returns how many ends a front knows under a part that no answer has cleared.
+func suspectedEnds(fx *fixture, part uint64) int {
+	facts, _ := fx.front.CrashFacts(0)
+	if len(facts.Answers) > 0 {
+		for _, a := range facts.Answers {
+			if a.Part == crash.PromptPart(part) {
+				return 0
+			}
+		}
+	}
+	return len(facts.Ends)
+}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -166,6 +166,7 @@
 		f.mu.Lock()
 		f.balancer.RecordEvent(a.server.ID, now.Sub(a.lastEventAt), now)
 		f.ends.hear(a, now)
+		f.clearAbandoned(a.server, now)
 		a.recordAnswer(false, now)
 		f.mu.Unlock()
 	}
