steer: Hand the lease over if its holder has no path to servers

A lease holder that was partitioned from the servers kept the lease: no model or adapter was loaded for any caller until the partition ended. Cause: the lease depends on the store only. Orders are not sent through other daemons, because engines count orders from two VMs as those of two lease holders. Change: a lease holder that has lost its paths to at least half of the servers for a second releases the lease if a linked daemon reports that it reaches them, and such a daemon leaves a free lease to others for 2.6 s. The empty update ends the links, so that the others read the lease at once. Evidence: TestLeaseHolderWithoutServersIsReplaced, and TestLeaseIsKeptIfAllAreCutOff for a cut of all daemons. Without the handover the first one fails.

--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// wakeAll queues an empty update for all daemons. The links notice with it that this daemon is no longer the
+// lease holder.
+func (b *broadcaster) wakeAll(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for s := range b.subscribers {
+		s.enqueue(stateUpdate{}, now)
+	}
+}
+
 // overflowed reports whether an update for a daemon was dropped.
 func (b *broadcaster) overflowed(s *subscriber) bool {
 	b.mu.Lock()
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -36,13 +36,18 @@
 	// Only the goroutine of leaseLoop uses it.
 	leaseUnconfirmed bool
 	deferral         leaseDeferral
+	// cutOffSince is since when this daemon has been cut off from servers while it holds the lease.
+	// Only the goroutine of leaseLoop uses it.
+	cutOffSince time.Time
 	// crashesReported is the version up to which the ends of engines were reported. Only the
 	// goroutine of reportLoop uses it.
 	crashesReported int64
 	// originsReported is the same for the streams that began.
 	originsReported int64
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// reaching is when daemons with a link last reported that they reach the servers, by VM.
+	reaching   map[string]time.Time
 	nextReport reportBuilder
 	config     *layout.Config
 	servers    []*layout.Server
@@ -89,6 +94,7 @@
 		tomb: t, settings: c, deps: d, broadcaster: newBroadcaster(d.Tables),
 		tables:     map[string]*mirror.Follower{},
 		linked:     map[string]Member{},
+		reaching:   map[string]time.Time{},
 		nextReport: newReportBuilder(),
 		lease:      lease.NewCandidate(lease.Config{VM: c.Self.VM, Instance: c.Self.Instance, Term: leaseTerm}),
 		reports:    make(chan daemonReport, 256),
@@ -334,11 +340,7 @@
 	defer s.broadcaster.remove(sub)
 	s.addLinked(first.Member)
 	defer s.removeLinked(first.Member)
-	s.broadcaster.setWaiting(sub, &first)
-	s.mergeCrashes(first.Crashes)
-	s.mergeOrigins(first.Origins)
-	s.deps.Router.MergeLimits(first.Limits)
-	s.submitReport(first)
+	s.receiveReport(sub, first)
 	failed := make(chan error, 1)
 	s.tomb.Go(func() error {
 		for {
@@ -347,11 +349,7 @@
 				failed <- err
 				return nil
 			}
-			s.broadcaster.setWaiting(sub, &r)
-			s.mergeCrashes(r.Crashes)
-			s.mergeOrigins(r.Origins)
-			s.deps.Router.MergeLimits(r.Limits)
-			s.submitReport(r)
+			s.receiveReport(sub, r)
 		}
 	})
 	for {
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -41,6 +41,8 @@
 	Waiting []int      `msgpack:"waiting"`
 	// Loads is the load that the daemon puts on servers, by server.
 	Loads map[string]sched.ServerLoad `msgpack:"loads"`
+	// CutOff is whether the daemon has lost its paths to servers.
+	CutOff bool `msgpack:"cut_off,omitempty"`
 	// Samples are measurements of how fast engines read prompts.
 	Samples []sched.Sample `msgpack:"samples,omitempty"`
 	// Streams counts the streams that ended, by service.
--- a/limpetd/steer/fixture_test.go
+++ b/limpetd/steer/fixture_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,6 +248,7 @@
 	crashes    *crashes
 	origins    *origins
 	departures *departures
+	paths      *paths
 	member     steer.Member
 	router     *fakeRouter
 	stop       context.CancelFunc
@@ -266,6 +268,11 @@
 	return nil, after, err
 }
 
+// paths are the paths of a daemon to servers.
+type paths struct{ cutOff atomic.Bool }
+
+func (p *paths) CutOff() bool { return p.cutOff.Load() }
+
 func startDaemon(t *testing.T, l *leaseStore, e *engines, vm string, power float64) *daemon {
 	t.Helper()
 	socket, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -279,10 +286,11 @@
 		crashes:    &crashes{ledger: crash.NewLedger()},
 		origins:    &origins{table: origin.NewTable()},
 		departures: &departures{leaving: map[string]int64{}},
+		paths:      &paths{},
 	}
 	table := mirror.NewFollower("t", tableSource{leaseClient{l, vm}}, func(map[string]mirror.Row) {}, mirror.WithRelay(func() bool { return d.Controller != nil && d.IsLeaseHolder() }))
 	d.Controller = steer.New(ctx, steer.Config{Self: d.member}, steer.Deps{
-		Engines: e, Leases: leaseClient{l, vm}, Router: d.router, Crashes: d.crashes, Origins: d.origins, Departures: d.departures, Tables: []*mirror.Follower{table}, Clock: time.Now, Log: zap.NewNop(), Scope: tally.NoopScope,
+		Engines: e, Leases: leaseClient{l, vm}, Router: d.router, Crashes: d.crashes, Origins: d.origins, Departures: d.departures, Paths: d.paths, Tables: []*mirror.Follower{table}, Clock: time.Now, Log: zap.NewNop(), Scope: tally.NoopScope,
 	}, socket)
 	var following sync.WaitGroup
 	following.Go(func() { table.Run(ctx) })
--- a/limpetd/steer/lease.go
+++ b/limpetd/steer/lease.go
@@ -24,6 +24,8 @@
 		switch {
 		case mine && s.leaseUnconfirmed:
 			s.readLease(ctx)
+		case mine && s.mayHandOver(time.Now()):
+			s.handOver(ctx)
 		case mine:
 			s.renewLease(ctx)
 		case s.mayTakeLease():
@@ -187,6 +189,8 @@
 // list of daemons is empty, and the delay depends on the power of this VM alone. The caller must hold mu.
 func (s *Controller) takeoverDelay() time.Duration {
 	switch {
+	case s.isCutOff():
+		return cutOffDelay
 	case s.hasStrongerPeer():
 		return weakVMDelay
 	case len(s.members) == 0 && s.deps.Members != nil:
--- a/limpetd/steer/reports.go
+++ b/limpetd/steer/reports.go
@@ -44,12 +44,22 @@
 	s.mu.Lock()
 	r := s.nextReport.take(s.settings.Self.VM)
 	s.mu.Unlock()
-	r.Loads, r.Limits = own, s.deps.Router.Limits()
+	r.Loads, r.Limits, r.CutOff = own, s.deps.Router.Limits(), s.isCutOff()
 	r.Crashes, s.crashesReported = s.crashesSince(s.crashesReported)
 	r.Origins, s.originsReported = s.originsSince(s.originsReported, s.originsReported > 0)
 	return r
 }
 
+// receiveReport applies the report of another daemon.
+func (s *Controller) receiveReport(sub *subscriber, r daemonReport) {
+	s.broadcaster.setWaiting(sub, &r)
+	s.mergeCrashes(r.Crashes)
+	s.mergeOrigins(r.Origins)
+	s.deps.Router.MergeLimits(r.Limits)
+	s.recordReach(&r)
+	s.submitReport(r)
+}
+
 // submitReport passes a daemon's report to planLoop, or drops it if the channel is full.
 func (s *Controller) submitReport(r daemonReport) {
 	select {
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -216,6 +216,8 @@
 	Crashes Crashes
 	// Origins is nil if the daemons don't tell each other where streams began.
 	Origins Origins
+	// Paths is nil if this daemon never loses its paths to servers.
+	Paths PathProvider
 	// Tables are the tables that all daemons follow. The lease holder forwards their
 	// changes to the other daemons.
 	Tables []*mirror.Follower
