sched, front, platform: Keep brittle servers from falling over

Servers that say that they are brittle (Server-Brittle) fell over one after the other. Cause: no code read the header; daemons send calls until a server rejects them, each daemon for itself. Change: the fact is decoded, aged and told to all daemons with the limits. Engines of such a service get calls within their slots, granted by the lease holder, plain servers within each daemon's part of the slots, and a server that rejected a call gets none until all daemons together can't exceed what it bears.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -250,9 +250,24 @@
 		return c.retryOrEnd(ctx, code.NoEngine, "the server is another instance or lacks the model")
 	}
 	a.finish(sched.Refused)
+	a.tellRejection()
 	return c.retryOrEnd(ctx, code.QueueFull, "the server has no room")
 }
 
+// tellRejection tells the other daemons that a brittle server has rejected a call.
+func (a *attempt) tellRejection() {
+	f := a.call.front
+	f.mu.Lock()
+	brittle := f.balancer.HasBrittle(a.server.Service)
+	f.mu.Unlock()
+	if !brittle {
+		return
+	}
+	f.metrics.rejections.Inc(1)
+	f.deps.Log.Info("brittle_rejection", zap.String("server", a.server.ID), zap.String("request", a.call.info.ID))
+	f.tellLimits()
+}
+
 // handleFailure handles a server that was reached and did not answer properly.
 func (a *attempt) handleFailure(ctx context.Context, err error) bool {
 	result := sched.Broken
--- a/limpetd/front/limits.go
+++ b/limpetd/front/limits.go
@@ -50,17 +50,32 @@
 		f.metrics.invalidLimits.Inc(1)
 		f.deps.Log.Warn("limit_invalid", zap.String("server", s.ID), zap.String("value", r.InvalidLimit))
 	}
+	if r.InvalidBrittle != "" {
+		f.metrics.invalidLimits.Inc(1)
+		f.deps.Log.Warn("brittle_invalid", zap.String("server", s.ID), zap.String("value", r.InvalidBrittle))
+	}
 	if r.WrongServer || !r.HasStamp && !r.NotRun {
 		return
 	}
 	f.mu.Lock()
-	changed := f.balancer.RecordLimit(s.ID, r.Limit, sentAt, time.Now())
+	limitChanged := f.balancer.RecordLimit(s.ID, r.Limit, sentAt, time.Now())
+	brittleChanged := f.balancer.RecordBrittle(s.ID, r.Brittle, r.Rejections, sentAt, time.Now())
 	f.mu.Unlock()
-	if !changed {
-		return
+	if limitChanged {
+		f.metrics.limits.Inc(1)
+		f.deps.Log.Info("server_limit", zap.String("server", s.ID), zap.Float64("per_second", r.Limit))
+	}
+	if brittleChanged {
+		f.metrics.brittle.Inc(1)
+		f.deps.Log.Info("server_brittle", zap.String("server", s.ID), zap.Bool("brittle", r.Brittle), zap.Float64("rejections", r.Rejections))
 	}
-	f.metrics.limits.Inc(1)
-	f.deps.Log.Info("server_limit", zap.String("server", s.ID), zap.Float64("per_second", r.Limit))
+	if limitChanged || brittleChanged {
+		f.tellLimits()
+	}
+}
+
+// tellLimits tells the observer that more is known about the limits of servers.
+func (f *Front) tellLimits() {
 	if f.deps.Limits != nil {
 		f.deps.Limits.LimitsChanged()
 	}
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -28,6 +28,9 @@
 	// limits counts the changes of the limits that servers name, invalidLimits the values that are
 	// malformed or out of range.
 	limits, invalidLimits tally.Counter
+	// brittle counts the changes of whether servers are brittle, rejections the calls that brittle servers
+	// rejected.
+	brittle, rejections tally.Counter
 	// firstEvent, total and maxPause measure answered calls: the time to the first event or to
 	// the response, the time to the end of the response, and the longest pause between events.
 	firstEvent tally.Histogram
@@ -54,6 +57,8 @@
 		invalidBackoffs: s.Counter("backoffs_invalid"),
 		limits:          s.Counter("limits"),
 		invalidLimits:   s.Counter("limits_invalid"),
+		brittle:         s.Counter("brittle"),
+		rejections:      s.Counter("brittle_rejections"),
 		firstEvent:      s.Histogram("first_event", buckets),
 		total:           s.Histogram("answer", buckets),
 		maxPause:        s.Histogram("pause", buckets),
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -31,7 +31,7 @@
 	if len(withModel) == 0 {
 		return b.choiceWithoutServer(c, len(usable) > 0, now)
 	}
-	within := b.withinLimits(withModel, now)
+	within := b.bearing(c.Service, c.Model != "", b.withinLimits(withModel, now), now)
 	if len(within) == 0 {
 		return Choice{Verdict: Full, RetryAfter: b.RetryAfterEnd(now.Add(max(tokenDelay(withModel), minRetryAfter)), now)}
 	}
--- a/limpetd/sched/limit.go
+++ b/limpetd/sched/limit.go
@@ -47,6 +47,8 @@
 	PerSecond float64
 	// Age is the time since an answer of the server last showed this.
 	Age time.Duration
+	// Brittle is nil if the server is not brittle.
+	Brittle *Brittleness
 }
 
 // active reports whether the server has a limit.
@@ -102,13 +104,19 @@
 func (b *Balancer) Limits(now time.Time) map[string]Limit {
 	var out map[string]Limit
 	for id, s := range b.servers {
-		if s.limit == nil || !s.limit.active() && now.Sub(s.limit.namedAt) > limitTerm {
+		l, brittle := Limit{StartedAt: s.entry.StartedAt, Age: limitTerm}, s.brittle.told(now)
+		limited := s.limit != nil && (s.limit.active() || now.Sub(s.limit.namedAt) <= limitTerm)
+		if !limited && brittle == nil {
 			continue
 		}
+		if limited {
+			l.PerSecond, l.Age = s.limit.perSecond, now.Sub(s.limit.namedAt)
+		}
 		if out == nil {
 			out = map[string]Limit{}
 		}
-		out[id] = Limit{StartedAt: s.entry.StartedAt, PerSecond: s.limit.perSecond, Age: now.Sub(s.limit.namedAt)}
+		l.Brittle = brittle
+		out[id] = l
 	}
 	return out
 }
@@ -118,7 +126,11 @@
 	for id, l := range all {
 		s := b.servers[id]
 		at := now.Add(-max(l.Age, 0))
-		if s == nil || s.entry.StartedAt != l.StartedAt || s.limit == nil && l.PerSecond <= 0 || s.limit != nil && !at.After(s.limit.namedAt) {
+		if s == nil || s.entry.StartedAt != l.StartedAt {
+			continue
+		}
+		s.mergeBrittle(l.Brittle, now)
+		if s.limit == nil && l.PerSecond <= 0 || s.limit != nil && !at.After(s.limit.namedAt) {
 			continue
 		}
 		if s.limit == nil {
@@ -220,7 +232,7 @@
 func (b *Balancer) reservePlain(a *ReservationRequest, list []*server, now time.Time) Reservation {
 	candidates := make([]candidate, 0, len(list))
 	lowest := math.Inf(1)
-	for _, s := range list {
+	for _, s := range b.bearing(a.Service, false, list, now) {
 		if s.mayGrant(a.IsTopPriority, now) {
 			candidates = append(candidates, candidate{server: s, load: b.load(s, now)})
 			lowest = min(lowest, b.load(s, now))
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -132,7 +132,7 @@
 	var start time.Time
 	var rank uint64
 	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
-	for _, s := range withModel {
+	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
 		}
@@ -155,6 +155,7 @@
 	}
 	best.reserve(start, prefillTime)
 	best.takeToken()
+	b.recordGrant(best, now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: wait == 0}
 }
 
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -156,6 +156,8 @@
 	backoffUntil time.Time
 	// limit is nil if the server has named no limit.
 	limit *rateLimit
+	// brittle is nil if the server has never said that it is brittle, and rejected no call while others were.
+	brittle *brittleness
 	// pause is the smoothed time between events of own streams, pauseAt is when the last
 	// event arrived.
 	pause   time.Duration
@@ -358,6 +360,7 @@
 		s.eject(now)
 	case Refused:
 		s.fullUntil = now.Add(fullExclusion)
+		b.recordRejection(s, now)
 	case WrongServer:
 		s.missingUntil[c.Model+"/"+c.Adapter] = now.Add(missingExclusion)
 	case Cancelled:
