steer: End links of dead daemons after three seconds

A lease holder that is cut off from the store goes on while most daemons have a link to it. It counted the links of daemons that had lost power for 20 s. Cause: gRPC sets TCP_USER_TIMEOUT to the timeout of its pings on accepted connections, 20 s by default, and with this option set the kernel's keep-alive probes give up by its time and not by their count. Change: accepted links have 3 s, like the dialled ones. Evidence: TestLinkOfDeadDaemonEnds reads the option of an accepted link: 20 s before, 3 s now.

--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/crash"
@@ -37,6 +39,11 @@
 	maxHeadBytes = 64 << 10
 )
 
+// linkUserTimeout is the TCP_USER_TIMEOUT of accepted links, which gRPC sets to the timeout of its pings.
+const linkUserTimeout = 3 * time.Second
+
+var linkKeepalive = keepalive.ServerParameters{Timeout: linkUserTimeout}
+
 // encode returns the form of a message on a link.
 func encode(v any) (encodedMessage, error) {
 	raw, err := msgpack.Marshal(v)
@@ -130,7 +137,7 @@
 
 // serveLinks accepts links at l until ctx ends.
 func serveLinks(ctx context.Context, l net.Listener, s linkServer) error {
-	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes))
+	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes), grpc.KeepaliveParams(linkKeepalive))
 	description := grpc.ServiceDesc{
 		ServiceName: linkService,
 		HandlerType: (*linkServer)(nil),
--- /dev/null
+++ b/limpetd/steer/link_timeout_test.go
@@ -0,0 +1,72 @@
+package steer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+
+	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+// acceptedConns is a listener that passes on the connections that it accepts.
+type acceptedConns struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *acceptedConns) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.conns <- c
+	}
+	return c, err
+}
+
+// openLinks is a lease holder whose links stay open.
+type openLinks struct{}
+
+func (openLinks) handleLink(s grpc.ServerStream) error {
+	<-s.Context().Done()
+	return s.Context().Err()
+}
+
+func (openLinks) handleReserve(sched.ReservationRequest) (sched.Reservation, error) {
+	return sched.Reservation{}, nil
+}
+
+// TestLinkOfDeadDaemonEnds guards against a lease holder that counts the links of daemons that have lost power, and
+// goes on without the store because of them: gRPC sets a TCP_USER_TIMEOUT of 20 s by itself, which also decides when
+// keep-alive probes give up.
+func TestLinkOfDeadDaemonEnds(t *testing.T) {
+	config := net.ListenConfig{KeepAliveConfig: conns.KeepAlive()}
+	l, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := &acceptedConns{Listener: l, conns: make(chan net.Conn, 1)}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- serveLinks(ctx, accepted, openLinks{}) }()
+	stream, conn, err := dialLink(ctx, l.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, stream.SendMsg(daemonReport{}))
+	raw, err := (<-accepted.conns).(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	timeout := func() time.Duration {
+		var ms int
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		}))
+		require.NoError(t, err)
+		return time.Duration(ms) * time.Millisecond
+	}
+	require.Eventually(t, func() bool { return timeout() > 0 }, time.Second, time.Millisecond)
+	require.Equal(t, linkUserTimeout, timeout())
+	cancel()
+	require.NoError(t, <-served)
+	_ = conn.Close()
+}
