conns, front, platform: Don't believe a refusal without id on a reused connection

Callers were told that an unsafe call did not run, which ran. Cause: a refusal without the id of its call was taken for the answer to the call in flight. A faulty server may write the refusal of an earlier call once more on a kept connection. Change: on a reused connection a response must name its call, or is skipped like one that names another.

--- a/limpetd/conns/conns_test.go
+++ b/limpetd/conns/conns_test.go
@@ -56,7 +56,7 @@
 	return conns.Request{
 		Method: http.MethodPost, Target: "/x", Host: "h", Body: []byte("body"),
 		Header:  http.Header{"Request-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("Request-Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Request-Id") == id },
 	}
 }
 
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -38,9 +38,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with the given header answers the request. If
-	// Matches is nil, each response does.
-	Matches func(http.Header) bool
+	// Matches reports whether a response with the given header answers the request. reused is whether
+	// the connection carried requests before, whose responses may arrive again. If Matches is nil, each
+	// response does.
+	Matches func(h http.Header, reused bool) bool
 }
 
 // SendState is whether any part of a request may have reached the server.
@@ -87,8 +88,10 @@
 	conn   net.Conn
 	// openedAt is when the connection was established.
 	openedAt time.Time
-	input    *trackingReader
-	reader   *bufio.Reader
+	// reused is whether the connection has carried a request before the current one.
+	reused bool
+	input  *trackingReader
+	reader *bufio.Reader
 	// idleSince is when the connection was last released, expires when it may no longer be
 	// reused.
 	idleSince time.Time
@@ -200,7 +203,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.Header) {
+		if r.Matches == nil || r.Matches(response.Header, c.reused) {
 			return response, nil
 		}
 		skipped++
@@ -247,7 +250,7 @@
 		c.Close()
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince, c.reused = time.Now(), true
 	c.expires = c.idleSince.Add(time.Duration(reusableIdleShare * float64(idle)))
 	c.pool.push(c)
 }
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -207,7 +207,7 @@
 		Host:    c.request.Host,
 		Header:  header,
 		Body:    c.body,
-		Matches: func(h http.Header) bool { return c.front.deps.Dialect.Matches(h, c.info.ID) },
+		Matches: func(h http.Header, reused bool) bool { return c.front.deps.Dialect.Matches(h, c.info.ID, reused) },
 	}
 }
 
--- a/limpetd/front/dialect.go
+++ b/limpetd/front/dialect.go
@@ -79,6 +79,7 @@
 	SetHeaders(h http.Header, s AttemptHeaders)
 	// DecodeResponse decodes the status and headers of a response.
 	DecodeResponse(status int, h http.Header) ResponseHeaders
-	// Matches reports whether a response answers the call with the given id.
-	Matches(h http.Header, id string) bool
+	// Matches reports whether a response answers the call with the given id. On a connection that was
+	// reused, a response that names no call may be an earlier one that was written again.
+	Matches(h http.Header, id string, reused bool) bool
 }
--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -53,7 +53,9 @@
 	return front.ResponseHeaders{NotRun: h.Get("Unrun") != "", WrongServer: status == http.StatusMisdirectedRequest, HasStamp: h.Get("Stamp") != ""}
 }
 
-func (dialect) Matches(h http.Header, id string) bool { return h.Get("Id") == id || h.Get("Id") == "" }
+func (dialect) Matches(h http.Header, id string, reused bool) bool {
+	return h.Get("Id") == id || h.Get("Id") == "" && !reused
+}
 
 type loader struct{ wantCount atomic.Int64 }
 
