origin, platform, steer: End contact of daemons that stood still

Streams that had begun on engines of a new software version were taken up at a daemon that had been out of step while the engines joined, and could go on at another version (ORDER). Cause: whether a daemon knows all versions was a flag that the last poll had set. A daemon that stood still, or whose polls had stopped because updates were relayed to it, kept it.

--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -20,6 +20,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
+	"github.com/limpetlb/limpetlb/limpetd/origin"
 )
 
 // Controller takes part in the placement for a daemon: it plans and sends orders while the
@@ -66,6 +67,8 @@
 	// when an update last arrived from it.
 	holder     Member
 	lastUpdate time.Time
+	// contact is whether the updates of the lease holder are current.
+	contact origin.Contact
 	// holderConn is the connection to the lease holder; nil without a link.
 	// reserveFailures counts consecutive unanswered reservation requests. None are sent
 	// before reserveAfter.
@@ -95,6 +98,7 @@
 		tables:     map[string]*mirror.Follower{},
 		linked:     map[string]Member{},
 		reaching:   map[string]time.Time{},
+		contact:    origin.Contact{MaxAge: maxUpdateAge},
 		nextReport: newReportBuilder(),
 		lease:      lease.NewCandidate(lease.Config{VM: c.Self.VM, Instance: c.Self.Instance, Term: leaseTerm}),
 		reports:    make(chan daemonReport, 256),
@@ -290,6 +294,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.lastUpdate = now
+	s.contact.Confirm(s.deps.Clock())
 	if u.Loads != nil && !s.lease.IsHolder() {
 		s.enterEra()
 		s.lease.EnterEra(u.Lease.Era, s.deps.Clock())
--- a/limpetd/steer/crashes.go
+++ b/limpetd/steer/crashes.go
@@ -36,6 +36,16 @@
 	return facts != nil && s.IsLeaseHolder()
 }
 
+// HasCurrentUpdate reports whether this daemon is the lease holder, or knows what all daemons have told it.
+func (s *Controller) HasCurrentUpdate() bool {
+	if s.IsLeaseHolder() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contact.Fresh(s.deps.Clock())
+}
+
 // IsInTouch reports whether this daemon is the lease holder or has lately received an update of it.
 func (s *Controller) IsInTouch() bool {
 	if s.IsLeaseHolder() {
