soak, platform: Cut the paths of daemons to servers in the soak

Cause: all daemons of the soak shared a link to each server, so that no daemon could lose its path alone, and tunnels were never opened. Change: the daemons run in processes of limpetlab, with paths that a file cuts; one to all but one of them lose their paths, beside all other faults.

--- a/limpetlab/main.go
+++ b/limpetlab/main.go
@@ -16,11 +16,12 @@
 
 // commands defines the command line.
 type commands struct {
-	Bench benchCommand `cmd:"" help:"Compare placement, routing and admission with baseline policies, measure capacity, and check bounds."`
-	Demo  demoCommand  `cmd:"" help:"Run a whole deployment in one process under load and faults, and check its invariants."`
-	Load  loadCommand  `cmd:"" help:"Send requests to running daemons, or to a daemon started in this process, and print latency percentiles."`
-	Soak  soakCommand  `cmd:"" help:"Run the daemons of the users' platform as processes under injected faults, and check their invariants."`
-	Stand standCommand `cmd:"" help:"Run only the stand-ins, for daemons that are started by hand."`
+	Bench      benchCommand      `cmd:"" help:"Compare placement, routing and admission with baseline policies, measure capacity, and check bounds."`
+	Demo       demoCommand       `cmd:"" help:"Run a whole deployment in one process under load and faults, and check its invariants."`
+	Load       loadCommand       `cmd:"" help:"Send requests to running daemons, or to a daemon started in this process, and print latency percentiles."`
+	SoakDaemon soakDaemonCommand `cmd:"" hidden:"" help:"Run a daemon of the fault soak."`
+	Soak       soakCommand       `cmd:"" help:"Run the daemons of the users' platform as processes under injected faults, and check their invariants."`
+	Stand      standCommand      `cmd:"" help:"Run only the stand-ins, for daemons that are started by hand."`
 }
 
 // errViolation is returned by commands whose result violates a bound or an invariant.
--- a/limpetlab/soak/daemon.go
+++ b/limpetlab/soak/daemon.go
@@ -28,9 +28,9 @@
 
 // daemon is a daemon that runs in a process of its own.
 type daemon struct {
-	// program, settings and log are file paths.
-	program, settings, log      string
-	callerAddress, readyAddress string
+	// program, settings, log and paths are file paths.
+	program, settings, log, paths string
+	callerAddress, readyAddress   string
 	// onUnexpectedExit is called when the process ends without having been ended by
 	// kill or leave.
 	onUnexpectedExit func(d *daemon, err error)
@@ -57,7 +57,7 @@
 	}
 	// The process has its own descriptor of the file.
 	defer func() { _ = log.Close() }()
-	command := exec.Command(d.program, "--settings", d.settings)
+	command := exec.Command(d.program, "soak-daemon", "--settings", d.settings, "--paths", d.paths)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -55,6 +55,8 @@
 	r.running.Go(func() { r.crashServers(breaking, crashRandom) })
 	endlessRandom := rand.New(rand.NewPCG(r.config.Seed, 12))
 	r.running.Go(func() { r.answerWithoutEnd(breaking, endlessRandom) })
+	pathRandom := rand.New(rand.NewPCG(r.config.Seed, 15))
+	r.running.Go(func() { r.cutPaths(breaking, pathRandom) })
 	limitRandom := rand.New(rand.NewPCG(r.config.Seed, 11))
 	r.running.Go(func() { r.limitServers(breaking, limitRandom) })
 	for time.Now().Before(end) && ctx.Err() == nil {
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -4,13 +4,14 @@
 //
 // Signals kill daemons, ask daemons to leave or to reload their settings, and stop and resume
 // daemons. The connections of daemons to the store and to servers go through links that are
-// cut, reset, slowed, or silenced in one or both directions. The store refuses calls, loses
+// cut, reset, slowed, or silenced in one or both directions. Daemons lose their paths to servers, each
+// for itself. The store refuses calls, loses
 // answers and drops its history, servers fail, and the configuration changes. Faults overlap,
 // and a seed determines their sequence.
 //
 // # Usage
 //
-//	report, err := soak.Run(ctx, soak.Config{Program: "bin/limpetp", Seed: 1, Duration: time.Minute})
+//	report, err := soak.Run(ctx, soak.Config{Program: "bin/limpetlab", Seed: 1, Duration: time.Minute})
 //	if len(report.Violations) > 0 { ... }
 package soak
 
@@ -33,7 +34,7 @@
 
 // Config holds the settings of a run.
 type Config struct {
-	// Program is the path of limpetp.
+	// Program is the path of limpetlab, which runs the daemons.
 	Program string
 	// Directory is the directory for the settings and logs of the daemons.
 	Directory string
@@ -216,7 +217,7 @@
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return err
 		}
-		d := &daemon{program: r.config.Program, settings: settings, log: filepath.Join(r.config.Directory, vm+".log"), callerAddress: callerAddress, readyAddress: readyAddress, onUnexpectedExit: r.onUnexpectedExit}
+		d := &daemon{program: r.config.Program, settings: settings, log: filepath.Join(r.config.Directory, vm+".log"), paths: filepath.Join(r.config.Directory, vm+".paths"), callerAddress: callerAddress, readyAddress: readyAddress, onUnexpectedExit: r.onUnexpectedExit}
 		if err := d.start(); err != nil {
 			return err
 		}
@@ -342,12 +343,12 @@
 	}
 }
 
-// Build builds limpetp in a directory and returns the path of the program.
+// Build builds limpetlab in a directory and returns the path of the program.
 func Build(ctx context.Context, directory string) (string, error) {
-	program := filepath.Join(directory, "limpetp")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "github.com/limpetlb/limpetlb/platform/limpetp").CombinedOutput()
+	program := filepath.Join(directory, "limpetlab")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "github.com/limpetlb/limpetlb/limpetlab").CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("build limpetp: %w: %s", err, out)
+		return "", fmt.Errorf("build limpetlab: %w: %s", err, out)
 	}
 	return program, nil
 }
--- a/limpetlab/soak_command.go
+++ b/limpetlab/soak_command.go
@@ -12,7 +12,7 @@
 
 // soakCommand runs the fault soak of the users' platform.
 type soakCommand struct {
-	Program  string        `help:"Path of the limpetp program; built with the go command if empty."`
+	Program  string        `help:"Path of the limpetlab program, which runs the daemons; built with the go command if empty."`
 	Seed     uint64        `help:"First seed of the workload and of the faults." default:"1"`
 	Seeds    int           `help:"Number of runs, with consecutive seeds." default:"1"`
 	Duration time.Duration `help:"How long faults are injected in each run." default:"20s"`
