--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -118,7 +118,7 @@
 		a.recordAnswer(true, now)
 	}
 	f.ends.endTrial(a.call)
-	a.recordAbandoned(r, now)
+	a.recordAbandoned(r)
 	f.ends.remove(a, r, now)
 	f.dispatch(now)
 	f.mu.Unlock()
--- a/limpetd/front/ends.go
+++ b/limpetd/front/ends.go
@@ -129,7 +129,7 @@
 
 // recordAbandoned remembers an attempt whose caller has left, if its answer may still clear the parts of its
 // prompt. The caller must hold mu.
-func (a *attempt) recordAbandoned(r sched.Result, now time.Time) {
+func (a *attempt) recordAbandoned(r sched.Result) {
 	f := a.call.front
 	list := f.ends.abandoned[a.server.ID]
 	if r != sched.Cancelled || a.pathLost || a.cleared || !a.started || a.begunAt.IsZero() || f.crashes.Empty() || len(list) >= maxBrokenPerServer {
--- a/limpetd/tunnel/dialer.go
+++ b/limpetd/tunnel/dialer.go
@@ -167,7 +167,7 @@
 		return d.afterDirect(ctx, address, r)
 	case <-timer.C:
 	case <-ctx.Done():
-		go d.discard(address, direct)
+		go d.recordAbandoned(address, direct)
 		return nil, ctx.Err()
 	}
 	select {
@@ -185,21 +185,29 @@
 	case r := <-direct:
 		return d.useDirect(address, r, err)
 	case <-ctx.Done():
-		go d.discard(address, direct)
+		go d.recordAbandoned(address, direct)
 		return nil, ctx.Err()
 	}
 }
 
 // recordLate records the result of a direct connect that was not awaited, because a tunnel was opened.
 func (d *Dialer) recordLate(address string, direct chan dialed) {
-	if err := d.discard(address, direct); err != nil {
+	if err := d.recordUnused(address, direct); err != nil {
 		d.recordLost(address, err)
 	}
 }
 
-// discard closes the connection of a direct connect that nobody needs. It returns the error if the connect
+// recordAbandoned records the result of a direct connect whose call has ended. A failure says nothing without a
+// tunnel beside it.
+func (d *Dialer) recordAbandoned(address string, direct chan dialed) {
+	if err := d.recordUnused(address, direct); err != nil {
+		d.deps.Log.Debug("connect_abandoned", zap.String("address", address), zap.Error(err))
+	}
+}
+
+// recordUnused closes the connection of a direct connect that nobody needs. It returns the error if the connect
 // failed.
-func (d *Dialer) discard(address string, direct chan dialed) error {
+func (d *Dialer) recordUnused(address string, direct chan dialed) error {
 	r := <-direct
 	if r.err != nil {
 		return r.err
