--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -250,12 +250,12 @@
 		return c.retryOrEnd(ctx, code.NoEngine, "the server is another instance or lacks the model")
 	}
 	a.finish(sched.Refused)
-	a.tellRejection()
+	a.reportRejection()
 	return c.retryOrEnd(ctx, code.QueueFull, "the server has no room")
 }
 
-// tellRejection tells the other daemons that a brittle server has rejected a call.
-func (a *attempt) tellRejection() {
+// reportRejection reports to the lease holder that a brittle server has rejected a call.
+func (a *attempt) reportRejection() {
 	f := a.call.front
 	f.mu.Lock()
 	brittle := f.balancer.HasBrittle(a.server.Service)
@@ -265,7 +265,7 @@
 	}
 	f.metrics.rejections.Inc(1)
 	f.deps.Log.Info("brittle_rejection", zap.String("server", a.server.ID), zap.String("request", a.call.info.ID))
-	f.tellLimits()
+	f.notifyLimits()
 }
 
 // handleFailure handles a server that was reached and did not answer properly.
--- a/limpetd/front/limits.go
+++ b/limpetd/front/limits.go
@@ -70,12 +70,12 @@
 		f.deps.Log.Info("server_brittle", zap.String("server", s.ID), zap.Bool("brittle", r.Brittle), zap.Float64("rejections", r.Rejections))
 	}
 	if limitChanged || brittleChanged {
-		f.tellLimits()
+		f.notifyLimits()
 	}
 }
 
-// tellLimits tells the observer that more is known about the limits of servers.
-func (f *Front) tellLimits() {
+// notifyLimits notifies the observer of a change in the limits of servers.
+func (f *Front) notifyLimits() {
 	if f.deps.Limits != nil {
 		f.deps.Limits.LimitsChanged()
 	}
--- a/limpetd/front/paths_test.go
+++ b/limpetd/front/paths_test.go
@@ -98,7 +98,7 @@
 	require.Zero(t, suspectedEnds(fx, 7), "the engine has lived on")
 }
 
-// suspectedEnds returns how many ends a front knows under a part that no answer has cleared.
+// suspectedEnds returns the number of recorded ends under a part, unless an answer has cleared it.
 func suspectedEnds(fx *fixture, part uint64) int {
 	facts, _ := fx.front.CrashFacts(0)
 	if len(facts.Answers) > 0 {
--- a/limpetd/origin/contact.go
+++ b/limpetd/origin/contact.go
@@ -6,8 +6,7 @@
 // stood still first receives what was sent to it meanwhile.
 const settleTime = 300 * time.Millisecond
 
-// Contact tells whether a daemon has learned of new versions and streams lately. The times that it is given
-// must include those in which the VM was suspended. It is not safe for concurrent use.
+// Contact records how recently a daemon received the versions and streams of the others. Its times must include those in which the VM was suspended. It is not safe for concurrent use.
 type Contact struct {
 	// MaxAge is the age up to which what was received counts as current.
 	MaxAge time.Duration
@@ -33,7 +32,7 @@
 // Lose records that the current state can't be received.
 func (c *Contact) Lose() { c.confirmedAt = time.Time{} }
 
-// Fresh reports whether the daemon knows the current state.
+// Fresh reports whether the state that the daemon received is current.
 func (c *Contact) Fresh(now time.Time) bool {
 	return c.known && now.Sub(c.confirmedAt) < c.MaxAge && now.Sub(c.resumedAt) >= settleTime
 }
