--- a/limpetd/tunnel/tables_test.go
+++ b/limpetd/tunnel/tables_test.go
@@ -82,6 +82,22 @@
 	}
 }
 
+// TestPeersThatDeniedATunnelAreAskedLast guards against asking the daemons that are cut off again and again.
+func TestPeersThatDeniedATunnelAreAskedLast(t *testing.T) {
+	now, r := time.Unix(1000, 0), random.Seeded(1, "tunnel")
+	var table peerTable
+	table.set([]Peer{{VM: "a"}, {VM: "b"}, {VM: "c"}, {VM: "d"}, {VM: "e"}})
+	for _, vm := range []string{"a", "b", "d", "e"} {
+		table.record(Peer{VM: vm}, false, now)
+	}
+	first := map[string]bool{}
+	for range 50 {
+		require.Equal(t, "c", table.order(r, now)[0].VM)
+		first[table.order(r, now.Add(avoidTerm))[0].VM] = true
+	}
+	require.Len(t, first, 5, "they are asked again after a while")
+}
+
 func TestRequestIsEncoded(t *testing.T) {
 	var b bytes.Buffer
 	want := request{ID: "vm/1", Address: "10.0.0.1:80"}
--- a/limpetd/tunnel/tunnel_test.go
+++ b/limpetd/tunnel/tunnel_test.go
@@ -162,18 +162,23 @@
 	}, waitTimeout, time.Millisecond)
 }
 
-// TestRefusalOfPartitionIsNoEvidence guards against the verdict of a daemon that is cut off itself.
+// TestRefusalOfPartitionIsNoEvidence guards against the verdict of a daemon that is cut off itself, also on a server
+// to which it does not know its path to be lost.
 func TestRefusalOfPartitionIsNoEvidence(t *testing.T) {
-	server := startServer(t, echo)
+	server, other := startServer(t, echo), startServer(t, echo)
 	a, b, c := startDaemon(t, "a", server), startDaemon(t, "b", server), startDaemon(t, "c", server)
-	a.direct.hangs.Store(true)
-	b.direct.refuses.Store(true)
+	for _, d := range []*daemon{a, b} {
+		d.dialer.SetServers([]string{server, other})
+		d.direct.refuses.Store(true)
+	}
 	b.dialer.SetPeers([]tunnel.Peer{c.peer})
 	dial(t, b, server)
 	a.dialer.SetPeers([]tunnel.Peer{b.peer})
-	_, err := a.dialer.DialContext(t.Context(), "tcp4", server)
-	require.Error(t, err)
-	require.NotErrorIs(t, err, syscall.ECONNREFUSED)
+	for _, address := range []string{other, server} {
+		_, err := a.dialer.DialContext(t.Context(), "tcp4", address)
+		require.Error(t, err)
+		require.NotErrorIs(t, err, syscall.ECONNREFUSED)
+	}
 }
 
 func TestOnlyServersAreReached(t *testing.T) {
