front, sched: Log and count the decisions of retry budgets, and prefill estimates

Callers were refused or cut off, and nothing told which daemon had allowed a retry, by what count and limit, or what the lease holder assumed of the speed of engines. Adds the lines retry_budget and prefill_estimate, at most one a second and service, and two counters. The logic is unchanged.

--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -136,6 +136,10 @@
 	endNoticed bool
 	// leading is whether this daemon is the lease holder.
 	leading bool
+	// retriesLogged is when the use of the retry budget of a service was logged last.
+	retriesLogged map[string]time.Time
+	// estimateLogged is the same for the estimates of how fast engines prefill prompts.
+	estimateLogged map[string]time.Time
 	// waiters holds the calls that wait for a server. dispatch sorts it with sched.SortWaiters.
 	waiters []*waiter
 }
@@ -174,7 +178,7 @@
 // run until ctx ends.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
-	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1)}
+	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
 	if d.Contact == nil {
 		f.origins.SetComplete()
 	}
@@ -294,6 +298,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balancer.RecordStreams(service, streams, paused)
+	f.logEstimate(service, streams, paused, time.Now())
 }
 
 // PrefillTimePerToken returns the time that an engine takes to read one token of a model's
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -14,7 +14,9 @@
 	failed      tally.Counter
 	callersGone tally.Counter
 	retried     tally.Counter
-	resumed     tally.Counter
+	// retriesAllowed and retriesDenied count the decisions of the retry budgets.
+	retriesAllowed, retriesDenied tally.Counter
+	resumed                       tally.Counter
 	// broken counts the responses that servers broke off.
 	broken tally.Counter
 	// enginesEnded counts the engines that ended while calls of this daemon ran on them.
@@ -48,6 +50,8 @@
 		failed:          s.Counter("failed"),
 		callersGone:     s.Counter("callers_left"),
 		retried:         s.Counter("repeated"),
+		retriesAllowed:  s.Counter("retries_allowed"),
+		retriesDenied:   s.Counter("retries_denied"),
 		resumed:         s.Counter("resumed"),
 		broken:          s.Counter("broken"),
 		enginesEnded:    s.Counter("engines_ended"),
--- /dev/null
+++ b/limpetd/front/retries.go
@@ -0,0 +1,48 @@
+package front
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// retryLogInterval is the least time between two log lines about the retry budget of a service,
+	// estimateLogInterval between two about its estimates.
+	retryLogInterval    = time.Second
+	estimateLogInterval = time.Second
+)
+
+// takeRetry reports whether the call may be sent to another server, counts the decision and logs the use of
+// the budget. The caller must hold mu.
+func (f *Front) takeRetry(c *call, now time.Time) bool {
+	service := c.schedCall.Service
+	allowed := f.balancer.TakeRetry(service, now)
+	if allowed {
+		f.metrics.retriesAllowed.Inc(1)
+	} else {
+		f.metrics.retriesDenied.Inc(1)
+	}
+	if now.Sub(f.retriesLogged[service]) < retryLogInterval {
+		return allowed
+	}
+	f.retriesLogged[service] = now
+	u := f.balancer.RetryUse(service, now)
+	f.deps.Log.Info("retry_budget",
+		zap.String("service", service), zap.String("request", c.info.ID), zap.Bool("allowed", allowed), zap.String("after", c.outcome.reason),
+		zap.Int("calls", u.Calls), zap.Int("retries", u.Retries), zap.Float64("limit", u.Limit), zap.Int("daemons", u.Daemons),
+		zap.Int64("allowed_total", u.Allowed), zap.Int64("denied_total", u.Denied), zap.Duration("age", u.Age))
+	return allowed
+}
+
+// logEstimate logs the estimates by which the lease holder reserves the engines of a service, when streams
+// paused for too long. The caller must hold mu.
+func (f *Front) logEstimate(service string, streams, paused int, now time.Time) {
+	if paused == 0 || now.Sub(f.estimateLogged[service]) < estimateLogInterval {
+		return
+	}
+	f.estimateLogged[service] = now
+	perToken, share := f.balancer.PrefillEstimate(service)
+	f.deps.Log.Info("prefill_estimate", zap.String("service", service), zap.Int("streams", streams), zap.Int("paused", paused),
+		zap.Duration("per_token", perToken), zap.Float64("share", share))
+}
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -96,7 +96,7 @@
 	if refused, ok := f.checkPrompt(c, now); !ok {
 		return refused
 	}
-	if c.connected > 0 && !f.balancer.TakeRetry(c.schedCall.Service, now) {
+	if c.connected > 0 && !f.takeRetry(c, now) {
 		choice.Verdict = sched.RetryBudgetSpent
 		return choice
 	}
--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -14,6 +14,21 @@
 	calls, retries [budgetBuckets]int
 	// bucket is the number of the newest bucket, counted since 1970.
 	bucket int64
+	// createdAt is when the counts began. allowed and denied count the decisions since then.
+	createdAt       time.Time
+	allowed, denied int64
+}
+
+// RetryUse is the use of the retry budget of a service by one daemon.
+type RetryUse struct {
+	// Calls and Retries are those in the window, Limit the number of retries that the window may have.
+	Calls, Retries int
+	Limit          float64
+	// Daemons is the number of daemons that share the budget.
+	Daemons int
+	// Allowed and Denied count the decisions since the daemon started, Age is the time since the first.
+	Allowed, Denied int64
+	Age             time.Duration
 }
 
 // advance moves the window to now, clears the buckets that left it, and returns the index
@@ -50,23 +65,34 @@
 // TakeRetry reports whether a call may be retried at a service, and counts the retry if so.
 // Each daemon applies its own part of the limit that holds for all daemons together.
 func (b *Balancer) TakeRetry(service string, now time.Time) bool {
+	g := b.budget(service)
+	if g.createdAt.IsZero() {
+		g.createdAt = now
+	}
 	if !b.CanRetry(service, now) {
+		g.denied++
 		return false
 	}
-	g := b.budget(service)
+	g.allowed++
 	g.retries[g.advance(b.settings.RetryWindow, now)]++
 	return true
 }
 
 // CanRetry reports whether a call may be retried at a service, without counting a retry.
 func (b *Balancer) CanRetry(service string, now time.Time) bool {
+	u := b.RetryUse(service, now)
+	return float64(u.Retries+1) <= u.Limit
+}
+
+// RetryUse returns the use of the retry budget of a service.
+func (b *Balancer) RetryUse(service string, now time.Time) RetryUse {
 	g := b.budget(service)
 	g.advance(b.settings.RetryWindow, now)
-	calls, retries := 0, 0
+	u := RetryUse{Daemons: b.daemons, Allowed: g.allowed, Denied: g.denied, Age: now.Sub(g.createdAt)}
 	for i := range g.calls {
-		calls += g.calls[i]
-		retries += g.retries[i]
+		u.Calls += g.calls[i]
+		u.Retries += g.retries[i]
 	}
-	limit := b.settings.RetryRatio*float64(calls) + b.settings.RetrySlack/float64(b.daemons)
-	return float64(retries+1) <= budgetShare*limit
+	u.Limit = budgetShare * (b.settings.RetryRatio*float64(u.Calls) + b.settings.RetrySlack/float64(b.daemons))
+	return u
 }
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -229,6 +229,12 @@
 	b.prefillShares.add(service, streams, paused)
 }
 
+// PrefillEstimate returns the time that engines of a service take to prefill one token, and the share of their time
+// that may be reserved for prefill.
+func (b *Balancer) PrefillEstimate(service string) (perToken time.Duration, share float64) {
+	return time.Duration(b.prefillSpeeds.perToken(service, "")), b.prefillShares.of(service)
+}
+
 // RecordSample records how long an engine that had no other prompt took to a first event.
 func (b *Balancer) RecordSample(s Sample) { b.prefillSpeeds.add(s) }
 
