sched, front, soak: Test retries against the rule of the shared budget, failing

Streams whose engine falls silent must not be cut because the budget lets few of them go on elsewhere. SetDaemonCount gets the time, and SettleRetry does nothing yet; the logic is unchanged.

--- a/limpetd/front/budget_test.go
+++ b/limpetd/front/budget_test.go
@@ -1,9 +1,17 @@
 package front_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,3 +56,60 @@
 		require.Equal(t, http.StatusOK, a.StatusCode, body)
 	}
 }
+
+// slowReserver is a Reserver that reserves a server at random, to be used after a delay.
+type slowReserver struct{ reserver }
+
+func (r *slowReserver) Reserve(_ context.Context, a sched.ReservationRequest) (sched.Reservation, error) {
+	server := []string{"i0", "i1"}[rand.IntN(2)]
+	if slices.Contains(a.Excluded, server) {
+		server = map[string]string{"i0": "i1", "i1": "i0"}[server]
+	}
+	return sched.Reservation{Verdict: sched.Chosen, Server: server, Delay: 100 * time.Millisecond}, nil
+}
+
+// TestStreamsAtASilentServerAreNotCutWithoutABudget guards against streams that give their silent server up
+// together, and then find that the retry budget allows only a few of them to go on elsewhere.
+func TestStreamsAtASilentServerAreNotCutWithoutABudget(t *testing.T) {
+	const streams = 40
+	spoken := make(chan struct{})
+	stream := func(server string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			from := 0
+			if n, err := strconv.Atoi(r.Header.Get("Last")); err == nil {
+				from = n + 1
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			for i := from; i < 2; i++ {
+				_, _ = io.WriteString(w, eventText(i, i))
+				_ = http.NewResponseController(w).Flush()
+				if i == 0 && server == "i0" {
+					<-spoken
+				}
+			}
+		}
+	}
+	var addresses []string
+	for _, id := range []string{"i0", "i1"} {
+		s := httptest.NewServer(withStamp(stream(id)))
+		t.Cleanup(s.Close)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	fx := newFixtureWithSettings(t, sched.Settings{RetryWindow: time.Second, RetrySlack: 4}, func(d *front.Deps) { d.Reserver = &slowReserver{} }, streamRoute, addresses...)
+	fx.front.SetDaemonCount(1)
+	// The budget of a daemon that has just started is empty.
+	time.Sleep(4 * time.Second)
+	time.AfterFunc(3*time.Second, func() { close(spoken) })
+	var callers sync.WaitGroup
+	var whole atomic.Int64
+	for i := range streams {
+		callers.Go(func() {
+			_, body, err := fx.post(t, "/r/1", map[string]string{"Id": fmt.Sprint("x", i), "Model": "m"})
+			if err == nil && body == eventText(0, 1) {
+				whole.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	require.Equal(t, int64(streams), whole.Load())
+}
--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -96,6 +96,12 @@
 
 // newFixtureWithDeps returns a fixture whose Front has other dependencies.
 func newFixtureWithDeps(t *testing.T, change func(*front.Deps), route layout.Route, addresses ...string) *fixture {
+	t.Helper()
+	return newFixtureWithSettings(t, sched.Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}, change, route, addresses...)
+}
+
+// newFixtureWithSettings returns a fixture whose Front has other settings and dependencies.
+func newFixtureWithSettings(t *testing.T, settings sched.Settings, change func(*front.Deps), route layout.Route, addresses ...string) *fixture {
 	t.Helper()
 	var servers []*layout.Server
 	for i, a := range addresses {
@@ -108,7 +114,7 @@
 	fx := &fixture{loader: &loader{}, logs: logs}
 	deps := front.Deps{Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: fx.loader, Log: zap.New(core), Scope: tally.NoopScope}
 	change(&deps)
-	fx.front = front.New(t.Context(), deps, front.WithSettings(sched.Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}))
+	fx.front = front.New(t.Context(), deps, front.WithSettings(settings))
 	route.Host, route.Prefix, route.Targets = "127.0.0.1", "/r/", []layout.Target{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
 		route.Timeout = 10 * time.Second
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -257,7 +257,7 @@
 // SetDaemonCount sets the number of daemons that share the servers.
 func (f *Front) SetDaemonCount(n int) {
 	f.mu.Lock()
-	f.balancer.SetDaemonCount(n)
+	f.balancer.SetDaemonCount(n, time.Now())
 	f.mu.Unlock()
 }
 
--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -78,6 +78,9 @@
 	return true
 }
 
+// SettleRetry records by when a retry that TakeRetry allowed has arrived at its server.
+func (b *Balancer) SettleRetry(_ string, _ time.Time) {}
+
 // CanRetry reports whether a call may be retried at a service, without counting a retry.
 func (b *Balancer) CanRetry(service string, now time.Time) bool {
 	u := b.RetryUse(service, now)
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -212,7 +212,7 @@
 }
 
 // SetDaemonCount sets the number of daemons that share the servers and the retry budgets.
-func (b *Balancer) SetDaemonCount(n int) { b.daemons = max(n, 1) }
+func (b *Balancer) SetDaemonCount(n int, _ time.Time) { b.daemons = max(n, 1) }
 
 // SetServers replaces the list of running servers. The recorded state of a server is kept
 // until the server restarts.
--- a/limpetd/sched/sched_test.go
+++ b/limpetd/sched/sched_test.go
@@ -102,7 +102,7 @@
 		balancers := make([]*sched.Balancer, daemons)
 		for i := range balancers {
 			balancers[i] = newBalancer()
-			balancers[i].SetDaemonCount(daemons)
+			balancers[i].SetDaemonCount(daemons, start)
 		}
 		const seconds = 30
 		var calls, retries [seconds]int
@@ -158,7 +158,7 @@
 
 func TestWorthRejectsCallsThatCannotGetATurn(t *testing.T) {
 	b := newBalancer(engine("e1", "m"))
-	b.SetDaemonCount(100)
+	b.SetDaemonCount(100, start)
 	c := call("m")
 	require.False(t, b.WorthWaiting(c, 3, start), "no calls were sent to the model")
 	for i := range 40 {
--- /dev/null
+++ b/limpetlab/soak/retries_test.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetlab/link"
+	"github.com/limpetlb/limpetlb/platform/stand"
+)
+
+// startRun starts daemons as processes, with a stand-in of their platform.
+func startRun(t *testing.T, daemons, engines int) *run {
+	t.Helper()
+	program, err := Build(t.Context(), t.TempDir())
+	require.NoError(t, err)
+	r := &run{
+		config: Config{Program: program, Directory: t.TempDir(), Seed: 1, Daemons: daemons}, random: rand.New(rand.NewPCG(1, 2)),
+		faults: map[string]int{}, serverLinks: map[string]*link.Link{},
+	}
+	r.platform, err = stand.New(t.Context(), stand.Config{Engines: engines, Models: models, ModelsPerEngine: 3, PlainServers: plainServers, LoadTime: modelLoadTime})
+	require.NoError(t, err)
+	require.NoError(t, r.start(t.Context()))
+	t.Cleanup(func() { require.NoError(t, r.stop()) })
+	return r
+}
+
+// TestRetriesOfRestartedDaemonsStayWithinBudget guards against daemons that begin with an empty count of retries.
+func TestRetriesOfRestartedDaemonsStayWithinBudget(t *testing.T) {
+	r := startRun(t, 4, 6)
+	for i, e := range r.platform.Engines {
+		e.SetFault(randomFaults(rand.New(rand.NewPCG(1, uint64(i))), 0.6, stand.Failure))
+	}
+	restartsEnd := make(chan struct{})
+	go func() {
+		defer close(restartsEnd)
+		for range 7 {
+			time.Sleep(2500 * time.Millisecond)
+			var restarts sync.WaitGroup
+			for i, d := range r.daemons {
+				restarts.Go(func() { r.restart(d, rand.New(rand.NewPCG(2, uint64(i))), d.kill) })
+			}
+			restarts.Wait()
+		}
+	}()
+	counts := r.platform.SendCalls(t.Context(), r.callerAddresses(), 1, 180, 25*time.Second)
+	<-restartsEnd
+	require.Positive(t, counts.Served)
+	use := r.platform.RetryUse(stand.EngineName)
+	t.Log(use)
+	require.LessOrEqual(t, use.Excess(), 0.0, "%s", use)
+}
