front: Keep a call at its silent server until another one is assigned

Each call checked for itself that another server had room and that the budget allowed a retry, closed its connection, and competed for both only afterwards, for engines after a reservation that takes its time.

A call now takes the server and the retry under one lock before it leaves the silent server, and stays there if it gets none. Services in which a server has a limit are left out: only the lease holder may grant such a server.

--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -50,8 +50,10 @@
 	// that obtained a connection: only an attempt after one of these counts as a retry.
 	runs, connected int
 	// retryPending is whether a retry that the budget has allowed may not have arrived yet, unanswered whether a
-	// server that the call was written to has not answered.
+	// server that the call was written to has not answered. alternative is the server to which the call is sent
+	// after its present one; nil if none is assigned.
 	retryPending, unanswered bool
+	alternative              *sched.Choice
 	// underEnd is whether a server has ended under the call, for which the call may be the cause.
 	underEnd bool
 	// waited is whether the call has waited for a server.
@@ -232,7 +234,10 @@
 		if c.responseBegun {
 			c.schedCall.LastEventAt = c.lastAt
 		}
-		choice, ok := c.choose(ctx)
+		choice, ok := c.takeAlternative()
+		if !ok {
+			choice, ok = c.choose(ctx)
+		}
 		if !ok {
 			return
 		}
--- a/limpetd/front/retries.go
+++ b/limpetd/front/retries.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 const (
@@ -16,6 +18,11 @@
 // takeRetry reports whether the call may be sent to another server, counts the decision and logs the use of
 // the budget. The caller must hold mu.
 func (f *Front) takeRetry(c *call, now time.Time) bool {
+	if c.retryPending {
+		// The call gives up a server that has not answered.
+		c.unanswered = true
+		c.settleRetry(now)
+	}
 	service := c.schedCall.Service
 	allowed := f.balancer.TakeRetry(service, now)
 	c.retryPending = allowed
@@ -45,12 +52,47 @@
 	}
 }
 
-// releaseRetry ends the use of the budget by a call that has ended.
-func (c *call) releaseRetry() {
+// reserveAlternative assigns another server to a call whose server is silent, if the call may be sent again and the
+// retry budget allows it. Until then the call stays: a server that is silent may answer, and calls that left it
+// together would find that only a few of them may be sent again.
+func (c *call) reserveAlternative(now time.Time) bool {
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c.settleRetry(time.Now())
+	if c.runs >= c.schedCall.Route.MaxAttempts || c.outcome.attempts >= maxAttempts || f.balancer.HasLimits(c.schedCall.Service) {
+		return false
+	}
+	choice := f.balancer.Choose(&c.schedCall, now)
+	if choice.Verdict != sched.Chosen || !f.balancer.CanRetry(c.schedCall.Service, now) {
+		return false
+	}
+	if choice = f.assign(c, choice, now); choice.Verdict != sched.Chosen {
+		return false
+	}
+	c.alternative = &choice
+	return true
+}
+
+// takeAlternative returns the server that reserveAlternative has assigned.
+func (c *call) takeAlternative() (sched.Choice, bool) {
+	if c.alternative == nil {
+		return sched.Choice{}, false
+	}
+	choice := *c.alternative
+	c.alternative = nil
+	return c.recordChoice(choice, time.Now()), true
+}
+
+// releaseRetry ends the use of the budget and of the assigned server by a call that has ended.
+func (c *call) releaseRetry() {
+	f, now := c.front, time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.alternative != nil {
+		f.balancer.RecordResult(c.alternative.Server.ID, &c.schedCall, sched.Cancelled, false, now)
+		c.alternative = nil
+	}
+	c.settleRetry(now)
 }
 
 // logEstimate logs the estimates by which the lease holder reserves the engines of a service, when streams
--- a/limpetd/front/silence.go
+++ b/limpetd/front/silence.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
-	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 const (
@@ -57,7 +56,7 @@
 				return errSilent
 			}
 		}
-		if a.silence(now) >= silenceFailover && c.hasAlternative(now) {
+		if a.silence(now) >= silenceFailover && c.reserveAlternative(now) {
 			return errSilent
 		}
 	}
@@ -70,13 +69,3 @@
 	defer f.mu.Unlock()
 	return f.balancer.SilentFor(a.server.ID, now)
 }
-
-// hasAlternative reports whether the call may be attempted again and another server has room
-// for it.
-func (c *call) hasAlternative(now time.Time) bool {
-	f := c.front
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return c.runs < c.schedCall.Route.MaxAttempts && c.outcome.attempts < maxAttempts &&
-		f.balancer.Choose(&c.schedCall, now).Verdict == sched.Chosen && f.balancer.CanRetry(c.schedCall.Service, now)
-}
