sched, front: Don't take the silence of engines for slowness

The time that calls waited for silent engines raised the estimate of the time per token of a prompt from 28 to 103 us, and streams that paused meanwhile lowered the share for prompts from 0.95 to 0.70.

The tests fail before: 107 instead of less than 61 us.

--- a/limpetd/front/reserve_test.go
+++ b/limpetd/front/reserve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -206,3 +207,22 @@
 	require.Zero(t, record(front.ResponseHeaders{HasStamp: true}))
 	require.Equal(t, 3, fx.logs.FilterMessage("server_limit").Len())
 }
+
+// TestPauseOfSilentServerIsNotReported guards against less time for prompts at all engines because streams paused
+// while their engine was silent.
+func TestPauseOfSilentServerIsNotReported(t *testing.T) {
+	for pause, reported := range map[time.Duration]int{400 * time.Millisecond: 1, time.Second: 0} {
+		r := &reserver{reservations: []sched.Reservation{{Verdict: sched.Chosen, Server: "i0"}}}
+		fx := newFixtureWithReserver(t, r, streamRoute, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, eventText(0, 0))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+			_, _ = io.WriteString(w, eventText(1, 1))
+		})
+		_, body, err := fx.post(t, "/r/1", map[string]string{"Model": "m"})
+		require.NoError(t, err)
+		require.Equal(t, eventText(0, 1), body)
+		require.Equal(t, reported, r.streams, "pause of %s", pause)
+	}
+}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -51,7 +51,8 @@
 		a.finish(sched.Answered)
 		abort.Complete(c.writer, c.request)
 		c.outcome.result, c.outcome.status = code.OK, http.StatusOK
-		if reserver := c.front.deps.Reserver; reserver != nil && c.schedCall.Route.MaxPause > 0 && c.outcome.attempts == 1 {
+		// A longer pause is silence of the server, not a sign that its prompts leave too little time for events.
+		if reserver := c.front.deps.Reserver; reserver != nil && c.schedCall.Route.MaxPause > 0 && c.outcome.attempts == 1 && c.maxPause < silenceProbe {
 			reserver.RecordStream(c.schedCall.Service, c.maxPause > c.schedCall.Route.MaxPause)
 		}
 		return false
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -30,6 +30,10 @@
 	maxSlope = 1.5
 	// maxSample is the longest sample that is used: an engine that takes longer is unhealthy.
 	maxSample = time.Second
+	// maxSampleRatio is how many times as long as estimated a sample may count at the most. An engine that is silent
+	// for a moment gives samples many times as long, which say nothing about its speed; engines that have become
+	// slower give many samples, each of which raises the estimate.
+	maxSampleRatio = 2.0
 )
 
 // prefillFit estimates the time that engines take to prefill a token: the slope of a line
@@ -102,7 +106,11 @@
 			p = &prefillFit{}
 			target.fits[target.key] = p
 		}
-		p.add(float64(s.Tokens), float64(s.Took))
+		took := float64(s.Took)
+		if p.weight >= priorWeight {
+			took = min(took, maxSampleRatio*(p.base+p.perToken(float64(initialPerToken))*float64(s.Tokens)))
+		}
+		p.add(float64(s.Tokens), took)
 	}
 }
 
--- a/limpetd/sched/sched_test.go
+++ b/limpetd/sched/sched_test.go
@@ -235,3 +235,22 @@
 	require.Greater(t, inTime, 3*unlimited, "in time without the limit: %d", unlimited)
 	require.Positive(t, refused)
 }
+
+// TestSilenceOfEnginesIsNoSlowness guards against refusals for seconds after engines were silent for a moment, because
+// the time that calls waited for them enters the estimate of how fast they read prompts.
+func TestSilenceOfEnginesIsNoSlowness(t *testing.T) {
+	b := newBalancer()
+	sample := func(n int, took func(i int, usual time.Duration) time.Duration) {
+		for i := range n {
+			tokens := 300 + 400*(i%4)
+			usual := 10*time.Millisecond + time.Duration(tokens)*30*time.Microsecond
+			b.RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: tokens, Took: took(i, usual)})
+		}
+	}
+	sample(200, func(_ int, usual time.Duration) time.Duration { return usual })
+	before := b.PrefillTimePerToken("llm", "m")
+	sample(12, func(i int, usual time.Duration) time.Duration { return usual + time.Duration(i)*80*time.Millisecond })
+	require.Less(t, b.PrefillTimePerToken("llm", "m"), 2*before)
+	sample(200, func(_ int, usual time.Duration) time.Duration { return 4 * usual })
+	require.Greater(t, b.PrefillTimePerToken("llm", "m"), 3*before, "engines that have become slower are noticed")
+}
