front: Break a stream off whose next server sends an event without an id

It could happen here: a stream whose events have ids broke off, and the next server answered with status 200 and an event without an id, such as an error, or a head in the body. The front forwarded it, and the stream ended as if it were complete. Such an event now counts as a failure of that server.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -50,6 +50,8 @@
 	conn   *conns.Conn
 	// started is whether the first event or the response has arrived.
 	started bool
+	// continues is whether the caller has events of an earlier attempt.
+	continues bool
 	// sentAt is when the call was sent. pending counts the calls that waited at the server
 	// for a first event then, this one included.
 	sentAt  time.Time
@@ -75,7 +77,7 @@
 	c.outcome.received = received{}
 	c.outcome.server, c.outcome.load, c.outcome.loadAge = choice.Server.ID, choice.Load, choice.Age
 	c.schedCall.Tried = append(c.schedCall.Tried, choice.Server.ID)
-	a := &attempt{call: c, server: choice.Server, sentAt: time.Now(), pending: choice.Pending, alone: choice.Exclusive}
+	a := &attempt{call: c, server: choice.Server, continues: c.responseBegun, sentAt: time.Now(), pending: choice.Pending, alone: choice.Exclusive}
 	idle := maxIdle
 	if !c.schedCall.Route.Repeatable() {
 		idle = maxIdleUnsafe
--- /dev/null
+++ b/limpetd/front/continue_test.go
@@ -0,0 +1,64 @@
+package front_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestErrorOfTheNextServerIsNoPartOfTheStream guards against the text of an error in the middle of a stream, or at
+// its end as if it were complete: the stream broke off, and the next server answers with an error.
+func TestErrorOfTheNextServerIsNoPartOfTheStream(t *testing.T) {
+	const failure = "internal error"
+	answer := func(status int, contentType, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if contentType != "" {
+				w.Header().Set("Content-Type", contentType)
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	raw := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			}
+		}
+	}
+	for name, next := range map[string]http.HandlerFunc{
+		"500":                           answer(http.StatusInternalServerError, "text/plain", failure),
+		"500 as an event stream":        answer(http.StatusInternalServerError, "text/event-stream", "data: "+failure+"\n\n"),
+		"404":                           answer(http.StatusNotFound, "application/json", failure),
+		"200 with a text":               answer(http.StatusOK, "text/plain", failure),
+		"200 with a document":           answer(http.StatusOK, "application/json", failure),
+		"200 with an event without id":  answer(http.StatusOK, "text/event-stream", "event: error\ndata: "+failure+"\n\n"),
+		"200 with a text as a stream":   answer(http.StatusOK, "text/event-stream", failure),
+		"200 with a line as a stream":   answer(http.StatusOK, "text/event-stream", failure+"\n"),
+		"head in the body":              answer(http.StatusOK, "text/event-stream", "HTTP/1.1 500 Internal Server Error\r\n\r\n"+failure+"\n\n"),
+		"another event":                 answer(http.StatusOK, "text/event-stream", "id: 9\ndata: "+failure+"\n\n"),
+		"error without a head":          raw(failure + "\r\n\r\n"),
+		"error of HTTP/1.0 to its end":  raw("HTTP/1.0 500 Internal Server Error\r\nId: x1\r\nStamp: 1\r\n\r\n" + failure),
+		"stream of HTTP/1.0 to its end": raw("HTTP/1.0 200 OK\r\nId: x1\r\nStamp: 1\r\nContent-Type: text/event-stream\r\n\r\n" + failure),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 3 {
+				fx := newFixture(t, streamRoute, streamEvents(0, 5, true), func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Last") == "" {
+						streamEvents(0, 5, true)(w, r)
+						return
+					}
+					next(w, r)
+				})
+				_, body, err := fx.post(t, "/r/1", map[string]string{"Model": "m"})
+				require.Error(t, err, "the response looks complete: %s", body)
+				require.NotContains(t, body, failure)
+				require.Equal(t, eventText(0, 5), body)
+			}
+		})
+	}
+}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -31,6 +31,10 @@
 // errEventOrder means that the id of an event does not follow the id of the event before.
 var errEventOrder = errors.New("the id of an event does not follow the id of the event before")
 
+// errNoContinuation means that a server that was to continue a stream sent an event without an id, although all
+// events of the stream so far have one.
+var errNoContinuation = errors.New("an event without an id does not continue the stream")
+
 // forwardStream forwards the complete events of a response as they arrive. A stream that
 // breaks is resumed on another engine if its route allows resuming.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
@@ -153,6 +157,9 @@
 	if err != nil {
 		return err
 	}
+	if a.continues && numbered < count {
+		return errNoContinuation
+	}
 	c.unnumbered = c.unnumbered || numbered < count
 	now := time.Now()
 	if !c.lastAt.IsZero() {
