front: Refuse a call whose body arrives after the daemon stopped accepting calls

In a planned stop, calls that came late in the grace period were passed on and cut at its end, among them calls that may run once. The check is repeated after the body.

--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -134,12 +134,8 @@
 	f.metrics.calls.Inc(1)
 	c := &call{front: f, writer: w, request: r}
 	c.schedCall.Arrived = time.Now()
-	if at := f.refuseAfter.Load(); at != 0 && c.schedCall.Arrived.UnixNano() > at {
-		c.refuse(code.Stopping, minRetryAfter, "leaving")
-		c.recordOutcome()
-		return
-	}
-	if c.prepare() {
+	// The body may arrive much later than the head.
+	if !c.refuseLeaving() && c.prepare() && !c.refuseLeaving() {
 		c.serve()
 	}
 	c.recordOutcome()
@@ -148,6 +144,16 @@
 	}
 }
 
+// refuseLeaving refuses the call, and returns true, if the daemon is leaving and could not finish the call.
+func (c *call) refuseLeaving() bool {
+	at := c.front.refuseAfter.Load()
+	if at == 0 || time.Now().UnixNano() <= at {
+		return false
+	}
+	c.refuse(code.Stopping, minRetryAfter, "leaving")
+	return true
+}
+
 // statusAborted is recorded instead of an HTTP status for a response that was aborted.
 const statusAborted = -1
 
