soak: Check the shared retry budget, silence servers, restart in series, run two builds

The soak had no check of the budget: it now compares the arrivals at the servers with the calls that callers sent, in each window. Servers are silent while the configuration changes, all servers fail a part of their calls, and daemons restart in overlapping series.

--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -59,6 +59,17 @@
 	r.running.Go(func() { r.cutPaths(breaking, pathRandom) })
 	limitRandom := rand.New(rand.NewPCG(r.config.Seed, 11))
 	r.running.Go(func() { r.limitServers(breaking, limitRandom) })
+	silenceRandom := rand.New(rand.NewPCG(r.config.Seed, 16))
+	r.running.Go(func() { r.silenceServers(breaking, silenceRandom) })
+	seriesRandom := rand.New(rand.NewPCG(r.config.Seed, 17))
+	failureRandom := rand.New(rand.NewPCG(r.config.Seed, 21))
+	r.running.Go(func() { r.failCalls(breaking, failureRandom) })
+	upgradeRandom := rand.New(rand.NewPCG(r.config.Seed, 19))
+	if r.config.OldProgram == "" {
+		r.running.Go(func() { r.restartInSeries(breaking, seriesRandom) })
+	} else {
+		r.running.Go(func() { r.upgrade(breaking, upgradeRandom) })
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		kind := faultKinds[r.random.IntN(len(faultKinds))]
 		// Each fault has its own random source, so that the order in which overlapping
@@ -74,6 +85,9 @@
 		}
 	}
 	r.running.Wait()
+	if r.config.OldProgram != "" {
+		r.finishUpgrade(upgradeRandom)
+	}
 }
 
 // clearFaults ends all faults of the store, the servers and the links.
@@ -81,6 +95,7 @@
 	r.platform.Store.SetFault(nil)
 	for _, e := range slices.Concat(r.platform.Engines, r.platform.PlainServers) {
 		e.SetFault(nil)
+		e.Silence(0)
 	}
 	for _, l := range slices.Concat(r.stores, r.servers) {
 		if err := l.ClearFaults(); err != nil {
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -36,6 +36,9 @@
 type Config struct {
 	// Program is the path of limpetlab, which runs the daemons.
 	Program string
+	// OldProgram is the path of an older build of limpetlab, which runs the daemons at first and is replaced by Program
+	// daemon by daemon; empty for none.
+	OldProgram string
 	// Directory is the directory for the settings and logs of the daemons.
 	Directory string
 	// Seed determines the faults and the calls.
@@ -62,6 +65,8 @@
 	LateCrashes int `json:"late_crashes"`
 	// Streams counts the streams that callers take up again when they break.
 	Streams stand.StreamCounts `json:"streams"`
+	// Retries is the use of the retry budget of each service, in the window in which it was used the most.
+	Retries []stand.RetryUse `json:"retries"`
 	// PeakMemory is the largest resident memory of the daemons' last processes, in bytes.
 	PeakMemory int64 `json:"peak_memory"`
 	// Violations describes the violated invariants; it is empty if all invariants held.
@@ -169,6 +174,7 @@
 	r.checkEnds(report.Ends, report.LateCrashes)
 	report.Streams = <-streams
 	r.checkStreams(report.Streams)
+	report.Retries = r.checkRetries()
 	for _, d := range r.daemons {
 		r.checkMemory(d)
 	}
@@ -217,7 +223,11 @@
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return err
 		}
-		d := &daemon{program: r.config.Program, settings: settings, log: filepath.Join(r.config.Directory, vm+".log"), paths: filepath.Join(r.config.Directory, vm+".paths"), callerAddress: callerAddress, readyAddress: readyAddress, onUnexpectedExit: r.onUnexpectedExit}
+		program := r.config.Program
+		if r.config.OldProgram != "" {
+			program = r.config.OldProgram
+		}
+		d := &daemon{program: program, settings: settings, log: filepath.Join(r.config.Directory, vm+".log"), paths: filepath.Join(r.config.Directory, vm+".paths"), callerAddress: callerAddress, readyAddress: readyAddress, onUnexpectedExit: r.onUnexpectedExit}
 		if err := d.start(); err != nil {
 			return err
 		}
--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -104,6 +104,9 @@
 	r.checkStreams(stand.StreamCounts{Begun: 9, Mixed: 1})
 	require.Len(t, r.violations, 1, "mixed streams")
 	r = &run{platform: &stand.Platform{}}
+	r.checkRetryUse(stand.RetryUse{Service: "s", Retries: 51, Allowed: 50.9})
+	require.Len(t, r.violations, 1, "retry budget")
+	r = &run{platform: &stand.Platform{}}
 	r.checkEnds(12, 4)
 	require.Len(t, r.violations, 1, "calls that end engines")
 	r = &run{platform: &stand.Platform{}}
@@ -111,6 +114,7 @@
 	r.checkEnds(12, 3)
 	r.checkLimit("e1", stand.LimitUse{Excess: -1})
 	r.checkEnds(5, 5)
+	r.checkRetryUse(stand.RetryUse{Service: "s", Retries: 50, Allowed: 50})
 	r.checkStreams(stand.StreamCounts{Begun: 9, Complete: 9, Resumed: 3, WentOn: 3})
 	require.Empty(t, r.violations)
 }
--- a/limpetlab/soak_command.go
+++ b/limpetlab/soak_command.go
@@ -13,6 +13,7 @@
 // soakCommand runs the fault soak of the users' platform.
 type soakCommand struct {
 	Program  string        `help:"Path of the limpetlab program, which runs the daemons; built with the go command if empty."`
+	Old      string        `help:"Commit whose build runs the daemons at first; they are replaced by the present build one after the other."`
 	Seed     uint64        `help:"First seed of the workload and of the faults." default:"1"`
 	Seeds    int           `help:"Number of runs, with consecutive seeds." default:"1"`
 	Duration time.Duration `help:"How long faults are injected in each run." default:"20s"`
@@ -41,10 +42,16 @@
 			return err
 		}
 	}
+	oldProgram := ""
+	if c.Old != "" {
+		if oldProgram, err = soak.BuildCommit(ctx, directory, c.Old); err != nil {
+			return err
+		}
+	}
 	violations := 0
 	for i := range c.Seeds {
 		report, err := soak.Run(ctx, soak.Config{
-			Program: program, Directory: directory, Seed: c.Seed + uint64(i), Duration: c.Duration, Daemons: c.Daemons, Rate: c.Rate,
+			Program: program, OldProgram: oldProgram, Directory: directory, Seed: c.Seed + uint64(i), Duration: c.Duration, Daemons: c.Daemons, Rate: c.Rate,
 		})
 		if err != nil {
 			return err
