--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -106,9 +106,8 @@
 	deps         Deps
 	settings     sched.Settings
 	activeConfig atomic.Pointer[activeConfig]
-	// refuseAfter is the Unix time in nanoseconds after which new calls are refused; 0
-	// while the daemon is not leaving.
-	refuseAfter atomic.Int64
+	// refuseAfter is the time after which new calls are refused; nil while the daemon is not leaving.
+	refuseAfter atomic.Pointer[time.Time]
 	// leaveCtx ends the calls that wait for a server, stopCtx ends all calls.
 	leaveCtx, stopCtx       context.Context
 	cancelLeave, cancelStop context.CancelFunc
@@ -320,7 +319,7 @@
 // that wait for a server are refused, and from refuseAt on new calls are refused, because
 // the daemon could not finish them.
 func (f *Front) Leave(refuseAt time.Time) {
-	f.refuseAfter.Store(refuseAt.UnixNano())
+	f.refuseAfter.Store(&refuseAt)
 	f.cancelLeave()
 }
 
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -147,7 +147,7 @@
 // refuseLeaving refuses the call, and returns true, if the daemon is leaving and could not finish the call.
 func (c *call) refuseLeaving() bool {
 	at := c.front.refuseAfter.Load()
-	if at == 0 || time.Now().UnixNano() <= at {
+	if at == nil || !time.Now().After(*at) {
 		return false
 	}
 	c.refuse(code.Stopping, minRetryAfter, "leaving")
@@ -329,7 +329,7 @@
 // writeHead writes the head of the response. A leaving daemon closes the connection after
 // the response.
 func (c *call) writeHead(status int) {
-	if c.front.refuseAfter.Load() != 0 {
+	if c.front.refuseAfter.Load() != nil {
 		c.writer.Header().Set("Connection", "close")
 	}
 	c.writer.WriteHeader(status)
