--- a/limpetlab/soak/retries_test.go
+++ b/limpetlab/soak/retries_test.go
@@ -34,22 +34,25 @@
 	for i, e := range r.platform.Engines {
 		e.SetFault(randomFaults(rand.New(rand.NewPCG(1, uint64(i))), 0.6, stand.Failure))
 	}
+	const calm, gap, restarts = 24 * time.Second, 2500 * time.Millisecond, 4
 	restartsEnd := make(chan struct{})
 	go func() {
 		defer close(restartsEnd)
-		for range 7 {
-			time.Sleep(2500 * time.Millisecond)
-			var restarts sync.WaitGroup
+		time.Sleep(calm)
+		for range restarts {
+			var running sync.WaitGroup
 			for i, d := range r.daemons {
-				restarts.Go(func() { r.restart(d, rand.New(rand.NewPCG(2, uint64(i))), d.kill) })
+				running.Go(func() { r.restart(d, rand.New(rand.NewPCG(2, uint64(i))), d.kill) })
 			}
-			restarts.Wait()
+			running.Wait()
+			time.Sleep(gap)
 		}
 	}()
-	counts := r.platform.SendCalls(t.Context(), r.callerAddresses(), 1, 180, 25*time.Second)
+	counts := r.platform.SendCalls(t.Context(), r.callerAddresses(), 1, 180, calm+restarts*gap)
 	<-restartsEnd
 	require.Positive(t, counts.Served)
 	use := r.platform.RetryUse(stand.EngineName)
 	t.Log(use)
+	require.Positive(t, use.Retries)
 	require.LessOrEqual(t, use.Excess(), 0.0, "%s", use)
 }
