--- a/limpetd/sched/reserve_test.go
+++ b/limpetd/sched/reserve_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/limpetlb/limpetlb/limpetd/layout"
@@ -314,3 +315,20 @@
 	}
 	return out
 }
+
+// TestReservationRequestOfAnotherBuildIsRead guards against daemons of two builds that don't understand each other while
+// they are replaced: arrays with more or fewer fields are read.
+func TestReservationRequestOfAnotherBuildIsRead(t *testing.T) {
+	raw, err := msgpack.Marshal(sched.ReservationRequest{Service: "llm", Model: "m", Tokens: 7, Excluded: []string{"e1"}})
+	require.NoError(t, err)
+	var fields []any
+	require.NoError(t, msgpack.Unmarshal(raw, &fields))
+	for _, other := range [][]any{append(fields[:len(fields):len(fields)], "new field"), fields[:len(fields)-1]} {
+		raw, err := msgpack.Marshal(other)
+		require.NoError(t, err)
+		var r sched.ReservationRequest
+		require.NoError(t, msgpack.Unmarshal(raw, &r))
+		require.Equal(t, "llm", r.Service)
+		require.Equal(t, 7, r.Tokens)
+	}
+}
--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetlb/limpetlb/platform/stand"
@@ -141,3 +142,21 @@
 	require.ErrorIs(t, d.leave(), errExitTimeout)
 	require.NoError(t, d.end())
 }
+
+// TestUpgradeSoak replaces daemons of the build that is named as in production by those of the present build, and back,
+// one after the other.
+func TestUpgradeSoak(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("..", "..", "deploy", "system.toml"))
+	require.NoError(t, err)
+	var deployment struct{ Production string }
+	require.NoError(t, toml.Unmarshal(raw, &deployment))
+	directory := t.TempDir()
+	program, err := Build(t.Context(), directory)
+	require.NoError(t, err)
+	old, err := BuildCommit(t.Context(), directory, deployment.Production)
+	require.NoError(t, err)
+	report, err := Run(t.Context(), Config{Program: program, OldProgram: old, Directory: directory, Seed: 1, Duration: 12 * time.Second, Daemons: 3, Rate: 60})
+	require.NoError(t, err)
+	require.Empty(t, report.Violations, "%+v", report)
+	require.GreaterOrEqual(t, report.Faults["replaced"], 3)
+}
