front: Let a retry count longer if the silent server before it may still read the call

A call that leaves a silent server for an assigned one may arrive at the first one later than at the second, as a retry. Only calls without an assigned server took this into account.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -116,8 +116,8 @@
 	f.mu.Lock()
 	now := time.Now()
 	f.balancer.RecordResult(a.server.ID, &a.call.schedCall, r, a.started, now)
+	a.call.unanswered = a.call.unanswered || a.conn != nil && a.begunAt.IsZero()
 	if a.call.alternative == nil {
-		a.call.unanswered = a.call.unanswered || a.conn != nil && a.begunAt.IsZero()
 		a.call.settleRetry(now)
 	}
 	if r == sched.Answered {
