sched: Let daemons that started with the traffic retry after a window

In its second window a process now counts 0.6 of its calls in any case: its callers have hardly come from daemons that used the budget for them.

--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -11,6 +11,9 @@
 	// of all daemons yet.
 	ratioShare = 0.98
 	slackShare = 0.9
+	// newCallsShare is the part of the calls of a window that counts at a daemon that runs for less than two windows,
+	// although the window before had fewer. Few of its callers come from daemons that have used the budget for them.
+	newCallsShare = 0.6
 	// shrunkShare is ratioShare after daemons have gone, whose retries the others can't know.
 	shrunkShare = 0.9
 	// slotsPerWindow is the number of slots into which a window is divided.
@@ -25,9 +28,9 @@
 //
 // All times are differences between readings of the monotonic clock, so that a jump of the time of day changes
 // nothing. A retry counts from when it is allowed until a window after it has arrived at its server, which may be
-// later. Calls count only as far as the daemon had as many in the window before: otherwise a daemon that takes over
-// the callers of another one would also get the budget which that one has used. A daemon that has just started thus
-// allows no retries, since those of the process before it may lie in the window.
+// later. A daemon that has just started allows no retries, since those of the process before it may lie in the
+// window. Calls count only as far as the window before had as many: a daemon that takes over the callers of another
+// one would otherwise get the budget again which that one has used.
 type budget struct {
 	calls, retries slots
 	// pending is the number of retries that may not have arrived yet.
@@ -115,11 +118,16 @@
 // budgetMemory is how long after its decision a retry may count.
 func (b *Balancer) budgetMemory() time.Duration { return b.settings.RetryWindow + lateArrival }
 
+// startedWithin reports whether this process runs for less than a time, and another one may have run before.
+func (b *Balancer) startedWithin(d time.Duration, now time.Time) bool {
+	return !b.settings.FirstStart && now.Sub(b.startedAt) < d
+}
+
 // sharingDaemons returns the number of daemons by which the slack of the retry budgets is divided: the largest one
 // in the last window, since a daemon that is gone may have used its part. It is 0 as long as the list of daemons is
-// unknown, or the process before this one may have used the part of this daemon.
+// unknown.
 func (b *Balancer) sharingDaemons(now time.Time) int {
-	if len(b.daemonCounts) == 0 || !b.settings.FirstStart && now.Sub(b.startedAt) < b.budgetMemory() {
+	if len(b.daemonCounts) == 0 {
 		return 0
 	}
 	most := b.daemons
@@ -215,8 +223,13 @@
 	current := g.calls.sum(slot-slotsPerWindow+1, slot)
 	before := g.calls.sum(slot-2*slotsPerWindow+1, slot-slotsPerWindow)
 	u.Calls = min(current, before)
-	u.Limit = b.ratioShare(now)*b.settings.RetryRatio*float64(u.Calls) + float64(b.slack(u.Daemons))
-	u.Limit += b.rounding(u.Daemons)
+	switch {
+	case b.startedWithin(b.budgetMemory(), now):
+		return u
+	case b.startedWithin(2*b.budgetMemory(), now):
+		u.Calls = max(u.Calls, int(newCallsShare*float64(current)))
+	}
+	u.Limit = b.ratioShare(now)*b.settings.RetryRatio*float64(u.Calls) + float64(b.slack(u.Daemons)) + b.rounding(u.Daemons)
 	return u
 }
 
--- a/limpetd/sched/budget_test.go
+++ b/limpetd/sched/budget_test.go
@@ -264,7 +264,14 @@
 
 // Callers move from one half of the daemons to the other.
 func TestRetriesOfMovedCallersStayWithinBudget(t *testing.T) {
-	f := newRetryFleet(t, 1, 6)
+	for seed := range uint64(20) {
+		f := newRetryFleet(t, seed, 6)
+		moveCallers(f)
+		f.requireWithinBudget()
+	}
+}
+
+func moveCallers(f *retryFleet) {
 	for range 4 {
 		f.run(20*time.Second, 90, 0)
 		f.exhaust()
@@ -277,7 +284,6 @@
 		}
 		f.run(10*time.Second, 90, 1)
 	}
-	f.requireWithinBudget()
 }
 
 // A service with few calls has little more than the slack, of which each of many daemons has less than one retry.
@@ -289,3 +295,20 @@
 		require.GreaterOrEqual(f.t, len(f.arrivals), retrySlack*4/5)
 	})
 }
+
+// A daemon that is added takes callers of the others, which have used the budget for them.
+func TestRetriesOfAddedDaemonsStayWithinBudget(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newRetryFleet(t, seed, 6)
+		f.run(40*time.Second, 90, 0)
+		f.daemons, f.weights = append(f.daemons, nil), append(f.weights, 1)
+		for i, b := range f.daemons[:6] {
+			b.SetDaemons(len(f.daemons), i, f.now)
+		}
+		f.restart(6)
+		f.run(3*time.Second, 90, 0)
+		f.exhaust()
+		f.run(20*time.Second, 90, 1)
+		f.requireWithinBudget()
+	}
+}
