--- a/limpetlab/link/link.go
+++ b/limpetlab/link/link.go
@@ -16,6 +16,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -44,9 +45,16 @@
 // was closed.
 const holdCheckPeriod = 50 * time.Millisecond
 
-// Start opens a link to target on a loopback address of its own.
+// processIP is a loopback address that only the links of this process use, so that no other connection takes the
+// port of a link while the link is cut.
+var processIP = func() string {
+	id := os.Getpid()
+	return net.IPv4(127, byte(128+id>>16&0x3f), byte(id>>8), byte(id)).String()
+}()
+
+// Start opens a link to target.
 func Start(target string) (*Link, error) {
-	l := &Link{target: target, address: "127.0.0.1:0", conns: make(map[net.Conn]bool), healed: make(chan struct{})}
+	l := &Link{target: target, address: net.JoinHostPort(processIP, "0"), conns: make(map[net.Conn]bool), healed: make(chan struct{})}
 	return l, l.ClearFaults()
 }
 
--- a/limpetlab/link/link_test.go
+++ b/limpetlab/link/link_test.go
@@ -133,3 +133,17 @@
 		forward.Cut()
 	}
 }
+
+// TestCutLinkKeepsItsPort guards against a link that can't be restored because another connection has its port.
+func TestCutLinkKeepsItsPort(t *testing.T) {
+	l, err := link.Start(startEchoServer(t))
+	require.NoError(t, err)
+	l.Cut()
+	t.Cleanup(l.Cut)
+	_, port, err := net.SplitHostPort(l.Address())
+	require.NoError(t, err)
+	other, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", port))
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, other.Close()) })
+	require.NoError(t, l.ClearFaults())
+}
