--- a/limpetd/front/retries.go
+++ b/limpetd/front/retries.go
@@ -43,8 +43,8 @@
 	return allowed
 }
 
-// settleRetry tells the retry budget that the last retry of the call has arrived at its server, or never will. The
-// caller must hold the mu of the Front.
+// settleRetry reports to the retry budget that the pending retry of the call, if there is one, has arrived or was not
+// sent. The caller must hold the mu of the Front.
 func (c *call) settleRetry(now time.Time) {
 	if c.retryPending {
 		c.retryPending = false
--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -14,23 +14,21 @@
 	// newCallsShare is the part of the calls of a window that counts at a daemon that runs for less than two windows,
 	// although the window before had fewer. Few of its callers come from daemons that have used the budget for them.
 	newCallsShare = 0.6
-	// shrunkShare is ratioShare after daemons have gone, whose retries the others can't know.
+	// shrunkShare replaces ratioShare for two windows after the number of daemons has fallen.
 	shrunkShare = 0.9
 	// slotsPerWindow is the number of slots into which a window is divided.
 	slotsPerWindow = 100
-	// lateArrival is how much later than a daemon has given a server up, or has ended, a call that was sent to
-	// the server may arrive: a server that is sound may be silent for a second or two.
+	// lateArrival is the longest time after the end of an attempt at which a silent server may still read the call.
 	lateArrival = 2 * time.Second
 )
 
 // budget counts the calls and retries of a service, and limits the retries to the part of the daemon in the budget
 // that all daemons share.
 //
-// All times are differences between readings of the monotonic clock, so that a jump of the time of day changes
-// nothing. A retry counts from when it is allowed until a window after it has arrived at its server, which may be
-// later. A daemon that has just started allows no retries, since those of the process before it may lie in the
-// window. Calls count only as far as the window before had as many: a daemon that takes over the callers of another
-// one would otherwise get the budget again which that one has used.
+// Times are differences of monotonic clock readings, which jumps of the time of day do not affect. A retry counts from
+// its decision until a window after its arrival. A new process allows no retries for a window, because it does not know
+// those of the process before it. The calls of a window are limited to those of the previous one: a daemon that takes
+// over the callers of another one must not use the budget for them a second time.
 type budget struct {
 	calls, retries slots
 	// pending is the number of retries that may not have arrived yet.
@@ -161,8 +159,8 @@
 	}
 }
 
-// slot returns the number of the slot of a time. The first slot is one window after that of the start, so that
-// numbers are positive.
+// slot returns the number of the slot of a time. The slot of the start is slotsPerWindow, so that a window that ends
+// there has no negative numbers.
 func (b *Balancer) slot(now time.Time) int64 {
 	return slotsPerWindow + int64(now.Sub(b.startedAt)*slotsPerWindow/b.settings.RetryWindow)
 }
@@ -196,9 +194,8 @@
 	return true
 }
 
-// SettleRetry records that a retry which TakeRetry has allowed will have arrived at its server at a time, or never
-// will. unanswered is whether the server, or one that the call was sent to before, has not answered: such a
-// server may still read the call.
+// SettleRetry records that a retry that TakeRetry has allowed has arrived or was not sent. unanswered is whether any
+// server that the call was sent to has not answered, so that it may still read the call.
 func (b *Balancer) SettleRetry(service string, unanswered bool, now time.Time) {
 	g := b.budget(service, now)
 	g.pending--
@@ -233,8 +230,8 @@
 	return u
 }
 
-// rounding returns the part of a retry that is added to the limit. With many daemons, the parts of a retry that
-// each of them loses add up, so that some have to round up. Consecutive multiples of the golden ratio spread evenly.
+// rounding returns a fraction of a retry that is added to the limit. Limits are rounded down to whole retries, which
+// loses half a retry per daemon; multiples of the golden ratio by rank let about half of many daemons round up.
 func (b *Balancer) rounding(daemons int) float64 {
 	_, part := math.Modf(math.Phi * float64(b.rankOfDaemon))
 	return part * (1 - 1/math.Sqrt(float64(max(daemons, 1))))
--- a/limpetd/sched/budget_test.go
+++ b/limpetd/sched/budget_test.go
@@ -15,8 +15,7 @@
 )
 
 // The retry budget of the tests: in each window, a service may get retryRatio times its calls, plus retrySlack, as
-// retries. The calls are those of the window, of the one before it or of the one half a window before it, whichever
-// has the most.
+// retries. The calls are the largest count of the window, the previous window, and the window half a window earlier.
 const (
 	retryRatio  = 0.2
 	retrySlack  = 52
