--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -20,22 +20,24 @@
 	// inject injects a fault with random choices from random, and returns when the
 	// fault is over.
 	inject func(r *run, random *rand.Rand)
+	// restarts is whether daemons end and start again.
+	restarts bool
 }
 
 // faultKinds lists the kinds of faults. The random source of a run selects them by index,
 // so new kinds are appended.
 var faultKinds = []faultKind{
-	{"kill", (*run).kill},
-	{"leave", (*run).leave},
-	{"freeze", (*run).freeze},
-	{"reload", (*run).reload},
-	{"herd_kill", (*run).killAll},
-	{"store_faults", (*run).storeFaults},
-	{"store_forgets", func(r *run, _ *rand.Rand) { r.platform.Store.DropHistory() }},
-	{"store_link", func(r *run, random *rand.Rand) { disturbLink(r.stores[random.IntN(len(r.stores))], random) }},
-	{"server_link", func(r *run, random *rand.Rand) { disturbLink(r.servers[random.IntN(len(r.servers))], random) }},
-	{"server_faults", (*run).serverFaults},
-	{"configuration", (*run).changeConfiguration},
+	{"kill", (*run).kill, true},
+	{"leave", (*run).leave, true},
+	{"freeze", (*run).freeze, false},
+	{"reload", (*run).reload, false},
+	{"herd_kill", (*run).killAll, true},
+	{"store_faults", (*run).storeFaults, false},
+	{"store_forgets", func(r *run, _ *rand.Rand) { r.platform.Store.DropHistory() }, false},
+	{"store_link", func(r *run, random *rand.Rand) { disturbLink(r.stores[random.IntN(len(r.stores))], random) }, false},
+	{"server_link", func(r *run, random *rand.Rand) { disturbLink(r.servers[random.IntN(len(r.servers))], random) }, false},
+	{"server_faults", (*run).serverFaults, false},
+	{"configuration", (*run).changeConfiguration, false},
 }
 
 // injectFaults starts faults with short pauses until the duration is over, so that faults
@@ -65,9 +67,11 @@
 	failureRandom := rand.New(rand.NewPCG(r.config.Seed, 21))
 	r.running.Go(func() { r.failCalls(breaking, failureRandom) })
 	upgradeRandom := rand.New(rand.NewPCG(r.config.Seed, 19))
-	if r.config.OldProgram == "" {
+	switch {
+	case r.config.KeepDaemons:
+	case r.config.OldProgram == "":
 		r.running.Go(func() { r.restartInSeries(breaking, seriesRandom) })
-	} else {
+	default:
 		r.running.Go(func() { r.upgrade(breaking, upgradeRandom) })
 	}
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -75,10 +79,10 @@
 		// Each fault has its own random source, so that the order in which overlapping
 		// faults draw numbers does not matter.
 		faultRandom := rand.New(rand.NewPCG(r.random.Uint64(), 3))
-		r.mu.Lock()
-		r.faults[kind.name]++
-		r.mu.Unlock()
-		r.running.Go(func() { kind.inject(r, faultRandom) })
+		if !kind.restarts || !r.config.KeepDaemons {
+			r.count(kind.name)
+			r.running.Go(func() { kind.inject(r, faultRandom) })
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(randomDuration(r.random, 0, maxFaultPause)):
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -46,6 +46,9 @@
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	Daemons  int
+	// KeepDaemons leaves out the faults that restart daemons, so that they use their retry budget: a daemon that has
+	// just started retries nothing.
+	KeepDaemons bool
 	// Rate is the number of calls per second.
 	Rate int
 }
--- a/limpetlab/soak_command.go
+++ b/limpetlab/soak_command.go
@@ -18,6 +18,7 @@
 	Seeds    int           `help:"Number of runs, with consecutive seeds." default:"1"`
 	Duration time.Duration `help:"How long faults are injected in each run." default:"20s"`
 	Daemons  int           `help:"Number of daemons." default:"4"`
+	Steady   bool          `help:"Restart no daemons, so that they use their retry budget."`
 	Rate     int           `help:"Calls per second." default:"60"`
 	Keep     string        `help:"Directory for the settings and logs of the daemons; if empty, a temporary directory that is deleted at the end."`
 	JSON     bool          `help:"Print one JSON object per seed."`
@@ -51,7 +52,7 @@
 	violations := 0
 	for i := range c.Seeds {
 		report, err := soak.Run(ctx, soak.Config{
-			Program: program, OldProgram: oldProgram, Directory: directory, Seed: c.Seed + uint64(i), Duration: c.Duration, Daemons: c.Daemons, Rate: c.Rate,
+			Program: program, OldProgram: oldProgram, Directory: directory, Seed: c.Seed + uint64(i), Duration: c.Duration, Daemons: c.Daemons, KeepDaemons: c.Steady, Rate: c.Rate,
 		})
 		if err != nil {
 			return err
