sched: Ignore samples of silent engines

The lease holder took 1.1 to 3.3 ms for a token of a prompt, a hundred times too much: each sample of a silent engine could double the estimate, and since engines were then reserved nearly all the time, few sound samples arrived to lower it.

The test has ten silences and fails before (78 instead of less than 61 us); engines that become 4 or 12 times slower are noticed within ten seconds.

--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -286,8 +286,9 @@
 func (f *Front) RecordSamples(list []sched.Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	for _, s := range list {
-		f.balancer.RecordSample(s)
+		f.balancer.RecordSample(s, now)
 	}
 }
 
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -30,10 +30,13 @@
 	maxSlope = 1.5
 	// maxSample is the longest sample that is used: an engine that takes longer is unhealthy.
 	maxSample = time.Second
-	// maxSampleRatio is how many times as long as estimated a sample may count at the most. An engine that is silent
-	// for a moment gives samples many times as long, which say nothing about its speed; engines that have become
-	// slower give many samples, each of which raises the estimate.
+	// maxSampleRatio is how many times as long as estimated a sample counts at the most.
 	maxSampleRatio = 2.0
+	// A sample of more than outlierRatio times the estimate is ignored, unless no sample was below soundRatio times the
+	// estimate for outlierTerm: engines that are silent for a moment are not slow.
+	outlierRatio = 2.5
+	soundRatio   = 1.5
+	outlierTerm  = 2500 * time.Millisecond
 )
 
 // prefillFit estimates the time that engines take to prefill a token: the slope of a line
@@ -51,6 +54,24 @@
 	// tokens and took are decayed sums of the sizes and times of the samples, squares of
 	// tokens*tokens, products of tokens*took.
 	tokens, took, squares, products float64
+	// outliersSince is when the first outlier arrived since the last sound sample; zero if there was none.
+	outliersSince time.Time
+}
+
+// limit returns the time with which a sample counts of which another time was expected. It returns false if the sample
+// is to be ignored.
+func (p *prefillFit) limit(took, expected float64, now time.Time) (float64, bool) {
+	switch {
+	case took <= soundRatio*expected:
+		p.outliersSince = time.Time{}
+	case took <= outlierRatio*expected:
+	case p.outliersSince.IsZero():
+		p.outliersSince = now
+		return 0, false
+	case now.Sub(p.outliersSince) < outlierTerm:
+		return 0, false
+	}
+	return min(took, maxSampleRatio*expected), true
 }
 
 func (p *prefillFit) add(tokens, took float64) {
@@ -91,29 +112,43 @@
 	return prefillSpeeds{services: map[string]*prefillFit{}, models: map[string]*prefillFit{}}
 }
 
-// add adds a sample to the fits of its service and its model, unless the sample is invalid
-// or too long.
-func (v *prefillSpeeds) add(s Sample) {
+// add adds a sample to the fits of its service and its model, unless the sample is invalid, too long or an outlier.
+func (v *prefillSpeeds) add(s Sample, now time.Time) {
 	if s.Took <= 0 || s.Took > maxSample || s.Tokens <= 0 {
 		return
 	}
+	service := fitOf(v.services, s.Service)
+	known, base, prior := service.weight >= priorWeight, service.base, service.perToken(float64(initialPerToken))
+	model := fitOf(v.models, s.Service+"/"+s.Model)
+	modelBase := base
+	if model.weight > 0 {
+		modelBase = model.base
+	}
+	tokens := float64(s.Tokens)
 	for _, target := range []struct {
-		fits map[string]*prefillFit
-		key  string
-	}{{v.services, s.Service}, {v.models, s.Service + "/" + s.Model}} {
-		p := target.fits[target.key]
-		if p == nil {
-			p = &prefillFit{}
-			target.fits[target.key] = p
+		fit      *prefillFit
+		expected float64
+	}{{service, base + prior*tokens}, {model, modelBase + model.perToken(prior)*tokens}} {
+		took, ok := float64(s.Took), true
+		if known {
+			took, ok = target.fit.limit(took, target.expected, now)
 		}
-		took := float64(s.Took)
-		if p.weight >= priorWeight {
-			took = min(took, maxSampleRatio*(p.base+p.perToken(float64(initialPerToken))*float64(s.Tokens)))
+		if ok {
+			target.fit.add(tokens, took)
 		}
-		p.add(float64(s.Tokens), took)
 	}
 }
 
+// fitOf returns the fit of a key. It creates a missing one.
+func fitOf(fits map[string]*prefillFit, key string) *prefillFit {
+	p := fits[key]
+	if p == nil {
+		p = &prefillFit{}
+		fits[key] = p
+	}
+	return p
+}
+
 // perToken returns the time to prefill a token of a model's prompts, in nanoseconds. The
 // estimate for the service is the prior of the estimate for the model.
 func (v *prefillSpeeds) perToken(service, model string) float64 {
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -236,7 +236,7 @@
 }
 
 // RecordSample records how long an engine that had no other prompt took to a first event.
-func (b *Balancer) RecordSample(s Sample) { b.prefillSpeeds.add(s) }
+func (b *Balancer) RecordSample(s Sample, now time.Time) { b.prefillSpeeds.add(s, now) }
 
 // PrefillTimePerToken returns the time that engines take to prefill one token of a model's
 // prompts.
--- a/limpetd/sched/reserve_test.go
+++ b/limpetd/sched/reserve_test.go
@@ -98,7 +98,7 @@
 				speed int
 			}{{"quick", 8}, {"slow", 1}} {
 				took := 50*time.Millisecond + time.Duration(tokens)*perToken/time.Duration(m.speed)
-				b.RecordSample(sched.Sample{Service: "llm", Model: m.name, Tokens: tokens, Took: took})
+				b.RecordSample(sched.Sample{Service: "llm", Model: m.name, Tokens: tokens, Took: took}, start.Add(time.Duration(i)*time.Second))
 			}
 		}
 		require.InEpsilon(t, float64(perToken), float64(b.PrefillTimePerToken("llm", "slow")), 0.2)
@@ -300,7 +300,7 @@
 				balancers[p.from].RecordFirstEvent(id, call("m"), 1, p.sent, at)
 				balancers[p.from].RecordResult(id, call("m"), sched.Answered, true, at)
 				if p.alone {
-					balancers[0].RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: p.size, Took: at.Sub(p.sent)})
+					balancers[0].RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: p.size, Took: at.Sub(p.sent)}, at)
 				}
 			}, func(s *stream) {
 				out.ended++
--- a/limpetd/sched/sched_test.go
+++ b/limpetd/sched/sched_test.go
@@ -240,17 +240,26 @@
 // the time that calls waited for them enters the estimate of how fast they read prompts.
 func TestSilenceOfEnginesIsNoSlowness(t *testing.T) {
 	b := newBalancer()
+	now := start
 	sample := func(n int, took func(i int, usual time.Duration) time.Duration) {
 		for i := range n {
 			tokens := 300 + 400*(i%4)
 			usual := 10*time.Millisecond + time.Duration(tokens)*30*time.Microsecond
-			b.RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: tokens, Took: took(i, usual)})
+			now = now.Add(50 * time.Millisecond)
+			b.RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: tokens, Took: took(i, usual)}, now)
 		}
 	}
-	sample(200, func(_ int, usual time.Duration) time.Duration { return usual })
+	sound := func(_ int, usual time.Duration) time.Duration { return usual }
+	sample(200, sound)
 	before := b.PrefillTimePerToken("llm", "m")
-	sample(12, func(i int, usual time.Duration) time.Duration { return usual + time.Duration(i)*80*time.Millisecond })
-	require.Less(t, b.PrefillTimePerToken("llm", "m"), 2*before)
-	sample(200, func(_ int, usual time.Duration) time.Duration { return 4 * usual })
-	require.Greater(t, b.PrefillTimePerToken("llm", "m"), 3*before, "engines that have become slower are noticed")
+	for range 10 {
+		sample(12, func(i int, usual time.Duration) time.Duration { return usual + time.Duration(i)*80*time.Millisecond })
+		require.Less(t, b.PrefillTimePerToken("llm", "m"), 2*before)
+		sample(4, sound)
+	}
+	require.Less(t, b.PrefillTimePerToken("llm", "m"), 2*before, "silences add up")
+	for _, factor := range []time.Duration{4, 12} {
+		sample(200, func(_ int, usual time.Duration) time.Duration { return factor * usual })
+		require.Greater(t, float64(b.PrefillTimePerToken("llm", "m")), 0.75*float64(factor)*float64(before), "engines that have become slower are noticed")
+	}
 }
