front: Log and count calls that a server has not answered

The budget counts a call that its daemon gave up as read after 2 s, and nothing showed which calls a server could still read. call_unanswered names server, request and silence; front_unanswered counts them.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -116,7 +116,9 @@
 	f.mu.Lock()
 	now := time.Now()
 	f.balancer.RecordResult(a.server.ID, &a.call.schedCall, r, a.started, now)
-	a.call.unanswered = a.call.unanswered || a.conn != nil && a.begunAt.IsZero()
+	if a.conn != nil && a.begunAt.IsZero() {
+		a.recordUnanswered(r, now)
+	}
 	if a.call.alternative == nil {
 		a.call.settleRetry(now)
 	}
@@ -130,6 +132,15 @@
 	f.mu.Unlock()
 }
 
+// recordUnanswered records that the server has not answered the call, and may still read it. The caller must hold mu.
+func (a *attempt) recordUnanswered(r sched.Result, now time.Time) {
+	f := a.call.front
+	a.call.unanswered = true
+	f.metrics.unanswered.Inc(1)
+	f.deps.Log.Info("call_unanswered", zap.String("server", a.server.ID), zap.String("request", a.call.info.ID), zap.Int("result", int(r)),
+		zap.Duration("waited", now.Sub(a.sentAt)), zap.Duration("silent", f.balancer.SilentFor(a.server.ID, now)))
+}
+
 // recordStart records that the response has begun, and the load that it reports.
 func (a *attempt) recordStart(r ResponseHeaders) {
 	f, now := a.call.front, time.Now()
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -16,7 +16,9 @@
 	retried     tally.Counter
 	// retriesAllowed and retriesDenied count the decisions of the retry budgets.
 	retriesAllowed, retriesDenied tally.Counter
-	resumed                       tally.Counter
+	// unanswered counts the attempts that ended before their server had answered, so that it may still read the call.
+	unanswered tally.Counter
+	resumed    tally.Counter
 	// broken counts the responses that servers broke off.
 	broken tally.Counter
 	// enginesEnded counts the engines that ended while calls of this daemon ran on them.
@@ -52,6 +54,7 @@
 		retried:         s.Counter("repeated"),
 		retriesAllowed:  s.Counter("retries_allowed"),
 		retriesDenied:   s.Counter("retries_denied"),
+		unanswered:      s.Counter("unanswered"),
 		resumed:         s.Counter("resumed"),
 		broken:          s.Counter("broken"),
 		enginesEnded:    s.Counter("engines_ended"),
