--- a/limpetlab/main.go
+++ b/limpetlab/main.go
@@ -20,6 +20,7 @@
 	Demo       demoCommand       `cmd:"" help:"Run a whole deployment in one process under load and faults, and check its invariants."`
 	Load       loadCommand       `cmd:"" help:"Send requests to running daemons, or to a daemon started in this process, and print latency percentiles."`
 	SoakDaemon soakDaemonCommand `cmd:"" hidden:"" help:"Run a daemon of the fault soak."`
+	SoakLink   soakLinkCommand   `cmd:"" hidden:"" help:"Run a link to a server of the fault soak."`
 	Soak       soakCommand       `cmd:"" help:"Run the daemons of the users' platform as processes under injected faults, and check their invariants."`
 	Stand      standCommand      `cmd:"" help:"Run only the stand-ins, for daemons that are started by hand."`
 }
--- a/limpetlab/soak/retries_test.go
+++ b/limpetlab/soak/retries_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -21,7 +22,9 @@
 		config: Config{Program: program, Directory: t.TempDir(), Seed: 1, Daemons: daemons}, random: rand.New(rand.NewPCG(1, 2)),
 		faults: map[string]int{}, serverLinks: map[string]*link.Link{},
 	}
-	r.platform, err = stand.New(t.Context(), stand.Config{Engines: engines, Models: models, ModelsPerEngine: 3, PlainServers: plainServers, LoadTime: modelLoadTime})
+	r.platform, err = stand.New(t.Context(), stand.Config{
+		Engines: engines, Models: models, ModelsPerEngine: 3, PlainServers: plainServers, LoadTime: modelLoadTime, ProxyAddress: r.startStoppableLink,
+	})
 	require.NoError(t, err)
 	require.NoError(t, r.start(t.Context()))
 	t.Cleanup(func() { require.NoError(t, r.stop()) })
@@ -56,3 +59,35 @@
 	require.Positive(t, use.Retries)
 	require.LessOrEqual(t, use.Excess(), 0.0, "%s", use)
 }
+
+// TestRetriesOfCallsThatStoppedServersReadLateStayWithinBudget guards against calls that count as read by a server that
+// is stopped, which reads them when it goes on.
+func TestRetriesOfCallsThatStoppedServersReadLateStayWithinBudget(t *testing.T) {
+	const (
+		engines, stopped = 6, 3
+		calm, stop       = 16 * time.Second, 18 * time.Second
+		// failing is how long after the stop the other engines begin to fail.
+		failing, rest = 4 * time.Second, 4 * time.Second
+	)
+	r := startRun(t, 4, engines)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r.running.Go(func() {
+		sleep(ctx, calm)
+		r.stopFor(ctx, stop, []int{0, 1, 2}[:stopped])
+	})
+	r.running.Go(func() {
+		sleep(ctx, calm+failing)
+		for i, e := range r.platform.Engines {
+			e.SetFault(randomFaults(rand.New(rand.NewPCG(1, uint64(i))), 0.6, stand.Failure))
+		}
+	})
+	counts := r.platform.SendCalls(t.Context(), r.callerAddresses(), 1, 180, calm+stop+rest)
+	cancel()
+	r.running.Wait()
+	use := r.platform.RetryUse(stand.EngineName)
+	t.Log(use, counts)
+	require.Positive(t, counts.Served)
+	require.Positive(t, use.Retries)
+	require.LessOrEqual(t, use.Excess(), 0.0, "%s", use)
+}
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -123,7 +123,9 @@
 	servers []*link.Link
 	// serverLinks holds the links to the servers by the addresses of the servers.
 	serverLinks map[string]*link.Link
-	random      *rand.Rand
+	// linkProcesses are the processes through which daemons reach the servers.
+	linkProcesses []*linkProcess
+	random        *rand.Rand
 
 	mu         sync.Mutex
 	faults     map[string]int
@@ -260,6 +262,9 @@
 	for _, l := range slices.Concat(r.stores, r.servers) {
 		l.Cut()
 	}
+	for _, p := range r.linkProcesses {
+		err = errors.Join(err, p.end())
+	}
 	return err
 }
 
--- /dev/null
+++ b/limpetlab/soak_link_command.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/limpetlb/limpetlb/limpetlab/link"
+)
+
+// soakLinkCommand runs a link to a server in a process of its own, which the fault soak stops and resumes.
+type soakLinkCommand struct {
+	Target string `help:"Address of the server." required:""`
+}
+
+// Run prints the address of the link and runs the link until ctx ends.
+func (c *soakLinkCommand) Run(ctx context.Context) error {
+	l, err := link.Start(c.Target)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Println(l.Address()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
