sched, front: Count a retry until its server is known to have read the call

Callers of services with stopped servers: the servers got more repeats than the budget of all daemons allows, which pushes servers over that have just come back.

Cause: a call that left a silent server counted as read two seconds later. A server whose process is stopped reads what lies in its sockets when it goes on, also from connections that were reset, so the call arrives a second time whenever that is; by then its retry counted no longer, and others had taken its place.

The sends of a call now count together: of k sends of which u may still be read, min(k-1, u) retries are pending and count in every window. A send stops being unread when the server answers a request that was sent after the attempt ended, on the same path, or has started again. Retries that were not sent are returned to the budget.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -63,6 +63,8 @@
 	// begunAt is when the head of the response arrived, lastBytesAt when bytes last did. They
 	// are guarded by the mu of the Front.
 	begunAt, lastBytesAt time.Time
+	// retry is whether the retry budget has allowed the attempt, unwritten whether nothing was written to the connection.
+	retry, unwritten bool
 	// pathLost is whether the attempt ended because the path to the server is lost.
 	pathLost bool
 	// cleared is whether the answer was recorded as evidence for the parts of the prompt.
@@ -100,7 +102,8 @@
 	f.connects.record(a.server, nil, time.Now())
 	a.conn = conn
 	c.outcome.via, c.outcome.tunnel = conn.Tunnel()
-	c.connected++
+	a.retry = c.retryTaken
+	c.recordSend()
 	unbind := conn.Bind(ctx)
 	retry := a.exchange(ctx)
 	c.outcome.received.readError = conn.ReadError()
@@ -116,12 +119,7 @@
 	f.mu.Lock()
 	now := time.Now()
 	f.balancer.RecordResult(a.server.ID, &a.call.schedCall, r, a.started, now)
-	if a.conn != nil && a.begunAt.IsZero() {
-		a.recordUnanswered(r, now)
-	}
-	if a.call.alternative == nil {
-		a.call.settleRetry(now)
-	}
+	a.recordDelivery(r, now)
 	if r == sched.Answered {
 		a.recordAnswer(true, now)
 	}
@@ -132,15 +130,6 @@
 	f.mu.Unlock()
 }
 
-// recordUnanswered records that the server has not answered the call, and may still read it. The caller must hold mu.
-func (a *attempt) recordUnanswered(r sched.Result, now time.Time) {
-	f := a.call.front
-	a.call.unanswered = true
-	f.metrics.unanswered.Inc(1)
-	f.deps.Log.Info("call_unanswered", zap.String("server", a.server.ID), zap.String("request", a.call.info.ID), zap.Int("result", int(r)),
-		zap.Duration("waited", now.Sub(a.sentAt)), zap.Duration("silent", f.balancer.SilentFor(a.server.ID, now)))
-}
-
 // recordStart records that the response has begun, and the load that it reports.
 func (a *attempt) recordStart(r ResponseHeaders) {
 	f, now := a.call.front, time.Now()
@@ -168,6 +157,7 @@
 	r := a.request()
 	if err := a.conn.Write(r); err != nil {
 		a.conn.Close()
+		a.unwritten = true
 		a.finish(sched.Unreachable)
 		return c.retryOrEnd(ctx, code.BackendFailed, "write: "+err.Error())
 	}
@@ -246,7 +236,9 @@
 	f := a.call.front
 	f.mu.Lock()
 	a.begunAt = time.Now()
-	a.call.settleRetry(a.begunAt)
+	vm, _ := a.conn.Tunnel()
+	f.balancer.RecordRead(a.call.delivery, a.begunAt)
+	f.balancer.RecordSpoken(a.server.ID, vm, a.sentAt, a.begunAt)
 	f.ends.hear(a, a.begunAt)
 	f.clearAbandoned(a.server, a.begunAt)
 	a.recordAlive(a.begunAt)
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -49,11 +49,11 @@
 	// runs counts the servers that may have run the call. connected counts the attempts
 	// that obtained a connection: only an attempt after one of these counts as a retry.
 	runs, connected int
-	// retryPending is whether a retry that the budget has allowed may not have arrived yet, unanswered whether a
-	// server that the call was written to has not answered. alternative is the server to which the call is sent
-	// after its present one; nil if none is assigned.
-	retryPending, unanswered bool
-	alternative              *sched.Choice
+	// delivery records the sends for the retry budget. retryTaken is whether the budget has allowed the next send.
+	// alternative is the server to which the call is sent after its present one; nil if none is assigned.
+	delivery    *sched.Delivery
+	retryTaken  bool
+	alternative *sched.Choice
 	// underEnd is whether a server has ended under the call, for which the call may be the cause.
 	underEnd bool
 	// waited is whether the call has waited for a server.
@@ -210,6 +210,7 @@
 	}
 	c.schedCall.Route = route
 	c.schedCall.Service = pickService(route, c.info.ID)
+	c.delivery = sched.NewDelivery(c.schedCall.Service)
 	c.schedCall.Deadline = c.schedCall.Arrived.Add(deadline)
 	c.lastEvent = c.info.LastEvent
 	if s := config.Services[c.schedCall.Service]; s != nil && s.Engines != nil {
--- a/limpetd/front/limits.go
+++ b/limpetd/front/limits.go
@@ -31,6 +31,13 @@
 	f.mu.Unlock()
 }
 
+// RecordSpoken records that a server has answered a request that was sent at a time and is no call.
+func (f *Front) RecordSpoken(s *layout.Server, sentAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.RecordSpoken(s.ID, "", sentAt, time.Now())
+}
+
 // BackoffUntil returns until when a server wants no requests from this daemon; the zero time if it
 // has not asked for that.
 func (f *Front) BackoffUntil(id string) time.Time {
--- a/limpetd/front/retries.go
+++ b/limpetd/front/retries.go
@@ -18,14 +18,9 @@
 // takeRetry reports whether the call may be sent to another server, counts the decision and logs the use of
 // the budget. The caller must hold mu.
 func (f *Front) takeRetry(c *call, now time.Time) bool {
-	if c.retryPending {
-		// The call gives up a server that has not answered.
-		c.unanswered = true
-		c.settleRetry(now)
-	}
 	service := c.schedCall.Service
-	allowed := f.balancer.TakeRetry(service, now)
-	c.retryPending = allowed
+	allowed := f.balancer.TakeRetry(c.delivery, now)
+	c.retryTaken = allowed
 	if allowed {
 		f.metrics.retriesAllowed.Inc(1)
 	} else {
@@ -38,17 +33,45 @@
 	u := f.balancer.RetryUse(service, now)
 	f.deps.Log.Info("retry_budget",
 		zap.String("service", service), zap.String("request", c.info.ID), zap.Bool("allowed", allowed), zap.String("after", c.outcome.reason),
-		zap.Int("calls", u.Calls), zap.Int("retries", u.Retries), zap.Float64("limit", u.Limit), zap.Int("daemons", u.Daemons),
+		zap.Int("calls", u.Calls), zap.Int("retries", u.Retries), zap.Int("pending", u.Pending), zap.Float64("limit", u.Limit), zap.Int("daemons", u.Daemons),
 		zap.Int64("allowed_total", u.Allowed), zap.Int64("denied_total", u.Denied), zap.Duration("age", u.Age))
 	return allowed
 }
 
-// settleRetry reports to the retry budget that the pending retry of the call, if there is one, has arrived or was not
-// sent. The caller must hold the mu of the Front.
-func (c *call) settleRetry(now time.Time) {
-	if c.retryPending {
-		c.retryPending = false
-		c.front.balancer.SettleRetry(c.schedCall.Service, c.unanswered, now)
+// recordSend records that an attempt has a connection, to which the call will be written.
+func (c *call) recordSend() {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !c.retryTaken {
+		f.balancer.RecordFirstSend(c.delivery)
+	}
+	c.retryTaken = false
+	c.connected++
+}
+
+// cancelRetry undoes the decision on a retry that is not sent. The caller must hold the mu of the Front.
+func (c *call) cancelRetry(now time.Time) {
+	if c.retryTaken {
+		c.retryTaken = false
+		c.front.balancer.RecordUnsent(c.delivery, true, now)
+	}
+}
+
+// recordDelivery tells the retry budget what is known of an attempt that has ended. The caller must hold mu.
+func (a *attempt) recordDelivery(r sched.Result, now time.Time) {
+	f, c := a.call.front, a.call
+	switch {
+	case a.conn == nil:
+		c.cancelRetry(now)
+	case a.unwritten:
+		f.balancer.RecordUnsent(c.delivery, a.retry, now)
+	case a.begunAt.IsZero():
+		vm, _ := a.conn.Tunnel()
+		f.balancer.RecordUnread(c.delivery, a.server, vm, now)
+		f.metrics.unanswered.Inc(1)
+		f.deps.Log.Info("call_unanswered", zap.String("server", a.server.ID), zap.String("request", c.info.ID), zap.Int("result", int(r)),
+			zap.Duration("waited", now.Sub(a.sentAt)), zap.Duration("silent", f.balancer.SilentFor(a.server.ID, now)))
 	}
 }
 
@@ -92,7 +115,7 @@
 		f.balancer.RecordResult(c.alternative.Server.ID, &c.schedCall, sched.Cancelled, false, now)
 		c.alternative = nil
 	}
-	c.settleRetry(now)
+	c.cancelRetry(now)
 }
 
 // logEstimate logs the estimates by which the lease holder reserves the engines of a service, when streams
--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -18,15 +18,13 @@
 	shrunkShare = 0.9
 	// slotsPerWindow is the number of slots into which a window is divided.
 	slotsPerWindow = 100
-	// lateArrival is the longest time after the end of an attempt at which a silent server may still read the call.
-	lateArrival = 2 * time.Second
 )
 
 // budget counts the calls and retries of a service, and limits the retries to the part of the daemon in the budget
 // that all daemons share.
 //
 // Times are differences of monotonic clock readings, which jumps of the time of day do not affect. A retry counts from
-// its decision until a window after its arrival. A new process allows no retries for a window, because it does not know
+// its decision until a window after its arrival; Delivery tells when it has arrived. A new process allows no retries for a window, because it does not know
 // those of the process before it. The calls of a window are limited to those of the previous one: a daemon that takes
 // over the callers of another one must not use the budget for them a second time.
 type budget struct {
@@ -78,6 +76,8 @@
 	// Calls and Retries are those that count now, Limit is the number of retries that may count.
 	Calls, Retries int
 	Limit          float64
+	// Pending is the number of retries that may not have arrived yet. Retries contains them.
+	Pending int
 	// Daemons is the number of daemons that share the budget; 0 if it is not known yet.
 	Daemons int
 	// Allowed and Denied count the decisions since the daemon started, which was Age ago.
@@ -181,30 +181,6 @@
 	b.budget(service, now).calls.add(b.slot(now))
 }
 
-// TakeRetry reports whether a call may be retried at a service. If so, the retry counts until a window after the
-// time that is passed to SettleRetry, which must be called once.
-func (b *Balancer) TakeRetry(service string, now time.Time) bool {
-	g := b.budget(service, now)
-	if !b.CanRetry(service, now) {
-		g.denied++
-		return false
-	}
-	g.allowed++
-	g.pending++
-	return true
-}
-
-// SettleRetry records that a retry that TakeRetry has allowed has arrived or was not sent. unanswered is whether any
-// server that the call was sent to has not answered, so that it may still read the call.
-func (b *Balancer) SettleRetry(service string, unanswered bool, now time.Time) {
-	g := b.budget(service, now)
-	g.pending--
-	if unanswered {
-		now = now.Add(lateArrival)
-	}
-	g.retries.add(b.slot(now))
-}
-
 // CanRetry reports whether a call may be retried at a service, without counting a retry.
 func (b *Balancer) CanRetry(service string, now time.Time) bool {
 	u := b.RetryUse(service, now)
@@ -215,7 +191,8 @@
 func (b *Balancer) RetryUse(service string, now time.Time) RetryUse {
 	g := b.budget(service, now)
 	slot := b.slot(now)
-	u := RetryUse{Daemons: b.sharingDaemons(now), Allowed: g.allowed, Denied: g.denied, Age: now.Sub(b.startedAt)}
+	b.settleEnded(now)
+	u := RetryUse{Daemons: b.sharingDaemons(now), Pending: g.pending, Allowed: g.allowed, Denied: g.denied, Age: now.Sub(b.startedAt)}
 	u.Retries = g.pending + g.retries.sum(slot-slotsPerWindow, math.MaxInt64)
 	current := g.calls.sum(slot-slotsPerWindow+1, slot)
 	before := g.calls.sum(slot-2*slotsPerWindow+1, slot-slotsPerWindow)
--- a/limpetd/sched/budget_test.go
+++ b/limpetd/sched/budget_test.go
@@ -76,14 +76,23 @@
 	f.now = f.now.Add(budgetTick)
 }
 
-// retry retries a call if the daemon allows it.
+// retry retries a call whose first server has failed it, if the daemon allows it.
 func (f *retryFleet) retry(b *sched.Balancer) {
-	if b.TakeRetry("llm", f.now) {
+	d := failedCall(b, f.now)
+	if b.TakeRetry(d, f.now) {
 		f.arrivals = append(f.arrivals, f.now.Add(f.late))
-		b.SettleRetry("llm", false, f.now.Add(f.late))
+		b.RecordRead(d, f.now.Add(f.late))
 	}
 }
 
+// failedCall returns a call that a server has read and failed.
+func failedCall(b *sched.Balancer, now time.Time) *sched.Delivery {
+	d := sched.NewDelivery("llm")
+	b.RecordFirstSend(d)
+	b.RecordRead(d, now)
+	return d
+}
+
 // exhaust retries at all daemons until no more is allowed.
 func (f *retryFleet) exhaust() {
 	for _, b := range f.daemons {
@@ -199,7 +208,8 @@
 func TestDaemonWithoutListOfDaemonsUsesNoSlack(t *testing.T) {
 	b := sched.NewBalancer(sched.Settings{RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow}, rand.New(rand.NewPCG(1, 1)))
 	for s := range 60 {
-		require.False(t, b.TakeRetry("llm", start.Add(time.Duration(s)*time.Second)))
+		now := start.Add(time.Duration(s) * time.Second)
+		require.False(t, b.TakeRetry(failedCall(b, now), now))
 	}
 }
 
@@ -233,7 +243,7 @@
 	clock := time.Now()
 	b.SetDaemons(1, 0, clock)
 	exhaust := func(now time.Time) (n int) {
-		for b.TakeRetry("llm", now) {
+		for b.TakeRetry(failedCall(b, now), now) {
 			n++
 		}
 		return n
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -189,6 +189,8 @@
 	adapters  map[string]map[string]bool
 	unloading map[string]map[string]bool
 	budgets   map[string]*budget
+	// unread holds the sends that servers may still read although their attempts have ended, by server ID.
+	unread map[string][]unreadSend
 	// startedAt is when the windows of the budgets began. daemonCounts are the numbers of daemons of the last window.
 	startedAt time.Time
 	// shrunkAt is when the number fell last.
@@ -214,6 +216,7 @@
 		servers:        map[string]*server{},
 		byService:      map[string][]*server{},
 		budgets:        map[string]*budget{},
+		unread:         map[string][]unreadSend{},
 		sendRate:       map[string]*sendRate{},
 		prefillSpeeds:  newPrefillSpeeds(),
 		prefillShares:  prefillShares{},
@@ -236,6 +239,7 @@
 		b.byService[e.Service] = append(b.byService[e.Service], s)
 	}
 	b.servers = servers
+	b.markEnded()
 }
 
 // Leaving reports whether a server of the list is leaving.
--- a/limpetd/sched/sched_test.go
+++ b/limpetd/sched/sched_test.go
@@ -115,7 +115,7 @@
 					calls[s]++
 				}
 				for range n + 3 {
-					if b.TakeRetry("llm", now) {
+					if b.TakeRetry(failedCall(b, now), now) {
 						retries[s]++
 					}
 				}
