--- a/limpetlab/link/link.go
+++ b/limpetlab/link/link.go
@@ -54,7 +54,12 @@
 
 // Start opens a link to target.
 func Start(target string) (*Link, error) {
-	l := &Link{target: target, address: net.JoinHostPort(processIP, "0"), conns: make(map[net.Conn]bool), healed: make(chan struct{})}
+	return StartAt(net.JoinHostPort(processIP, "0"), target)
+}
+
+// StartAt opens a link to target that accepts connections at address.
+func StartAt(address, target string) (*Link, error) {
+	l := &Link{target: target, address: address, conns: make(map[net.Conn]bool), healed: make(chan struct{})}
 	return l, l.ClearFaults()
 }
 
--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -63,6 +63,8 @@
 	r.running.Go(func() { r.limitServers(breaking, limitRandom) })
 	silenceRandom := rand.New(rand.NewPCG(r.config.Seed, 16))
 	r.running.Go(func() { r.silenceServers(breaking, silenceRandom) })
+	stopRandom := rand.New(rand.NewPCG(r.config.Seed, 22))
+	r.running.Go(func() { r.stopServers(breaking, stopRandom) })
 	seriesRandom := rand.New(rand.NewPCG(r.config.Seed, 17))
 	failureRandom := rand.New(rand.NewPCG(r.config.Seed, 21))
 	r.running.Go(func() { r.failCalls(breaking, failureRandom) })
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -187,9 +187,14 @@
 	return report, ctx.Err()
 }
 
-// startServerLink starts a link to a server and returns the address of the link.
+// startServerLink starts a link to a server, with a second one in a process of its own behind it, and returns the
+// address of the first.
 func (r *run) startServerLink(address string) (string, error) {
-	l, err := link.Start(address)
+	target, err := r.startStoppableLink(address)
+	if err != nil {
+		return "", err
+	}
+	l, err := link.Start(target)
 	if err != nil {
 		return "", err
 	}
@@ -198,14 +203,22 @@
 	return l.Address(), nil
 }
 
-// cutServerLink makes the link to a server refuse connections while the server is down.
+// cutServerLink makes the link to a server refuse connections while the server is down. What the process of the server
+// has not read is lost with it.
 func (r *run) cutServerLink(address string, down bool) {
 	l := r.serverLinks[address]
+	var err error
 	if down {
 		l.Cut()
-		return
+		for _, p := range r.linkProcesses {
+			if p.target == address {
+				err = errors.Join(p.end(), p.start())
+			}
+		}
+	} else {
+		err = l.ClearFaults()
 	}
-	if err := l.ClearFaults(); err != nil {
+	if err != nil {
 		r.recordViolation("restore the link to %s: %v", address, err)
 	}
 }
--- a/limpetlab/soak_link_command.go
+++ b/limpetlab/soak_link_command.go
@@ -9,12 +9,13 @@
 
 // soakLinkCommand runs a link to a server in a process of its own, which the fault soak stops and resumes.
 type soakLinkCommand struct {
-	Target string `help:"Address of the server." required:""`
+	Address string `help:"Address of the link." required:""`
+	Target  string `help:"Address of the server." required:""`
 }
 
 // Run prints the address of the link and runs the link until ctx ends.
 func (c *soakLinkCommand) Run(ctx context.Context) error {
-	l, err := link.Start(c.Target)
+	l, err := link.StartAt(c.Address, c.Target)
 	if err != nil {
 		return err
 	}
