sched: Send few requests to a server with a limit that does not answer

A server with a limit now has few unanswered requests, those of a second and one more after 1, 2, 4 s and so on, and requests that it had not answered leave fewer tokens when it answers.

--- a/limpetd/sched/limit.go
+++ b/limpetd/sched/limit.go
@@ -22,6 +22,14 @@
 	maxTokenDebt = 1
 	// limitTerm is how long the end of a limit is told to other daemons.
 	limitTerm = 5 * time.Second
+	// A server with a limit may have limitBurst unanswered requests and those of limitUnanswered, and one more after
+	// limitTrial, which doubles with each. A server that is stopped reads all of them when it goes on.
+	limitUnanswered = time.Second
+	limitTrial      = time.Second
+	maxTrialDoubles = 6
+	// limitEvidence is how much newer the answer of which another daemon tells must be to count: the ages of facts that
+	// daemons tell each other shrink by the time of the transfer.
+	limitEvidence = 400 * time.Millisecond
 )
 
 // rateLimit is the limit of requests a second that a server takes from all daemons together, as a token
@@ -36,6 +44,10 @@
 	sharing bool
 	// namedAt is when the server last named the limit, or showed that it has ended.
 	namedAt time.Time
+	// unanswered counts the tokens taken since the server was last known to answer, at answeredAt. takenAt is when the
+	// last one was taken.
+	unanswered          float64
+	answeredAt, takenAt time.Time
 }
 
 // Limit is the limit of a server as daemons tell it to each other.
@@ -83,6 +95,20 @@
 	}
 }
 
+// recordAnswer records that the server has answered at a time. Requests that it had not answered may have arrived just
+// then, so that they leave fewer tokens.
+func (l *rateLimit) recordAnswer(at time.Time) {
+	l.tokens = min(l.tokens, l.capacity()-l.unanswered)
+	l.unanswered, l.answeredAt = 0, at
+}
+
+// isSilent reports whether the server has so many unanswered requests, of parts of the limit, that it gets no more for
+// a time.
+func (l *rateLimit) isSilent(parts int, now time.Time) bool {
+	over := l.unanswered - limitBurst - l.perSecond/float64(parts)*limitUnanswered.Seconds()
+	return over >= 0 && now.Sub(l.takenAt) < limitTrial<<min(int(over), maxTrialDoubles)
+}
+
 // RecordLimit records the limit that a server named in the answer to a request that was sent at a time;
 // 0 if it named none. A limit has ended if the answer to a request that was sent after it was last
 // named lacks it. It reports whether the limit changed.
@@ -96,6 +122,7 @@
 	}
 	changed := s.limit.perSecond != perSecond
 	s.limit.set(perSecond, now)
+	s.limit.recordAnswer(now)
 	s.limit.namedAt = now
 	return changed
 }
@@ -137,6 +164,9 @@
 			s.limit = &rateLimit{}
 		}
 		s.limit.set(l.PerSecond, now)
+		if at.Sub(s.limit.answeredAt) > limitEvidence {
+			s.limit.recordAnswer(at)
+		}
 		s.limit.namedAt = at
 	}
 }
@@ -162,7 +192,7 @@
 	if !urgent {
 		needed += urgentTokens
 	}
-	return s.limit.tokens >= needed
+	return s.limit.tokens >= needed && !s.limit.isSilent(1, now)
 }
 
 // mayUseShare reports whether this daemon may send a call without a token from the lease holder: if there
@@ -181,13 +211,15 @@
 		s.limit.sharing, s.limit.tokens, s.limit.filledAt = true, b.random.Float64(), now
 	}
 	s.limit.fillShare(b.daemons, now)
-	return s.limit.tokens >= 1
+	return s.limit.tokens >= 1 && !s.limit.isSilent(b.daemons, now)
 }
 
 // takeToken takes a token for a request to the server.
-func (s *server) takeToken() {
+func (s *server) takeToken(now time.Time) {
 	if s.limit.active() {
 		s.limit.tokens--
+		s.limit.unanswered++
+		s.limit.takenAt = now
 	}
 }
 
@@ -199,10 +231,10 @@
 		return true
 	}
 	s.limit.fill(now)
-	if s.limit.tokens < 1-maxTokenDebt {
+	if s.limit.tokens < 1-maxTokenDebt || s.limit.isSilent(1, now) {
 		return false
 	}
-	s.takeToken()
+	s.takeToken(now)
 	return true
 }
 
@@ -242,6 +274,6 @@
 		return Reservation{Verdict: Full, Delay: min(max(tokenDelay(list), minAskDelay), maxAskDelay)}
 	}
 	best := b.pick(candidates, lowest, &Call{Route: &layout.Route{}}).server
-	best.takeToken()
+	best.takeToken(now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID}
 }
--- a/limpetd/sched/limit_test.go
+++ b/limpetd/sched/limit_test.go
@@ -76,11 +76,13 @@
 				granted := b.Reserve(askFor(r.IntN(2) == 0), now).Verdict == Chosen
 				if granted {
 					sent = append(sent, now)
+					b.RecordLimit(limitedEngine, perSecond, now, now)
 				}
 				return granted
 			})
 			if r.Float64() < perSecond*minAskDelay.Seconds()/10 && b.TakeToken(limitedEngine, now) {
 				sent = append(sent, now)
+				b.RecordLimit(limitedEngine, perSecond, now, now)
 			}
 		}
 		checkLimit(t, sent, perSecond, duration, 0.85, fmt.Sprint(perSecond))
@@ -184,6 +186,7 @@
 		for _, urgent := range []bool{false, true} {
 			if b.Reserve(askFor(urgent), now).Verdict == Chosen {
 				granted[urgent]++
+				b.RecordLimit(limitedEngine, 2, now, now)
 			}
 		}
 	}
@@ -213,6 +216,7 @@
 		now = now.Add(10 * time.Millisecond)
 		if b.Reserve(&ReservationRequest{Service: "s"}, now).Verdict == Chosen {
 			granted++
+			b.RecordLimit(limitedEngine, 2, now, now)
 		}
 	}
 	require.InDelta(t, 20, granted, 2)
@@ -271,3 +275,32 @@
 	require.Equal(t, 1, sent)
 	require.True(t, b.TakeToken("e2", now))
 }
+
+// TestLimitIsKeptWhenAStoppedServerGoesOn guards against requests that were granted while their server was stopped, and
+// that it reads together when it goes on.
+func TestLimitIsKeptWhenAStoppedServerGoesOn(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 1.1, 2.7, 20} {
+		for _, stop := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 8 * time.Second, 20 * time.Second} {
+			start := time.Unix(1000, 0)
+			b := newLimited(1, 9, perSecond, start)
+			var read, unread []time.Time
+			const period = 40 * time.Second
+			for now := start; now.Sub(start) < 5*period; now = now.Add(20 * time.Millisecond) {
+				b.SetSharedLoad(nil, now)
+				if b.Reserve(askFor(true), now).Verdict == Chosen {
+					unread = append(unread, now)
+				}
+				if now.Sub(start)%period < period-stop && len(unread) > 0 {
+					for _, sentAt := range unread {
+						read = append(read, now)
+						b.RecordLimit(limitedEngine, perSecond, sentAt, now)
+					}
+					unread = nil
+				}
+			}
+			name := fmt.Sprintf("%v a second, stopped for %s", perSecond, stop)
+			require.LessOrEqual(t, float64(worstWindow(read)), 1.5*perSecond*4+5, name)
+			require.GreaterOrEqual(t, float64(len(read)), 0.8*perSecond*5*(period-stop).Seconds(), name)
+		}
+	}
+}
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -154,7 +154,7 @@
 		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
 	}
 	best.reserve(start, prefillTime)
-	best.takeToken()
+	best.takeToken(now)
 	b.recordGrant(best, now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: wait == 0}
 }
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -266,7 +266,7 @@
 		s.pending++
 		s.sentSince++
 		if now.Sub(b.sharedAt) >= sharedMaxAge {
-			s.takeToken()
+			s.takeToken(now)
 		}
 	}
 }
@@ -360,6 +360,9 @@
 	switch r {
 	case Answered:
 		s.failureRate *= 1 - failureWeight
+		if s.limit.active() {
+			s.limit.recordAnswer(now)
+		}
 	case Failed:
 		s.failureRate += (1 - s.failureRate) * failureWeight
 	case Broken:
