origin: Tell other daemons of streams while a service has one version

The streams of a service with one version were told only when a second one appeared, and the daemon that had begun these could not tell them any more.

--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -3,8 +3,9 @@
 // The events of two versions don't fit together, so a stream goes on only at engines of the version
 // that sent its first event. A Table records the version of each stream for term, which is longer than any
 // caller takes a stream up again, and the versions that each service had in that time. While a service has
-// one version, its streams are neither told to other daemons nor looked up. When a second one appears, those
-// of the last term are told too.
+// one version, its streams are not looked up, and are told to other daemons only while there are few. When a second one
+// appears, those of the last term are told too; those of a daemon that is not heard of then are known if they were told
+// before.
 //
 // A new table lacks the versions that served before it was made, and the servers of one of them may just have
 // left. Until SetComplete, or until it is older than term, Lookup finds only recorded streams.
@@ -33,6 +34,9 @@
 	// maxStreams bounds the streams of a table. The oldest are forgotten first, and then can't be
 	// taken up again while their service has several versions.
 	maxStreams = 1 << 17
+	// maxEarlyStreams is the number of streams in the last term up to which those of services with one version are told.
+	// It bounds their messages to 200 streams, or 1.8 KB, a second and daemon.
+	maxEarlyStreams = 12000
 	// factSpan is how far apart the starts of streams may be that Facts hold together.
 	factSpan = 4 * time.Second
 )
@@ -196,14 +200,16 @@
 	IDs               []uint64
 }
 
-// Since returns the records after a version that concern services with several versions, and the current
-// version. With own, records that other daemons told of are left out.
+// tells reports whether the streams of a service are told to other daemons.
+func (t *Table) tells(service string) bool {
+	return t.mixed[service] || len(t.streams) <= maxEarlyStreams
+}
+
+// Since returns the records after a version that concern services whose streams are told, and the current
+// version. Only services with several versions have facts about versions. With own, records that other daemons told of are left out.
 func (t *Table) Since(version int64, own bool, now time.Time) (Facts, int64) {
 	t.update(now)
 	var f Facts
-	if len(t.mixed) == 0 {
-		return f, t.version
-	}
 	type group struct {
 		key   key
 		start time.Time
@@ -211,7 +217,7 @@
 	groups := map[group]*StreamFacts{}
 	for i := len(t.streams) - 1; i >= 0 && t.streams[i].version > version; i-- {
 		s := &t.streams[i]
-		if !t.mixed[s.key.service] || own && s.merged {
+		if !t.tells(s.key.service) || own && s.merged {
 			continue
 		}
 		g := group{s.key, s.at.Truncate(factSpan)}
@@ -252,6 +258,17 @@
 	return aged
 }
 
+// Mixed returns the facts about services with several versions.
+func (f Facts) Mixed() Facts {
+	mixed := Facts{Versions: f.Versions}
+	for _, s := range f.Streams {
+		if slices.ContainsFunc(f.Versions, func(v VersionFact) bool { return v.Service == s.Service }) {
+			mixed.Streams = append(mixed.Streams, s)
+		}
+	}
+	return mixed
+}
+
 // Empty reports whether there are no facts.
 func (f *Facts) Empty() bool { return len(f.Versions) == 0 && len(f.Streams) == 0 }
 
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -90,7 +90,7 @@
 	// update, or all that it knows if Full is set.
 	Crashes *crash.Facts `msgpack:"crashes,omitempty"`
 	// Origins are the streams that began since the last update, or all that the lease holder knows if
-	// Full is set, of services with several software versions.
+	// Full is set, as package origin tells them.
 	Origins *origin.Facts `msgpack:"origins,omitempty"`
 	// Loads is the load that all daemons put on servers; nil if the update does not
 	// include it.
