front: Load the model of a stream of the only version, and hold its call

A call that needs a version is refused at once because its model may be loaded at an engine of another one.

--- a/limpetd/front/origins.go
+++ b/limpetd/front/origins.go
@@ -117,6 +117,13 @@
 	return f.origins.Lookup(c.schedCall.Service, id, now)
 }
 
+// runsEverywhere reports whether all engines of the service that take calls can go on with the stream of a call.
+func (f *Front) runsEverywhere(c *call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.RunsEverywhere(&c.schedCall)
+}
+
 // endWithoutVersion ends a call whose stream began at a version of which no engine can go on with it.
 func (c *call) endWithoutVersion(choice sched.Choice) {
 	c.giveUp(code.StreamVersion, choice, "no engine of the software version that began the stream can go on with it")
--- a/limpetd/front/origins_test.go
+++ b/limpetd/front/origins_test.go
@@ -118,6 +118,32 @@
 	require.Equal(t, http.StatusOK, head.StatusCode)
 }
 
+// TestStreamOfOneVersionWaitsForItsModel guards against refusing a stream whose model no engine holds, where a new call is
+// held until the model is loaded.
+func TestStreamOfOneVersionWaitsForItsModel(t *testing.T) {
+	route := engineRoute
+	route.AbandonAfter, route.Timeout = time.Minute, time.Minute
+	fx := newFixtureWithServers(t, nil, route)
+	servers := versionServers(t, []string{"v1"}, streamEvents(2, 4, false))
+	held := servers[0].Models
+	without := *servers[0]
+	without.Models = nil
+	fx.front.SetServers([]*layout.Server{&without})
+	go func() {
+		for fx.loader.wantCount.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		with := without
+		with.Models = held
+		fx.front.SetServers([]*layout.Server{&with})
+	}()
+	header := resumption("x1")
+	header["Deadline"] = "60000"
+	head, _, err := fx.post(t, "/r/1", header)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, head.StatusCode, head.Header.Get("limpet-code"))
+}
+
 // noContact is a ContactProvider without contact.
 type noContact struct{}
 
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -140,7 +140,8 @@
 			until = sched.WaitUntil(&c.schedCall)
 		}
 	case sched.NotLoaded:
-		if c.schedCall.PinsSoftware {
+		if c.schedCall.PinsSoftware && !f.runsEverywhere(c) {
+			// The model may be loaded at an engine of another version.
 			break
 		}
 		f.deps.Loader.RequestLoad(c.schedCall.Service, c.schedCall.Model, c.schedCall.Adapter)
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -116,6 +116,17 @@
 // runs reports whether the server has the software version that the call needs.
 func (s *server) runs(c *Call) bool { return !c.PinsSoftware || s.entry.Software == c.Software }
 
+// RunsEverywhere reports whether all servers of the call's service that take calls have the software version that the
+// call needs.
+func (b *Balancer) RunsEverywhere(c *Call) bool {
+	for _, s := range b.byService[c.Service] {
+		if s.entry.State == layout.Ready && !s.runs(c) {
+			return false
+		}
+	}
+	return true
+}
+
 // isExcluded reports whether the server gets no calls for a time because it did not
 // answer, was full or wants none.
 func (s *server) isExcluded(now time.Time) bool {
