--- a/limpetlab/soak/daemon.go
+++ b/limpetlab/soak/daemon.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -13,9 +14,10 @@
 )
 
 const (
-	// leaveTimeout is how long a daemon may take to leave: the grace period of its
-	// settings, and time for the process to end on a busy machine.
-	leaveTimeout = 8 * time.Second
+	// defaultGrace is the grace period of a daemon that states none, exitTimeout the time for its process to end
+	// after that on a busy machine.
+	defaultGrace = 3 * time.Second
+	exitTimeout  = 5 * time.Second
 	// startTimeout is how long a process may take to accept connections.
 	startTimeout = 5 * time.Second
 	// readyPollPeriod is the time between two checks whether a daemon accepts
@@ -31,6 +33,8 @@
 	// program, settings, log and paths are file paths.
 	program, settings, log, paths string
 	callerAddress, readyAddress   string
+	// grace is the grace period in the settings; 0 means defaultGrace.
+	grace time.Duration
 	// onUnexpectedExit is called when the process ends without having been ended by
 	// kill or leave.
 	onUnexpectedExit func(d *daemon, err error)
@@ -127,24 +131,27 @@
 	}
 }
 
+// leaveTimeout returns how long the process may take to leave.
+func (d *daemon) leaveTimeout() time.Duration { return cmp.Or(d.grace, defaultGrace) + exitTimeout }
+
 // kill ends the process with SIGKILL.
 func (d *daemon) kill() error {
 	if err := d.signal(syscall.SIGKILL, true); err != nil {
 		return err
 	}
-	if err := d.wait(leaveTimeout); errors.Is(err, errExitTimeout) {
+	if err := d.wait(d.leaveTimeout()); errors.Is(err, errExitTimeout) {
 		return err
 	}
 	return nil
 }
 
 // leave asks the process to leave with SIGTERM. It returns an error if the process does
-// not end within leaveTimeout or ends with an exit status other than 0.
+// not end within leaveTimeout() or ends with an exit status other than 0.
 func (d *daemon) leave() error {
 	if err := d.signal(syscall.SIGTERM, true); err != nil {
 		return err
 	}
-	return d.wait(leaveTimeout)
+	return d.wait(d.leaveTimeout())
 }
 
 // end kills the process at the end of a run, after a running fault of the daemon.
--- a/limpetlab/soak/retries_test.go
+++ b/limpetlab/soak/retries_test.go
@@ -15,15 +15,21 @@
 
 // startRun starts daemons as processes, with a stand-in of their platform.
 func startRun(t *testing.T, daemons, engines int) *run {
+	t.Helper()
+	return startRunWithGrace(t, daemons, engines, 0)
+}
+
+// startRunWithGrace starts daemons with a grace period in seconds; 0 means that of the stand-in.
+func startRunWithGrace(t *testing.T, daemons, engines, grace int) *run {
 	t.Helper()
 	program, err := Build(t.Context(), t.TempDir())
 	require.NoError(t, err)
 	r := &run{
 		config: Config{Program: program, Directory: t.TempDir(), Seed: 1, Daemons: daemons}, random: rand.New(rand.NewPCG(1, 2)),
-		faults: map[string]int{}, serverLinks: map[string]*link.Link{},
+		faults: map[string]int{}, serverLinks: map[string]*link.Link{}, grace: time.Duration(grace) * time.Second,
 	}
 	r.platform, err = stand.New(t.Context(), stand.Config{
-		Engines: engines, Models: models, ModelsPerEngine: 3, PlainServers: plainServers, LoadTime: modelLoadTime, ProxyAddress: r.startStoppableLink,
+		Engines: engines, Models: models, ModelsPerEngine: 3, PlainServers: plainServers, LoadTime: modelLoadTime, ProxyAddress: r.startStoppableLink, GraceSeconds: grace,
 	})
 	require.NoError(t, err)
 	require.NoError(t, r.start(t.Context()))
@@ -33,6 +39,7 @@
 
 // TestRetriesOfRestartedDaemonsStayWithinBudget guards against daemons that begin with an empty count of retries.
 func TestRetriesOfRestartedDaemonsStayWithinBudget(t *testing.T) {
+	t.Parallel()
 	r := startRun(t, 4, 6)
 	for i, e := range r.platform.Engines {
 		e.SetFault(randomFaults(rand.New(rand.NewPCG(1, uint64(i))), 0.6, stand.Failure))
@@ -63,6 +70,7 @@
 // TestRetriesOfCallsThatStoppedServersReadLateStayWithinBudget guards against calls that count as read by a server that
 // is stopped, which reads them when it goes on.
 func TestRetriesOfCallsThatStoppedServersReadLateStayWithinBudget(t *testing.T) {
+	t.Parallel()
 	const (
 		engines, stopped = 6, 3
 		calm, stop       = 16 * time.Second, 18 * time.Second
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -123,6 +123,8 @@
 	servers []*link.Link
 	// serverLinks holds the links to the servers by the addresses of the servers.
 	serverLinks map[string]*link.Link
+	// grace is the grace period in the settings of the daemons; 0 means that of the stand-in.
+	grace time.Duration
 	// linkProcesses are the processes through which daemons reach the servers.
 	linkProcesses []*linkProcess
 	random        *rand.Rand
@@ -245,7 +247,7 @@
 		if r.config.OldProgram != "" {
 			program = r.config.OldProgram
 		}
-		d := &daemon{program: program, settings: settings, log: filepath.Join(r.config.Directory, vm+".log"), paths: filepath.Join(r.config.Directory, vm+".paths"), callerAddress: callerAddress, readyAddress: readyAddress, onUnexpectedExit: r.onUnexpectedExit}
+		d := &daemon{program: program, settings: settings, log: filepath.Join(r.config.Directory, vm+".log"), paths: filepath.Join(r.config.Directory, vm+".paths"), callerAddress: callerAddress, readyAddress: readyAddress, onUnexpectedExit: r.onUnexpectedExit, grace: r.grace}
 		if err := d.start(); err != nil {
 			return err
 		}
--- a/limpetlab/soak/soak_test.go
+++ b/limpetlab/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -51,15 +52,18 @@
 				"refused; the identity of a request now has its model and prompt",
 		},
 	} {
-		directory := t.TempDir()
-		report, err := Run(t.Context(), Config{Program: program, Directory: directory, Seed: c.seed, Duration: c.duration, Daemons: c.daemons, Rate: 60})
-		require.NoError(t, err)
-		if len(report.Violations) > 0 {
-			t.Log(exitLines(t, directory))
-		}
-		require.Empty(t, report.Violations, "seed %d %s: %+v", c.seed, c.cause, report)
-		require.NotEmpty(t, report.Faults)
-		require.Positive(t, report.DuringFaults.Served)
+		t.Run(fmt.Sprint("seed ", c.seed), func(t *testing.T) {
+			t.Parallel()
+			directory := t.TempDir()
+			report, err := Run(t.Context(), Config{Program: program, Directory: directory, Seed: c.seed, Duration: c.duration, Daemons: c.daemons, Rate: 60})
+			require.NoError(t, err)
+			if len(report.Violations) > 0 {
+				t.Log(exitLines(t, directory))
+			}
+			require.Empty(t, report.Violations, "seed %d %s: %+v", c.seed, c.cause, report)
+			require.NotEmpty(t, report.Faults)
+			require.Positive(t, report.DuringFaults.Served)
+		})
 	}
 }
 
