--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -50,7 +50,9 @@
 	breakRandom := rand.New(rand.NewPCG(r.config.Seed, 7))
 	r.running.Go(func() { r.breakResponses(breaking, breakRandom) })
 	restoreRandom := rand.New(rand.NewPCG(r.config.Seed, 8))
-	r.running.Go(func() { r.restoreStore(breaking, restoreRandom) })
+	if !r.config.KeepDaemons {
+		r.running.Go(func() { r.restoreStore(breaking, restoreRandom) })
+	}
 	departureRandom := rand.New(rand.NewPCG(r.config.Seed, 9))
 	r.running.Go(func() { r.announceDepartures(breaking, departureRandom) })
 	crashRandom := rand.New(rand.NewPCG(r.config.Seed, 10))
--- a/limpetlab/soak/soak.go
+++ b/limpetlab/soak/soak.go
@@ -46,8 +46,8 @@
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	Daemons  int
-	// KeepDaemons leaves out the faults that restart daemons, so that they use their retry budget: a daemon that has
-	// just started retries nothing.
+	// KeepDaemons leaves out the faults that restart daemons or restore the store, so that they use their retry budget: a
+	// daemon that has just started retries nothing, and one whose list of daemons was lost uses little of the slack.
 	KeepDaemons bool
 	// Rate is the number of calls per second.
 	Rate int
