sched: Take samples of engines whose time is always reserved

Cause: the calls that waited at stopped engines raised the estimate of how long prompts take. Only calls that found their engine free gave samples; with an estimate that is far too long all time of the engines is reserved, no call finds one free, and the estimate stays.

By the reservations, a call that waits for its turn is alone at its engine too, so one each 250 ms and engine gives a sample now, and several samples in a row far below the estimate replace older ones faster.

--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -37,6 +37,12 @@
 	outlierRatio = 2.5
 	soundRatio   = 1.5
 	outlierTerm  = 2500 * time.Millisecond
+	// After maxLowSamples samples in a row of less than the estimate by outlierRatio, each further one reduces the weight
+	// of older ones by lowDecay: the estimate is far too long, as after engines stood still.
+	maxLowSamples = 3
+	lowDecay      = 0.5
+	// sampleInterval is the time between two samples of an engine whose time is always reserved.
+	sampleInterval = 250 * time.Millisecond
 )
 
 // prefillFit estimates the time that engines take to prefill a token: the slope of a line
@@ -56,11 +62,16 @@
 	tokens, took, squares, products float64
 	// outliersSince is when the first outlier arrived since the last sound sample; zero if there was none.
 	outliersSince time.Time
+	// low is the number of samples since the last one of at least the estimate divided by outlierRatio.
+	low int
 }
 
 // limit returns the time with which a sample counts of which another time was expected. It returns false if the sample
 // is to be ignored.
 func (p *prefillFit) limit(took, expected float64, now time.Time) (float64, bool) {
+	if p.low++; took*outlierRatio >= expected {
+		p.low = 0
+	}
 	switch {
 	case took <= soundRatio*expected:
 		p.outliersSince = time.Time{}
@@ -81,11 +92,15 @@
 	default:
 		p.base += baseRise * (took - p.base)
 	}
-	p.weight = p.weight*sampleDecay + 1
-	p.tokens = p.tokens*sampleDecay + tokens
-	p.took = p.took*sampleDecay + took
-	p.squares = p.squares*sampleDecay + tokens*tokens
-	p.products = p.products*sampleDecay + tokens*took
+	decay := sampleDecay
+	if p.low > maxLowSamples {
+		decay = lowDecay
+	}
+	p.weight = p.weight*decay + 1
+	p.tokens = p.tokens*decay + tokens
+	p.took = p.took*decay + took
+	p.squares = p.squares*decay + tokens*tokens
+	p.products = p.products*decay + tokens*took
 }
 
 // perToken returns the time to prefill a token, in nanoseconds: the fitted time, combined
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -110,7 +110,9 @@
 //
 // Without reservations, many daemons that send a burst to few replicas would choose the
 // same idle engine. Reservations spread such calls over the engines and send their prompts
-// one by one, so that running streams are not delayed. maxWait limits how long a call may
+// one by one, so that running streams are not delayed. By the reservations, an engine then reads no other prompt beside one
+// that had to wait either. Such a call counts as exclusive at times: if all of the engines' time is reserved by an estimate
+// that is too long, no other call would show it. maxWait limits how long a call may
 // wait: calls of the highest priority or with the shortest expectation may wait for about
 // as long as the shortest expectation, calls with more time only for a smaller part of the
 // shortest expectation, which leaves engine time for urgent calls, and calls that are
@@ -153,10 +155,14 @@
 	if maxWait := a.maxWait(); wait > maxWait {
 		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
 	}
+	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
+	if exclusive {
+		best.sampledAt = now
+	}
 	best.reserve(start, prefillTime)
 	best.takeToken(now)
 	b.recordGrant(best, now)
-	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: wait == 0}
+	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: exclusive}
 }
 
 // earliestStart returns when an engine can start a reservation of a given length. A run of
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -172,6 +172,8 @@
 	// reservedUntil is the end of the engine's last reservation for prefill, blockStart
 	// the start of the run of reservations without a gap that ends at reservedUntil.
 	reservedUntil, blockStart time.Time
+	// sampledAt is when the engine was last reserved for a call whose time to the first event is a sample.
+	sampledAt time.Time
 	// missingUntil holds, by MODEL/ADAPTER, until when the server is excluded because it
 	// lacks the model or adapter.
 	missingUntil map[string]time.Time
