--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -206,7 +206,8 @@
 }
 
 // Since returns the records after a version that concern services whose streams are told, and the current
-// version. Only services with several versions have facts about versions. With own, records that other daemons told of are left out.
+// version. Only services with several versions have facts about versions. With own, records that other daemons
+// told of are left out.
 func (t *Table) Since(version int64, own bool, now time.Time) (Facts, int64) {
 	t.update(now)
 	var f Facts
--- a/limpetd/sched/budget.go
+++ b/limpetd/sched/budget.go
@@ -24,9 +24,9 @@
 // that all daemons share.
 //
 // Times are differences of monotonic clock readings, which jumps of the time of day do not affect. A retry counts from
-// its decision until a window after its arrival; Delivery tells when it has arrived. A new process allows no retries for a window, because it does not know
-// those of the process before it. The calls of a window are limited to those of the previous one: a daemon that takes
-// over the callers of another one must not use the budget for them a second time.
+// its decision until a window after its arrival; Delivery tells when it has arrived. A new process allows no retries for a
+// window, because it does not know those of the process before it. The calls of a window are limited to those of the
+// previous one: a daemon that takes over the callers of another one must not use the budget for them a second time.
 type budget struct {
 	calls, retries slots
 	// pending is the number of retries that may not have arrived yet.
