conns, front: Don't take a standstill of the daemon for silence of its servers

Callers of a daemon that was frozen for some seconds: their streams were sent on from other servers, which uses the retry budget that calls at broken servers need.

When the process went on, the deadlines of its reads had passed, so that answers that lay in the sockets were not read, and the last activity of all servers seemed to be seconds ago. What has arrived is now looked for after a deadline too, and a check that is late by half a second starts the time of the silence again.

--- a/limpetd/conns/conns_test.go
+++ b/limpetd/conns/conns_test.go
@@ -276,3 +276,21 @@
 	_, err = server.Read(make([]byte, 1))
 	require.ErrorIs(t, err, syscall.ECONNRESET, "not the end of what was sent")
 }
+
+// TestInputThatArrivedBeforeTheDeadlineIsFound guards against taking a server for silent whose answer arrived while this
+// process stood still.
+func TestInputThatArrivedBeforeTheDeadlineIsFound(t *testing.T) {
+	target, _ := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, encodeResponse(readRequest(r), ""))
+		_ = readRequest(r)
+	})
+	c, err := conns.New(t.Context()).Get(t.Context(), target, time.Second)
+	require.NoError(t, err)
+	defer c.Close()
+	require.False(t, c.WaitReadable(time.Now().Add(-time.Second)))
+	require.NoError(t, c.Write(newRequest("a")))
+	require.Eventually(t, func() bool { return c.WaitReadable(time.Now().Add(-time.Second)) }, 5*time.Second, time.Millisecond)
+	response, err := c.ReadHead(newRequest("a"))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+}
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -175,9 +175,10 @@
 		return true
 	}
 	c.setReadDeadline(until)
-	defer c.setReadDeadline(time.Time{})
 	_, err := c.reader.Peek(1)
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	c.setReadDeadline(time.Time{})
+	// If the process stood still until after the deadline, what has arrived meanwhile was not read.
+	return !errors.Is(err, os.ErrDeadlineExceeded) || !c.noInput()
 }
 
 // ReadHead reads the status line and header of the response to a request that was written. It
--- a/limpetd/front/silence.go
+++ b/limpetd/front/silence.go
@@ -11,6 +11,8 @@
 const (
 	// silenceCheckInterval is the time between checks for a silent server.
 	silenceCheckInterval = 250 * time.Millisecond
+	// A check that is late by maxCheckDelay shows that this daemon stood still, and says nothing about servers.
+	maxCheckDelay = 500 * time.Millisecond
 	// After silenceProbe without bytes from a server, the daemon probes whether the server
 	// accepts connections. After silenceFailover, a call moves to another server even if
 	// the probe succeeded. Callers abandon a stream after two seconds of silence.
@@ -34,13 +36,17 @@
 	since := time.Now()
 	probed := false
 	for {
-		if a.conn.WaitReadable(time.Now().Add(silenceCheckInterval)) {
+		due := time.Now().Add(silenceCheckInterval)
+		if a.conn.WaitReadable(due) {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		now := time.Now()
+		if now.Sub(due) > maxCheckDelay {
+			since = now
+		}
 		if !c.mayRepeat() || now.Sub(since) < silenceProbe {
 			continue
 		}
@@ -56,7 +62,7 @@
 				return errSilent
 			}
 		}
-		if a.silence(now) >= silenceFailover && c.reserveAlternative(now) {
+		if min(a.silence(now), now.Sub(since)) >= silenceFailover && c.reserveAlternative(now) {
 			return errSilent
 		}
 	}
