origin: Tell no streams of one version in large fleets

With more than 9,000 streams a minute none of them are told for ten minutes, to new links either, so that large fleets are as they were. Sites with 75 streams a second are not affected.

--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -35,8 +35,9 @@
 	// taken up again while their service has several versions.
 	maxStreams = 1 << 17
 	// maxEarlyStreams is the number of streams in the last term up to which those of services with one version are told.
-	// It bounds their messages to 200 streams, or 1.8 KB, a second and daemon.
-	maxEarlyStreams = 12000
+	// With more, none of them are for busyTerm: the messages for new links of hundreds of daemons would be large.
+	maxEarlyStreams = 9000
+	busyTerm        = 10 * time.Minute
 	// factSpan is how far apart the starts of streams may be that Facts hold together.
 	factSpan = 4 * time.Second
 )
@@ -71,6 +72,8 @@
 	seen   map[key]time.Time
 	listed map[string][]string
 	mixed  map[string]bool
+	// busyUntil is until when only streams of services with several versions are told.
+	busyUntil time.Time
 }
 
 // NewTable returns an empty table.
@@ -129,6 +132,9 @@
 	}
 	kept = append(kept, became...)
 	t.streams, t.mixed = kept, mixed
+	if len(t.streams) > maxEarlyStreams {
+		t.busyUntil = now.Add(busyTerm)
+	}
 }
 
 // Record records that a stream began at a version.
@@ -201,8 +207,8 @@
 }
 
 // tells reports whether the streams of a service are told to other daemons.
-func (t *Table) tells(service string) bool {
-	return t.mixed[service] || len(t.streams) <= maxEarlyStreams
+func (t *Table) tells(service string, now time.Time) bool {
+	return t.mixed[service] || now.After(t.busyUntil)
 }
 
 // Since returns the records after a version that concern services whose streams are told, and the current
@@ -218,7 +224,7 @@
 	groups := map[group]*StreamFacts{}
 	for i := len(t.streams) - 1; i >= 0 && t.streams[i].version > version; i-- {
 		s := &t.streams[i]
-		if !t.tells(s.key.service) || own && s.merged {
+		if !t.tells(s.key.service, now) || own && s.merged {
 			continue
 		}
 		g := group{s.key, s.at.Truncate(factSpan)}
--- a/limpetd/origin/origin_test.go
+++ b/limpetd/origin/origin_test.go
@@ -31,7 +31,9 @@
 		}
 	}
 	require.Positive(t, told)
-	require.LessOrEqual(t, told, 3*maxEarlyStreams)
+	require.LessOrEqual(t, told, maxEarlyStreams+500)
+	all, _ := one.Since(0, false, start.Add(2*time.Minute))
+	require.Empty(t, all.Streams, "nor to a daemon with a new link")
 	software, ok := one.Lookup("s", 1<<40, start)
 	require.True(t, ok)
 	require.Equal(t, "v1", software)
