--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -3,9 +3,9 @@
 // The events of two versions don't fit together, so a stream goes on only at engines of the version
 // that sent its first event. A Table records the version of each stream for term, which is longer than any
 // caller takes a stream up again, and the versions that each service had in that time. While a service has
-// one version, its streams are not looked up, and are told to other daemons only while there are few. When a second one
-// appears, those of the last term are told too; those of a daemon that is not heard of then are known if they were told
-// before.
+// one version, its streams are not looked up. They are told to other daemons as long as there are few, so that
+// those of a daemon which fails before a second version appears are known. In a large fleet they are told when the
+// second version appears, for the last term.
 //
 // A new table lacks the versions that served before it was made, and the servers of one of them may just have
 // left. Until SetComplete, or until it is older than term, Lookup finds only recorded streams.
--- a/limpetlab/soak/planned_test.go
+++ b/limpetlab/soak/planned_test.go
@@ -98,11 +98,11 @@
 // call sends a call, whose body comes late at times, and records how it ended.
 func (c *keptCaller) call(id, path string) {
 	const body = "0123456789"
-	headers := ""
+	model := ""
 	if path == stand.EngineRoute {
-		headers = "Model: " + stand.Model(c.random.IntN(models)) + "\r\nToken-Count: 100,20\r\n"
+		model = stand.Model(c.random.IntN(models))
 	}
-	_, err := fmt.Fprintf(c.conn, "POST %s1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 8000\r\n%sContent-Length: %d\r\n\r\n%s", path, stand.Host, id, headers, len(body), body[:5])
+	_, err := io.WriteString(c.conn, stand.CallHead(path, id, model, len(body))+body[:5])
 	if c.random.IntN(4) == 0 {
 		time.Sleep(randomDuration(c.random, 0, 300*time.Millisecond))
 	}
