soak, stand: Shorten timeouts under running calls in the test of planned stops

A configuration that shortens a timeout while calls run was not tested on real processes. Every other configuration of TestPlannedStopsLoseNoCalls now has a timeout of 1 s for all routes, with engines that stand still for up to 3 s. Calls without a response get 504.

--- a/limpetlab/soak/planned_test.go
+++ b/limpetlab/soak/planned_test.go
@@ -72,6 +72,8 @@
 	// connection ended without one, by how long after the last byte of the call that was.
 	answered   map[int]int
 	unanswered map[string]time.Duration
+	// timedOut counts the responses that had begun and broke off at the route's timeout.
+	timedOut int
 }
 
 // run sends calls until ctx ends.
@@ -102,6 +104,7 @@
 	if path == stand.EngineRoute {
 		model = stand.Model(c.random.IntN(models))
 	}
+	startedAt := time.Now()
 	_, err := io.WriteString(c.conn, stand.CallHead(path, id, model, len(body))+body[:5])
 	if c.random.IntN(4) == 0 {
 		time.Sleep(randomDuration(c.random, 0, 300*time.Millisecond))
@@ -118,10 +121,13 @@
 		_, err = io.Copy(io.Discard, response.Body)
 		err = errors.Join(err, response.Body.Close())
 	}
-	if err != nil {
-		c.unanswered[id] = time.Since(sentAt)
-	} else {
+	switch {
+	case err == nil:
 		c.answered[response.StatusCode]++
+	case response != nil && time.Since(startedAt) >= shortTimeout:
+		c.timedOut++
+	default:
+		c.unanswered[id] = time.Since(sentAt)
 	}
 	if err != nil || response.Close {
 		_ = c.conn.Close()
@@ -129,12 +135,16 @@
 	}
 }
 
+// shortTimeout is the timeout of the routes in every other configuration.
+const shortTimeout = time.Second
+
 // lossSlack is how long after its last byte a call may end without an answer if no server got it: it has crossed the
 // close of its connection.
 const lossSlack = 200 * time.Millisecond
 
 // TestPlannedStopsLoseNoCalls guards against calls that a daemon has accepted and that end without an answer because it is
-// asked to leave, to read its settings again, or both at once, while engines stand still and the configuration changes.
+// asked to leave, to read its settings again, or both at once, while engines stand still and the configuration changes, in
+// part to shorter timeouts than those of running calls.
 func TestPlannedStopsLoseNoCalls(t *testing.T) {
 	t.Parallel()
 	const callers, daemons, grace = 24, 3, 8
@@ -151,6 +161,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	for i, d := range slices.Concat(r.daemons, r.daemons[:1]) {
+		r.platform.SetTimeout([]time.Duration{shortTimeout, 10 * time.Second}[i%2])
 		r.changeConfiguration(random)
 		background.Go(func() {
 			r.stopFor(ctx, []time.Duration{0, 1300 * time.Millisecond, 3 * time.Second}[i%3], []int{i % 4})
@@ -172,12 +183,13 @@
 			ran[run.ID] = true
 		}
 	}
-	answered, crossed := map[int]int{}, 0
+	answered, crossed, timedOut := map[int]int{}, 0, 0
 	var lost []string
 	for _, c := range all {
 		for status, n := range c.answered {
 			answered[status] += n
 		}
+		timedOut += c.timedOut
 		for id, after := range c.unanswered {
 			if ran[id] || after > lossSlack {
 				lost = append(lost, fmt.Sprint(id, " after ", after))
@@ -186,7 +198,7 @@
 			}
 		}
 	}
-	t.Logf("answered %v, %d crossed the close of their connection", answered, crossed)
+	t.Logf("answered %v, %d crossed the close of their connection, %d broke off at their timeout", answered, crossed, timedOut)
 	require.Greater(t, answered[http.StatusOK], 1000)
 	require.Empty(t, lost, strings.Join(lost, ", "))
 }
