sched, front: Serve streams that callers take up before new calls

Part of the refusals were 1202, no engine has room in time: a call that takes up a stream counted as a new one, and calls with the shortest expectation are refused at once when all reservations are taken, by calls that arrived a moment before.

Its caller waits in front of half an answer. Such a call now counts as a resumption like one within a response: it asks for a reservation until its caller gives up, with the part of the engines' time of the highest priority. The request to the lease holder has no new field. request_ended has resumes and software for these calls, without which the refusals of new calls and of resumptions could not be told apart.

--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -213,6 +213,7 @@
 	c.delivery = sched.NewDelivery(c.schedCall.Service)
 	c.schedCall.Deadline = c.schedCall.Arrived.Add(deadline)
 	c.lastEvent = c.info.LastEvent
+	c.schedCall.TakesUp = c.takesUp()
 	if s := config.Services[c.schedCall.Service]; s != nil && s.Engines != nil {
 		c.schedCall.Model, c.schedCall.Adapter = c.info.Model, c.info.Adapter
 		c.schedCall.PromptTokens, c.schedCall.OutputTokens = c.info.PromptTokens, c.info.OutputTokens
@@ -286,6 +287,9 @@
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
+	if c.schedCall.TakesUp {
+		fields = append(fields, zap.String("resumes", c.info.Resumes), zap.String("software", c.schedCall.Software))
+	}
 	if o.via != "" {
 		fields = append(fields, zap.String("via", o.via), zap.String("tunnel", o.tunnel))
 	}
--- a/limpetd/front/origins.go
+++ b/limpetd/front/origins.go
@@ -83,10 +83,15 @@
 	f.mu.Unlock()
 }
 
+// takesUp reports whether the caller takes up a stream that broke off.
+func (c *call) takesUp() bool {
+	return c.info.LastEvent != "" && c.schedCall.Route.Kind == layout.Stream && c.schedCall.Route.Resumable
+}
+
 // pinOrigin makes a call that takes up a stream go on only at the version that began it. It returns false if it
 // ended the call, because this daemon can't find out the version.
 func (c *call) pinOrigin(ctx context.Context) bool {
-	if c.info.LastEvent == "" || c.schedCall.Route.Kind != layout.Stream || !c.schedCall.Route.Resumable {
+	if !c.schedCall.TakesUp {
 		return true
 	}
 	until := time.Now().Add(originWait)
--- a/limpetd/front/reserve_test.go
+++ b/limpetd/front/reserve_test.go
@@ -133,6 +133,21 @@
 	require.Len(t, r.asks, 5)
 }
 
+// TestTakenUpStreamAsksAgainUntilThereIsRoom guards against refusing a caller that has a part of its answer like a new
+// urgent call.
+func TestTakenUpStreamAsksAgainUntilThereIsRoom(t *testing.T) {
+	full := sched.Reservation{Verdict: sched.Full, Delay: 30 * time.Millisecond}
+	r := &reserver{reservations: []sched.Reservation{full, full, {Verdict: sched.Chosen, Server: "i0"}}}
+	route := engineRoute
+	route.AbandonAfter = 2 * time.Second
+	fx := newFixtureWithReserver(t, r, route, streamEvents(2, 4, false))
+	head, _, err := fx.post(t, "/r/1", resumption("x1"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, head.StatusCode, head.Header.Get("limpet-code"))
+	require.Len(t, r.asks, 3)
+	require.True(t, r.asks[0].IsTopPriority)
+}
+
 // TestBrokenStreamWaitsForAnotherEngine guards against aborting a stream whose engine fails
 // at a moment at which no other engine has time.
 func TestBrokenStreamWaitsForAnotherEngine(t *testing.T) {
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -126,7 +126,7 @@
 	choice, reservation := c.findServer(ctx)
 	now := time.Now()
 	f.mu.Lock()
-	worthWaiting := choice.Verdict == sched.Full && (c.waited || c.responseBegun || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
+	worthWaiting := choice.Verdict == sched.Full && (c.waited || c.responseBegun || c.schedCall.TakesUp || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
 	f.mu.Unlock()
 	if reservation != nil {
 		worthWaiting = worthWaiting && sched.WaitsForReservation(&c.schedCall, f.activeConfig.Load().requirements[c.schedCall.Service])
--- a/limpetd/sched/hold.go
+++ b/limpetd/sched/hold.go
@@ -48,7 +48,7 @@
 // or until its caller gives up, whichever is earlier, less holdMargin.
 func HoldUntil(c *Call) time.Time {
 	until, since := c.Deadline, c.Arrived
-	if c.Resumes() {
+	if !c.LastEventAt.IsZero() {
 		since = c.LastEventAt
 	}
 	if abandon := c.Route.AbandonAfter; abandon > 0 && since.Add(abandon).Before(until) {
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -34,13 +34,19 @@
 	return now.Sub(c.Arrived) > onTimeLimit(c)
 }
 
-// SortWaiters sorts waiters in the order in which they get servers: calls that can still be
-// answered in time before late ones, then by priority, then by arrival.
+// SortWaiters sorts waiters in the order in which they get servers: calls that continue an answer before
+// the others, calls that can still be answered in time before late ones, then by priority, then by arrival.
 //
 // In a burst, calls that are already late wait behind the others, so that they don't make
 // the others late too.
 func SortWaiters(list []*Waiter, now time.Time) {
 	slices.SortStableFunc(list, func(a, b *Waiter) int {
+		if a.Call.Resumes() != b.Call.Resumes() {
+			if a.Call.Resumes() {
+				return -1
+			}
+			return 1
+		}
 		if lateA, lateB := Late(a.Call, now), Late(b.Call, now); lateA != lateB {
 			if lateB {
 				return -1
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -22,8 +22,8 @@
 	lateBacklog = 0.1
 	// relaxedBacklog is the same for calls that have more time than others and don't have the
 	// highest priority, urgentBacklog for calls with the shortest expectation, and
-	// topPriorityBacklog for calls with the highest priority, which can therefore start before
-	// the others.
+	// topPriorityBacklog for calls with the highest priority and those that continue an answer, which can therefore start
+	// before the others.
 	relaxedBacklog     = 0.5
 	urgentBacklog      = 0.85
 	topPriorityBacklog = 1.1
@@ -50,7 +50,7 @@
 	MaxPause time.Duration
 	// ShortestExpectation is the shortest expectation of the routes that lead to the service.
 	ShortestExpectation time.Duration
-	// IsTopPriority reports whether no calls of the service have a higher priority.
+	// IsTopPriority reports whether no calls of the service have a higher priority, or whether the call continues an answer.
 	IsTopPriority bool
 	// Excluded are the IDs of the servers that the call was sent to before or that its daemon
 	// can't use.
@@ -86,7 +86,7 @@
 	if c.Resumes() {
 		// The caller has a part of the answer, and waits less long for the rest than for a
 		// first event.
-		within = time.Duration(urgentBacklog * float64(d.ShortestExpectation))
+		within = time.Duration(topPriorityBacklog * float64(d.ShortestExpectation))
 	}
 	exclude := slices.Clone(c.Tried)
 	for _, s := range b.byService[c.Service] {
@@ -97,7 +97,7 @@
 	return ReservationRequest{
 		Service: c.Service, Model: c.Model, Adapter: c.Adapter, Tokens: c.PromptTokens, Session: c.Session,
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
-		IsTopPriority: c.Route.Priority <= d.TopPriority, Excluded: exclude,
+		IsTopPriority: c.Resumes() || c.Route.Priority <= d.TopPriority, Excluded: exclude,
 	}
 }
 
--- a/limpetd/sched/reserve_test.go
+++ b/limpetd/sched/reserve_test.go
@@ -332,3 +332,29 @@
 		require.Equal(t, 7, r.Tokens)
 	}
 }
+
+// TestTakenUpStreamIsServedBeforeNewCalls guards against refusing callers that have a part of their answer while new calls
+// are sent to the same engine.
+func TestTakenUpStreamIsServedBeforeNewCalls(t *testing.T) {
+	b := newBalancer(engine("e1", "m"))
+	c := &sched.Call{Service: "llm", Model: "m", PromptTokens: 500, Arrived: start, Deadline: start.Add(time.Minute), Route: route()}
+	c.Route.Priority, c.Route.AbandonAfter = 3, 2*time.Second
+	requirements := sched.Requirements{ShortestExpectation: c.Route.Expectation}
+	for reserve := sched.Chosen; reserve == sched.Chosen; {
+		r := b.NewReservationRequest(c, requirements, start)
+		reserve = b.Reserve(&r, start).Verdict
+	}
+	require.False(t, sched.WaitsForReservation(c, requirements))
+
+	takesUp := *c
+	takesUp.TakesUp = true
+	r := b.NewReservationRequest(&takesUp, requirements, start)
+	require.Equal(t, sched.Chosen, b.Reserve(&r, start).Verdict)
+	require.True(t, sched.WaitsForReservation(&takesUp, requirements))
+	require.Equal(t, sched.HoldUntil(&takesUp), sched.WaitUntil(&takesUp))
+	require.Greater(t, sched.WaitUntil(&takesUp).Sub(start), 1500*time.Millisecond)
+
+	list := []*sched.Waiter{{Call: c}, {Call: &takesUp}}
+	sched.SortWaiters(list, start.Add(time.Minute))
+	require.True(t, list[0].Call.TakesUp)
+}
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -59,13 +59,16 @@
 	// Software is the version of the software that the server must have, if PinsSoftware is set.
 	Software     string
 	PinsSoftware bool
+	// TakesUp is whether the caller has a part of the answer, from a stream that broke off.
+	TakesUp bool
 	// LastEventAt is when the last event of the answer was passed on to the caller; zero if
 	// none was.
 	LastEventAt time.Time
 }
 
-// Resumes reports whether the call continues an answer that was partly passed on.
-func (c *Call) Resumes() bool { return !c.LastEventAt.IsZero() }
+// Resumes reports whether the call continues an answer that was partly passed on, in this response or in the one that the
+// caller takes up.
+func (c *Call) Resumes() bool { return c.TakesUp || !c.LastEventAt.IsZero() }
 
 // Verdict is the outcome of a choice.
 type Verdict int
