steer, platform: Report and save the streams of several versions sooner

A stream was known to the lease holder up to 250 ms after it had begun, and saved up to 250 ms later, while streams last one or two seconds.

--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -52,6 +52,9 @@
 	// RecordCall records a call from which the demand is counted. tokens is the work of the
 	// call, expressed in tokens of a prompt.
 	RecordCall(service, model, adapter string, tokens float64)
+	// ReportStream records that a stream began at a service with several software versions, which the other
+	// daemons must learn soon.
+	ReportStream()
 }
 
 // Reserver reserves the time of engines for the calls of all daemons.
--- a/limpetd/front/origins.go
+++ b/limpetd/front/origins.go
@@ -80,7 +80,11 @@
 	f := c.front
 	f.mu.Lock()
 	f.origins.Record(c.schedCall.Service, hash(c.info.ID), a.server.Software, now)
+	mixed := f.origins.Mixed(c.schedCall.Service)
 	f.mu.Unlock()
+	if mixed {
+		f.deps.Loader.ReportStream()
+	}
 }
 
 // takesUp reports whether the caller takes up a stream that broke off.
--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -177,6 +177,9 @@
 	return only, n == 1
 }
 
+// Mixed reports whether a service had several versions within term.
+func (t *Table) Mixed(service string) bool { return t.mixed[service] }
+
 // Known reports whether a stream is recorded.
 func (t *Table) Known(id uint64) bool {
 	_, ok := t.software[id]
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -86,6 +86,8 @@
 	// replan triggers a plan, reportNow a report to the lease holder.
 	replan    chan struct{}
 	reportNow chan struct{}
+	// streamBegan triggers a report that tells of streams.
+	streamBegan chan struct{}
 }
 
 // New starts a Controller that runs until ctx ends. The listener l accepts the links of other
@@ -95,16 +97,17 @@
 	d.Scope = d.Scope.SubScope("steer")
 	s := &Controller{
 		tomb: t, settings: c, deps: d, broadcaster: newBroadcaster(d.Tables),
-		tables:     map[string]*mirror.Follower{},
-		linked:     map[string]Member{},
-		reaching:   map[string]time.Time{},
-		contact:    origin.Contact{MaxAge: maxUpdateAge},
-		nextReport: newReportBuilder(),
-		lease:      lease.NewCandidate(lease.Config{VM: c.Self.VM, Instance: c.Self.Instance, Term: leaseTerm}),
-		reports:    make(chan daemonReport, 256),
-		results:    make(chan func(*planState), 256),
-		replan:     make(chan struct{}, 1),
-		reportNow:  make(chan struct{}, 1),
+		tables:      map[string]*mirror.Follower{},
+		linked:      map[string]Member{},
+		reaching:    map[string]time.Time{},
+		contact:     origin.Contact{MaxAge: maxUpdateAge},
+		nextReport:  newReportBuilder(),
+		lease:       lease.NewCandidate(lease.Config{VM: c.Self.VM, Instance: c.Self.Instance, Term: leaseTerm}),
+		reports:     make(chan daemonReport, 256),
+		results:     make(chan func(*planState), 256),
+		replan:      make(chan struct{}, 1),
+		reportNow:   make(chan struct{}, 1),
+		streamBegan: make(chan struct{}, 1),
 	}
 	for _, f := range d.Tables {
 		s.tables[f.Name()] = f
@@ -202,7 +205,7 @@
 }
 
 // waitForReport waits until the next report is due: after reportPeriod, or earlier if calls
-// wait.
+// wait or a stream began.
 func (s *Controller) waitForReport(ctx context.Context) {
 	timer := time.NewTimer(reportPeriod)
 	defer timer.Stop()
@@ -211,9 +214,24 @@
 	case <-timer.C:
 	case <-s.reportNow:
 		life.Sleep(ctx, minReportPeriod)
+	case <-s.streamBegan:
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.reportNow:
+			life.Sleep(ctx, minReportPeriod)
+		case <-time.After(s.streamReportDelay()):
+		}
 	}
 }
 
+// streamReportDelay returns the time in which the streams that began are collected for one report.
+func (s *Controller) streamReportDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minStreamReportDelay, time.Duration(len(s.members))*streamReportDelayPerDaemon)
+}
+
 // runLink keeps a link to the lease holder until the link is lost or another lease holder
 // is announced.
 func (s *Controller) runLink(ctx context.Context, holder Member) error {
--- a/limpetd/steer/reports.go
+++ b/limpetd/steer/reports.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// ReportStream records that a stream began at a service with several software versions, and triggers a report.
+func (s *Controller) ReportStream() { notify(s.streamBegan) }
+
 // takeReport returns the report of this daemon since the last call.
 func (s *Controller) takeReport() daemonReport {
 	own := s.deps.Router.OwnLoad()
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -275,6 +275,11 @@
 	reportPeriod = 250 * time.Millisecond
 	// minReportPeriod is the least time between reports while calls wait.
 	minReportPeriod = 20 * time.Millisecond
+	// minStreamReportDelay is the least time between the start of a stream, at a service with several software versions,
+	// and its report; streamReportDelayPerDaemon the same for each daemon if that is longer: the lease holder must not
+	// get too many reports. If all daemons end, the streams that were not reported and saved can't go on.
+	minStreamReportDelay       = 50 * time.Millisecond
+	streamReportDelayPerDaemon = 2 * time.Millisecond
 	// linkOpenTimeout bounds the opening of a link, a few round trips.
 	linkOpenTimeout = 500 * time.Millisecond
 	// reserveTimeout bounds a reservation request, some round trips.
