front, platform: Name the reporter of streams apart from the loader

The report of streams had been added to the interface that receives the demand for models. It is an interface of its own now, and a test checks that streams of several versions are reported, and those of one version are not.

--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -59,7 +59,6 @@
 
 type loader struct{ wantCount atomic.Int64 }
 
-func (l *loader) ReportStream()                        {}
 func (l *loader) RequestLoad(_, _, _ string)           { l.wantCount.Add(1) }
 func (l *loader) RecordCall(_, _, _ string, _ float64) {}
 
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -52,9 +52,6 @@
 	// RecordCall records a call from which the demand is counted. tokens is the work of the
 	// call, expressed in tokens of a prompt.
 	RecordCall(service, model, adapter string, tokens float64)
-	// ReportStream records that a stream began at a service with several software versions, which the other
-	// daemons must learn soon.
-	ReportStream()
 }
 
 // Reserver reserves the time of engines for the calls of all daemons.
@@ -86,6 +83,8 @@
 	Crashes CrashObserver
 	// Limits is nil if no other daemon needs to know the limits that servers name.
 	Limits LimitObserver
+	// Streams is nil if no other daemon needs to know of streams.
+	Streams StreamReporter
 	// Contact is nil if this daemon always learns of new servers and of the streams of others.
 	Contact ContactProvider
 	// Departures is nil if servers announce their leaving in no other way than by the list of
--- a/limpetd/front/origins.go
+++ b/limpetd/front/origins.go
@@ -28,6 +28,12 @@
 	HasContact() bool
 }
 
+// StreamReporter reports the streams that OriginFacts returns to the other daemons.
+type StreamReporter interface {
+	// ReportStream reports soon that a stream began at a service with several software versions.
+	ReportStream()
+}
+
 // OriginFacts returns the streams that began at services with several software versions, after a version of
 // the records, and the current one. With own, those that other daemons told of are left out.
 func (f *Front) OriginFacts(version int64, own bool) (origin.Facts, int64) {
@@ -82,8 +88,8 @@
 	f.origins.Record(c.schedCall.Service, hash(c.info.ID), a.server.Software, now)
 	mixed := f.origins.Mixed(c.schedCall.Service)
 	f.mu.Unlock()
-	if mixed {
-		f.deps.Loader.ReportStream()
+	if mixed && f.deps.Streams != nil {
+		f.deps.Streams.ReportStream()
 	}
 }
 
--- a/limpetd/front/origins_test.go
+++ b/limpetd/front/origins_test.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// streamReporter counts reports.
+type streamReporter struct{ count atomic.Int64 }
+
+func (s *streamReporter) ReportStream() { s.count.Add(1) }
+
+// TestStreamsOfSeveralVersionsAreReported guards against streams that nobody knows after this daemon has ended, and against
+// reports while a service has one version.
+func TestStreamsOfSeveralVersionsAreReported(t *testing.T) {
+	for second, want := range map[string]int64{"v1": 0, "v2": 3} {
+		var reporter streamReporter
+		fx := newFixtureWithDeps(t, func(d *front.Deps) { d.Streams = &reporter }, engineRoute)
+		fx.front.SetServers(versionServers(t, []string{"v1", second}, streamEvents(0, 2, false), streamEvents(0, 2, false)))
+		for range 3 {
+			_, _, err := fx.post(t, "/r/1", call("1"))
+			require.NoError(t, err)
+		}
+		require.Equal(t, want, reporter.count.Load(), second)
+	}
+}
+
 // resumption is a call that takes up a stream after its event 1.
 func resumption(resumes string) map[string]string {
 	return map[string]string{"Model": "m", "Id": "x9", "Last": "1", "Resumes": resumes}
--- a/limpetd/origin/contact.go
+++ b/limpetd/origin/contact.go
@@ -6,7 +6,8 @@
 // stood still first receives what was sent to it meanwhile.
 const settleTime = 300 * time.Millisecond
 
-// Contact records how recently a daemon received the versions and streams of the others. Its times must include those in which the VM was suspended. It is not safe for concurrent use.
+// Contact records how recently a daemon received the versions and streams of the others. Its times must include those in
+// which the VM was suspended. It is not safe for concurrent use.
 type Contact struct {
 	// MaxAge is the age up to which what was received counts as current.
 	MaxAge time.Duration
