--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -83,7 +83,7 @@
 	Crashes CrashObserver
 	// Limits is nil if no other daemon needs to know the limits that servers name.
 	Limits LimitObserver
-	// Streams is nil if no other daemon needs to know of streams.
+	// Streams reports streams that began; nil if there is no other daemon.
 	Streams StreamReporter
 	// Contact is nil if this daemon always learns of new servers and of the streams of others.
 	Contact ContactProvider
--- a/limpetd/front/origins_test.go
+++ b/limpetd/front/origins_test.go
@@ -59,8 +59,8 @@
 
 func (s *streamReporter) ReportStream() { s.count.Add(1) }
 
-// TestStreamsOfSeveralVersionsAreReported guards against streams that nobody knows after this daemon has ended, and against
-// reports while a service has one version.
+// TestStreamsOfSeveralVersionsAreReported guards against streams whose version is lost with the daemon that began
+// them, and against reports while a service has one version.
 func TestStreamsOfSeveralVersionsAreReported(t *testing.T) {
 	for second, want := range map[string]int64{"v1": 0, "v2": 3} {
 		var reporter streamReporter
--- a/limpetd/front/retries.go
+++ b/limpetd/front/retries.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// recordDelivery tells the retry budget what is known of an attempt that has ended. The caller must hold mu.
+// recordDelivery records in the retry budget whether the server of an attempt that has ended may still read the call. The caller must hold mu.
 func (a *attempt) recordDelivery(r sched.Result, now time.Time) {
 	f, c := a.call.front, a.call
 	switch {
--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -3,9 +3,9 @@
 // The events of two versions don't fit together, so a stream goes on only at engines of the version
 // that sent its first event. A Table records the version of each stream for term, which is longer than any
 // caller takes a stream up again, and the versions that each service had in that time. While a service has
-// one version, its streams are not looked up. They are told to other daemons as long as there are few, so that
-// those of a daemon which fails before a second version appears are known. In a large fleet they are told when the
-// second version appears, for the last term.
+// one version, its streams are not looked up. If there are few, they are sent to other daemons in any case, so that the
+// streams of a daemon that fails before a second version appears are recorded elsewhere. Otherwise the streams of the last
+// term are sent when the second version appears.
 //
 // A new table lacks the versions that served before it was made, and the servers of one of them may just have
 // left. Until SetComplete, or until it is older than term, Lookup finds only recorded streams.
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -204,34 +204,6 @@
 	s.mu.Unlock()
 }
 
-// waitForReport waits until the next report is due: after reportPeriod, or earlier if calls
-// wait or a stream began.
-func (s *Controller) waitForReport(ctx context.Context) {
-	timer := time.NewTimer(reportPeriod)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-s.reportNow:
-		life.Sleep(ctx, minReportPeriod)
-	case <-s.streamBegan:
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-s.reportNow:
-			life.Sleep(ctx, minReportPeriod)
-		case <-time.After(s.streamReportDelay()):
-		}
-	}
-}
-
-// streamReportDelay returns the time in which the streams that began are collected for one report.
-func (s *Controller) streamReportDelay() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(minStreamReportDelay, time.Duration(len(s.members))*streamReportDelayPerDaemon)
-}
-
 // runLink keeps a link to the lease holder until the link is lost or another lease holder
 // is announced.
 func (s *Controller) runLink(ctx context.Context, holder Member) error {
--- a/limpetd/steer/reports.go
+++ b/limpetd/steer/reports.go
@@ -1,5 +1,12 @@
 package steer
 
+import (
+	"context"
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/life"
+)
+
 // RecordCall records a call and its work in prompt tokens.
 func (s *Controller) RecordCall(service, model, adapter string, work float64) {
 	s.mu.Lock()
@@ -71,3 +78,31 @@
 		s.deps.Scope.Counter("reports_dropped").Inc(1)
 	}
 }
+
+// waitForReport waits until the next report is due: after reportPeriod, or earlier if calls
+// wait or a stream began.
+func (s *Controller) waitForReport(ctx context.Context) {
+	timer := time.NewTimer(reportPeriod)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.reportNow:
+		life.Sleep(ctx, minReportPeriod)
+	case <-s.streamBegan:
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.reportNow:
+			life.Sleep(ctx, minReportPeriod)
+		case <-time.After(s.streamReportDelay()):
+		}
+	}
+}
+
+// streamReportDelay returns the time in which the streams that began are collected for one report.
+func (s *Controller) streamReportDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minStreamReportDelay, time.Duration(len(s.members))*streamReportDelayPerDaemon)
+}
