layout, front, platform: Recognise the organisations of callers by their keys

Calls ran without the name of the caller's organisation, also with keys that no configuration holds, and revoked keys stayed valid. The configuration index now maps the keyed hash of each key to its organisation, calls without a valid key are answered 401, also when the key was revoked while they waited, and servers receive the organisation's name instead of the key. The organisation's priority goes before the route's. Deployments without organisations pass these headers on as before.

--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -67,6 +67,10 @@
 	PromptBlocked Code = 1207
 	// StreamVersion means that a stream can't go on at the software version that began it.
 	StreamVersion Code = 1208
+	// OverQuota means that an organisation has used its quota.
+	OverQuota Code = 1209
+	// QuotaUnknown means that the daemon can't learn whether the organisation has quota left.
+	QuotaUnknown Code = 1210
 )
 
 // Codes of calls that fail after they were sent to a backend server.
@@ -173,6 +177,8 @@
 	{BackendFailed, "backend_failed", http.StatusBadGateway, RunNo, "The backend server could not be reached.", "Send the call again."},
 	{PromptBlocked, "prompt_blocked", http.StatusServiceUnavailable, RunNo, "Servers have ended under this request, or under calls with a part of its prompt. The call was not sent.", "Don't send the request again, or send it without that part. It is tried again after the time in the Retry-After header; operators can allow the part with `--allowed-parts`."},
 	{StreamVersion, "stream_version", http.StatusServiceUnavailable, RunNo, "The stream began at a version of the engines' software of which no engine can go on with it, or this daemon does not know the version.", "Retry after the time in the Retry-After header, or begin a new stream."},
+	{OverQuota, "over_quota", http.StatusTooManyRequests, RunNo, "The organisation has used its quota.", "Retry after the time in the Retry-After header."},
+	{QuotaUnknown, "quota_unknown", http.StatusServiceUnavailable, RunNo, "The daemon can't reach the lease holder, which keeps the quotas, and its own share of the organisation's quota is used.", "Retry after the time in the Retry-After header: another daemon may reach the lease holder."},
 
 	{StreamBroken, "stream_broken", http.StatusBadGateway, RunYes, "The response could not be completed.", "Send the request again; discard the part that was received."},
 	{AnswerCut, "answer_cut", http.StatusBadGateway, RunYes, "The engine ended the response early.", "Send the request again; discard the part that was received."},
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -204,7 +204,7 @@
 	c.front.deps.Dialect.SetHeaders(header, AttemptHeaders{
 		Instance:  a.server.ID,
 		TimeLeft:  time.Until(c.schedCall.Deadline),
-		Priority:  c.schedCall.Route.Priority,
+		Priority:  c.schedCall.Priority(),
 		ToEngine:  c.schedCall.Model != "",
 		LastEvent: c.lastEvent,
 	})
--- a/limpetd/front/dialect.go
+++ b/limpetd/front/dialect.go
@@ -12,6 +12,8 @@
 	ID string
 	// Caller identifies the caller; empty if the headers don't.
 	Caller string
+	// Keys are the values of the header that holds the key of the caller's organisation.
+	Keys []string
 	// Deadline is how long the caller waits for the response; 0 if the headers state none.
 	Deadline time.Duration
 	Model    string
@@ -75,6 +77,9 @@
 type Dialect interface {
 	// DecodeCall decodes the headers of a call and deletes those that callers may not set.
 	DecodeCall(h http.Header) CallHeaders
+	// SetOrganisation replaces the key in the headers of a call by the name of the caller's organisation; by nothing if
+	// the name is empty.
+	SetOrganisation(h http.Header, name string)
 	// SetHeaders sets the headers of an attempt.
 	SetHeaders(h http.Header, s AttemptHeaders)
 	// DecodeResponse decodes the status and headers of a response.
--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		ms = 0
 	}
-	c := front.CallHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Deadline: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
+	c := front.CallHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Deadline: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last"), Keys: h.Values("Api-Key"), Resumes: h.Get("Resumes")}
 	for _, name := range strings.Fields(h.Get("Parts")) {
 		if part, err := strconv.ParseUint(name, 10, 64); err == nil {
 			c.Parts = append(c.Parts, part)
@@ -41,6 +41,14 @@
 	return c
 }
 
+func (dialect) SetOrganisation(h http.Header, name string) {
+	h.Del("Api-Key")
+	h.Del("Organisation")
+	if name != "" {
+		h.Set("Organisation", name)
+	}
+}
+
 func (dialect) SetHeaders(h http.Header, s front.AttemptHeaders) {
 	h.Set("Instance", s.Instance)
 	h.Set("Deadline", strconv.FormatInt(s.TimeLeft.Milliseconds(), 10))
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -165,9 +165,9 @@
 		for _, t := range r.Targets {
 			d, ok := s.requirements[t.Service]
 			if !ok {
-				d = sched.Requirements{ShortestExpectation: r.Expectation, TopPriority: r.Priority}
+				d = sched.Requirements{ShortestExpectation: r.Expectation, TopPriority: topPriority(c, r)}
 			}
-			s.requirements[t.Service] = sched.Requirements{ShortestExpectation: min(d.ShortestExpectation, r.Expectation), TopPriority: min(d.TopPriority, r.Priority)}
+			s.requirements[t.Service] = sched.Requirements{ShortestExpectation: min(d.ShortestExpectation, r.Expectation), TopPriority: min(d.TopPriority, topPriority(c, r))}
 		}
 	}
 	return s
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -39,6 +39,9 @@
 	front   *Front
 	writer  http.ResponseWriter
 	request *http.Request
+	// key is the hash of the caller's key, hasKey whether the call needed one.
+	key    layout.KeyHash
+	hasKey bool
 	// info holds the values from the headers, schedCall those that the choice of a server
 	// depends on.
 	info      CallHeaders
@@ -170,6 +173,10 @@
 		c.fail(code.UnknownPath, http.StatusNotFound, "no route matches")
 		return false
 	}
+	c.info = f.deps.Dialect.DecodeCall(r.Header)
+	if !c.authenticate(s.config, route) {
+		return false
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, r.Body, maxBody(s.config)))
 	if err != nil {
 		var large *http.MaxBytesError
@@ -181,9 +188,11 @@
 		return false
 	}
 	c.body = body
-	c.info = f.deps.Dialect.DecodeCall(r.Header)
 	c.parts = c.suspectedParts()
 	removeHopHeaders(r.Header)
+	if s.config.Keys != nil {
+		f.deps.Dialect.SetOrganisation(r.Header, c.organisation())
+	}
 	c.fillSchedCall(s.config, route)
 	return true
 }
@@ -284,6 +293,9 @@
 		zap.Int("sends", o.attempts), zap.Float64("load", math.Round(o.load*100)/100), zap.Duration("load_age", o.loadAge),
 		zap.Int("asks", o.asks), zap.Bool("granted", o.granted), zap.Duration("waited", o.waited), zap.Duration("took", now.Sub(c.schedCall.Arrived)),
 	}
+	if name := c.organisation(); name != "" {
+		fields = append(fields, zap.String("organisation", name))
+	}
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -58,7 +58,7 @@
 		g := group{w.call.schedCall.Service, w.call.schedCall.Model, w.call.schedCall.Adapter}
 		if !noRoom[g] {
 			choice := f.assignServer(w.call, now)
-			if choice.Verdict == sched.Chosen || choice.Verdict == sched.NoServer || choice.Verdict == sched.PromptBlocked {
+			if endsWait(choice.Verdict) {
 				w.result <- choice
 				continue
 			}
@@ -68,13 +68,22 @@
 	}
 }
 
+// endsWait reports whether a waiting call receives a choice with this verdict.
+func endsWait(v sched.Verdict) bool {
+	switch v {
+	case sched.Chosen, sched.NoServer, sched.PromptBlocked, sched.KeyWithdrawn, sched.OverQuota, sched.QuotaUnknown:
+		return true
+	}
+	return false
+}
+
 // countAhead counts the waiters of the same service and model with an equal or more urgent
 // priority, whatever their adapter. The caller must hold mu.
 func (f *Front) countAhead(c *call) int {
 	n := 0
 	for _, w := range f.waiters {
 		o := &w.call.schedCall
-		if o.Service == c.schedCall.Service && o.Model == c.schedCall.Model && o.Route.Priority <= c.schedCall.Route.Priority {
+		if o.Service == c.schedCall.Service && o.Model == c.schedCall.Model && o.Priority() <= c.schedCall.Priority() {
 			n++
 		}
 	}
@@ -87,12 +96,16 @@
 }
 
 // assign records that a call is sent to the chosen server. All calls to servers pass it. The verdict
-// becomes PromptBlocked if the prompt may end the engine, and RetryBudgetSpent if the retry budget is
-// spent. The caller must hold mu.
+// becomes KeyWithdrawn if the key of the call is no longer valid, PromptBlocked if the prompt may end
+// the engine, and RetryBudgetSpent if the retry budget is spent. The caller must hold mu.
 func (f *Front) assign(c *call, choice sched.Choice, now time.Time) sched.Choice {
 	if choice.Verdict != sched.Chosen {
 		return choice
 	}
+	if !c.hasValidKey() {
+		choice.Verdict = sched.KeyWithdrawn
+		return choice
+	}
 	if refused, ok := f.checkPrompt(c, now); !ok {
 		return refused
 	}
@@ -151,7 +164,6 @@
 		if sched.ShouldHold(&c.schedCall, choice.RetryAfter, now) {
 			until = sched.HoldUntil(&c.schedCall)
 		}
-	case sched.NoServer, sched.RetryBudgetSpent, sched.PromptBlocked, sched.ChooseAgain:
 	}
 	if until.After(now) {
 		c.waited = true
@@ -254,6 +266,8 @@
 		c.giveUp(code.RetryBudget, choice, "retry budget spent after: "+c.outcome.reason)
 	case sched.PromptBlocked:
 		c.endBlocked(choice)
+	case sched.KeyWithdrawn:
+		c.endWithoutKey()
 	case sched.NotLoaded:
 		c.giveUp(code.NoEngine, choice, "no engine holds the model")
 	case sched.Full:
--- a/limpetd/layout/layout.go
+++ b/limpetd/layout/layout.go
@@ -58,7 +58,9 @@
 	Resumable bool
 	// ToEngines is whether calls name a model and share parts of their prompts.
 	ToEngines bool
-	Targets   []Target
+	// Public is whether calls need no key of an organisation.
+	Public  bool
+	Targets []Target
 }
 
 // Repeatable reports whether a call of the route may run more than once.
@@ -131,6 +133,10 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Organisations are the organisations whose callers may use routes that are not public, and Keys
+	// their keys. Keys is nil in a deployment without organisations, where calls need no key.
+	Organisations []*Organisation
+	Keys          *KeyIndex
 }
 
 // State is the state that a backend server reports.
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -53,8 +53,8 @@
 			}
 			return 1
 		}
-		if a.Call.Route.Priority != b.Call.Route.Priority {
-			return a.Call.Route.Priority - b.Call.Route.Priority
+		if pa, pb := a.Call.Priority(), b.Call.Priority(); pa != pb {
+			return pa - pb
 		}
 		return a.Call.Arrived.Compare(b.Call.Arrived)
 	})
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -97,7 +97,7 @@
 	return ReservationRequest{
 		Service: c.Service, Model: c.Model, Adapter: c.Adapter, Tokens: c.PromptTokens, Session: c.Session,
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
-		IsTopPriority: c.Resumes() || c.Route.Priority <= d.TopPriority, Excluded: exclude,
+		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
 	}
 }
 
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -43,8 +43,10 @@
 
 // Call describes a call that is to be sent to a backend server.
 type Call struct {
-	Route   *layout.Route
-	Service string
+	Route *layout.Route
+	// Organisation is the organisation of the caller; nil if the call needs none.
+	Organisation *layout.Organisation
+	Service      string
 	// Model and Adapter are empty for plain services.
 	Model, Adapter string
 	// PromptTokens and OutputTokens are the sizes that the caller states.
@@ -66,6 +68,15 @@
 	LastEventAt time.Time
 }
 
+// Priority returns the priority of the call, 0 for the most urgent one: that of its organisation or, if the organisation
+// has none, of its route.
+func (c *Call) Priority() int {
+	if c.Organisation != nil && c.Organisation.HasPriority {
+		return c.Organisation.Priority
+	}
+	return c.Route.Priority
+}
+
 // Resumes reports whether the call continues an answer that was partly passed on, in this response or in the one that the
 // caller takes up.
 func (c *Call) Resumes() bool { return c.TakesUp || !c.LastEventAt.IsZero() }
@@ -89,6 +100,12 @@
 	PromptBlocked
 	// ChooseAgain means that the choice must be repeated: a server may be available now.
 	ChooseAgain
+	// OverQuota means that the organisation has used its quota. RetryAfter is when it has enough again.
+	OverQuota
+	// QuotaUnknown means that this daemon can't learn whether the organisation has quota left.
+	QuotaUnknown
+	// KeyWithdrawn means that the key of the call is no longer valid.
+	KeyWithdrawn
 )
 
 // Choice is the outcome of Choose.
