sched: Grant only starts that leave time for the prefill of the call

The latest start of a reservation left a fixed 15 % of the objective for the call's own prefill and first decoding step, 60 ms with an objective of 400 ms.

The latest start is now the objective less the estimated prefill of the call and one decoding step. A call that no start makes punctual counts as late, so it gets leftover time only.

--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -152,7 +152,7 @@
 		return Reservation{Verdict: Full, Delay: min(max(tokenDelay(withModel), minAskDelay), maxAskDelay)}
 	}
 	wait := start.Sub(now)
-	if maxWait := a.maxWait(); wait > maxWait {
+	if maxWait := a.maxWait(b.firstEventTime(a, prefillTime)); wait > maxWait {
 		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
 	}
 	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
@@ -189,11 +189,13 @@
 
 // maxWait returns how long the call may wait for its reservation to start: a part of the
 // service's shortest expectation that depends on the urgency of the call, but no longer
-// than MaxStartDelay unless the call is already late.
-func (a *ReservationRequest) maxWait() time.Duration {
+// than MaxStartDelay and latestStart unless the call is already late. firstEvent is the time
+// from the start to the first event.
+func (a *ReservationRequest) maxWait(firstEvent time.Duration) time.Duration {
 	share := urgentBacklog
+	latest := min(a.MaxStartDelay, a.latestStart(firstEvent))
 	switch {
-	case a.MaxStartDelay <= 0:
+	case latest <= 0:
 		share = lateBacklog
 	case a.IsTopPriority:
 		share = topPriorityBacklog
@@ -201,8 +203,8 @@
 		share = relaxedBacklog
 	}
 	maxWait := time.Duration(share * float64(a.ShortestExpectation))
-	if a.MaxStartDelay > 0 {
-		maxWait = min(maxWait, a.MaxStartDelay)
+	if latest > 0 {
+		maxWait = min(maxWait, latest)
 	}
 	return maxWait
 }
