sched: Don't reserve less than the mean prefill time of a prompt

Under shortage, engines prefill several prompts in one decoding step. The times to the first event then depend little on the size of a prompt, and the fitted time per token fell to half of the mean: engines were reserved for more than they prefill, so streams began late and paused. The slope is now at least the mean.

--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -25,8 +25,9 @@
 	// baseRise is the part of the difference to a longer sample by which the sample raises
 	// base, the estimated time to a first event without a prompt.
 	baseRise = 0.003
-	// minSlope and maxSlope limit the slope, as factors of the mean.
-	minSlope = 0.5
+	// minSlope and maxSlope limit the slope, as factors of the mean. With a minimum of 0.5, the estimate fell to two
+	// thirds of the truth under shortage, since prompts that engines prefill in one step take the same time.
+	minSlope = 1.0
 	maxSlope = 1.5
 	// maxSample is the longest sample that is used: an engine that takes longer is unhealthy.
 	maxSample = time.Second
@@ -50,8 +51,8 @@
 //
 // The slope is limited to a range around the mean time per token above base, the shortest
 // sample. If an engine receives prompts faster than it can prefill them, small prompts take
-// long too, which flattens the line. The mean then rises, prompts are sent at longer
-// intervals, and the engine catches up.
+// long too, which flattens the line. The mean, the least slope that is used, then rises,
+// prompts are sent at longer intervals, and the engine catches up.
 type prefillFit struct {
 	// base is the shortest sample, which rises slowly towards longer ones.
 	base float64
--- a/limpetd/sched/prefill_speed_test.go
+++ b/limpetd/sched/prefill_speed_test.go
@@ -41,3 +41,22 @@
 	}
 	require.GreaterOrEqual(t, granted, 225, "of 250 calls in the last 5 s, per token %s", b.PrefillTimePerToken("s", "m"))
 }
+
+// TestEstimateHoldsWhilePromptsShareSteps guards against reserving more than engines prefill under shortage: engines then
+// prefill several prompts in a step, so that the time to the first event does not depend on the size of a prompt.
+func TestEstimateHoldsWhilePromptsShareSteps(t *testing.T) {
+	const truth, base = 50 * time.Microsecond, 15 * time.Millisecond
+	now := time.Unix(1000, 0)
+	b := NewBalancer(Settings{}, rand.New(rand.NewPCG(1, 1)))
+	for i := range 400 {
+		now = now.Add(50 * time.Millisecond)
+		tokens, together := 200+37*i%1600, 200+53*i%1600
+		if i < 100 {
+			together = 0
+		}
+		b.RecordSample(Sample{Service: "s", Model: "m", Tokens: tokens, Took: base + time.Duration(tokens+together)*truth}, now)
+		if i >= 100 {
+			require.Greater(t, b.PrefillTimePerToken("s", "m"), truth*9/10, "sample %d", i)
+		}
+	}
+}
