sched: Prefer calls that are worth more for their work under shortage

Under shortage, all calls with the shortest objective accepted the same backlog of an engine, so that calls of every priority were refused in proportion, and long prompts took the time of short ones.

The lease holder now counts the demand for a model by priority and work. If calls without time to wait are refused, calls that exceed what is granted accept less backlog the less they are worth for their work; calls whose objective leaves seconds wait until their time is nearly used up. The latest start leaves the delay of first events that samples show. Reservations include a part of a decoding step, and at most 0.9 of an engine's time.

--- a/limpetd/sched/prefill_share.go
+++ b/limpetd/sched/prefill_share.go
@@ -2,10 +2,11 @@
 
 const (
 	// initialShare is the prefill share of a service before any of its streams ended.
-	// minShare and maxShare limit the share.
+	// minShare and maxShare limit the share. With a maximum of 1, one stream in twelve paused for too long under
+	// lasting shortage, and the share then fell to its minimum for seconds.
 	initialShare = 0.9
 	minShare     = 0.7
-	maxShare     = 1.0
+	maxShare     = 0.9
 	// shareDown and shareUp are the steps for a stream that paused too long and for a
 	// stream that did not: the share is stable if one stream in twelve pauses too long.
 	shareDown = 0.0055
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -55,6 +55,12 @@
 	// Excluded are the IDs of the servers that the call was sent to before or that its daemon
 	// can't use.
 	Excluded []string
+	// Level is the number of priority levels between the call and the most urgent calls of the service, plus 1; 0 if
+	// the build of the daemon does not state it.
+	Level int
+	// Waited is the time since the call arrived, Resumes whether it continues an answer.
+	Waited  time.Duration
+	Resumes bool
 }
 
 // Requirements are the strictest requirements of the stream routes that lead to a service.
@@ -98,6 +104,7 @@
 		Service: c.Service, Model: c.Model, Adapter: c.Adapter, Tokens: c.PromptTokens, Session: c.Session,
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
 		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
+		Level: max(c.Priority()-d.TopPriority, 0) + 1, Waited: now.Sub(c.Arrived), Resumes: c.Resumes(),
 	}
 }
 
@@ -133,7 +140,7 @@
 	var best *server
 	var start time.Time
 	var rank uint64
-	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
+	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens))/b.prefillShares.of(a.Service)) + promptOverhead
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
@@ -152,13 +159,16 @@
 		return Reservation{Verdict: Full, Delay: min(max(tokenDelay(withModel), minAskDelay), maxAskDelay)}
 	}
 	wait := start.Sub(now)
-	if maxWait := a.maxWait(b.firstEventTime(a, prefillTime)); wait > maxWait {
+	d := b.demandOf(a, now)
+	if maxWait := a.maxWait(b.firstEventTime(a, prefillTime), d); wait > maxWait {
+		d.record(a, false)
 		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
 	}
 	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
 	if exclusive {
 		best.sampledAt = now
 	}
+	d.record(a, true)
 	best.reserve(start, prefillTime)
 	best.takeToken(now)
 	b.recordGrant(best, now)
@@ -191,16 +201,14 @@
 // service's shortest expectation that depends on the urgency of the call, but no longer
 // than MaxStartDelay and latestStart unless the call is already late. firstEvent is the time
 // from the start to the first event.
-func (a *ReservationRequest) maxWait(firstEvent time.Duration) time.Duration {
-	share := urgentBacklog
+func (a *ReservationRequest) maxWait(firstEvent time.Duration, d *demand) time.Duration {
 	latest := min(a.MaxStartDelay, a.latestStart(firstEvent))
-	switch {
-	case latest <= 0:
-		share = lateBacklog
-	case a.IsTopPriority:
-		share = topPriorityBacklog
-	case a.MaxStartDelay > a.ShortestExpectation:
-		share = relaxedBacklog
+	if a.Resumes {
+		latest = a.MaxStartDelay
+	}
+	share := lateBacklog
+	if latest > 0 {
+		share = a.backlog(d)
 	}
 	maxWait := time.Duration(share * float64(a.ShortestExpectation))
 	if latest > 0 {
@@ -244,7 +252,10 @@
 }
 
 // RecordSample records how long an engine that had no other prompt took to a first event.
-func (b *Balancer) RecordSample(s Sample, now time.Time) { b.prefillSpeeds.add(s, now) }
+func (b *Balancer) RecordSample(s Sample, now time.Time) {
+	b.recordDelay(s)
+	b.prefillSpeeds.add(s, now)
+}
 
 // PrefillTimePerToken returns the time that engines take to prefill one token of a model's
 // prompts.
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -225,6 +225,10 @@
 	sharedAt      time.Time
 	prefillSpeeds prefillSpeeds
 	prefillShares prefillShares
+	// demands holds the recent demand by model, at the lease holder.
+	demands map[modelKey]*demand
+	// delays holds, by service, how much longer than the prefill the first events take.
+	delays map[string]*firstEventDelay
 	// timePerPending is the smoothed time to a first event per call that waits for one.
 	timePerPending time.Duration
 }
@@ -242,6 +246,8 @@
 		sendRate:       map[string]*sendRate{},
 		prefillSpeeds:  newPrefillSpeeds(),
 		prefillShares:  prefillShares{},
+		demands:        map[modelKey]*demand{},
+		delays:         map[string]*firstEventDelay{},
 		timePerPending: initialTimePerPending,
 	}
 }
