sched: Subtract only the fixed part of the shortest sample from prefill times

The shortest sample includes the prefill of its own prompt. Subtracting all of it made the mean time per token a third too short for prompts of 300 to 2,000 tokens, and with queued prompts the estimate fell to 38 us of 50: streams paused, and the prefill share then fell to its minimum for seconds.

The mean is now the slope between the shortest sample and the average one, and the fitted slope is at least 0.85 of it. Reservations need no part of a decoding step for that.

--- a/limpetd/sched/order.go
+++ b/limpetd/sched/order.go
@@ -54,7 +54,3 @@
 	}
 	return prefillTime + delay
 }
-
-// promptOverhead is the part of a decoding step that an engine spends for each prompt, beside its prefill. Without it,
-// engines that receive short prompts are reserved for more than they prefill.
-const promptOverhead = 3 * time.Millisecond
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -27,8 +27,10 @@
 	baseRise = 0.003
 	// minSlope and maxSlope limit the slope, as factors of the mean. With a minimum of 0.5, the estimate fell to two
 	// thirds of the truth under shortage, since prompts that engines prefill in one step take the same time.
-	minSlope = 1.0
+	minSlope = 0.85
 	maxSlope = 1.5
+	// maxBaseShare limits the part of the mean size of prompts that the shortest sample may have had.
+	maxBaseShare = 0.4
 	// maxSample is the longest sample that is used: an engine that takes longer is unhealthy.
 	maxSample = time.Second
 	// maxSampleRatio is how many times as long as estimated a sample counts at the most.
@@ -56,6 +58,8 @@
 type prefillFit struct {
 	// base is the shortest sample, which rises slowly towards longer ones.
 	base float64
+	// baseTokens is the size of the prompt of that sample.
+	baseTokens float64
 	// weight is the decayed number of samples.
 	weight float64
 	// tokens and took are decayed sums of the sizes and times of the samples, squares of
@@ -89,7 +93,7 @@
 func (p *prefillFit) add(tokens, took float64) {
 	switch {
 	case p.weight == 0 || took < p.base:
-		p.base = took
+		p.base, p.baseTokens = took, tokens
 	default:
 		p.base += baseRise * (took - p.base)
 	}
@@ -110,7 +114,8 @@
 	if p.weight == 0 {
 		return prior
 	}
-	mean := max(p.took-p.base*p.weight, 0) / p.tokens
+	// The shortest sample includes the prefill of its own prompt.
+	mean := max(p.took-p.base*p.weight, 0) / (p.tokens - min(p.baseTokens*p.weight, maxBaseShare*p.tokens))
 	fitted := mean
 	if spread := p.weight*p.squares - p.tokens*p.tokens; spread > 0 {
 		fitted = min(max((p.weight*p.products-p.tokens*p.took)/spread, minSlope*mean), maxSlope*mean)
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -140,7 +140,7 @@
 	var best *server
 	var start time.Time
 	var rank uint64
-	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens))/b.prefillShares.of(a.Service)) + promptOverhead
+	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens))/b.prefillShares.of(a.Service))
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
