sched, front, steer: Reserve the slots of plain servers for all daemons

With 58 daemons and three plain servers of six slots, a quarter of the calls that arrived were rejected, although other servers had free slots: each daemon chose by counts that were a quarter of a second old. Where the servers of a plain service report slots and there are more daemons than slots, calls now ask the lease holder. It keeps for each slot when it is expected to be free, grants the server that answers first, delays a call for up to the time in which it can still be on time, and refuses others at once with a time to return that differs between callers. Daemons report service times, and rejections at once. A lease holder of an older build, whose grants reserve no slot, and one that does not answer leave the choice to the daemon.

--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -58,7 +58,11 @@
 }
 
 func (dialect) DecodeResponse(status int, h http.Header) front.ResponseHeaders {
-	return front.ResponseHeaders{NotRun: h.Get("Unrun") != "", WrongServer: status == http.StatusMisdirectedRequest, HasStamp: h.Get("Stamp") != ""}
+	r := front.ResponseHeaders{NotRun: h.Get("Unrun") != "", WrongServer: status == http.StatusMisdirectedRequest, HasStamp: h.Get("Stamp") != ""}
+	if slots, err := strconv.Atoi(h.Get("Slots")); err == nil {
+		r.Load = &sched.LoadReport{Slots: slots}
+	}
+	return r
 }
 
 func (dialect) Matches(h http.Header, id string, reused bool) bool {
@@ -72,11 +76,13 @@
 
 // fixture is a Front with backend servers of the service "s".
 type fixture struct {
-	front  *front.Front
-	loader *loader
-	logs   *observer.ObservedLogs
-	server *httptest.Server
-	url    string
+	front *front.Front
+	// servers are those of the list of servers.
+	servers []*layout.Server
+	loader  *loader
+	logs    *observer.ObservedLogs
+	server  *httptest.Server
+	url     string
 }
 
 func newFixture(t *testing.T, route layout.Route, handlers ...http.HandlerFunc) *fixture {
@@ -119,7 +125,7 @@
 		})
 	}
 	core, logs := observer.New(zap.InfoLevel)
-	fx := &fixture{loader: &loader{}, logs: logs}
+	fx := &fixture{loader: &loader{}, logs: logs, servers: servers}
 	deps := front.Deps{Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: fx.loader, Log: zap.New(core), Scope: tally.NoopScope}
 	change(&deps)
 	fx.front = front.New(t.Context(), deps, front.WithSettings(settings))
--- /dev/null
+++ b/limpetd/front/slots.go
@@ -0,0 +1,30 @@
+package front
+
+import (
+	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+// sharesSlots reports whether the lease holder reserves the slots of the call's service for the calls of all daemons.
+// The caller must hold mu.
+func (c *call) sharesSlots() bool {
+	return c.schedCall.Model == "" && c.front.balancer.SharesSlots(c.schedCall.Service)
+}
+
+// choiceWhenFull returns the choice for a call for which the lease holder has found no room. The caller must hold mu.
+func (c *call) choiceWhenFull(g sched.Reservation, now time.Time) sched.Choice {
+	if c.sharesSlots() {
+		return c.front.balancer.SlotsFull(&c.schedCall, g.Delay, now)
+	}
+	return c.front.balancer.ChoiceWhenFull(&c.schedCall, now)
+}
+
+// reportPlain reports to the lease holder how long a plain server took to answer a call whose slot the lease holder
+// has reserved; 0 if the server has rejected the call.
+func (a *attempt) reportPlain(took time.Duration) {
+	c := &a.call.schedCall
+	if a.alone && c.Model == "" {
+		a.call.front.deps.Reserver.RecordSample(sched.Sample{Service: c.Service, Took: took, Server: a.server.ID})
+	}
+}
--- /dev/null
+++ b/limpetd/front/slots_test.go
@@ -0,0 +1,72 @@
+package front_test
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+// TestSlotsOfPlainServersAreReserved guards against calls to plain servers that ignore the lease holder, wait although it
+// has found no slot in time, or don't report what its next grants depend on.
+func TestSlotsOfPlainServersAreReserved(t *testing.T) {
+	rejects := false
+	r := &reserver{reservations: []sched.Reservation{
+		{Verdict: sched.Chosen, Server: "i1", Delay: 40 * time.Millisecond, Exclusive: true},
+		{Verdict: sched.Chosen, Server: "i1", Exclusive: true},
+		{Verdict: sched.Full, Delay: 700 * time.Millisecond},
+	}}
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Slots", "6")
+		if rejects {
+			w.Header().Set("Unrun", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	fx := newFixtureWithReserver(t, r, layout.Route{Kind: layout.Unsafe, MaxAttempts: 2, Expectation: 300 * time.Millisecond}, answer, answer)
+	var servers []*layout.Server
+	for _, s := range fx.servers {
+		s.Models = nil
+		servers = append(servers, s)
+	}
+	fx.front.SetServers(servers)
+	fx.front.SetDaemons(58, 0)
+	post := func() (responseHead, time.Duration) {
+		begin := time.Now()
+		a, _, err := fx.post(t, "/r/1", nil)
+		require.NoError(t, err)
+		return a, time.Since(begin)
+	}
+	a, _ := post()
+	require.Equal(t, http.StatusOK, a.StatusCode)
+	require.Empty(t, r.asks, "no server has reported slots before")
+	a, took := post()
+	require.Equal(t, http.StatusOK, a.StatusCode)
+	require.GreaterOrEqual(t, took, 40*time.Millisecond)
+	require.Len(t, r.samples, 1)
+	require.Positive(t, r.samples[0].Took)
+	require.Equal(t, "i1", r.samples[0].Server)
+	rejects = true
+	a, took = post()
+	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
+	require.Less(t, took, 250*time.Millisecond)
+	require.Equal(t, sched.Sample{Service: "s", Server: "i1"}, r.samples[1])
+	require.Contains(t, r.asks[2].Excluded, "i1")
+	seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.InDelta(t, 0.7, seconds, 0.01, "the lease holder knows when there is room")
+	rejects, r.reservations = false, []sched.Reservation{{Verdict: sched.Chosen, Server: "i1", Delay: time.Nanosecond}}
+	a, _ = post()
+	require.Equal(t, http.StatusOK, a.StatusCode)
+	require.Len(t, r.samples, 2, "an older lease holder reserves no slots: the daemon chooses")
+	r.err = errors.New("no answer")
+	a, _ = post()
+	require.Equal(t, http.StatusOK, a.StatusCode, "without the lease holder, the daemon chooses")
+	require.Len(t, r.samples, 2)
+}
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -139,7 +139,9 @@
 	choice, reservation := c.findServer(ctx)
 	now := time.Now()
 	f.mu.Lock()
-	worthWaiting := choice.Verdict == sched.Full && (c.waited || c.responseBegun || c.schedCall.TakesUp || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
+	// The lease holder has already let a call to a plain server wait for as long as it can be on time.
+	refusedSlot := reservation != nil && c.runs == 0 && c.sharesSlots()
+	worthWaiting := choice.Verdict == sched.Full && !refusedSlot && (c.waited || c.responseBegun || c.schedCall.TakesUp || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
 	f.mu.Unlock()
 	if reservation != nil {
 		worthWaiting = worthWaiting && sched.WaitsForReservation(&c.schedCall, f.activeConfig.Load().requirements[c.schedCall.Service])
@@ -199,8 +201,8 @@
 	return f.assignServer(c, now), nil
 }
 
-// needsReservation reports whether the lease holder must choose the server: an engine, or a server of a
-// service in which a server has a limit for all daemons together.
+// needsReservation reports whether the lease holder must choose the server: an engine, a server of a
+// service in which a server has a limit for all daemons together, or a plain server whose slots all daemons share.
 func (c *call) needsReservation() bool {
 	if c.schedCall.Model != "" {
 		return true
@@ -208,7 +210,7 @@
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.HasLimits(c.schedCall.Service)
+	return f.balancer.HasLimits(c.schedCall.Service) || f.balancer.SharesSlots(c.schedCall.Service)
 }
 
 // mayRetry reports whether the call has reached no server yet, or the retry budget allows
@@ -231,6 +233,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	if c.sharesSlots() && g.Verdict == sched.Chosen && !g.Exclusive {
+		// A lease holder of an older build, or one that does not know the slots yet, reserves none.
+		return sched.Choice{Verdict: sched.NoServer}, false
+	}
 	choice := f.balancer.ChoiceFor(g, &c.schedCall, now)
 	switch choice.Verdict {
 	case sched.NoServer:
@@ -238,7 +244,7 @@
 	case sched.NotLoaded:
 		return choice, !f.balancer.Loaded(&c.schedCall, now) && !f.balancer.WaitsForBackoff(&c.schedCall, now)
 	case sched.Full:
-		choice = f.balancer.ChoiceWhenFull(&c.schedCall, now)
+		choice = c.choiceWhenFull(g, now)
 	}
 	return f.assign(c, choice, now), true
 }
--- a/limpetd/sched/limit.go
+++ b/limpetd/sched/limit.go
@@ -262,6 +262,9 @@
 
 // reservePlain grants a call without a model a token of the least loaded server within its limit.
 func (b *Balancer) reservePlain(a *ReservationRequest, list []*server, now time.Time) Reservation {
+	if b.SharesSlots(a.Service) {
+		return b.reserveSlot(a, list, now)
+	}
 	candidates := make([]candidate, 0, len(list))
 	lowest := math.Inf(1)
 	for _, s := range b.bearing(a.Service, false, list, now) {
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -3,14 +3,17 @@
 import "time"
 
 // Sample is the time to the first event of a call at an engine that prefilled no other
-// prompt.
+// prompt, or the time to the answer of a call to a plain server. Older builds ignore the latter, because it has no tokens.
 type Sample struct {
 	_msgpack       struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	Service, Model string
 	// Tokens is the size of the prompt.
 	Tokens int
-	// Took is the time from the send to the first event.
+	// Took is the time from the send to the first event or, for a call without a model, to the answer; 0 for such a call
+	// that the server has rejected.
 	Took time.Duration
+	// Server is the server that the call was sent to; empty from older builds.
+	Server string
 }
 
 const (
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -88,6 +88,7 @@
 		// first event.
 		within = time.Duration(topPriorityBacklog * float64(d.ShortestExpectation))
 	}
+	within = slotWait(c, within, now)
 	exclude := slices.Clone(c.Tried)
 	for _, s := range b.byService[c.Service] {
 		if s.isExcluded(now) || s.lacksModel(c, now) || !s.runs(c) {
@@ -242,7 +243,13 @@
 }
 
 // RecordSample records how long an engine that had no other prompt took to a first event.
-func (b *Balancer) RecordSample(s Sample, now time.Time) { b.prefillSpeeds.add(s, now) }
+func (b *Balancer) RecordSample(s Sample, now time.Time) {
+	if s.Model == "" {
+		b.recordPlain(s, now)
+		return
+	}
+	b.prefillSpeeds.add(s, now)
+}
 
 // PrefillTimePerToken returns the time that engines take to prefill one token of a model's
 // prompts.
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -197,6 +197,10 @@
 	// missingUntil holds, by MODEL/ADAPTER, until when the server is excluded because it
 	// lacks the model or adapter.
 	missingUntil map[string]time.Time
+	// slots is what the lease holder has granted of a plain server; nil before it has granted anything. time is the
+	// server's service time.
+	slots *slotPlan
+	time  serviceTime
 }
 
 // Balancer records the load and health of servers as seen by one daemon, and the retry
@@ -225,6 +229,8 @@
 	sharedAt      time.Time
 	prefillSpeeds prefillSpeeds
 	prefillShares prefillShares
+	// plainSlots is what the lease holder knows about plain services.
+	plainSlots map[string]*plainSlots
 	// timePerPending is the smoothed time to a first event per call that waits for one.
 	timePerPending time.Duration
 }
@@ -242,6 +248,7 @@
 		sendRate:       map[string]*sendRate{},
 		prefillSpeeds:  newPrefillSpeeds(),
 		prefillShares:  prefillShares{},
+		plainSlots:     map[string]*plainSlots{},
 		timePerPending: initialTimePerPending,
 	}
 }
--- a/limpetd/steer/reserve.go
+++ b/limpetd/steer/reserve.go
@@ -65,13 +65,17 @@
 	return s.deps.Router.Reserve(a), nil
 }
 
-// RecordSample adds a measurement of how fast an engine read a prompt to the next report.
+// RecordSample adds a measurement of the speed of a server to the next report. A rejection, which takes no time, is reported
+// at once, since the lease holder would grant the server's slots to further calls.
 func (s *Controller) RecordSample(sample sched.Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.nextReport.samples) < maxSamples {
 		s.nextReport.samples = append(s.nextReport.samples, sample)
 	}
+	if sample.Took == 0 && sample.Model == "" {
+		notify(s.reportNow)
+	}
 }
 
 // RecordStream adds a stream that ended to the next report. paused indicates whether the
