sched, front, platform: Estimate the pace of each server

Load reports with a fourth figure were dropped, and no decision used how quick a server is. Each balancer keeps an estimate for each server: its timed answers relative to the service's, and the reported figure relative to its usual value, which ages within some hundred milliseconds. It counts in the expected service time of plain servers, in the length of a reservation and the order of engines, in the load of slow servers, and as a weight in the choice among servers with similar load. A slow server gets a call each 0.7 s if the call is on time there. Engines of services that report no pace are served as before.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -145,7 +145,7 @@
 	f.dispatch(now)
 	f.mu.Unlock()
 	if sc := &a.call.schedCall; first && a.alone && sc.Model != "" {
-		f.deps.Reserver.RecordSample(sched.Sample{Service: sc.Service, Model: sc.Model, Tokens: sc.PromptTokens, Took: now.Sub(a.sentAt), Server: a.server.ID})
+		f.deps.Reserver.RecordSample(sched.Sample{Service: sc.Service, Model: sc.Model, Tokens: sc.PromptTokens, Took: now.Sub(a.sentAt), Server: a.server.ID, Pace: r.pace()})
 	}
 }
 
@@ -259,7 +259,7 @@
 		return c.retryOrEnd(ctx, code.NoEngine, "the server is another instance or lacks the model")
 	}
 	a.finish(sched.Refused)
-	a.reportPlain(0)
+	a.reportPlain(0, r)
 	a.reportRejection()
 	return c.retryOrEnd(ctx, code.QueueFull, "the server has no room")
 }
@@ -324,7 +324,7 @@
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode < http.StatusInternalServerError {
 		a.finish(sched.Answered)
-		a.reportPlain(time.Since(a.sentAt))
+		a.reportPlain(time.Since(a.sentAt), r)
 		c.writeBuffered(buffered)
 		return false
 	}
--- a/limpetd/front/dialect.go
+++ b/limpetd/front/dialect.go
@@ -55,6 +55,8 @@
 	HasStamp bool
 	// Load is the load that the server reports; nil if it reports none.
 	Load *sched.LoadReport
+	// InvalidPace is a pace in the load that is malformed or out of range.
+	InvalidPace string
 	// Leaving is whether the server announces that it is leaving.
 	Leaving bool
 	// Backoff is how long the server wants no more calls from this daemon; 0 if it states no
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -118,6 +118,7 @@
 	buffered atomic.Int64
 	metrics  metrics
 	connects *connectTracker
+	paceLog  paceLog
 
 	// crashesChanged holds a value after the ledger of ends has changed. A change that does not
 	// fit is told with the one before.
--- a/limpetd/front/limits.go
+++ b/limpetd/front/limits.go
@@ -20,6 +20,9 @@
 		f.metrics.invalidBackoffs.Inc(1)
 		f.deps.Log.Warn("backoff_invalid", zap.String("server", s.ID), zap.String("value", r.InvalidBackoff))
 	}
+	if r.InvalidPace != "" {
+		f.recordInvalidPace(s, r.InvalidPace)
+	}
 	f.recordLimit(s, r, sentAt)
 	if r.Backoff <= 0 {
 		return
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -32,6 +32,8 @@
 	// limits counts the changes of the limits that servers name, invalidLimits the values that are
 	// malformed or out of range.
 	limits, invalidLimits tally.Counter
+	// invalidPaces counts the paces of servers that are malformed or out of range.
+	invalidPaces tally.Counter
 	// brittle counts the changes of whether servers are brittle, rejections the calls that brittle servers
 	// rejected.
 	brittle, rejections tally.Counter
@@ -64,6 +66,7 @@
 		invalidBackoffs: s.Counter("backoffs_invalid"),
 		limits:          s.Counter("limits"),
 		invalidLimits:   s.Counter("limits_invalid"),
+		invalidPaces:    s.Counter("paces_invalid"),
 		brittle:         s.Counter("brittle"),
 		rejections:      s.Counter("brittle_rejections"),
 		firstEvent:      s.Histogram("first_event", buckets),
--- a/limpetd/front/slots.go
+++ b/limpetd/front/slots.go
@@ -22,9 +22,9 @@
 
 // reportPlain reports to the lease holder how long a plain server took to answer a call whose slot the lease holder
 // has reserved; 0 if the server has rejected the call.
-func (a *attempt) reportPlain(took time.Duration) {
+func (a *attempt) reportPlain(took time.Duration, r ResponseHeaders) {
 	c := &a.call.schedCall
 	if a.alone && c.Model == "" {
-		a.call.front.deps.Reserver.RecordSample(sched.Sample{Service: c.Service, Took: took, Server: a.server.ID})
+		a.call.front.deps.Reserver.RecordSample(sched.Sample{Service: c.Service, Took: took, Server: a.server.ID, Pace: r.pace()})
 	}
 }
--- a/limpetd/front/slots_test.go
+++ b/limpetd/front/slots_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/front"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -70,3 +71,14 @@
 	require.Equal(t, http.StatusOK, a.StatusCode, "without the lease holder, the daemon chooses")
 	require.Len(t, r.samples, 2)
 }
+
+// TestInvalidPaceIsLoggedOnceAMinute guards against a log line for every response of a server that reports an invalid pace.
+func TestInvalidPaceIsLoggedOnceAMinute(t *testing.T) {
+	fx := newFixture(t, layout.Route{}, unexpectedServer, unexpectedServer)
+	for range 3 {
+		for _, s := range fx.servers {
+			fx.front.RecordResponse(s, front.ResponseHeaders{HasStamp: true, InvalidPace: "slow"}, time.Now())
+		}
+	}
+	require.Equal(t, 2, fx.logs.FilterMessage("pace_invalid").Len())
+}
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -13,6 +13,7 @@
 type candidate struct {
 	server *server
 	load   float64
+	pace   float64
 }
 
 // Choose returns the server for a call: the least loaded of the usable servers or, if
@@ -38,7 +39,7 @@
 	list := make([]candidate, 0, len(within))
 	for _, s := range within {
 		if b.hasRoom(s, c, now) {
-			list = append(list, candidate{server: s, load: b.load(s, now)})
+			list = append(list, candidate{server: s, load: b.load(s, now), pace: b.pace(s, now)})
 		}
 	}
 	if len(list) == 0 {
@@ -169,10 +170,10 @@
 	return slices.Contains(held.Adapters, adapter)
 }
 
-// load returns the estimated calls per slot at a server, plus a penalty for failures.
+// load returns the estimated calls per slot at a server, which count for more at a slow one, plus a penalty for failures.
 func (b *Balancer) load(s *server, now time.Time) float64 {
 	slots := max(s.entry.Slots, 1)
-	return b.inFlight(s, now)/float64(slots) + s.failureRate*failurePenalty
+	return b.inFlight(s, now)/float64(slots)*max(b.pace(s, now), 1) + s.failureRate*failurePenalty
 }
 
 // pick returns the highest-ranked of the candidates whose load is close to minLoad.
@@ -187,7 +188,7 @@
 		if l.load > minLoad+slack {
 			continue
 		}
-		rank := b.rank(l.server, c)
+		rank := b.rank(l.server, l.pace, c)
 		if best.server == nil || rank > bestRank {
 			best, bestRank = l, rank
 		}
@@ -198,15 +199,15 @@
 // rank returns the rank of a server for a call; the highest wins. Calls with a session
 // use rendezvous hashing. For other calls the servers of the daemon's data centre rank
 // highest, in random order.
-func (b *Balancer) rank(s *server, c *Call) uint64 {
+func (b *Balancer) rank(s *server, pace float64, c *Call) uint64 {
 	if c.Session != 0 {
 		var d xxhash.Digest
 		d.ResetWithSeed(c.Session)
 		// Writes to a Digest never fail.
 		_, _ = d.WriteString(s.entry.ID)
-		return d.Sum64()
+		return pacedRank(d.Sum64(), pace)
 	}
-	r := b.random.Uint64() >> 1
+	r := pacedRank(b.random.Uint64(), pace) >> 1
 	if s.entry.DataCentre == b.settings.DataCentre {
 		r |= 1 << 63
 	}
--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -29,7 +29,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (s *Sample) DecodeMsgpack(d *msgpack.Decoder) error {
-	return array.Decode(d, &s.Service, &s.Model, &s.Tokens, &s.Took, &s.Server)
+	return array.Decode(d, &s.Service, &s.Model, &s.Tokens, &s.Took, &s.Server, &s.Pace)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/limit.go
+++ b/limpetd/sched/limit.go
@@ -269,7 +269,7 @@
 	lowest := math.Inf(1)
 	for _, s := range b.bearing(a.Service, false, list, now) {
 		if s.mayGrant(a.IsTopPriority, now) {
-			candidates = append(candidates, candidate{server: s, load: b.load(s, now)})
+			candidates = append(candidates, candidate{server: s, load: b.load(s, now), pace: 1})
 			lowest = min(lowest, b.load(s, now))
 		}
 	}
--- /dev/null
+++ b/limpetd/sched/pace.go
@@ -0,0 +1,156 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minPaceSamples is the number of timed answers of a server from which on they determine its pace.
+	minPaceSamples = 8
+	// timedWeight is the weight of the newest timed answer in the long-term pace, quickWeight in the present one, and
+	// figureWeight that of the newest reported figure in the usual figure.
+	timedWeight  = 0.03
+	quickWeight  = 0.3
+	figureWeight = 0.02
+	// A rejection raises the present pace by a factor of rejectionRaise, to at most maxRaise times the long-term one: the
+	// calls of a server that has no slot when one was expected to be free take longer than expected.
+	rejectionRaise = 1.1
+	maxRaise       = 2.5
+	// paceAnchor draws the long-term pace towards 1. The speed of a service is measured relative to the paces of its
+	// servers, and the paces relative to the speed of the service: without it, both could drift.
+	paceAnchor = 0.001
+	// quickAge and figureAge are the ages at which the weights of the timed answers and of the reported figure in the
+	// present pace have fallen to 1/e. Reports reach the lease holder up to 250 ms late, and a slow moment lasts some
+	// hundred milliseconds.
+	quickAge  = 700 * time.Millisecond
+	figureAge = 300 * time.Millisecond
+	// minPace and maxPace bound a pace.
+	minPace = 0.1
+	maxPace = 10.0
+	// usualPace is the figure of a server that is neither quick nor slow.
+	usualPace = 100
+	// A server whose pace is above slowPace gets a call at least once in trialInterval, if the call is on time there.
+	// Otherwise nothing would show that it has recovered.
+	slowPace      = 1.15
+	trialInterval = 700 * time.Millisecond
+)
+
+// paceEstimate estimates how long work takes on a server, relative to the estimate of its service: from the figure that
+// the server reports and from timed answers. A figure is taken relative to the usual figure of the server, because timed
+// answers show how quick the server usually is.
+type paceEstimate struct {
+	figure, usual float64
+	figures       int
+	figureAt      time.Time
+	timed, quick  float64
+	samples       int
+	timedAt       time.Time
+}
+
+// report adds a reported figure in percent.
+func (p *paceEstimate) report(percent int, now time.Time) {
+	p.figure, p.figureAt = float64(percent)/usualPace, now
+	p.figures++
+	p.usual += max(figureWeight, 1/float64(p.figures)) * (p.figure - p.usual)
+}
+
+// add adds a timed answer, as a multiple of the time that the service takes.
+func (p *paceEstimate) add(ratio float64, now time.Time) {
+	ratio = min(max(ratio, minPace), maxPace)
+	quick := p.timed + (p.quick-p.timed)*ageWeight(now.Sub(p.timedAt), quickAge)
+	p.samples++
+	p.timed += max(timedWeight, 1/float64(p.samples))*(ratio-p.timed) + paceAnchor*(1-p.timed)
+	p.quick = quick + max(quickWeight, 1/float64(p.samples))*(ratio-quick)
+	p.timedAt = now
+}
+
+// recordRejection raises the present pace after a rejection of a call that was granted.
+func (p *paceEstimate) recordRejection() {
+	p.quick = max(p.quick, min(rejectionRaise*p.quick, maxRaise*p.timed))
+}
+
+// at returns the pace at a time.
+func (p *paceEstimate) at(now time.Time) float64 {
+	long, recent := 1.0, 1.0
+	switch {
+	case p.samples >= minPaceSamples:
+		long = p.timed
+		recent += (p.quick/p.timed - 1) * ageWeight(now.Sub(p.timedAt), quickAge)
+	case p.figures > 0:
+		long = p.usual
+	}
+	if p.figures > 0 {
+		w := ageWeight(now.Sub(p.figureAt), figureAge)
+		recent = w*p.figure/p.usual + (1-w)*recent
+	}
+	return min(max(long*recent, minPace), maxPace)
+}
+
+// ageWeight returns the weight of what was observed some time ago, which falls to 1/e at the given age.
+func ageWeight(age, to time.Duration) float64 {
+	return math.Exp(-max(age, 0).Seconds() / to.Seconds())
+}
+
+// reportPace records the figure that a server has reported; 0 if it reports none.
+func (b *Balancer) reportPace(s *server, percent int, now time.Time) {
+	if percent > 0 {
+		s.pace.report(percent, now)
+		b.paced[s.entry.Service] = true
+	}
+}
+
+// pace returns the pace of a server. It is 1 for engines of services that report none, which are served as before.
+func (b *Balancer) pace(s *server, now time.Time) float64 {
+	if len(s.entry.Models) > 0 && !b.paced[s.entry.Service] {
+		return 1
+	}
+	return s.pace.at(now)
+}
+
+// recordEngineTime records the time of a sample in the pace of its engine, and returns the time that an engine of the
+// usual pace would have taken.
+func (b *Balancer) recordEngineTime(sample Sample, now time.Time) time.Duration {
+	s := b.servers[sample.Server]
+	if s == nil || sample.Took <= 0 || sample.Took > maxSample || sample.Tokens <= 0 {
+		return sample.Took
+	}
+	b.reportPace(s, sample.Pace, now)
+	if !b.paced[sample.Service] {
+		return sample.Took
+	}
+	if expected := b.prefillSpeeds.expected(sample); expected > 0 {
+		s.pace.add(float64(sample.Took)/expected, now)
+	}
+	return time.Duration(float64(sample.Took) / s.pace.at(now))
+}
+
+// expected returns the expected time of a sample in nanoseconds; 0 if it is not known.
+func (v *prefillSpeeds) expected(s Sample) float64 {
+	service := v.services[s.Service]
+	if service == nil || service.weight < priorWeight {
+		return 0
+	}
+	base := service.base
+	if model := v.models[s.Service+"/"+s.Model]; model != nil && model.weight > 0 {
+		base = model.base
+	}
+	return base + v.perToken(s.Service, s.Model)*float64(s.Tokens)
+}
+
+// dueForTrial reports whether a slow server has got no call for trialInterval.
+func (s *server) dueForTrial(pace float64, now time.Time) bool {
+	return pace > slowPace && now.Sub(s.grantedAt) >= trialInterval
+}
+
+// pacedRank weights the rank of a server by its pace: of servers with similar load, one that is twice as slow gets half
+// as many calls. Many daemons that learn of a quick server at the same time therefore don't all choose it.
+func pacedRank(rank uint64, pace float64) uint64 {
+	if pace == 1 {
+		return rank
+	}
+	// A float64 holds whole numbers of up to 53 bits.
+	const bits = 53
+	weighted := math.Pow(float64(rank>>(64-bits))/(1<<bits), pace)
+	return uint64(min(weighted*(1<<bits), 1<<bits-1)) << (64 - bits)
+}
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -14,6 +14,8 @@
 	Took time.Duration
 	// Server is the server that the call was sent to; empty from older builds.
 	Server string
+	// Pace is the pace that the server reported with the answer; 0 if it reported none.
+	Pace int
 }
 
 const (
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -132,35 +132,45 @@
 		return b.reservePlain(a, withModel, now)
 	}
 	var best *server
-	var start time.Time
+	var start, expected time.Time
+	var length time.Duration
 	var rank uint64
 	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
 		}
-		at := s.earliestStart(prefillTime, a.MaxPause, now)
+		pace := b.pace(s, now)
+		paced := time.Duration(float64(prefillTime) * pace)
+		at := s.earliestStart(paced, a.MaxPause, now)
 		if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
 			at = at.Add(maxAskDelay)
 		}
+		// An engine that needs longer for the prompt counts as starting later.
+		from := at.Add(paced - prefillTime)
 		r := b.reservationRank(s, a)
-		similar := best != nil && at.Sub(start).Abs() <= similarStart
-		if best == nil || similar && r > rank || !similar && at.Before(start) {
-			best, start, rank = s, at, r
+		if s.dueForTrial(pace, now) && from.Sub(now) <= a.maxWait() {
+			best, start, expected, length = s, at, from, paced
+			break
+		}
+		similar := best != nil && from.Sub(expected).Abs() <= similarStart
+		if best == nil || similar && r > rank || !similar && from.Before(expected) {
+			best, start, expected, length, rank = s, at, from, paced, r
 		}
 	}
 	if best == nil {
 		return Reservation{Verdict: Full, Delay: min(max(tokenDelay(withModel), minAskDelay), maxAskDelay)}
 	}
-	wait := start.Sub(now)
-	if maxWait := a.maxWait(); wait > maxWait {
-		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
+	if late := expected.Sub(now) - a.maxWait(); late > 0 {
+		return Reservation{Verdict: Full, Delay: min(max(late, minAskDelay), maxAskDelay)}
 	}
+	wait := start.Sub(now)
 	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
 	if exclusive {
 		best.sampledAt = now
 	}
-	best.reserve(start, prefillTime)
+	best.reserve(start, length)
+	best.grantedAt = now
 	best.takeToken(now)
 	b.recordGrant(best, now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: exclusive}
@@ -212,7 +222,7 @@
 // rank follows the session of the call, or is random for calls without a session.
 func (b *Balancer) reservationRank(s *server, a *ReservationRequest) uint64 {
 	if a.Session != 0 {
-		return b.rank(s, &Call{Session: a.Session})
+		return b.rank(s, 1, &Call{Session: a.Session})
 	}
 	return b.random.Uint64()
 }
@@ -248,6 +258,7 @@
 		b.recordPlain(s, now)
 		return
 	}
+	s.Took = b.recordEngineTime(s, now)
 	b.prefillSpeeds.add(s, now)
 }
 
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -131,6 +131,8 @@
 // LoadReport is the load that a server reports with an answer.
 type LoadReport struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the server now, with 100 as the usual value; 0 if the server does not report it.
+	Pace int
 }
 
 const (
@@ -197,10 +199,11 @@
 	// missingUntil holds, by MODEL/ADAPTER, until when the server is excluded because it
 	// lacks the model or adapter.
 	missingUntil map[string]time.Time
-	// slots is what the lease holder has granted of a plain server; nil before it has granted anything. time is the
-	// server's service time.
+	// slots is what the lease holder has granted of a plain server; nil before it has granted anything.
 	slots *slotPlan
-	time  serviceTime
+	pace  paceEstimate
+	// grantedAt is when the lease holder last granted a call at the server.
+	grantedAt time.Time
 }
 
 // Balancer records the load and health of servers as seen by one daemon, and the retry
@@ -231,6 +234,8 @@
 	prefillShares prefillShares
 	// plainSlots is what the lease holder knows about plain services.
 	plainSlots map[string]*plainSlots
+	// paced holds the services of which a server has reported its pace.
+	paced map[string]bool
 	// timePerPending is the smoothed time to a first event per call that waits for one.
 	timePerPending time.Duration
 }
@@ -249,6 +254,7 @@
 		prefillSpeeds:  newPrefillSpeeds(),
 		prefillShares:  prefillShares{},
 		plainSlots:     map[string]*plainSlots{},
+		paced:          map[string]bool{},
 		timePerPending: initialTimePerPending,
 	}
 }
@@ -324,6 +330,7 @@
 func (b *Balancer) RecordLoad(id string, t LoadReport, now time.Time) {
 	if s := b.servers[id]; s != nil {
 		s.reported, s.reportedAt, s.sentSince = t, now, 0
+		b.reportPace(s, t.Pace, now)
 	}
 }
 
--- a/limpetd/sched/slots.go
+++ b/limpetd/sched/slots.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/layout"
@@ -16,13 +15,8 @@
 	initialServiceTime = 60 * time.Millisecond
 	// maxServiceTime bounds a service time, and with it the time for which the slot of a lost call counts as used.
 	maxServiceTime = 2 * time.Second
-	// serviceTimeWeight is the weight of the newest of the service times of a service, and serverTimeWeight that of a
-	// server's. With that of a server, the estimate follows a server that slows down for some hundred milliseconds.
+	// serviceTimeWeight is the weight of the newest of the service times of a service.
 	serviceTimeWeight = 0.02
-	serverTimeWeight  = 0.3
-	// serverTimeAge is the age of the last service time of a server at which its weight has fallen to 1/e. A slow server
-	// that gets no calls is tried again when it has returned to the estimate of its service.
-	serverTimeAge = 700 * time.Millisecond
 	// busyPenalty is the part of a service time by which a server whose slots are all in use ranks behind an idle one:
 	// at the same expected finish, the less used server leaves more room for wrong estimates.
 	busyPenalty = 0.3
@@ -49,23 +43,11 @@
 	margin float64
 }
 
-// serviceTime is the smoothed time to an answer of a plain service or of one of its servers.
-type serviceTime struct {
-	mean  float64
-	count int
-	at    time.Time
-}
-
-// add adds a sample with a weight; the first samples have the weight of a mean.
-func (v *serviceTime) add(took time.Duration, weight float64, now time.Time) {
-	v.count++
-	v.mean += max(weight, 1/float64(v.count)) * (float64(min(took, maxServiceTime)) - v.mean)
-	v.at = now
-}
-
 // plainSlots is what the lease holder knows about a plain service.
 type plainSlots struct {
-	service serviceTime
+	// mean is the smoothed service time of a server of the usual pace, in nanoseconds, of a number of samples.
+	mean  float64
+	count int
 	// returnAt is when the last refused caller was told to return.
 	returnAt time.Time
 }
@@ -131,7 +113,8 @@
 	var bestScore float64
 	slots := 0
 	for _, s := range list {
-		took, start, busy := b.serverTime(s, now), now, 0
+		took, pace := b.serverTime(s, now)
+		start, busy := now, 0
 		freeAt := b.plan(s, took, now)
 		slots += len(freeAt)
 		first := freeAt[0]
@@ -147,6 +130,9 @@
 			start = first
 		}
 		score := float64(start.Sub(now)) + float64(took)*(1+busyPenalty*float64(busy)/float64(len(freeAt))+failurePenalty*s.failureRate)
+		if s.dueForTrial(pace, now) && start.Sub(now)+took <= a.MaxStartDelay {
+			score = 0
+		}
 		if best == nil || score < bestScore {
 			best, bestStart, bestTook, bestScore = s, start, took, score
 		}
@@ -156,6 +142,7 @@
 		return Reservation{Verdict: Full, Delay: b.returnDelay(a.Service, wait-latest, bestTook/time.Duration(slots), now)}
 	}
 	best.slots.take(bestStart, bestTook)
+	best.grantedAt = now
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: true}
 }
 
@@ -228,18 +215,13 @@
 	return p
 }
 
-// serverTime returns the expected service time of a server: that of its last calls, and that of the service after
-// it had none for a time.
-func (b *Balancer) serverTime(s *server, now time.Time) time.Duration {
-	service := &b.plain(s.entry.Service).service
-	mean := service.mean
-	if service.count == 0 {
-		mean = float64(initialServiceTime)
-	}
-	if s.time.count > 0 {
-		mean += (s.time.mean - mean) * ageWeight(now.Sub(s.time.at), serverTimeAge)
+// serverTime returns the expected service time of a server, and its pace.
+func (b *Balancer) serverTime(s *server, now time.Time) (time.Duration, float64) {
+	p, pace := b.plain(s.entry.Service), s.pace.at(now)
+	if p.count == 0 {
+		return time.Duration(float64(initialServiceTime) * pace), pace
 	}
-	return time.Duration(mean)
+	return time.Duration(p.mean * pace), pace
 }
 
 // recordPlain records the service time of a call to a plain server that the lease holder has granted or, without a
@@ -249,15 +231,21 @@
 	if s == nil || s.entry.Service != sample.Service || sample.Took < 0 {
 		return
 	}
+	b.reportPace(s, sample.Pace, now)
 	if sample.Took > 0 {
-		b.plain(sample.Service).service.add(sample.Took, serviceTimeWeight, now)
-		s.time.add(sample.Took, serverTimeWeight, now)
+		p, took := b.plain(sample.Service), float64(min(sample.Took, maxServiceTime))
+		if p.count > 0 {
+			s.pace.add(took/p.mean, now)
+		}
+		p.count++
+		p.mean += max(serviceTimeWeight, 1/float64(p.count)) * (took/s.pace.at(now) - p.mean)
 		if s.slots != nil {
 			s.slots.margin = max(s.slots.margin-marginDown, minMargin)
 		}
 		return
 	}
-	took := b.serverTime(s, now)
+	s.pace.recordRejection()
+	took, _ := b.serverTime(s, now)
 	until := now.Add(time.Duration(rejectedShare * float64(took)))
 	for i, at := range b.plan(s, took, now) {
 		if at.Before(until) {
@@ -266,8 +254,3 @@
 	}
 	s.slots.margin = min(s.slots.margin+marginUp, maxMargin)
 }
-
-// ageWeight returns the weight of what was observed some time ago, which falls to 1/e after the given age.
-func ageWeight(age, to time.Duration) float64 {
-	return math.Exp(-max(age, 0).Seconds() / to.Seconds())
-}
--- a/limpetd/sched/slots_test.go
+++ b/limpetd/sched/slots_test.go
@@ -31,13 +31,17 @@
 
 // plainWorld simulates daemons, of which the first is the lease holder, that send calls to plain servers.
 type plainWorld struct {
-	now      time.Time
-	events   events
-	random   *rand.Rand
+	now    time.Time
+	events events
+	random *rand.Rand
+	// arrivals is the source of the arrivals, which are the same in all worlds.
+	arrivals *rand.Rand
 	daemons  []*sched.Balancer
 	servers  map[string]*plainServer
 	uneven   bool
-	reserves bool
+	// reportsPace is whether the servers report their pace.
+	reportsPace bool
+	reserves    bool
 	// samples are those of the next report of each daemon, sent the calls that each server got.
 	samples                                   [][]sched.Sample
 	sent                                      map[string]int
@@ -69,7 +73,7 @@
 func (w *plainWorld) link() time.Duration { return time.Duration(1e6 + w.random.Float64()*2e6) }
 
 func newPlainWorld(daemons, queue int, uneven, reserves bool) *plainWorld {
-	w := &plainWorld{now: start, random: rand.New(rand.NewPCG(1, 2)), servers: map[string]*plainServer{}, uneven: uneven, reserves: reserves, sent: map[string]int{}}
+	w := &plainWorld{now: start, random: rand.New(rand.NewPCG(1, 2)), arrivals: rand.New(rand.NewPCG(5, 6)), servers: map[string]*plainServer{}, uneven: uneven, reserves: reserves, sent: map[string]int{}}
 	var list []*layout.Server
 	for i, pace := range []float64{0.6, 1, 1.6} {
 		e := &layout.Server{ID: fmt.Sprint("p", i), Service: "plain", Slots: plainSlots, DataCentre: "a"}
@@ -91,14 +95,17 @@
 	return w
 }
 
-// work returns how long a server takes for a call that it begins now. An uneven server works 2.5 times as slowly for
-// 0.6 s in every 4 s.
-func (w *plainWorld) work(s *plainServer) time.Duration {
-	factor := s.pace * (0.7 + 0.6*w.random.Float64())
+// paceOf returns how slowly a server works now. An uneven server works 2.5 times as slowly for 0.6 s in every 4 s.
+func (w *plainWorld) paceOf(s *plainServer) float64 {
 	if w.uneven && (int(w.now.Sub(start)/time.Millisecond)+s.slowAt)%4000 < 600 {
-		factor *= 2.5
+		return 2.5 * s.pace
 	}
-	return time.Duration(factor * float64(plainWork))
+	return s.pace
+}
+
+// work returns how long a server takes for a call that it begins now.
+func (w *plainWorld) work(s *plainServer) time.Duration {
+	return time.Duration(w.paceOf(s) * (0.7 + 0.6*w.random.Float64()) * float64(plainWork))
 }
 
 // receive passes a call to a server; done gets whether the server has run it.
@@ -158,10 +165,13 @@
 	w.after(w.link(), func() {
 		w.receive(s, func(ran bool) {
 			load := sched.LoadReport{Running: s.running, Waiting: len(s.queue), Slots: plainSlots}
+			if w.reportsPace {
+				load.Pace = int(100 * w.paceOf(s))
+			}
 			w.after(w.link(), func() {
 				b.RecordFirstEvent(s.entry.ID, c, 1, sent, w.now)
 				b.RecordLoad(s.entry.ID, load, w.now)
-				sample := sched.Sample{Service: c.Service, Server: s.entry.ID}
+				sample := sched.Sample{Service: c.Service, Server: s.entry.ID, Pace: load.Pace}
 				if ran {
 					b.RecordResult(s.entry.ID, c, sched.Answered, true, w.now)
 					sample.Took = w.now.Sub(sent)
@@ -214,7 +224,7 @@
 			rate *= 2
 		}
 		if w.now.Sub(start) < length {
-			w.after(time.Duration(w.random.ExpFloat64()/rate*1e9), arrive)
+			w.after(time.Duration(w.arrivals.ExpFloat64()/rate*1e9), arrive)
 		}
 		w.calls++
 		c := &sched.Call{Service: "plain", Route: &layout.Route{Expectation: plainObjective, MaxAttempts: 2}, Arrived: w.now, Deadline: w.now.Add(4 * time.Second)}
