sched, front: Keep calls in their data centre while they are on time

Reservation requests did not name the data centre of the caller, so that the lease holder sent two of three calls to another one. The request now has it as its last element. Where servers report their pace, a call goes to a server of its data centre that can begin it within half of the time in which it is on time, before others, and a daemon that chooses by itself prefers servers of its data centre with a load below 0.7. Calls that cross are counted by reason.

--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 // metrics holds the counters and histograms of a Front.
@@ -34,6 +36,8 @@
 	limits, invalidLimits tally.Counter
 	// invalidPaces counts the paces of servers that are malformed or out of range.
 	invalidPaces tally.Counter
+	// crossings counts the calls that were sent to another data centre, by reason.
+	crossings map[sched.Crossing]tally.Counter
 	// brittle counts the changes of whether servers are brittle, rejections the calls that brittle servers
 	// rejected.
 	brittle, rejections tally.Counter
@@ -67,6 +71,7 @@
 		limits:          s.Counter("limits"),
 		invalidLimits:   s.Counter("limits_invalid"),
 		invalidPaces:    s.Counter("paces_invalid"),
+		crossings:       newCrossings(s),
 		brittle:         s.Counter("brittle"),
 		rejections:      s.Counter("brittle_rejections"),
 		firstEvent:      s.Histogram("first_event", buckets),
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -115,6 +115,7 @@
 	}
 	f.startTrial(c, now)
 	f.balancer.RecordSend(choice.Server.ID, &c.schedCall, now)
+	f.countCrossing(c, choice, now)
 	return choice
 }
 
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -45,6 +45,7 @@
 	if len(list) == 0 {
 		return b.ChoiceWhenFull(c, now)
 	}
+	list = b.near(c.Service, list)
 	minLoad := list[0].load
 	for _, l := range list {
 		minLoad = min(minLoad, l.load)
--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -19,7 +19,7 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *ReservationRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	return array.Decode(d, &r.Service, &r.Model, &r.Adapter, &r.Tokens, &r.Session,
-		&r.MaxStartDelay, &r.MaxPause, &r.ShortestExpectation, &r.IsTopPriority, &r.Excluded)
+		&r.MaxStartDelay, &r.MaxPause, &r.ShortestExpectation, &r.IsTopPriority, &r.Excluded, &r.DataCentre)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -55,6 +55,8 @@
 	// Excluded are the IDs of the servers that the call was sent to before or that its daemon
 	// can't use.
 	Excluded []string
+	// DataCentre is the data centre of the caller's daemon; empty from older builds.
+	DataCentre string
 }
 
 // Requirements are the strictest requirements of the stream routes that lead to a service.
@@ -98,7 +100,7 @@
 	return ReservationRequest{
 		Service: c.Service, Model: c.Model, Adapter: c.Adapter, Tokens: c.PromptTokens, Session: c.Session,
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
-		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
+		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude, DataCentre: b.settings.DataCentre,
 	}
 }
 
@@ -135,6 +137,7 @@
 	var start, expected time.Time
 	var length time.Duration
 	var rank uint64
+	prefersNear, near := b.prefersNear(a.Service, a.DataCentre), false
 	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
@@ -149,10 +152,17 @@
 		// An engine that needs longer for the prompt counts as starting later.
 		from := at.Add(paced - prefillTime)
 		r := b.reservationRank(s, a)
-		if s.dueForTrial(pace, now) && from.Sub(now) <= a.maxWait() {
+		if b.mayTry(s, a, pace, now) && from.Sub(now) <= a.maxWait() {
 			best, start, expected, length = s, at, from, paced
 			break
 		}
+		isNear := prefersNear && s.isNear(a, from.Sub(now), a.maxWait())
+		if near && !isNear {
+			continue
+		}
+		if isNear && !near {
+			best, near = nil, true
+		}
 		similar := best != nil && from.Sub(expected).Abs() <= similarStart
 		if best == nil || similar && r > rank || !similar && from.Before(expected) {
 			best, start, expected, length, rank = s, at, from, paced, r
--- a/limpetd/sched/slots.go
+++ b/limpetd/sched/slots.go
@@ -111,7 +111,7 @@
 	var bestStart time.Time
 	var bestTook time.Duration
 	var bestScore float64
-	slots := 0
+	slots, prefersNear := 0, b.prefersNear(a.Service, a.DataCentre)
 	for _, s := range list {
 		took, pace := b.serverTime(s, now)
 		start, busy := now, 0
@@ -130,7 +130,10 @@
 			start = first
 		}
 		score := float64(start.Sub(now)) + float64(took)*(1+busyPenalty*float64(busy)/float64(len(freeAt))+failurePenalty*s.failureRate)
-		if s.dueForTrial(pace, now) && start.Sub(now)+took <= a.MaxStartDelay {
+		if prefersNear && !s.isNear(a, start.Sub(now)+took, a.MaxStartDelay) {
+			score += float64(crossPenalty)
+		}
+		if b.mayTry(s, a, pace, now) && start.Sub(now)+took <= a.MaxStartDelay {
 			score = 0
 		}
 		if best == nil || score < bestScore {
--- a/limpetd/sched/slots_test.go
+++ b/limpetd/sched/slots_test.go
@@ -43,9 +43,9 @@
 	reportsPace bool
 	reserves    bool
 	// samples are those of the next report of each daemon, sent the calls that each server got.
-	samples                                   [][]sched.Sample
-	sent                                      map[string]int
-	calls, rejected, retries, refused, onTime int
+	samples                                            [][]sched.Sample
+	sent                                               map[string]int
+	calls, rejected, retries, refused, onTime, crossed int
 }
 
 type timedEvent struct {
@@ -76,14 +76,14 @@
 	w := &plainWorld{now: start, random: rand.New(rand.NewPCG(1, 2)), arrivals: rand.New(rand.NewPCG(5, 6)), servers: map[string]*plainServer{}, uneven: uneven, reserves: reserves, sent: map[string]int{}}
 	var list []*layout.Server
 	for i, pace := range []float64{0.6, 1, 1.6} {
-		e := &layout.Server{ID: fmt.Sprint("p", i), Service: "plain", Slots: plainSlots, DataCentre: "a"}
+		e := &layout.Server{ID: fmt.Sprint("p", i), Service: "plain", Slots: plainSlots, DataCentre: fmt.Sprint("dc", i)}
 		if !uneven {
 			pace = 1
 		}
 		list, w.servers[e.ID] = append(list, e), &plainServer{entry: e, pace: pace, queued: queue, slowAt: i * 1300}
 	}
 	for i := range daemons {
-		b := sched.NewBalancer(sched.Settings{DataCentre: "a"}, rand.New(rand.NewPCG(uint64(i), 3)))
+		b := sched.NewBalancer(sched.Settings{DataCentre: fmt.Sprint("dc", i%3)}, rand.New(rand.NewPCG(uint64(i), 3)))
 		b.SetServers(list)
 		b.SetDaemons(daemons, i, start)
 		for _, s := range list {
@@ -162,6 +162,9 @@
 	c.Tried = append(c.Tried, s.entry.ID)
 	b.RecordSend(s.entry.ID, c, w.now)
 	w.sent[s.entry.ID]++
+	if b.Crosses(c, s.entry, w.now) != sched.NoCrossing {
+		w.crossed++
+	}
 	w.after(w.link(), func() {
 		w.receive(s, func(ran bool) {
 			load := sched.LoadReport{Running: s.running, Waiting: len(s.queue), Slots: plainSlots}
@@ -241,7 +244,7 @@
 
 func (w *plainWorld) String() string {
 	n := float64(w.calls)
-	return fmt.Sprintf("%d calls: %.3f rejections, %.3f refused, %.3f on time, %v", w.calls, float64(w.rejected)/n, float64(w.refused)/n, float64(w.onTime)/n, w.sent)
+	return fmt.Sprintf("%d calls: %.3f rejections, %.3f refused, %.3f on time, %.3f crossed, %v", w.calls, float64(w.rejected)/n, float64(w.refused)/n, float64(w.onTime)/n, float64(w.crossed)/n, w.sent)
 }
 
 // TestReservedSlotsAreNotGrantedTwice guards against daemons that send calls to full servers while others have free slots,
