--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -20,7 +20,7 @@
 func (r *ReservationRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	return array.Decode(d, &r.Service, &r.Model, &r.Adapter, &r.Tokens, &r.Session,
 		&r.MaxStartDelay, &r.MaxPause, &r.ShortestExpectation, &r.IsTopPriority, &r.Excluded,
-		&r.Level, &r.Waited, &r.Resumes)
+		&r.Level, &r.Waited, &r.Resumes, &r.DataCentre)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -30,7 +30,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (s *Sample) DecodeMsgpack(d *msgpack.Decoder) error {
-	return array.Decode(d, &s.Service, &s.Model, &s.Tokens, &s.Took)
+	return array.Decode(d, &s.Service, &s.Model, &s.Tokens, &s.Took, &s.Server, &s.Pace)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/limit.go
+++ b/limpetd/sched/limit.go
@@ -262,11 +262,14 @@
 
 // reservePlain grants a call without a model a token of the least loaded server within its limit.
 func (b *Balancer) reservePlain(a *ReservationRequest, list []*server, now time.Time) Reservation {
+	if b.SharesSlots(a.Service) {
+		return b.reserveSlot(a, list, now)
+	}
 	candidates := make([]candidate, 0, len(list))
 	lowest := math.Inf(1)
 	for _, s := range b.bearing(a.Service, false, list, now) {
 		if s.mayGrant(a.IsTopPriority, now) {
-			candidates = append(candidates, candidate{server: s, load: b.load(s, now)})
+			candidates = append(candidates, candidate{server: s, load: b.load(s, now), pace: 1})
 			lowest = min(lowest, b.load(s, now))
 		}
 	}
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -61,6 +61,8 @@
 	// Waited is the time since the call arrived, Resumes whether it continues an answer.
 	Waited  time.Duration
 	Resumes bool
+	// DataCentre is the data centre of the caller's daemon; empty from older builds.
+	DataCentre string
 }
 
 // Requirements are the strictest requirements of the stream routes that lead to a service.
@@ -94,6 +96,7 @@
 		// first event.
 		within = time.Duration(topPriorityBacklog * float64(d.ShortestExpectation))
 	}
+	within = slotWait(c, within, now)
 	exclude := slices.Clone(c.Tried)
 	for _, s := range b.byService[c.Service] {
 		if s.isExcluded(now) || s.lacksModel(c, now) || !s.runs(c) {
@@ -105,6 +108,7 @@
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
 		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
 		Level: max(c.Priority()-d.TopPriority, 0) + 1, Waited: now.Sub(c.Arrived), Resumes: c.Resumes(),
+		DataCentre: b.settings.DataCentre,
 	}
 }
 
@@ -138,38 +142,57 @@
 		return b.reservePlain(a, withModel, now)
 	}
 	var best *server
-	var start time.Time
+	var start, expected time.Time
+	var length time.Duration
 	var rank uint64
-	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens))/b.prefillShares.of(a.Service))
+	prefersNear, near := b.prefersNear(a.Service, a.DataCentre), false
+	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
+	d := b.demandOf(a, now)
+	maxWait := a.maxWait(b.firstEventTime(a, prefillTime), d)
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
 		}
-		at := s.earliestStart(prefillTime, a.MaxPause, now)
+		pace := b.pace(s, now)
+		paced := time.Duration(float64(prefillTime) * pace)
+		at := s.earliestStart(paced, a.MaxPause, now)
 		if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
 			at = at.Add(maxAskDelay)
 		}
+		// An engine that needs longer for the prompt counts as starting later.
+		from := at.Add(paced - prefillTime)
 		r := b.reservationRank(s, a)
-		similar := best != nil && at.Sub(start).Abs() <= similarStart
-		if best == nil || similar && r > rank || !similar && at.Before(start) {
-			best, start, rank = s, at, r
+		if b.mayTry(s, a, pace, now) && from.Sub(now) <= maxWait {
+			best, start, expected, length = s, at, from, paced
+			break
+		}
+		isNear := prefersNear && s.isNear(a, from.Sub(now), maxWait)
+		if near && !isNear {
+			continue
+		}
+		if isNear && !near {
+			best, near = nil, true
+		}
+		similar := best != nil && from.Sub(expected).Abs() <= similarStart
+		if best == nil || similar && r > rank || !similar && from.Before(expected) {
+			best, start, expected, length, rank = s, at, from, paced, r
 		}
 	}
 	if best == nil {
 		return Reservation{Verdict: Full, Delay: min(max(tokenDelay(withModel), minAskDelay), maxAskDelay)}
 	}
-	wait := start.Sub(now)
-	d := b.demandOf(a, now)
-	if maxWait := a.maxWait(b.firstEventTime(a, prefillTime), d); wait > maxWait {
+	if late := expected.Sub(now) - maxWait; late > 0 {
 		d.record(a, false)
-		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
+		return Reservation{Verdict: Full, Delay: min(max(late, minAskDelay), maxAskDelay)}
 	}
+	wait := start.Sub(now)
 	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
 	if exclusive {
 		best.sampledAt = now
 	}
 	d.record(a, true)
-	best.reserve(start, prefillTime)
+	best.reserve(start, length)
+	best.grantedAt = now
 	best.takeToken(now)
 	b.recordGrant(best, now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: exclusive}
@@ -221,7 +244,7 @@
 // rank follows the session of the call, or is random for calls without a session.
 func (b *Balancer) reservationRank(s *server, a *ReservationRequest) uint64 {
 	if a.Session != 0 {
-		return b.rank(s, &Call{Session: a.Session})
+		return b.rank(s, 1, &Call{Session: a.Session})
 	}
 	return b.random.Uint64()
 }
@@ -253,6 +276,11 @@
 
 // RecordSample records how long an engine that had no other prompt took to a first event.
 func (b *Balancer) RecordSample(s Sample, now time.Time) {
+	if s.Model == "" {
+		b.recordPlain(s, now)
+		return
+	}
+	s.Took = b.recordEngineTime(s, now)
 	b.recordDelay(s)
 	b.prefillSpeeds.add(s, now)
 }
