stock, sched, front: Place busy models on quick engines, and reserve less of slow ones

Engines of pace 1.6 got nearly as many calls as those of pace 0.6, and 0.4 to 0.6 of their streams paused for too long, compared with 0.03. The placement now counts replicas by the speed of their engines and prefers quick ones. The part of an engine's time that is reserved for prefill falls with its pace.

--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -111,7 +111,7 @@
 // newFixtureWithDeps returns a fixture whose Front has other dependencies.
 func newFixtureWithDeps(t *testing.T, change func(*front.Deps), route layout.Route, addresses ...string) *fixture {
 	t.Helper()
-	return newFixtureWithSettings(t, sched.Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}, change, route, addresses...)
+	return newFixtureWithSettings(t, sched.Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true, ReserveSlots: true}, change, route, addresses...)
 }
 
 // newFixtureWithSettings returns a fixture whose Front has other settings and dependencies.
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -304,6 +304,23 @@
 	f.logEstimate(service, streams, paused, time.Now())
 }
 
+// UsualPace returns how long work takes on an engine as a rule, relative to the estimates of its service.
+func (f *Front) UsualPace(id string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.UsualPace(id)
+}
+
+// RecordPace records the pace that a server reported in the answer to an order or a report request.
+func (f *Front) RecordPace(id string, r ResponseHeaders) {
+	if r.pace() == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.RecordPace(id, r.pace(), time.Now())
+}
+
 // PrefillTimePerToken returns the time that an engine takes to read one token of a model's
 // prompts.
 func (f *Front) PrefillTimePerToken(service, model string) time.Duration {
--- a/limpetd/sched/pace.go
+++ b/limpetd/sched/pace.go
@@ -70,15 +70,22 @@
 	p.quick = max(p.quick, min(rejectionRaise*p.quick, maxRaise*p.timed))
 }
 
-// at returns the pace at a time.
-func (p *paceEstimate) at(now time.Time) float64 {
-	long, recent := 1.0, 1.0
+// long returns the long-term pace.
+func (p *paceEstimate) long() float64 {
 	switch {
 	case p.samples >= minPaceSamples:
-		long = p.timed
-		recent += (p.quick/p.timed - 1) * ageWeight(now.Sub(p.timedAt), quickAge)
+		return p.timed
 	case p.figures > 0:
-		long = p.usual
+		return p.usual
+	}
+	return 1
+}
+
+// at returns the pace at a time.
+func (p *paceEstimate) at(now time.Time) float64 {
+	long, recent := p.long(), 1.0
+	if p.samples >= minPaceSamples {
+		recent += (p.quick/p.timed - 1) * ageWeight(now.Sub(p.timedAt), quickAge)
 	}
 	if p.figures > 0 {
 		w := ageWeight(now.Sub(p.figureAt), figureAge)
@@ -92,6 +99,22 @@
 	return math.Exp(-max(age, 0).Seconds() / to.Seconds())
 }
 
+// RecordPace records the pace that a server has reported in another response than that of a call, in percent; 0 if it
+// reported none.
+func (b *Balancer) RecordPace(id string, percent int, now time.Time) {
+	if s := b.servers[id]; s != nil {
+		b.reportPace(s, percent, now)
+	}
+}
+
+// UsualPace returns the long-term pace of a server; 1 if nothing is known about it.
+func (b *Balancer) UsualPace(id string) float64 {
+	if s := b.servers[id]; s != nil && b.paced[s.entry.Service] {
+		return s.pace.long()
+	}
+	return 1
+}
+
 // reportPace records the figure that a server has reported; 0 if it reports none.
 func (b *Balancer) reportPace(s *server, percent int, now time.Time) {
 	if percent > 0 {
--- a/limpetd/sched/prefill_share.go
+++ b/limpetd/sched/prefill_share.go
@@ -7,6 +7,8 @@
 	initialShare = 0.9
 	minShare     = 0.7
 	maxShare     = 0.9
+	// minEngineShare is the least share of a slow engine.
+	minEngineShare = 0.25
 	// shareDown and shareUp are the steps for a stream that paused too long and for a
 	// stream that did not: the share is stable if one stream in twelve pauses too long.
 	shareDown = 0.0055
@@ -28,6 +30,15 @@
 	return initialShare
 }
 
+// ofEngine returns the prefill share of an engine with a pace: on a slow engine, an event waits for longer for the same
+// prompts, and on a quick one for less.
+func (v prefillShares) ofEngine(service string, pace float64) float64 {
+	if pace == 1 {
+		return v.of(service)
+	}
+	return min(max(v.of(service)/pace, minEngineShare), 1)
+}
+
 // add adjusts the prefill share of a service to streams that ended. paused is the number
 // of them that paused for too long.
 func (v prefillShares) add(service string, streams, paused int) {
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -146,7 +146,8 @@
 	var length time.Duration
 	var rank uint64
 	prefersNear, near := b.prefersNear(a.Service, a.DataCentre), false
-	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
+	prompt := b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)
+	prefillTime := time.Duration(float64(prompt) / b.prefillShares.of(a.Service))
 	d := b.demandOf(a, now)
 	maxWait := a.maxWait(b.firstEventTime(a, prefillTime), d)
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
@@ -154,7 +155,7 @@
 			continue
 		}
 		pace := b.pace(s, now)
-		paced := time.Duration(float64(prefillTime) * pace)
+		paced := time.Duration(float64(prompt) * pace / b.prefillShares.ofEngine(a.Service, pace))
 		at := s.earliestStart(paced, a.MaxPause, now)
 		if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
 			at = at.Add(maxAskDelay)
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -36,6 +36,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ReserveSlots is whether the lease holder reserves the slots of plain servers for all daemons, where
+	// SharesSlots allows it.
+	ReserveSlots bool
 	// FirstStart is whether no process of this daemon has run before. If it is not known, the budget of this
 	// process is empty for a window.
 	FirstStart bool
--- a/limpetd/sched/slots.go
+++ b/limpetd/sched/slots.go
@@ -64,7 +64,7 @@
 // and there are more daemons than slots. Each daemon then gets so few answers that it does not know which slots are free.
 // Services with brittle servers or limits of requests have their own rules.
 func (b *Balancer) SharesSlots(service string) bool {
-	if b.daemons <= minSharingDaemons {
+	if !b.settings.ReserveSlots || b.daemons <= minSharingDaemons {
 		return false
 	}
 	total, known, servers, reports := 0, 0, 0, false
--- a/limpetd/sched/slots_test.go
+++ b/limpetd/sched/slots_test.go
@@ -83,7 +83,7 @@
 		list, w.servers[e.ID] = append(list, e), &plainServer{entry: e, pace: pace, queued: queue, slowAt: i * 1300}
 	}
 	for i := range daemons {
-		b := sched.NewBalancer(sched.Settings{DataCentre: fmt.Sprint("dc", i%3)}, rand.New(rand.NewPCG(uint64(i), 3)))
+		b := sched.NewBalancer(sched.Settings{DataCentre: fmt.Sprint("dc", i%3), ReserveSlots: true}, rand.New(rand.NewPCG(uint64(i), 3)))
 		b.SetServers(list)
 		b.SetDaemons(daemons, i, start)
 		for _, s := range list {
--- a/limpetd/steer/fixture_test.go
+++ b/limpetd/steer/fixture_test.go
@@ -196,6 +196,8 @@
 	l.paused += paused
 }
 
+func (l *fakeRouter) UsualPace(string) float64 { return 1 }
+
 func (l *fakeRouter) PrefillTimePerToken(_, _ string) time.Duration { return 50 * time.Microsecond }
 
 func (l *fakeRouter) holds(engine, name string) bool {
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		p.storeLoads.perSecond = service.Engines.LoadsPerSecond
-		input := p.input(service, now)
+		input := p.input(service, s.deps.Router.UsualPace, now)
 		for model, n := range input.Demand {
 			n.Work *= s.deps.Router.PrefillTimePerToken(service.Name, model).Seconds()
 		}
--- a/limpetd/steer/plan_state.go
+++ b/limpetd/steer/plan_state.go
@@ -160,8 +160,8 @@
 // cut off from the network, and the engines to be alive.
 const isolationShare = 0.4
 
-// input returns the input of the plan for a service.
-func (p *planState) input(spec *layout.Service, now time.Time) stock.Input {
+// input returns the input of the plan for a service. pace returns the usual pace of an engine.
+func (p *planState) input(spec *layout.Service, pace func(id string) float64, now time.Time) stock.Input {
 	f := stock.Input{Now: now, Spec: spec.Engines, Demand: p.demand.needs(spec.Name, now), Since: p.demand.since, StoreLoads: p.storeLoads.available(now)}
 	lost := 0
 	var engines []*engineState
@@ -182,7 +182,7 @@
 			AcceptsOrders: e.synced && !e.inFlight && e.loading == "" && e.unloadInFlight == "" && e.server.State == layout.Ready && e.unreachableSince.IsZero(),
 			Alive:         e.server.State == layout.Ready && (isolated || !e.lost(now)),
 			Models:        e.models, Unloading: e.unloading, Loading: e.loading, ReservedFor: e.freedModel(now), AdaptersInTransit: e.adaptersInTransit, ModelsChangedAt: e.modelsChangedAt,
-			InMemory: e.inMemory, OnDisk: e.onDisk,
+			InMemory: e.inMemory, OnDisk: e.onDisk, Pace: pace(e.server.ID),
 		}
 		f.Engines = append(f.Engines, engine)
 	}
--- a/limpetd/steer/plan_state_test.go
+++ b/limpetd/steer/plan_state_test.go
@@ -16,7 +16,7 @@
 	p := newPlanState(1, time.Now())
 	for _, state := range []layout.State{layout.Ready, layout.Draining} {
 		p.updateServers([]*layout.Server{{ID: "e1", Service: "s", State: state}}, config)
-		engines := p.input(config.Services["s"], time.Now()).Engines
+		engines := p.input(config.Services["s"], func(string) float64 { return 1 }, time.Now()).Engines
 		require.Len(t, engines, 1)
 		require.Equal(t, state == layout.Ready, engines[0].Alive)
 	}
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -162,6 +162,8 @@
 	RecordSamples(list []sched.Sample)
 	// PrefillTimePerToken returns the time that engines take to read a prompt token of a model.
 	PrefillTimePerToken(service, model string) time.Duration
+	// UsualPace returns how long work takes on an engine as a rule: 1 as estimated for its service, 2 twice as long.
+	UsualPace(id string) float64
 	// RecordStreams records how many streams of a service ended, and how many of them had
 	// too long a pause.
 	RecordStreams(service string, streams, paused int)
--- a/limpetd/stock/plan.go
+++ b/limpetd/stock/plan.go
@@ -17,6 +17,8 @@
 	// replicas counts, by model, the engines that hold the model, load it or have memory
 	// freed for it. holding counts the engines that hold it.
 	replicas, holding map[string]int
+	// speeds is the sum of the speeds of the engines that replicas counts, by model.
+	speeds map[string]float64
 	// work is the work of each engine by ID, computed from the models that the engine holds
 	// or loads, in the unit of ModelDemand.Work. meanWork is the work of all models divided
 	// by the number of engines that are alive.
@@ -31,7 +33,7 @@
 
 // Plan returns the orders to send now, at most one about a model to each engine.
 func Plan(f Input) []Order {
-	p := &plan{Input: f, ordered: map[string]bool{}, replicas: map[string]int{}, holding: map[string]int{}, work: map[string]float64{}, storeLoads: f.StoreLoads}
+	p := &plan{Input: f, ordered: map[string]bool{}, replicas: map[string]int{}, holding: map[string]int{}, work: map[string]float64{}, speeds: map[string]float64{}, storeLoads: f.StoreLoads}
 	p.count()
 	p.placeAdapters()
 	p.loadPromised()
@@ -61,13 +63,16 @@
 			if !e.Unloading[m] {
 				p.replicas[m]++
 				p.holding[m]++
+				p.speeds[m] += e.speed()
 			}
 		}
 		if e.Loading != "" {
 			p.replicas[e.Loading]++
+			p.speeds[e.Loading] += e.speed()
 		}
 		if e.ReservedFor != "" && e.ReservedFor != e.Loading {
 			p.replicas[e.ReservedFor]++
+			p.speeds[e.ReservedFor] += e.speed()
 			if !e.InMemory[e.ReservedFor] && !e.OnDisk[e.ReservedFor] {
 				p.promisedLoads++
 			}
@@ -99,9 +104,13 @@
 	return 0
 }
 
-// workPerReplica returns the work of each replica of a model.
+// workPerReplica returns the work of each replica of a model on an engine of the usual pace. Quick engines get more
+// calls than slow ones.
 func (p *plan) workPerReplica(model string) float64 {
-	return p.workOf(model) / math.Max(float64(p.replicas[model]), 1)
+	if p.speeds[model] <= 0 {
+		return p.workOf(model)
+	}
+	return p.workOf(model) / p.speeds[model]
 }
 
 // loadPromised loads the models that memory was freed for.
@@ -117,6 +126,7 @@
 		}
 		if o := p.placement(e, m, ReasonDemand); o != nil && len(o.victims) == 0 {
 			p.replicas[m.Name]--
+			p.speeds[m.Name] -= e.speed()
 			if o.fromStore {
 				p.promisedLoads--
 			}
@@ -142,7 +152,9 @@
 	costStore = 1.2
 	// costVictim is the cost of each unloaded model, costLastReplica the cost in addition if
 	// it is the model's last replica.
-	costVictim      = 0.5
+	costVictim = 0.5
+	// costPace is the cost of an engine on which work takes twice as long as usual.
+	costPace        = 2.0
 	costLastReplica = 1.0
 )
 
@@ -168,8 +180,10 @@
 		p.orders = append(p.orders, Order{Engine: best.engine.ID, Unload: true, Model: v, For: m.Name, Reason: ReasonEviction})
 		p.replicas[v]--
 		p.holding[v]--
+		p.speeds[v] -= best.engine.speed()
 		// The load is ordered once the memory is free; the replica counts from now on.
 		p.replicas[m.Name]++
+		p.speeds[m.Name] += best.engine.speed()
 		return true
 	}
 	p.orderLoad(best, m, reason)
@@ -184,6 +198,7 @@
 	}
 	p.orders = append(p.orders, Order{Engine: o.engine.ID, Model: m.Name, FromStore: o.fromStore, Reason: reason})
 	p.replicas[m.Name]++
+	p.speeds[m.Name] += o.engine.speed()
 	p.work[o.engine.ID] += p.workPerReplica(m.Name)
 }
 
@@ -208,7 +223,7 @@
 		return nil
 	}
 	if p.meanWork > 0 {
-		o.cost += p.work[e.ID] / p.meanWork
+		o.cost += p.work[e.ID]/p.meanWork + costPace*(1/e.speed()-1)
 	}
 	free := p.Spec.MemoryMB - p.adapterMB - p.usedMB(e)
 	if free >= m.MemoryMB {
--- a/limpetd/stock/replicas.go
+++ b/limpetd/stock/replicas.go
@@ -106,7 +106,7 @@
 	case n == 0 || p.Now.Sub(p.Since) < observationTime || p.workPerReplica(m.Name) < busyWork:
 		return 0
 	}
-	if excess := work - fullWork*float64(n); excess > 0 {
+	if excess := work - fullWork*p.speeds[m.Name]; excess > 0 {
 		return excess
 	}
 	return requestedBenefit * replicaScore(work, n) / (1 + replicaScore(work, n))
--- a/limpetd/stock/stock.go
+++ b/limpetd/stock/stock.go
@@ -27,6 +27,8 @@
 type Engine struct {
 	ID         string
 	DataCentre string
+	// Pace is how long work takes on the engine: 1 as usual, 2 twice as long; 0 counts as 1.
+	Pace float64
 	// AcceptsOrders reports whether the engine can receive an order now: its state is
 	// known, and it neither carries out an order nor is leaving.
 	AcceptsOrders bool
@@ -62,6 +64,14 @@
 	Adapters map[string]AdapterDemand
 }
 
+// speed returns the work that the engine does in a second, in seconds of an engine of the usual pace.
+func (e *Engine) speed() float64 {
+	if e.Pace <= 0 {
+		return 1
+	}
+	return 1 / e.Pace
+}
+
 // AdapterDemand is the demand for an adapter.
 type AdapterDemand struct {
 	// Waiting is the number of calls that wait for the adapter to be loaded.
