mirror, platform: Withhold rows with keys from other daemons

The lease holder relayed the row of the configuration, and with it the keys of all organisations, in its messages to the other daemons, and each daemon kept the row's value. Rows with organisations are private now: the lease holder tells the others only that a change is withheld, upon which they poll the store at once, and their values are dropped after they were decoded. Configurations without organisations are relayed as before.

Three daemons apply each of three changes of keys within 3 s (TestKeysAreChangedOnAllDaemons).

--- a/limpetd/mirror/follower.go
+++ b/limpetd/mirror/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -93,6 +94,7 @@
 	onReached  func(ok bool, now time.Time)
 	onRestored func(now time.Time)
 	relaying   func() bool
+	isPrivate  func(Row) bool
 	// start is closed when the table may be read; nil for at once.
 	start <-chan struct{}
 	log   *zap.Logger
@@ -105,6 +107,8 @@
 	// polledAt is when the store last responded, relayedAt when another daemon last
 	// relayed an update.
 	polledAt, relayedAt time.Time
+	// private holds the versions of the private rows.
+	private map[string]int64
 	// relayReceived is closed and replaced when a relayed update arrives.
 	relayReceived chan struct{}
 }
@@ -117,6 +121,8 @@
 		onReached:  func(bool, time.Time) {},
 		onRestored: func(time.Time) {},
 		relaying:   func() bool { return false },
+		isPrivate:  func(Row) bool { return false },
+		private:    map[string]int64{},
 		log:        zap.NewNop(), scope: tally.NoopScope,
 		relayReceived: make(chan struct{}),
 	}
@@ -129,33 +135,6 @@
 // Name returns the name of the table.
 func (f *Follower) Name() string { return f.name }
 
-// Since returns the changes after a position, to be relayed to another daemon. It returns
-// false if the copy lacks some of the changes, or if the store has not responded to this
-// follower within storeTimeout.
-func (f *Follower) Since(after Position, now time.Time) (Update, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.read || now.Sub(f.polledAt) > storeTimeout {
-		return Update{}, false
-	}
-	u, ok := f.table.Since(after)
-	u.Table = f.name
-	return u, ok
-}
-
-// Whole returns all rows, to be relayed to a daemon whose copy lacks changes that are no longer kept. It
-// returns false as Since does.
-func (f *Follower) Whole(now time.Time) (Update, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.read || now.Sub(f.polledAt) > storeTimeout {
-		return Update{}, false
-	}
-	u := f.table.Whole()
-	u.Table = f.name
-	return u, true
-}
-
 // Position returns the position of the copy.
 func (f *Follower) Position() Position {
 	f.mu.Lock()
@@ -165,45 +144,55 @@
 
 // ApplyRelayed applies an update that another daemon relays. It ignores an update that starts
 // after the position of the copy, because the changes between the two would be missing, and one
-// of another era. A follower whose copy is behind polls the store itself. A whole table replaces an
-// older copy.
+// of another era. A follower whose copy is behind polls the store itself, at once if the missing changes are
+// withheld. A whole table replaces an older copy.
 func (f *Follower) ApplyRelayed(u Update, now time.Time) {
+	private := f.privateRows(u.Rows)
 	f.mu.Lock()
-	if u.Whole && f.replaceRelayed(u, now) {
+	if u.Whole && f.replaceRelayed(u, private, now) {
 		return
 	}
 	if !f.read || u.Era != f.table.position.Era || u.From > f.table.position.Version {
+		if u.Withheld && f.read && u.Era == f.table.position.Era {
+			f.relayedAt = time.Time{}
+			f.wake()
+		}
 		f.mu.Unlock()
 		return
 	}
 	f.relayedAt = now
-	close(f.relayReceived)
-	f.relayReceived = make(chan struct{})
+	f.wake()
 	f.table.Merge(u.Rows, u.To)
+	maps.Copy(f.private, private)
 	rows := f.table.Rows()
 	f.mu.Unlock()
 	f.onReached(true, now)
 	if len(u.Rows) > 0 {
-		f.onChange(rows)
+		f.change(rows)
 	}
 }
 
+// wake ends the waits for a relayed update. The caller must hold mu.
+func (f *Follower) wake() {
+	close(f.relayReceived)
+	f.relayReceived = make(chan struct{})
+}
+
 // replaceRelayed replaces the copy by a relayed whole table if it is newer, and releases f.mu then. Otherwise
 // it returns false.
-func (f *Follower) replaceRelayed(u Update, now time.Time) bool {
+func (f *Follower) replaceRelayed(u Update, private map[string]int64, now time.Time) bool {
 	at := Position{Era: u.Era, Version: u.To}
 	previous := f.table.position
 	if f.read && !previous.Before(at) || !f.table.Replace(u.Rows, at) {
 		return false
 	}
-	f.read, f.relayedAt = true, now
-	close(f.relayReceived)
-	f.relayReceived = make(chan struct{})
+	f.read, f.relayedAt, f.private = true, now, private
+	f.wake()
 	rows := f.table.Rows()
 	f.mu.Unlock()
 	f.onReached(true, now)
 	f.reportReplaced(previous, at, now)
-	f.onChange(rows)
+	f.change(rows)
 	return true
 }
 
@@ -341,6 +330,7 @@
 		wait = relayPollWait
 	}
 	list, to, err := f.source.Changes(ctx, f.name, position, wait)
+	private := f.privateRows(list)
 	f.mu.Lock()
 	if err == nil && to.Era != position.Era {
 		err = ErrHistoryLost
@@ -354,10 +344,11 @@
 	}
 	f.polledAt = time.Now()
 	f.table.Merge(list, to.Version)
+	maps.Copy(f.private, private)
 	rows := f.table.Rows()
 	f.mu.Unlock()
 	if len(list) > 0 {
-		f.onChange(rows)
+		f.change(rows)
 	}
 	return nil
 }
@@ -369,17 +360,17 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now, private := time.Now(), f.privateRows(list)
 	f.mu.Lock()
 	previous := f.table.position
 	if !f.table.Replace(list, at) {
 		f.mu.Unlock()
 		return ErrStale
 	}
-	f.read, f.polledAt = true, now
+	f.read, f.polledAt, f.private = true, now, private
 	rows := f.table.Rows()
 	f.mu.Unlock()
 	f.reportReplaced(previous, at, now)
-	f.onChange(rows)
+	f.change(rows)
 	return nil
 }
--- a/limpetd/mirror/table.go
+++ b/limpetd/mirror/table.go
@@ -53,6 +53,8 @@
 	To    int64  `msgpack:"to"`
 	Rows  []Row  `msgpack:"rows,omitempty"`
 	Whole bool   `msgpack:"whole,omitempty"`
+	// Withheld is whether changes before From are not relayed, so that a daemon that lacks them must poll the store.
+	Withheld bool `msgpack:"withheld,omitempty"`
 }
 
 // ErrHistoryLost means that the store no longer holds the requested changes.
