layout: Hash keys of any length

A key of more than 512 bytes was left out of the index without a word, so that the callers of its organisation were answered 401. Longer keys are hashed too, with an allocation; the limit of header bytes bounds them.

--- a/limpetd/layout/organisation.go
+++ b/limpetd/layout/organisation.go
@@ -50,8 +50,8 @@
 	Quota       Quota
 }
 
-// maxKeyBytes is the length of the longest key that can match.
-const maxKeyBytes = 512
+// maxShortKey is the length of the keys that are hashed without allocation.
+const maxShortKey = 512
 
 // KeyHash is the keyed hash of an organisation's key. Only this process can compute it.
 type KeyHash [16]byte
@@ -66,15 +66,17 @@
 }()
 
 // HashKey returns the hash of a key. Only the hashes of keys are compared, so that the time of a look-up
-// says nothing about keys. ok is false for a key that is empty or too long.
+// says nothing about keys. ok is false for an empty key.
 func HashKey(key string) (hash KeyHash, ok bool) {
-	if key == "" || len(key) > maxKeyBytes {
+	if key == "" {
 		return hash, false
 	}
-	var buffer [sha256.Size + maxKeyBytes]byte
-	n := copy(buffer[:], keySecret[:])
-	n += copy(buffer[n:], key)
-	sum := sha256.Sum256(buffer[:n])
+	var buffer [sha256.Size + maxShortKey]byte
+	text := buffer[:0]
+	if len(key) > maxShortKey {
+		text = make([]byte, 0, sha256.Size+len(key))
+	}
+	sum := sha256.Sum256(append(append(text, keySecret[:]...), key...))
 	copy(hash[:], sum[:])
 	return hash, true
 }
@@ -90,8 +92,8 @@
 	return &KeyIndex{organisations: make(map[KeyHash]*Organisation, keys)}
 }
 
-// Add adds a key of an organisation. It returns false for a key that can't be used: it is empty, too long
-// or belongs to another organisation, which keeps it.
+// Add adds a key of an organisation. It returns false for a key that can't be used: it is empty or
+// belongs to another organisation, which keeps it.
 func (i *KeyIndex) Add(key string, o *Organisation) bool {
 	hash, ok := HashKey(key)
 	if !ok {
