front: End waiting calls whose key is withdrawn

The key of a call was checked only when a server was assigned. A call that waited for a model was refused with 503 after 59.6 s, one that got a retry was answered 502, and one whose key was withdrawn while its connection was opened was sent. A key that was given to another organisation meanwhile was sent with the old name. Waits end now with the version that withdraws the key, with 401, also before a retry; the key is checked again when the connection is open, and the call takes the organisation that has the key.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -100,6 +100,13 @@
 		return c.retryOrEnd(ctx, code.BackendFailed, "connect: "+err.Error())
 	}
 	f.connects.record(a.server, nil, time.Now())
+	if !c.keepKey() {
+		// The key was withdrawn after the server was assigned.
+		conn.Close()
+		a.finish(sched.Cancelled)
+		c.endWithoutKey()
+		return false
+	}
 	a.conn = conn
 	c.outcome.via, c.outcome.tunnel = conn.Tunnel()
 	a.retry = c.retryTaken
--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -52,6 +52,9 @@
 func (dialect) SetHeaders(h http.Header, s front.AttemptHeaders) {
 	h.Set("Instance", s.Instance)
 	h.Set("Deadline", strconv.FormatInt(s.TimeLeft.Milliseconds(), 10))
+	if s.ToEngine {
+		h.Set("Priority", strconv.Itoa(s.Priority))
+	}
 	if s.LastEvent != "" {
 		h.Set("Last", s.LastEvent)
 	}
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -215,6 +215,7 @@
 			return false
 		}
 		if f.activeConfig.CompareAndSwap(old, newActiveConfig(c)) {
+			f.endWithdrawn()
 			f.notify()
 			return true
 		}
--- a/limpetd/front/organisation.go
+++ b/limpetd/front/organisation.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 // authenticate finds the organisation of the caller by the key of the call. It returns false if it ended the call,
@@ -32,23 +34,46 @@
 	return true
 }
 
-// hasValidKey reports whether the configuration in force still has the key of the call. A key may be withdrawn while
-// its calls wait.
-func (c *call) hasValidKey() bool {
+// keepKey reports whether the configuration in force still has the key of the call. A key may be withdrawn, or given to
+// another organisation, while its calls wait. The caller must hold mu or own the call, which then must not wait.
+func (c *call) keepKey() bool {
 	if !c.hasKey {
 		return true
 	}
 	config := c.front.activeConfig.Load().config
-	return config.Keys == nil || config.Keys.Match(c.key) != nil
+	if config.Keys == nil {
+		return true
+	}
+	o := config.Keys.Match(c.key)
+	if o == nil {
+		return false
+	}
+	if o.Name != c.organisation() {
+		c.front.deps.Dialect.SetOrganisation(c.request.Header, o.Name)
+	}
+	c.schedCall.Organisation = o
+	return true
+}
+
+// endWithdrawn ends the waits of the calls whose keys are no longer valid.
+func (f *Front) endWithdrawn() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiters = slices.DeleteFunc(f.waiters, func(w *waiter) bool {
+		if w.call.keepKey() {
+			return false
+		}
+		w.result <- sched.Choice{Verdict: sched.KeyWithdrawn}
+		return true
+	})
 }
 
-// endWithoutKey ends a call that has no valid key.
+// endWithoutKey ends a call that has no valid key. Clients do not repeat a call that is answered with 401, also if a
+// server has run it.
 func (c *call) endWithoutKey() {
-	if c.runs > 0 {
-		c.fail(code.BadKey, http.StatusBadGateway, "the key was withdrawn")
-		return
+	if !c.responseBegun {
+		c.writer.Header().Set("WWW-Authenticate", "Key")
 	}
-	c.writer.Header().Set("WWW-Authenticate", "Key")
 	c.fail(code.BadKey, http.StatusUnauthorized, "the key is missing, unknown or withdrawn")
 }
 
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -102,7 +102,7 @@
 	if choice.Verdict != sched.Chosen {
 		return choice
 	}
-	if !c.hasValidKey() {
+	if !c.keepKey() {
 		choice.Verdict = sched.KeyWithdrawn
 		return choice
 	}
@@ -291,6 +291,11 @@
 		}
 	}
 	f.mu.Lock()
+	if !c.keepKey() {
+		f.mu.Unlock()
+		c.endWithoutKey()
+		return choice, false
+	}
 	f.waiters = append(f.waiters, w)
 	f.mu.Unlock()
 	timer := time.NewTimer(time.Until(wakeAt))
