platform: Confine odd values to the organisation that has them

A rate out of the range of a float64, a priority that is no integer or an element of another type made the whole configuration invalid, so that keys of other organisations were not withdrawn. An invalid burst or plain_tokens was replaced by almost 0, which makes calls without Token-Count free, and nothing was logged.

--- a/limpetd/layout/organisation.go
+++ b/limpetd/layout/organisation.go
@@ -24,6 +24,9 @@
 	Unit             Unit
 	// PlainTokens is the number of tokens of a call that states none.
 	PlainTokens float64
+	// Invalid is whether the configured values are out of range. PerSecond is then so low that no call is within
+	// the quota.
+	Invalid bool
 }
 
 // Limited reports whether the quota has a limit.
