layout, platform, front: Reuse unchanged keys of the version before

Each version hashed all keys again: 32 ms for 100,000 keys of 10,000 organisations, and a priority per route was looked up in all organisations. An index in 256 parts keeps the hashes of the organisations whose list of keys has the same digest and copies the parts that change; calls use the index of the version before meanwhile.

--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -157,17 +157,26 @@
 // service from its stream routes that have an expectation.
 func newActiveConfig(c *layout.Config) *activeConfig {
 	s := &activeConfig{config: c, routeIndex: layout.NewRouteIndex(c.Routes), requirements: map[string]sched.Requirements{}}
+	organisations, routeApplies := organisationPriority(c.Organisations)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if r.Kind != layout.Stream || r.Expectation <= 0 {
 			continue
 		}
+		priority := r.Priority
+		switch {
+		case c.Keys == nil || r.Public:
+		case routeApplies:
+			priority = min(priority, organisations)
+		default:
+			priority = organisations
+		}
 		for _, t := range r.Targets {
 			d, ok := s.requirements[t.Service]
 			if !ok {
-				d = sched.Requirements{ShortestExpectation: r.Expectation, TopPriority: topPriority(c, r)}
+				d = sched.Requirements{ShortestExpectation: r.Expectation, TopPriority: priority}
 			}
-			s.requirements[t.Service] = sched.Requirements{ShortestExpectation: min(d.ShortestExpectation, r.Expectation), TopPriority: min(d.TopPriority, topPriority(c, r))}
+			s.requirements[t.Service] = sched.Requirements{ShortestExpectation: min(d.ShortestExpectation, r.Expectation), TopPriority: min(d.TopPriority, priority)}
 		}
 	}
 	return s
--- a/limpetd/front/organisation.go
+++ b/limpetd/front/organisation.go
@@ -85,18 +85,16 @@
 	return ""
 }
 
-// topPriority returns the priority of the most urgent calls of a route: that of the route or of an organisation.
-func topPriority(c *layout.Config, r *layout.Route) int {
-	if c.Keys == nil || r.Public || len(c.Organisations) == 0 {
-		return r.Priority
-	}
-	top := math.MaxInt
-	for _, o := range c.Organisations {
-		priority := r.Priority
+// organisationPriority returns the priority of the most urgent organisation that has one, math.MaxInt if none has, and
+// whether the priority of the route applies to another organisation.
+func organisationPriority(list []*layout.Organisation) (top int, routeApplies bool) {
+	top, routeApplies = math.MaxInt, len(list) == 0
+	for _, o := range list {
 		if o.HasPriority {
-			priority = o.Priority
+			top = min(top, o.Priority)
+		} else {
+			routeApplies = true
 		}
-		top = min(top, priority)
 	}
-	return top
+	return top, routeApplies
 }
--- a/limpetd/layout/organisation_test.go
+++ b/limpetd/layout/organisation_test.go
@@ -1,6 +1,8 @@
 package layout_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -30,3 +32,55 @@
 	_, ok := layout.HashKey("")
 	require.False(t, ok)
 }
+
+// TestUpdatedIndexEqualsNewOne guards against withdrawn keys that stay valid, and keys of another organisation, in an
+// index that reuses parts of the one before, and against changes of the one before, which calls still use.
+func TestUpdatedIndexEqualsNewOne(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		var index *layout.KeyIndex
+		check := func(index *layout.KeyIndex, lists []layout.KeyList) {
+			fresh := layout.NewKeyIndex(0)
+			for _, l := range lists {
+				for _, key := range l.Keys {
+					fresh.Add(key, l.Organisation)
+				}
+			}
+			require.Equal(t, fresh.Len(), index.Len(), seed)
+			for k := range 30 {
+				hash, _ := layout.HashKey(fmt.Sprint("k", k))
+				require.Same(t, fresh.Match(hash), index.Match(hash), "seed %d key %d", seed, k)
+			}
+		}
+		var lists []layout.KeyList
+		for range 12 {
+			before, beforeLists := index, lists
+			lists = nil
+			for o := range 6 {
+				if random.IntN(4) == 0 {
+					continue
+				}
+				l := layout.KeyList{Organisation: &layout.Organisation{Name: fmt.Sprint("o", o)}}
+				for k := range 5 {
+					key := fmt.Sprint("k", 5*o+k)
+					switch random.IntN(40) {
+					case 0:
+						key = fmt.Sprint("k", random.IntN(30))
+					case 1, 2, 3:
+						continue
+					}
+					l.Keys = append(l.Keys, key)
+				}
+				lists = append(lists, l)
+			}
+			if random.IntN(20) == 0 && len(lists) > 0 {
+				lists = append(lists, layout.KeyList{Organisation: &layout.Organisation{Name: "o1"}, Keys: []string{"k3", ""}})
+			}
+			index = before.Update(lists)
+			check(index, lists)
+			if before != nil {
+				check(before, beforeLists)
+			}
+		}
+	}
+}
