--- a/limpet/cmds/explain.go
+++ b/limpet/cmds/explain.go
@@ -132,7 +132,7 @@
 // daemonEvents are events about the state of a daemon: its configuration, its data, its
 // lease, its links, and its start and end.
 var daemonEvents = []string{
-	"configuration_applied", "configuration_refused", "store_lost", "store_regained", "history_lost", "lease_taken", "lease_lost",
+	"configuration_applied", "configuration_refused", "quota_invalid", "store_lost", "store_regained", "history_lost", "lease_taken", "lease_lost",
 	"lease_released", "steerer_announced", "steerer_fenced", "link_lost", "daemon_started", "daemon_leaving", "daemon_stopped", "lines_dropped",
 }
 
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -117,7 +117,9 @@
 	// buffered is the size in bytes of the bodies that are buffered.
 	buffered atomic.Int64
 	metrics  metrics
-	connects *connectTracker
+	// organisations counts the calls of organisations.
+	organisations *organisationMetrics
+	connects      *connectTracker
 
 	// crashesChanged holds a value after the ledger of ends has changed. A change that does not
 	// fit is told with the one before.
@@ -188,7 +190,7 @@
 // run until ctx ends.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
-	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
+	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), organisations: newOrganisationMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
 	if d.Contact == nil {
 		f.origins.SetComplete()
 	}
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -283,6 +283,7 @@
 	default:
 		m.failed.Inc(1)
 	}
+	c.countOrganisation()
 	route := ""
 	if c.schedCall.Route != nil {
 		route = c.schedCall.Route.Name
@@ -296,6 +297,9 @@
 	if name := c.organisation(); name != "" {
 		fields = append(fields, zap.String("organisation", name))
 	}
+	if o.result == code.BadKey || o.result == code.OverQuota || o.result == code.QuotaUnknown {
+		fields = append(fields, zap.Int64("version", c.front.Config().Version))
+	}
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
--- a/limpetd/front/organisation_test.go
+++ b/limpetd/front/organisation_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/front"
@@ -161,6 +162,7 @@
 				text := fmt.Sprint(line.Message, line.ContextMap())
 				require.NotContains(t, text, "k-", name)
 				require.Equal(t, c.ok && !public, strings.Contains(text, "organisation:north"), name)
+				require.Equal(t, !c.ok && !public, strings.Contains(text, fmt.Sprint("version:", fx.front.Config().Version)), name)
 			}
 		}
 	}
@@ -240,3 +242,33 @@
 		require.Equal(t, key == "urgent", r.asks[i].IsTopPriority, key)
 	}
 }
+
+// TestCallsAreCountedByOrganisation guards against metrics whose number grows with the organisations, and against names
+// of unknown callers in metrics.
+func TestCallsAreCountedByOrganisation(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	s := httptest.NewServer(withStamp(respond("ok")))
+	t.Cleanup(s.Close)
+	fx := newFixtureWithDeps(t, func(d *front.Deps) { d.Scope = scope }, keyedRoute, s.Listener.Addr().String())
+	keys := map[string]*layout.Organisation{}
+	for i := range 80 {
+		keys[fmt.Sprint("k-", i)] = &layout.Organisation{Name: fmt.Sprint("o-", i)}
+	}
+	fx.organise(t, keys, false)
+	for i := range 90 {
+		_, _ = fx.send(t, "/r/1", http.Header{"Api-Key": {fmt.Sprint("k-", i)}})
+	}
+	names, sums := map[string]int64{}, map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		if name := c.Tags()["organisation"]; name != "" {
+			require.NotContains(t, name, "k-")
+			names[name] += c.Value()
+			sums[c.Name()] += c.Value()
+		}
+	}
+	require.Len(t, names, 64+2)
+	require.EqualValues(t, 2*16, names["other"])
+	require.EqualValues(t, 2*10, names["unknown"])
+	require.Equal(t, map[string]int64{"front.organisation_calls": 90, "front.organisation_in_quota": 80, "front.organisation_bad_key": 10,
+		"front.organisation_over_quota": 0, "front.organisation_refused": 0}, sums)
+}
