--- a/limpet/cmds/cmds.go
+++ b/limpet/cmds/cmds.go
@@ -16,6 +16,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/url"
@@ -76,6 +77,7 @@
 	JSON    bool          `help:"Print JSON instead of text." env:"LIMPET_JSON"`
 
 	Validate validateCommand `cmd:"" help:"Check an environment document."`
+	Check    checkCommand    `cmd:"" help:"Check an environment document and compare it with another one: status 0 without findings, 1 with findings, 2 if a file can't be read."`
 	Apply    applyCommand    `cmd:"" help:"Apply an environment document to the stage of the daemon."`
 	Promote  promoteCommand  `cmd:"" help:"Put the document that is in force in the trial stage into production."`
 	Status   statusCommand   `cmd:"" help:"Show the state of the environment, its daemons and its engines."`
@@ -116,6 +118,10 @@
 	}
 	d := &Deps{ctx: ctx, streams: s, json: c.JSON, daemon: c.Daemon, token: c.Token, ca: c.CA, timeout: c.Timeout}
 	if err := command.Run(d); err != nil {
+		var exit exitError
+		if errors.As(err, &exit) {
+			return int(exit)
+		}
 		d.printError(err)
 		return exitStatus(err)
 	}
--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -144,6 +144,32 @@
 	PeerUntrusted Code = 1901
 )
 
+// Codes of findings in a configuration.
+const (
+	ConfigUnknownField   Code = 2000
+	ConfigMissingService Code = 2001
+	ConfigBadPrefix      Code = 2002
+	ConfigOutOfRange     Code = 2003
+	ConfigZeroWeights    Code = 2004
+	ConfigDuplicate      Code = 2005
+	ConfigSharedKey      Code = 2006
+	ConfigHiddenRoute    Code = 2010
+	ConfigUnusedService  Code = 2011
+	ConfigUnservedModel  Code = 2012
+	ConfigUnusedKeys     Code = 2013
+	// ConfigNoKeys means that routes need keys, and no organisation has one.
+	ConfigNoKeys           Code = 2014
+	ConfigObjectiveTooLate Code = 2020
+	ConfigBurstTooSmall    Code = 2021
+	ConfigQuotaTooSmall    Code = 2022
+	ConfigBodyOverMemory   Code = 2023
+	ConfigCallersRefused   Code = 2030
+	ConfigKeysWithdrawn    Code = 2031
+	ConfigTrafficMoved     Code = 2032
+	ConfigLimitLowered     Code = 2033
+	ConfigPriorityLowered  Code = 2034
+)
+
 // table lists each code once, in the order of their numbers.
 var table = []Info{
 	{OK, "ok", http.StatusOK, RunYes, "The call succeeded.", "No action needed."},
@@ -227,6 +253,28 @@
 
 	{PeerDown, "peer_down", http.StatusServiceUnavailable, RunUnknown, "A peer cannot be reached.", "No action needed unless the error persists."},
 	{PeerUntrusted, "peer_untrusted", http.StatusForbidden, RunNo, "The certificate of a peer is not accepted.", "Check the certificates and their authority."},
+
+	{ConfigUnknownField, "config_unknown_field", http.StatusUnprocessableEntity, RunNo, "The configuration has a field that is not used.", "Correct the name of the field, or remove it."},
+	{ConfigMissingService, "config_missing_service", http.StatusUnprocessableEntity, RunNo, "A route sends calls to a service that the configuration does not have.", "Add the service, or correct its name in the route."},
+	{ConfigBadPrefix, "config_bad_prefix", http.StatusUnprocessableEntity, RunNo, "The path prefix of a route does not begin and end with a slash, so that it is not clear which paths match.", "Write the prefix with a slash at its begin and end; it matches whole segments."},
+	{ConfigOutOfRange, "config_out_of_range", http.StatusUnprocessableEntity, RunNo, "A value of the configuration is out of its range.", "Set a value in the range."},
+	{ConfigZeroWeights, "config_zero_weights", http.StatusUnprocessableEntity, RunNo, "The weights of a route's targets sum to 0, so that all calls go to the last target.", "Set a weight above 0 for at least one target."},
+	{ConfigDuplicate, "config_duplicate", http.StatusUnprocessableEntity, RunNo, "Two entries of the configuration have the same name.", "Rename or remove one of them."},
+	{ConfigSharedKey, "config_shared_key", http.StatusUnprocessableEntity, RunNo, "Two organisations have the same key. It belongs to the first one.", "Give each organisation keys of its own."},
+	{ConfigHiddenRoute, "config_hidden_route", http.StatusUnprocessableEntity, RunNo, "A route can never match.", "Remove the route, or change its host or prefix."},
+	{ConfigUnusedService, "config_unused_service", http.StatusUnprocessableEntity, RunNo, "A service receives no calls: each route that names it gives it the weight 0.", "Remove the target, or give it a weight."},
+	{ConfigUnservedModel, "config_unserved_model", http.StatusUnprocessableEntity, RunNo, "No call can be answered by a model: no route to engines leads to its service, or it is larger than the memory of an engine.", "Add a route to engines with the service as a target, or remove the model."},
+	{ConfigUnusedKeys, "config_unused_keys", http.StatusUnprocessableEntity, RunNo, "Organisations have keys, but all routes are public.", "Remove `public` from the routes that need a key, or remove the keys."},
+	{ConfigNoKeys, "config_no_keys", http.StatusUnprocessableEntity, RunNo, "Routes need a key, but no organisation has one, so that all their calls are refused.", "Add a key, make the routes public, or remove the list of organisations."},
+	{ConfigObjectiveTooLate, "config_objective_too_late", http.StatusUnprocessableEntity, RunNo, "The objective of a route is longer than its timeout.", "Shorten the objective or lengthen the timeout."},
+	{ConfigBurstTooSmall, "config_burst_too_small", http.StatusUnprocessableEntity, RunNo, "The burst of a quota is smaller than one call, so that such a call is always refused.", "Raise the burst to at least one call."},
+	{ConfigQuotaTooSmall, "config_quota_too_small", http.StatusUnprocessableEntity, RunNo, "A quota allows less than one call a second that states no tokens.", "Check the unit and the rate."},
+	{ConfigBodyOverMemory, "config_body_over_memory", http.StatusUnprocessableEntity, RunNo, "One request body of permitted size is larger than the memory of a daemon.", "Lower the limit of bodies, or give the VM more memory."},
+	{ConfigCallersRefused, "config_callers_refused", http.StatusOK, RunNo, "Callers that are served by the other version are refused.", "Check that these callers are gone or have keys."},
+	{ConfigKeysWithdrawn, "config_keys_withdrawn", http.StatusOK, RunNo, "Keys of the other version are no longer valid.", "Check that no caller uses these keys."},
+	{ConfigTrafficMoved, "config_traffic_moved", http.StatusOK, RunNo, "Calls go to other services than with the other version.", "Check that these services have room."},
+	{ConfigLimitLowered, "config_limit_lowered", http.StatusOK, RunNo, "A limit is lower than in the other version.", "Check that callers stay within the limit."},
+	{ConfigPriorityLowered, "config_priority_lowered", http.StatusOK, RunNo, "Calls are less urgent than with the other version.", "Check that these callers accept longer waits."},
 }
 
 // Table returns all codes in the order of their numbers.
--- a/limpetd/layout/key_index.go
+++ b/limpetd/layout/key_index.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"maps"
 	"math/bits"
+	"slices"
 )
 
 // maxShortKey is the length of the keys that are hashed without allocation.
@@ -57,6 +58,8 @@
 	// lists are the keys that Update added, by the name of their organisation; nil if the next Update must add all
 	// keys again.
 	lists map[string]*hashedKeys
+	// shared are pairs of organisations that list the same key, the one that has it first.
+	shared map[[2]string]bool
 }
 
 // hashedKeys are the keys of an organisation.
@@ -111,6 +114,24 @@
 // Len returns the number of keys.
 func (i *KeyIndex) Len() int { return i.keys }
 
+// Shared returns the pairs of organisations that list the same key, the one that has it first.
+func (i *KeyIndex) Shared() [][2]string {
+	return slices.SortedFunc(maps.Keys(i.shared), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
+}
+
+// Missing returns the number of keys that another index does not have.
+func (i *KeyIndex) Missing(other *KeyIndex) int {
+	n := 0
+	for _, part := range i.slots {
+		for hash := range part {
+			if other.Match(hash) == nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Update returns an index of the lists as if their keys were added in order. It hashes only the keys of organisations
 // whose keys are not those of i, which may be nil, and does not change i.
 func (i *KeyIndex) Update(lists []KeyList) *KeyIndex {
@@ -195,7 +216,13 @@
 			continue
 		}
 		if owner, ok := i.slots[hash[0]][hash]; ok {
-			unique = unique && owner == list.slot
+			if owner != list.slot {
+				unique = false
+				if i.shared == nil {
+					i.shared = map[[2]string]bool{}
+				}
+				i.shared[[2]string{i.organisations[owner].Name, l.Organisation.Name}] = true
+			}
 			continue
 		}
 		u.part(hash)[hash] = list.slot
