--- a/limpetd/front/organisation_metrics.go
+++ b/limpetd/front/organisation_metrics.go
@@ -70,12 +70,12 @@
 	}
 	m := c.front.organisations.counters(name)
 	m.calls.Inc(1)
-	switch {
-	case o.result == code.BadKey:
+	switch o.result {
+	case code.BadKey:
 		m.badKey.Inc(1)
-	case o.result == code.OverQuota:
+	case code.OverQuota:
 		m.overQuota.Inc(1)
-	case o.result == code.QuotaUnknown:
+	case code.QuotaUnknown:
 		m.refused.Inc(1)
 	default:
 		m.inQuota.Inc(1)
