--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -117,8 +117,10 @@
 	// buffered is the size in bytes of the bodies that are buffered.
 	buffered atomic.Int64
 	metrics  metrics
-	connects *connectTracker
-	paceLog  paceLog
+	// organisations counts the calls of organisations.
+	organisations *organisationMetrics
+	connects      *connectTracker
+	paceLog       paceLog
 
 	// crashesChanged holds a value after the ledger of ends has changed. A change that does not
 	// fit is told with the one before.
@@ -158,17 +160,26 @@
 // service from its stream routes that have an expectation.
 func newActiveConfig(c *layout.Config) *activeConfig {
 	s := &activeConfig{config: c, routeIndex: layout.NewRouteIndex(c.Routes), requirements: map[string]sched.Requirements{}}
+	organisations, routeApplies := organisationPriority(c.Organisations)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if r.Kind != layout.Stream || r.Expectation <= 0 {
 			continue
 		}
+		priority := r.Priority
+		switch {
+		case c.Keys == nil || r.Public:
+		case routeApplies:
+			priority = min(priority, organisations)
+		default:
+			priority = organisations
+		}
 		for _, t := range r.Targets {
 			d, ok := s.requirements[t.Service]
 			if !ok {
-				d = sched.Requirements{ShortestExpectation: r.Expectation, TopPriority: topPriority(c, r)}
+				d = sched.Requirements{ShortestExpectation: r.Expectation, TopPriority: priority}
 			}
-			s.requirements[t.Service] = sched.Requirements{ShortestExpectation: min(d.ShortestExpectation, r.Expectation), TopPriority: min(d.TopPriority, topPriority(c, r))}
+			s.requirements[t.Service] = sched.Requirements{ShortestExpectation: min(d.ShortestExpectation, r.Expectation), TopPriority: min(d.TopPriority, priority)}
 		}
 	}
 	return s
@@ -180,7 +191,7 @@
 // run until ctx ends.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
-	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
+	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), organisations: newOrganisationMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
 	if d.Contact == nil {
 		f.origins.SetComplete()
 	}
@@ -216,6 +227,7 @@
 			return false
 		}
 		if f.activeConfig.CompareAndSwap(old, newActiveConfig(c)) {
+			f.endWithdrawn()
 			f.notify()
 			return true
 		}
