sched, front, steer, platform: Enforce quotas over all daemons

The quotas of organisations were in the configuration, but no call was refused for them. The message that requests a server now names the organisation and its charge. The lease holder charges it when it answers Chosen, while its lease is valid. A call for which the daemon chooses the server asks for the charge alone, after the daemon has found a server, so that the choice stays as it is. A call that is not sent or that its server rejects leaves its charge to later calls for a second. Without an answer, the share of the daemon decides, and the call is refused with 503 instead of 429.

Requests and answers without quotas have the bytes of builds without the new fields (test). An answer says whether it was charged, so that a lease holder of an older build is treated like one that does not answer.

--- a/limpetd/array/array.go
+++ b/limpetd/array/array.go
@@ -1,6 +1,6 @@
 // Package array decodes structures that are encoded as MessagePack arrays, with an element for each field and without
 // field names. Unlike the decoder of the msgpack package, it reads arrays of builds that have more or fewer fields:
-// new fields are added at the end.
+// new fields are added at the end. It also encodes structures whose last fields are optional.
 //
 // # Usage
 //
@@ -15,6 +15,7 @@
 
 import (
 	"fmt"
+	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -38,3 +39,21 @@
 	}
 	return nil
 }
+
+// Encode encodes fields as an array. The last ones, up to a number of optional fields, are left out if they are zero, so
+// that deployments that don't use them send the messages of builds without them.
+func Encode(e *msgpack.Encoder, optional int, fields ...any) error {
+	n := len(fields)
+	for ; optional > 0 && reflect.ValueOf(fields[n-1]).IsZero(); optional-- {
+		n--
+	}
+	if err := e.EncodeArrayLen(n); err != nil {
+		return fmt.Errorf("array: %w", err)
+	}
+	for i, field := range fields[:n] {
+		if err := e.Encode(field); err != nil {
+			return fmt.Errorf("element %d of %d of an array: %w", i, n, err)
+		}
+	}
+	return nil
+}
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -162,6 +162,7 @@
 		return c.retryOrEnd(ctx, code.BackendFailed, "write: "+err.Error())
 	}
 	c.runs++
+	c.useCharge()
 	a.track()
 	if err := a.awaitBytes(ctx); err != nil {
 		a.conn.Close()
@@ -254,6 +255,7 @@
 		a.conn.Release(resp)
 	}
 	c.runs--
+	c.keepCharge()
 	a.recordStart(r)
 	if r.WrongServer {
 		a.finish(sched.WrongServer)
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -40,6 +40,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/origin"
+	"github.com/limpetlb/limpetlb/limpetd/quota"
 	"github.com/limpetlb/limpetlb/limpetd/random"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -127,6 +128,10 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	balancer *sched.Balancer
+	// quotas are the buckets of the quotas, used while this daemon is the lease holder. holdings are the shares and the
+	// unused credit of this daemon.
+	quotas   *quota.Table
+	holdings *quota.Daemon
 	ends     endTracker
 	crashes  *crash.Ledger
 	// origins remembers at which software version streams began. services are the services that have
@@ -189,6 +194,7 @@
 		o(f)
 	}
 	f.balancer = sched.NewBalancer(f.settings, random.New())
+	f.quotas, f.holdings = quota.NewTable(), quota.NewDaemon(random.New().Float64)
 	f.crashes = crash.NewLedger(crash.WithAllowed(f.allowedParts))
 	t.Go(func() error {
 		f.tellCrashes(ctx)
@@ -215,6 +221,7 @@
 			return false
 		}
 		if f.activeConfig.CompareAndSwap(old, newActiveConfig(c)) {
+			f.applyQuotas()
 			f.notify()
 			return true
 		}
@@ -277,13 +284,6 @@
 	return f.balancer.OwnLoad(time.Now())
 }
 
-// Reserve answers a request of any daemon for a reservation of engine time.
-func (f *Front) Reserve(a sched.ReservationRequest) sched.Reservation {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.balancer.Reserve(&a, time.Now())
-}
-
 // RecordSamples records how long engines took to read prompts.
 func (f *Front) RecordSamples(list []sched.Sample) {
 	f.mu.Lock()
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -57,6 +57,8 @@
 	delivery    *sched.Delivery
 	retryTaken  bool
 	alternative *sched.Choice
+	// charge is what was charged to the quota of the organisation for the next send.
+	charge charge
 	// underEnd is whether a server has ended under the call, for which the call may be the cause.
 	underEnd bool
 	// waited is whether the call has waited for a server.
@@ -247,6 +249,7 @@
 		return
 	}
 	defer c.releaseRetry()
+	defer c.returnCharge()
 	for {
 		if c.responseBegun {
 			c.schedCall.LastEventAt = c.lastAt
@@ -278,7 +281,7 @@
 		m.maxPause.RecordDuration(c.maxPause)
 	case o.result == code.CallerGone:
 		m.callersGone.Inc(1)
-	case o.status == http.StatusServiceUnavailable:
+	case o.status == http.StatusServiceUnavailable, o.result == code.OverQuota:
 		m.refused.Inc(1)
 	default:
 		m.failed.Inc(1)
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -35,6 +35,9 @@
 	// brittle counts the changes of whether servers are brittle, rejections the calls that brittle servers
 	// rejected.
 	brittle, rejections tally.Counter
+	// overQuota counts the calls that were refused because their organisations had used their quotas, quotaUnknown
+	// those refused because the lease holder, which keeps the quotas, did not answer.
+	overQuota, quotaUnknown tally.Counter
 	// firstEvent, total and maxPause measure answered calls: the time to the first event or to
 	// the response, the time to the end of the response, and the longest pause between events.
 	firstEvent tally.Histogram
@@ -66,6 +69,8 @@
 		invalidLimits:   s.Counter("limits_invalid"),
 		brittle:         s.Counter("brittle"),
 		rejections:      s.Counter("brittle_rejections"),
+		overQuota:       s.Counter("over_quota"),
+		quotaUnknown:    s.Counter("quota_unknown"),
 		firstEvent:      s.Histogram("first_event", buckets),
 		total:           s.Histogram("answer", buckets),
 		maxPause:        s.Histogram("pause", buckets),
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -71,7 +71,7 @@
 // endsWait reports whether a waiting call receives a choice with this verdict.
 func endsWait(v sched.Verdict) bool {
 	switch v {
-	case sched.Chosen, sched.NoServer, sched.PromptBlocked, sched.KeyWithdrawn, sched.OverQuota, sched.QuotaUnknown:
+	case sched.Chosen, sched.NoServer, sched.PromptBlocked, sched.KeyWithdrawn, sched.OverQuota, sched.QuotaUnknown, sched.ChooseAgain:
 		return true
 	}
 	return false
@@ -97,7 +97,8 @@
 
 // assign records that a call is sent to the chosen server. All calls to servers pass it. The verdict
 // becomes KeyWithdrawn if the key of the call is no longer valid, PromptBlocked if the prompt may end
-// the engine, and RetryBudgetSpent if the retry budget is spent. The caller must hold mu.
+// the engine, ChooseAgain if the call must be charged to a quota first, and RetryBudgetSpent if the retry
+// budget is spent. The caller must hold mu.
 func (f *Front) assign(c *call, choice sched.Choice, now time.Time) sched.Choice {
 	if choice.Verdict != sched.Chosen {
 		return choice
@@ -109,6 +110,10 @@
 	if refused, ok := f.checkPrompt(c, now); !ok {
 		return refused
 	}
+	if !c.isCharged(now) {
+		choice.Verdict = sched.ChooseAgain
+		return choice
+	}
 	if c.connected > 0 && !f.takeRetry(c, now) {
 		choice.Verdict = sched.RetryBudgetSpent
 		return choice
@@ -137,6 +142,9 @@
 		return sched.Choice{Verdict: sched.PromptBlocked}, false
 	}
 	choice, reservation := c.findServer(ctx)
+	if choice.Verdict != sched.Chosen {
+		c.returnCharge()
+	}
 	now := time.Now()
 	f.mu.Lock()
 	worthWaiting := choice.Verdict == sched.Full && (c.waited || c.responseBegun || c.schedCall.TakesUp || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
@@ -179,13 +187,18 @@
 func (c *call) findServer(ctx context.Context) (sched.Choice, *sched.Reservation) {
 	f := c.front
 	now := time.Now()
+	answered := true
 	if r := f.deps.Reserver; r != nil && c.needsReservation() && c.mayRetry(now) {
 		f.mu.Lock()
 		ask := f.balancer.NewReservationRequest(&c.schedCall, f.activeConfig.Load().requirements[c.schedCall.Service], now)
+		c.addCharge(&ask, now)
 		f.mu.Unlock()
 		reservation, err := r.Reserve(ctx, ask)
-		if err == nil {
+		if answered = err == nil; answered {
 			c.outcome.asks++
+			if !c.recordCharge(&ask, &reservation) {
+				return sched.Choice{Verdict: sched.QuotaUnknown, RetryAfter: quotaRetryAfter}, nil
+			}
 			if choice, ok := c.useReservation(ctx, reservation); ok {
 				c.outcome.granted = choice.Verdict == sched.Chosen
 				return choice, &reservation
@@ -194,6 +207,9 @@
 		now = time.Now()
 	}
 	c.outcome.granted = false
+	if refused, ok := c.chargeOwnChoice(ctx, answered); !ok {
+		return refused, nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.assignServer(c, now), nil
@@ -239,6 +255,8 @@
 		return choice, !f.balancer.Loaded(&c.schedCall, now) && !f.balancer.WaitsForBackoff(&c.schedCall, now)
 	case sched.Full:
 		choice = f.balancer.ChoiceWhenFull(&c.schedCall, now)
+	case sched.OverQuota:
+		choice.RetryAfter = g.Delay
 	}
 	return f.assign(c, choice, now), true
 }
@@ -268,6 +286,10 @@
 		c.endBlocked(choice)
 	case sched.KeyWithdrawn:
 		c.endWithoutKey()
+	case sched.OverQuota:
+		c.endOverQuota(choice)
+	case sched.QuotaUnknown:
+		c.endWithoutQuota(choice)
 	case sched.NotLoaded:
 		c.giveUp(code.NoEngine, choice, "no engine holds the model")
 	case sched.Full:
--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -19,12 +19,25 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *ReservationRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	return array.Decode(d, &r.Service, &r.Model, &r.Adapter, &r.Tokens, &r.Session,
-		&r.MaxStartDelay, &r.MaxPause, &r.ShortestExpectation, &r.IsTopPriority, &r.Excluded)
+		&r.MaxStartDelay, &r.MaxPause, &r.ShortestExpectation, &r.IsTopPriority, &r.Excluded,
+		&r.Organisation, &r.Charge, &r.Unconditional)
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r ReservationRequest) EncodeMsgpack(e *msgpack.Encoder) error {
+	return array.Encode(e, 3, r.Service, r.Model, r.Adapter, r.Tokens, r.Session,
+		r.MaxStartDelay, r.MaxPause, r.ShortestExpectation, r.IsTopPriority, r.Excluded,
+		r.Organisation, r.Charge, r.Unconditional)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Reservation) DecodeMsgpack(d *msgpack.Decoder) error {
-	return array.Decode(d, &r.Verdict, &r.Server, &r.Delay, &r.Exclusive)
+	return array.Decode(d, &r.Verdict, &r.Server, &r.Delay, &r.Exclusive, &r.Charged)
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r Reservation) EncodeMsgpack(e *msgpack.Encoder) error {
+	return array.Encode(e, 1, r.Verdict, r.Server, r.Delay, r.Exclusive, r.Charged)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -55,6 +55,12 @@
 	// Excluded are the IDs of the servers that the call was sent to before or that its daemon
 	// can't use.
 	Excluded []string
+	// Organisation is the organisation whose quota is charged if the verdict is Chosen; empty if none is. Charge is what
+	// the call counts as. An Unconditional charge is for a further send of a call, which is not refused for it. A request
+	// without a Service is for the charge only: the daemon chooses the server.
+	Organisation  string
+	Charge        float64
+	Unconditional bool
 }
 
 // Requirements are the strictest requirements of the stream routes that lead to a service.
@@ -66,7 +72,7 @@
 }
 
 // Reservation is the answer to a ReservationRequest. The Verdict is Chosen if the engine's
-// time is reserved.
+// time is reserved. The daemon chooses the server if the verdict is Chosen without a Server.
 type Reservation struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	Verdict  Verdict
@@ -76,6 +82,9 @@
 	// Exclusive reports whether, by the reservations, the engine has no other prompt to
 	// prefill.
 	Exclusive bool
+	// Charged reports whether the quota of the organisation was charged. Lease holders of builds without quotas don't
+	// charge.
+	Charged bool
 }
 
 // NewReservationRequest returns the reservation request for a call. It excludes servers
--- a/limpetd/steer/arrays_test.go
+++ b/limpetd/steer/arrays_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -45,6 +46,42 @@
 	}
 }
 
+// TestMessagesWithoutQuotasAreThoseOfOlderBuilds guards against other bytes between daemons of deployments without quotas.
+func TestMessagesWithoutQuotasAreThoseOfOlderBuilds(t *testing.T) {
+	// These are the fields of builds without quotas.
+	type request struct {
+		_msgpack                                     struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
+		Service, Model, Adapter                      string
+		Tokens                                       int
+		Session                                      uint64
+		MaxStartDelay, MaxPause, ShortestExpectation time.Duration
+		IsTopPriority                                bool
+		Excluded                                     []string
+	}
+	type reservation struct {
+		_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
+		Verdict   sched.Verdict
+		Server    string
+		Delay     time.Duration
+		Exclusive bool
+	}
+	for _, pair := range [][2]any{
+		{sched.ReservationRequest{}, request{}},
+		{
+			&sched.ReservationRequest{Service: "s", Model: "m", Adapter: "a", Tokens: 1460, Session: 1 << 63, MaxStartDelay: time.Second, MaxPause: -1, IsTopPriority: true, Excluded: []string{"e1"}},
+			&request{Service: "s", Model: "m", Adapter: "a", Tokens: 1460, Session: 1 << 63, MaxStartDelay: time.Second, MaxPause: -1, IsTopPriority: true, Excluded: []string{"e1"}},
+		},
+		{sched.Reservation{}, reservation{}},
+		{&sched.Reservation{Verdict: sched.Full, Server: "e1", Delay: time.Minute}, &reservation{Verdict: sched.Full, Server: "e1", Delay: time.Minute}},
+	} {
+		got, err := msgpack.Marshal(pair[0])
+		require.NoError(t, err)
+		want, err := msgpack.Marshal(pair[1])
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+}
+
 // fill sets v and what it contains to values other than zero.
 func fill(v reflect.Value) {
 	switch v.Kind() {
--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -41,6 +41,9 @@
 // subscriber is a daemon with a link, and its queue of updates.
 type subscriber struct {
 	queue chan queuedMessage
+	// vm is the VM of the daemon, and reportedAt when its last report arrived.
+	vm         string
+	reportedAt time.Time
 	// waiting are the models and adapters that calls of the daemon wait for.
 	waiting map[modelKey]bool
 	// needsFull indicates whether the next update must contain the full state.
@@ -78,10 +81,11 @@
 	b.mu.Unlock()
 }
 
-// setWaiting records the models and adapters that calls of a daemon wait for.
-func (b *broadcaster) setWaiting(s *subscriber, r *daemonReport) {
+// recordReport records that a daemon has reported, and the models and adapters that its calls wait for.
+func (b *broadcaster) recordReport(s *subscriber, r *daemonReport, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	s.vm, s.reportedAt = r.VM, now
 	clear(s.waiting)
 	for i, n := range r.Waiting {
 		if n > 0 {
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -46,6 +46,10 @@
 	// originsReported is the same for the streams that began.
 	originsReported int64
 
+	// quotaLease is the lease under which quotas were last charged. quotaMu guards it, and is locked before mu.
+	quotaMu    sync.Mutex
+	quotaLease lease.Row
+
 	mu sync.Mutex
 	// reaching is when daemons with a link last reported that they reach the servers, by VM.
 	reaching   map[string]time.Time
@@ -244,6 +248,8 @@
 	})
 	s.crashesReported, s.originsReported = 0, 0
 	first := s.takeReport()
+	// The lease holder has left the share of a daemon without a link to the daemon.
+	first.QuotaUse = nil
 	first.Member = &s.settings.Self
 	first.Versions, first.Eras = map[string]int64{}, map[string]int64{}
 	for name, f := range s.tables {
--- a/limpetd/steer/demand.go
+++ b/limpetd/steer/demand.go
@@ -57,6 +57,8 @@
 	// Origins are the streams that began at the daemon since its last report, or all that it knows in
 	// the first report of a link, of services with several software versions.
 	Origins *origin.Facts `msgpack:"origins,omitempty"`
+	// QuotaUse is what the daemon has used of quotas without an answer of the lease holder, by organisation.
+	QuotaUse map[string]float64 `msgpack:"quota_use,omitempty"`
 }
 
 // serverStart identifies one start of a backend server.
--- a/limpetd/steer/fixture_test.go
+++ b/limpetd/steer/fixture_test.go
@@ -158,6 +158,10 @@
 	adapters map[string]map[string]bool
 	shared   map[string]sched.ServerLoad
 	own      map[string]sched.ServerLoad
+	// starts counts the calls of StartQuotas. connected, used and charged are what the methods for quotas pass.
+	starts        int
+	connected     float64
+	used, charged map[string]float64
 	// samples counts the samples, paused the streams that had too long a pause.
 	samples, paused int
 	// freeze blocks reservations while it is locked.
@@ -178,10 +182,41 @@
 	l.adapters = adapters
 }
 
-func (l *fakeRouter) Reserve(sched.ReservationRequest) sched.Reservation {
+func (l *fakeRouter) Reserve(a sched.ReservationRequest) sched.Reservation {
 	l.freeze.Lock()
 	defer l.freeze.Unlock()
-	return sched.Reservation{Verdict: sched.Chosen, Server: "e1"}
+	return sched.Reservation{Verdict: sched.Chosen, Server: "e1", Charged: a.Charge > 0}
+}
+
+func (l *fakeRouter) StartQuotas() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starts++
+}
+
+func (l *fakeRouter) SetConnected(fraction float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connected = fraction
+}
+
+func (l *fakeRouter) TakeQuotaUse() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	use := l.used
+	l.used = nil
+	return use
+}
+
+func (l *fakeRouter) ChargeQuotas(use map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.charged == nil {
+		l.charged = map[string]float64{}
+	}
+	for name, units := range use {
+		l.charged[name] += units
+	}
 }
 
 func (l *fakeRouter) RecordSamples(list []sched.Sample) {
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -379,6 +379,7 @@
 	shared, leaving, limits := p.loads.sum(now), p.recentlyLeaving(now), s.deps.Router.Limits()
 	s.deps.Router.SetSharedLoad(shared)
 	s.deps.Router.SetLeading(true)
+	s.deps.Router.SetConnected(s.connectedFraction(now))
 	s.mu.Lock()
 	row, version := s.lease.Row(), s.lease.Version()
 	s.mu.Unlock()
--- a/limpetd/steer/reports.go
+++ b/limpetd/steer/reports.go
@@ -50,11 +50,11 @@
 
 // takeReport returns the report of this daemon since the last call.
 func (s *Controller) takeReport() daemonReport {
-	own := s.deps.Router.OwnLoad()
+	own, use := s.deps.Router.OwnLoad(), s.deps.Router.TakeQuotaUse()
 	s.mu.Lock()
 	r := s.nextReport.take(s.settings.Self.VM)
 	s.mu.Unlock()
-	r.Loads, r.Limits, r.CutOff = own, s.deps.Router.Limits(), s.isCutOff()
+	r.Loads, r.Limits, r.CutOff, r.QuotaUse = own, s.deps.Router.Limits(), s.isCutOff(), use
 	r.Crashes, s.crashesReported = s.crashesSince(s.crashesReported)
 	r.Origins, s.originsReported = s.originsSince(s.originsReported, s.originsReported > 0)
 	return r
@@ -62,7 +62,7 @@
 
 // receiveReport applies the report of another daemon.
 func (s *Controller) receiveReport(sub *subscriber, r daemonReport) {
-	s.broadcaster.setWaiting(sub, &r)
+	s.broadcaster.recordReport(sub, &r, time.Now())
 	s.mergeCrashes(r.Crashes)
 	s.mergeOrigins(r.Origins)
 	s.deps.Router.MergeLimits(r.Limits)
@@ -72,6 +72,7 @@
 
 // submitReport passes a daemon's report to planLoop, or drops it if the channel is full.
 func (s *Controller) submitReport(r daemonReport) {
+	s.chargeUse(r.QuotaUse)
 	select {
 	case s.reports <- r:
 	default:
--- a/limpetd/steer/reserve.go
+++ b/limpetd/steer/reserve.go
@@ -19,7 +19,7 @@
 // failures, or if the lease holder does not answer within reserveTimeout.
 func (s *Controller) Reserve(ctx context.Context, a sched.ReservationRequest) (sched.Reservation, error) {
 	if s.IsLeaseHolder() {
-		return s.deps.Router.Reserve(a), nil
+		return s.reserve(a), nil
 	}
 	s.mu.Lock()
 	conn, paused := s.holderConn, time.Now().Before(s.reserveAfter)
@@ -62,7 +62,7 @@
 	if !s.IsLeaseHolder() {
 		return sched.Reservation{}, errNotHolder
 	}
-	return s.deps.Router.Reserve(a), nil
+	return s.reserve(a), nil
 }
 
 // RecordSample adds a measurement of how fast an engine read a prompt to the next report.
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -155,8 +155,8 @@
 	OwnLoad() map[string]sched.ServerLoad
 	// SetSharedLoad sets the load that all daemons together put on servers.
 	SetSharedLoad(all map[string]sched.ServerLoad)
-	// Reserve reserves time of an engine for a request of any daemon. It is only called
-	// while this daemon is the lease holder.
+	// Reserve reserves time of an engine for a request of any daemon, and charges its Charge to a quota. It is only
+	// called while this daemon is the lease holder.
 	Reserve(a sched.ReservationRequest) sched.Reservation
 	// RecordSamples records how fast engines read prompts.
 	RecordSamples(list []sched.Sample)
@@ -174,6 +174,14 @@
 	// TakeToken reports whether an order or a report request may be sent to a server within its
 	// limit. It is only called while this daemon is the lease holder.
 	TakeToken(id string) bool
+	// StartQuotas empties the buckets of all quotas. It is called before the first charge of a lease.
+	StartQuotas()
+	// SetConnected sets the fraction of the daemons that have reported lately. It is called with each update.
+	SetConnected(fraction float64)
+	// TakeQuotaUse returns what this daemon has used of quotas without an answer of the lease holder since the last
+	// call, by organisation, and ChargeQuotas charges what a daemon has used.
+	TakeQuotaUse() map[string]float64
+	ChargeQuotas(use map[string]float64)
 	// SetPlacement sets the adapters that engines hold and the models that are about to be
 	// unloaded, both by engine.
 	SetPlacement(adapters, unloading map[string]map[string]bool)
