admit, quota: Move the pure bucket and fallback share to package quota

Two packages would hold token buckets and fallback shares of limits over all daemons. The bucket and the share of package admit are now quota.LoanBucket and quota.CycleShare, with the same code. They stay beside Table and Share, because a limit there has its own owner, which lends whole requests, starts with a reduced rate instead of empty, and spaces out retries. The tests of admit are unchanged and pass.

--- a/limpetd/admit/limit.go
+++ b/limpetd/admit/limit.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/quota"
 )
 
 const (
@@ -19,12 +19,8 @@
 	// after it could not be reached.
 	unreachableBackoff = time.Second
 	// fallbackFraction is the fraction of a limit that all daemons together grant
-	// while they cannot reach its owner. An owner lends the same fraction while
-	// another daemon may own the limit too.
-	fallbackFraction = 0.25
-	// grantWindow is the time at the start of each cycle of a fallbackShare in
-	// which requests are granted.
-	grantWindow = time.Second
+	// while they cannot reach its owner.
+	fallbackFraction = quota.LoanFallbackFraction
 )
 
 // limitDecision is the result of checking a request against its caller's limit.
@@ -64,9 +60,9 @@
 	// lend, and until unreachableUntil when it could not be reached.
 	exhaustedUntil, unreachableUntil time.Time
 	// fallback is used while the owner cannot be reached.
-	fallback fallbackShare
+	fallback quota.CycleShare
 	// bucket is used if this daemon is the owner.
-	bucket bucket
+	bucket quota.LoanBucket
 }
 
 // newLimits returns the limits of a daemon, without callers. The daemon owns all
@@ -108,7 +104,7 @@
 	for name, cl := range l.callers {
 		owner := ownerOf(name, vms)
 		if owner == l.vm && (regained || cl.owner != l.vm) {
-			cl.bucket.reset(now)
+			cl.bucket.Reset(now)
 		}
 		if owner != cl.owner {
 			cl.exhaustedUntil, cl.unreachableUntil = time.Time{}, time.Time{}
@@ -147,9 +143,9 @@
 	case cl == nil:
 		return limitAllow, 0
 	case cl.owner == l.vm:
-		loan := cl.bucket.lend(now, cl.perSecond, 1, l.majority)
-		if loan.Granted == 0 {
-			return limitReject, loan.RetryAfter
+		granted, retryAfter := cl.bucket.Lend(now, cl.perSecond, 1, l.majority)
+		if granted == 0 {
+			return limitReject, retryAfter
 		}
 		return limitAllow, 0
 	case cl.borrowed > 0 && now.Before(cl.expiresAt):
@@ -158,7 +154,10 @@
 	case now.Before(cl.exhaustedUntil):
 		return limitReject, cl.exhaustedUntil.Sub(now)
 	case now.Before(cl.unreachableUntil):
-		return cl.fallback.take(now, l.fallbackRate(cl), l.phase(caller))
+		if ok, retryAfter := cl.fallback.Take(now, l.fallbackRate(cl), l.phase(caller)); !ok {
+			return limitReject, retryAfter
+		}
+		return limitAllow, 0
 	}
 	return limitBorrow, 0
 }
@@ -195,7 +194,8 @@
 	if cl == nil || cl.owner != l.vm {
 		return member.Loan{}, false
 	}
-	return cl.bucket.lend(now, cl.perSecond, want, l.majority), true
+	granted, retryAfter := cl.bucket.Lend(now, cl.perSecond, want, l.majority)
+	return member.Loan{Granted: granted, RetryAfter: retryAfter}, true
 }
 
 // fallbackRate returns the requests per second that this daemon grants while it cannot
@@ -204,35 +204,7 @@
 	return fallbackFraction * cl.perSecond / float64(max(len(l.daemons), 1))
 }
 
-// phase returns the phase of this daemon's fallbackShare cycles, in [0, 1).
+// phase returns the phase of this daemon's cycles of fallback, in [0, 1).
 func (l *limits) phase(caller string) float64 {
 	return unitFloat(mixBits(xxhash.Sum64String(caller) ^ xxhash.Sum64String(l.vm)))
 }
-
-// fallbackShare limits what a daemon grants while it cannot reach the owner of a
-// limit. It grants up to a fixed number of requests per cycle, only within grantWindow
-// from the start of the cycle. The zero value is ready for use.
-type fallbackShare struct {
-	// cycle is the number of the current cycle, used the requests granted in it.
-	cycle, used int64
-}
-
-// take decides on a request. At a rate of less than one request per grantWindow, the
-// cycle is longer than grantWindow and grants one request. The cycles of the daemons
-// start at different phases and unused requests do not carry over, so that many daemons
-// do not grant a request at the same time.
-func (s *fallbackShare) take(now time.Time, perSecond, phase float64) (limitDecision, time.Duration) {
-	maxGrants := max(math.Floor(perSecond*grantWindow.Seconds()), 1)
-	period := maxGrants / perSecond
-	position := float64(now.UnixNano())/float64(time.Second)/period + phase
-	cycle := int64(math.Floor(position))
-	if cycle != s.cycle {
-		s.cycle, s.used = cycle, 0
-	}
-	elapsed := (position - math.Floor(position)) * period
-	if elapsed < grantWindow.Seconds() && s.used < int64(maxGrants) {
-		s.used++
-		return limitAllow, 0
-	}
-	return limitReject, cappedSeconds(period - elapsed)
-}
--- a/limpetd/admit/retry.go
+++ b/limpetd/admit/retry.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/quota"
 )
 
 const (
@@ -44,7 +46,7 @@
 	if perSecond <= 0 {
 		return maxRetryAfter
 	}
-	return cappedSeconds((1 - b.tokens) / perSecond)
+	return quota.CappedSeconds((1 - b.tokens) / perSecond)
 }
 
 // retryWait returns the exponential backoff before an attempt, with full jitter.
@@ -52,12 +54,3 @@
 	limit := min(retryBaseWait<<min(attempt-1, 10), maxRetryWait)
 	return time.Duration(random.Int64N(int64(limit) + 1))
 }
-
-// cappedSeconds converts a number of seconds to a duration between 0 and
-// maxRetryAfter.
-func cappedSeconds(s float64) time.Duration {
-	if s >= maxRetryAfter.Seconds() {
-		return maxRetryAfter
-	}
-	return time.Duration(max(s, 0) * float64(time.Second))
-}
--- a/limpetd/admit/state.go
+++ b/limpetd/admit/state.go
@@ -10,6 +10,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/member"
+	"github.com/limpetlb/limpetlb/limpetd/quota"
 	"github.com/limpetlb/limpetlb/limpetd/route"
 )
 
@@ -255,7 +256,7 @@
 	if !ok {
 		return 0
 	}
-	return cappedSeconds(float64(q.ahead(c.class)) / perSecond)
+	return quota.CappedSeconds(float64(q.ahead(c.class)) / perSecond)
 }
 
 // refuse marks a call as refused, with an error and a retry-after.
--- a/limpetd/quota/table.go
+++ b/limpetd/quota/table.go
@@ -18,10 +18,7 @@
 //	}
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// ReportAge is the age of a daemon's last report up to which the daemon counts as connected to the lease holder:
@@ -138,11 +135,15 @@
 
 // waitFor returns the time in which units accrue.
 func waitFor(units, perSecond float64) time.Duration {
-	seconds := units / perSecond
-	if !(seconds < maxWait.Seconds()) {
+	return max(CappedSeconds(units/perSecond), minWait)
+}
+
+// CappedSeconds converts a number of seconds to a duration between 0 and a minute.
+func CappedSeconds(s float64) time.Duration {
+	if s >= maxWait.Seconds() {
 		return maxWait
 	}
-	return max(time.Duration(math.Ceil(seconds*float64(time.Second))), minWait)
+	return time.Duration(max(s, 0) * float64(time.Second))
 }
 
 // Charge charges an organisation, whose bucket may become negative. It reports whether the organisation has a bucket.
