--- a/limpetd/front/quota_test.go
+++ b/limpetd/front/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -108,22 +109,55 @@
 // TestShareIsUsedWithoutLeaseHolder guards against calls that are sent without a charge, and against 429 from a daemon
 // that does not know the use of the others.
 func TestShareIsUsedWithoutLeaseHolder(t *testing.T) {
-	for _, older := range []bool{false, true} {
-		fx, l := newQuotaFixture(t, plainRoute, respond("x"))
-		l.down, l.older = !older, older
-		a := fx.call(t, "big", "")
+	for _, x := range []struct {
+		model string
+		route layout.Route
+		older bool
+	}{{"", plainRoute, false}, {"", plainRoute, true}, {"m", streamRoute, false}, {"m", streamRoute, true}} {
+		fx, l := newQuotaFixture(t, x.route, sendEvent)
+		l.down, l.older = !x.older, x.older
+		a := fx.call(t, "big", x.model)
 		require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
 		require.Equal(t, strconv.Itoa(int(code.QuotaUnknown)), a.Header.Get("limpet-code"))
 		require.Equal(t, "0.100", a.Header.Get("Retry-After"))
-		require.Equal(t, http.StatusOK, fx.call(t, "free", "").StatusCode)
+		require.Equal(t, http.StatusOK, fx.call(t, "free", x.model).StatusCode)
 		fx.front.SetQuotaDaemons(1)
-		require.Equal(t, http.StatusServiceUnavailable, fx.call(t, "big", "").StatusCode, "the share starts below zero")
-		require.Eventually(t, func() bool { return fx.call(t, "big", "").StatusCode == http.StatusOK }, 10*time.Second, 50*time.Millisecond)
+		require.Equal(t, http.StatusServiceUnavailable, fx.call(t, "big", x.model).StatusCode, "the share starts below zero")
+		require.Eventually(t, func() bool { return fx.call(t, "big", x.model).StatusCode == http.StatusOK }, 10*time.Second, 50*time.Millisecond)
 		require.Equal(t, map[string]float64{"big": 1}, fx.front.TakeQuotaUse())
 		require.Zero(t, l.charged)
 	}
 }
 
+// TestWaitingCallIsCharged guards against sending a call without a charge that waits for its model, and to which this
+// daemon assigns a server.
+func TestWaitingCallIsCharged(t *testing.T) {
+	route := streamRoute
+	route.AbandonAfter, route.Timeout = time.Minute, time.Minute
+	fx, l := newQuotaFixture(t, route)
+	engine := httptest.NewServer(withStamp(sendEvent))
+	defer engine.Close()
+	servers := []*layout.Server{{ID: "i0", Service: "s", Slots: 8, Address: engine.Listener.Addr().String(), Models: map[string]layout.HeldModel{}}}
+	fx.front.SetServers(servers)
+	l.down = true
+	go func() {
+		for fx.loader.wantCount.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		l.mu.Lock()
+		l.down = false
+		l.mu.Unlock()
+		loaded := *servers[0]
+		loaded.Models = map[string]layout.HeldModel{"other": {}}
+		l.front.SetServers([]*layout.Server{&loaded})
+		fx.front.SetServers([]*layout.Server{&loaded})
+	}()
+	a, _, err := fx.post(t, "/r/1", map[string]string{"Api-Key": "small", "Model": "other", "Deadline": "60000"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.StatusCode, a.Header)
+	require.InDelta(t, 1, l.charged, 0)
+}
+
 // TestUnusedChargeServesTheNextCall guards against quota that is lost with calls that no server ran.
 func TestUnusedChargeServesTheNextCall(t *testing.T) {
 	var rejects atomic.Bool
--- a/limpetd/quota/fleet_test.go
+++ b/limpetd/quota/fleet_test.go
@@ -15,20 +15,20 @@
 
 // The fleet's times are those of package steer and of the requirements page.
 const (
-	tick          = 20 * time.Millisecond
-	runTime       = 60 * time.Second
-	warmUp        = 8 * time.Second
-	failAt        = 25 * time.Second
-	window        = 8 * time.Second
-	applyTime     = 3 * time.Second
-	reportPeriod  = 250 * time.Millisecond
-	leaseTerm     = 2 * time.Second
-	renewPeriod   = 600 * time.Millisecond
-	over, slack   = 0.1, 11_000
-	organisation  = "a"
-	rejectedShare = 0.02
-	repeatedShare = 0.02
-	seeds         = 8
+	tick         = 20 * time.Millisecond
+	runTime      = 60 * time.Second
+	warmUp       = 8 * time.Second
+	failAt       = 25 * time.Second
+	window       = 8 * time.Second
+	applyTime    = 3 * time.Second
+	reportPeriod = 250 * time.Millisecond
+	leaseTerm    = 2 * time.Second
+	renewPeriod  = 600 * time.Millisecond
+	over, slack  = 0.1, 11_000
+	organisation = "a"
+	// These parts of the calls are rejected by servers, and sent twice.
+	rejectedShare, repeatedShare = 0.02, 0.02
+	seeds                        = 8
 )
 
 // vm is a daemon of the simulated fleet.
@@ -40,11 +40,11 @@
 	side                             int
 	// linked is whether the last report reached the lease holder.
 	linked bool
-	// holder is the lease holder that the daemon knows, or -1. heardAt is when it last answered. renewedAt is when the
-	// daemon last renewed the lease, reportedAt when each daemon last reported to it.
-	holder             int
-	heardAt, renewedAt time.Time
-	reportedAt         map[int]time.Time
+	// holder is the lease holder that the daemon knows, or -1. renewedAt is when the daemon last renewed the lease,
+	// reportedAt when each daemon last reported to it.
+	holder     int
+	renewedAt  time.Time
+	reportedAt map[int]time.Time
 	// appliesAt is when the daemon learns of the present limit and list of daemons.
 	appliesAt time.Time
 }
--- a/limpetd/quota/quota_test.go
+++ b/limpetd/quota/quota_test.go
@@ -38,7 +38,7 @@
 		{"overdrawn", 6700, "a", 1, 102 * time.Millisecond, false},
 		{"too large", 6700, "a", 500 + quota.MaxOverdraft + 1, time.Minute, false},
 		{"a call of a small limit", 6700, "small", 1, 0, true},
-		{"an invalid limit", 6700, "none", 1e9, time.Minute, false},
+		{"an invalid limit", 6700, "none", 1, time.Minute, false},
 		{"no limit", 6700, "other", 1e9, 0, true},
 	} {
 		wait, ok := table.Check(step.organisation, step.charge, after(step.ms))
--- a/limpetd/quota/table.go
+++ b/limpetd/quota/table.go
@@ -34,6 +34,8 @@
 	// MaxOverdraft is how far a call that exceeds the capacity may overdraw a full bucket, in units. It is less than
 	// the part of a quota's tolerance that does not depend on the rate (11,000).
 	MaxOverdraft = 8192
+	// minRate is the least rate that admits calls, one call in eleven days. Lower ones stand for limits that are invalid.
+	minRate = 1e-6
 	// minWait and maxWait bound the time that is told to refused callers.
 	minWait = 10 * time.Millisecond
 	maxWait = time.Minute
@@ -123,7 +125,7 @@
 	t.advance(now)
 	b.fill(t.filled)
 	capacity := b.limit.capacity()
-	if charge > capacity+MaxOverdraft {
+	if charge > capacity+MaxOverdraft || b.limit.PerSecond < minRate {
 		return maxWait, false
 	}
 	missing := min(charge, capacity) - b.level
