--- a/limpetd/front/quota.go
+++ b/limpetd/front/quota.go
@@ -25,9 +25,14 @@
 
 // applyQuotas puts the quotas of the configuration in force.
 func (f *Front) applyQuotas() {
+	config := f.activeConfig.Load().config
+	limits := quotaLimits(config)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	limits := quotaLimits(f.activeConfig.Load().config)
+	if f.activeConfig.Load().config != config {
+		// The limits of the newer configuration are put in force with it.
+		return
+	}
 	f.quotas.SetLimits(limits, time.Now())
 	f.holdings.SetLimits(limits)
 }
--- a/limpetd/quota/daemon.go
+++ b/limpetd/quota/daemon.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Daemon holds the shares and the credit of a daemon.
 type Daemon struct {
@@ -27,15 +30,13 @@
 
 // SetLimits replaces the limits.
 func (d *Daemon) SetLimits(limits map[string]Limit) {
-	old := d.holdings
-	d.holdings = make(map[string]*holding, len(limits))
+	maps.DeleteFunc(d.holdings, func(name string, _ *holding) bool { return !has(limits, name) })
 	for name, l := range limits {
-		h := old[name]
-		if h == nil {
-			h = &holding{}
+		if h := d.holdings[name]; h != nil {
+			h.limit = l
+		} else {
+			d.holdings[name] = &holding{limit: l}
 		}
-		h.limit = l
-		d.holdings[name] = h
 	}
 }
 
--- a/limpetd/quota/table.go
+++ b/limpetd/quota/table.go
@@ -18,7 +18,10 @@
 //	}
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// ReportAge is the age of a daemon's last report up to which the daemon counts as connected to the lease holder:
@@ -72,19 +75,24 @@
 // new capacity.
 func (t *Table) SetLimits(limits map[string]Limit, now time.Time) {
 	t.advance(now)
-	old := t.buckets
-	t.buckets = make(map[string]*bucket, len(limits))
+	maps.DeleteFunc(t.buckets, func(name string, _ *bucket) bool { return !has(limits, name) })
 	for name, l := range limits {
-		b := old[name]
-		if b == nil {
-			b = &bucket{}
+		switch b := t.buckets[name]; {
+		case b == nil:
+			t.buckets[name] = &bucket{limit: l, filledTo: t.filled}
+		case b.limit != l:
+			b.fill(t.filled)
+			b.limit = l
 		}
-		b.fill(t.filled)
-		b.limit = l
-		t.buckets[name] = b
 	}
 }
 
+// has reports whether an organisation has a limit.
+func has(limits map[string]Limit, organisation string) bool {
+	_, ok := limits[organisation]
+	return ok
+}
+
 // SetConnected sets the fraction of the daemons that are connected to the lease holder. The others use their shares.
 func (t *Table) SetConnected(fraction float64, now time.Time) {
 	t.advance(now)
