front: Choose again when a configuration adds a quota meanwhile

A call that was found to need no charge was ended twice if a new configuration gave its organisation a quota before the call was assigned to a server.

--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -156,6 +156,9 @@
 	switch choice.Verdict {
 	case sched.Chosen:
 		return c.recordChoice(choice, now), true
+	case sched.ChooseAgain:
+		// A new configuration has given the organisation a quota since the call was found to need no charge.
+		return choice, false
 	case sched.Full:
 		if worthWaiting {
 			until = sched.WaitUntil(&c.schedCall)
