--- a/limpetd/front/dialect.go
+++ b/limpetd/front/dialect.go
@@ -20,6 +20,8 @@
 	Adapter  string
 	// PromptTokens and OutputTokens are 0 if the headers do not state them.
 	PromptTokens, OutputTokens int
+	// InvalidTokens is whether the headers state no valid pair of these sizes. Quotas then count neither.
+	InvalidTokens bool
 	// Session identifies the prompt parts that the call shares with other calls; 0 if
 	// there are none.
 	Session uint64
--- a/limpetd/front/quota.go
+++ b/limpetd/front/quota.go
@@ -114,6 +114,9 @@
 	if o == nil || !c.front.holdings.Limited(o.Name) {
 		return 0
 	}
+	if c.info.InvalidTokens {
+		return o.Quota.Charge(0, 0)
+	}
 	return o.Quota.Charge(c.info.PromptTokens, c.info.OutputTokens)
 }
 
