sched, front: State when there is capacity, and serve late calls last

Refused callers got 3 s, whatever the shortage; calls with a longer objective were refused at once by each of 361 daemons because it sends few calls itself; late calls took time of calls that could be on time; callers waited in the order of their arrival even if their objective left seconds.

The lease holder adds to its answer when there is capacity: when the backlog or the demand beyond what is granted is worked off. The daemon spreads it and limits it to a third of the time left. A call for which that is in time waits. Under a shortage, late calls get idle engines only. Waiting calls with time to spare give way to those without.

--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -281,7 +281,10 @@
 func (f *Front) Reserve(a sched.ReservationRequest) sched.Reservation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.Reserve(&a, time.Now())
+	now := time.Now()
+	r := f.balancer.Reserve(&a, now)
+	f.metrics.recordReservation(r, f.balancer.ReasonOf(&a, r, now))
+	return r
 }
 
 // RecordSamples records how long engines took to read prompts.
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
 // metrics holds the counters and histograms of a Front.
@@ -40,12 +42,27 @@
 	firstEvent tally.Histogram
 	total      tally.Histogram
 	maxPause   tally.Histogram
+	// wait measures the time from the arrival of a call until it is sent.
+	wait tally.Histogram
+	// granted counts the reservations that this daemon granted as the lease holder, ungranted those that it did not
+	// grant, by reason.
+	granted   tally.Counter
+	ungranted [sched.Reasons]tally.Counter
+}
+
+// recordReservation counts the answer to a request for a reservation.
+func (m *metrics) recordReservation(r sched.Reservation, reason sched.Reason) {
+	if r.Verdict == sched.Chosen {
+		m.granted.Inc(1)
+		return
+	}
+	m.ungranted[reason].Inc(1)
 }
 
 func newMetrics(s tally.Scope) metrics {
 	s = s.SubScope("front")
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
-	return metrics{
+	m := metrics{
 		calls:           s.Counter("calls"),
 		served:          s.Counter("served"),
 		refused:         s.Counter("refused"),
@@ -69,5 +86,11 @@
 		firstEvent:      s.Histogram("first_event", buckets),
 		total:           s.Histogram("answer", buckets),
 		maxPause:        s.Histogram("pause", buckets),
+		wait:            s.Histogram("wait", buckets),
+		granted:         s.Counter("reservations"),
+	}
+	for reason := range sched.Reasons {
+		m.ungranted[reason] = s.Tagged(map[string]string{"reason": reason.String()}).Counter("no_reservation")
 	}
+	return m
 }
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -142,6 +142,7 @@
 	worthWaiting := choice.Verdict == sched.Full && (c.waited || c.responseBegun || c.schedCall.TakesUp || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
 	f.mu.Unlock()
 	if reservation != nil {
+		worthWaiting = worthWaiting || choice.Verdict == sched.Full && sched.HasCapacityInTime(*reservation, &c.schedCall, now)
 		worthWaiting = worthWaiting && sched.WaitsForReservation(&c.schedCall, f.activeConfig.Load().requirements[c.schedCall.Service])
 	}
 	var until time.Time
@@ -238,7 +239,7 @@
 	case sched.NotLoaded:
 		return choice, !f.balancer.Loaded(&c.schedCall, now) && !f.balancer.WaitsForBackoff(&c.schedCall, now)
 	case sched.Full:
-		choice = f.balancer.ChoiceWhenFull(&c.schedCall, now)
+		choice = f.balancer.ChoiceWhenRefused(g, &c.schedCall, now)
 	}
 	return f.assign(c, choice, now), true
 }
@@ -249,6 +250,7 @@
 		c.front.metrics.retried.Inc(1)
 	}
 	c.outcome.waited = now.Sub(c.schedCall.Arrived)
+	c.front.metrics.wait.RecordDuration(c.outcome.waited)
 	return choice
 }
 
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -83,8 +83,10 @@
 // usable returns the servers of the call's service that the call may be sent to. Servers
 // that are excluded for a time are returned only if no other server can answer the call.
 func (b *Balancer) usable(c *Call, now time.Time) []*server {
-	var healthy, excluded []*server
-	for _, s := range b.byService[c.Service] {
+	list := b.byService[c.Service]
+	healthy := make([]*server, 0, len(list))
+	var excluded []*server
+	for _, s := range list {
 		if !s.takes(c) || s.inBackoff(now) {
 			continue
 		}
@@ -96,7 +98,7 @@
 	}
 	if c.Model != "" {
 		// A healthy server that lacks the model can't replace an excluded one that holds it.
-		if len(b.withModel(healthy, c, now)) > 0 {
+		if slices.ContainsFunc(healthy, func(s *server) bool { return b.answers(s, c, now) }) {
 			return healthy
 		}
 		return append(healthy, excluded...)
@@ -144,15 +146,20 @@
 	if c.Model == "" {
 		return list
 	}
-	var withModel []*server
+	withModel := make([]*server, 0, len(list))
 	for _, s := range list {
-		if b.HoldsModel(s.entry, c.Model, c.Adapter) && !s.lacksModel(c, now) {
+		if b.answers(s, c, now) {
 			withModel = append(withModel, s)
 		}
 	}
 	return withModel
 }
 
+// answers reports whether a server holds the call's model and adapter.
+func (b *Balancer) answers(s *server, c *Call, now time.Time) bool {
+	return b.HoldsModel(s.entry, c.Model, c.Adapter) && !s.lacksModel(c, now)
+}
+
 // HoldsModel reports whether a server holds a model and, unless adapter is empty, that adapter
 // of the model. A model that is about to be unloaded does not count.
 func (b *Balancer) HoldsModel(e *layout.Server, model, adapter string) bool {
@@ -241,8 +248,11 @@
 }
 
 // jitter caps a delay at a quarter of the call's remaining time, raises it to at least
-// minRetryAfter, and randomizes it by up to half in both directions.
+// minRetryAfter, and randomizes it by up to half in both directions, but to no more than
+// maxRetryShare of the remaining time.
 func (b *Balancer) jitter(delay time.Duration, c *Call, now time.Time) time.Duration {
-	delay = max(min(delay, c.Deadline.Sub(now)/4), minRetryAfter)
-	return delay/2 + time.Duration(b.random.Int64N(int64(delay)))
+	left := c.Deadline.Sub(now)
+	delay = max(min(delay, left/4), minRetryAfter)
+	delay = delay/2 + time.Duration(b.random.Int64N(int64(delay)))
+	return max(min(delay, time.Duration(maxRetryShare*float64(left))), minRetryAfter/2)
 }
--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -25,7 +25,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Reservation) DecodeMsgpack(d *msgpack.Decoder) error {
-	return array.Decode(d, &r.Verdict, &r.Server, &r.Delay, &r.Exclusive)
+	return array.Decode(d, &r.Verdict, &r.Server, &r.Delay, &r.Exclusive, &r.CapacityIn)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/order_test.go
+++ b/limpetd/sched/order_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -50,3 +51,106 @@
 	require.Equal(t, sched.Full, b.Reserve(objective400(9000), start).Verdict)
 	require.Equal(t, sched.Chosen, b.Reserve(objective400(1000), start).Verdict)
 }
+
+// overload asks for one call after the other in a time in which one engine prefills five eighths of what is asked. It returns the
+// granted part of the requests, by the index of the kind.
+func overload(b *sched.Balancer, kinds ...sched.ReservationRequest) []float64 {
+	granted := make([]float64, len(kinds))
+	const rounds = 300
+	asked := 0
+	for _, a := range kinds {
+		asked += a.Tokens
+	}
+	round := time.Duration(asked) * b.PrefillTimePerToken("llm", "m") * 5 / 8
+	for i := range rounds {
+		for k, a := range kinds {
+			if b.Reserve(&a, start.Add(time.Duration(i)*round)).Verdict == sched.Chosen {
+				granted[k] += 1.0 / rounds
+			}
+		}
+	}
+	return granted
+}
+
+// TestShortagePrefersValueForWork guards against refusing calls of high priority, and short ones, as often as others.
+func TestShortagePrefersValueForWork(t *testing.T) {
+	high, low := *objective400(1000), *objective400(1000)
+	high.Level, low.Level, low.IsTopPriority = 1, 3, false
+	granted := overload(newBalancer(engine("e1", "m")), low, high)
+	require.Greater(t, granted[1], 0.9)
+	require.Less(t, granted[0], 0.2)
+
+	long, short := *objective400(2000), *objective400(300)
+	long.Level, short.Level = 1, 1
+	granted = overload(newBalancer(engine("e1", "m")), long, short)
+	require.Greater(t, granted[1], 0.95)
+	require.Less(t, granted[0], 0.9)
+
+	// Builds that state no level state only whether the call has the highest priority.
+	high.Level, low.Level = 0, 0
+	granted = overload(newBalancer(engine("e1", "m")), low, high)
+	require.Greater(t, granted[1], 0.9)
+}
+
+// TestLateCallsGetOnlyIdleEnginesUnderShortage guards against late calls that make others late.
+func TestLateCallsGetOnlyIdleEnginesUnderShortage(t *testing.T) {
+	b := newBalancer(engine("e1", "m"))
+	onTime, late := *objective400(1000), *objective400(1000)
+	late.MaxStartDelay, late.Waited = 0, time.Second
+	granted := overload(b, late, onTime)
+	require.Less(t, granted[0], 0.02)
+	require.Equal(t, sched.Chosen, b.Reserve(&late, start.Add(time.Hour)).Verdict)
+}
+
+// TestResumedCallHasNoObjectiveForItsFirstEvent guards against refusing a stream that has begun because its prompt is
+// long.
+func TestResumedCallHasNoObjectiveForItsFirstEvent(t *testing.T) {
+	b := newBalancer(engine("e1", "m"))
+	require.Equal(t, sched.Chosen, b.Reserve(objective400(4000), start).Verdict)
+	resumed := objective400(8000)
+	resumed.MaxStartDelay, resumed.Resumes = 440*time.Millisecond, true
+	require.Equal(t, sched.Chosen, b.Reserve(resumed, start).Verdict)
+}
+
+// TestRetryDelayFollowsDemand guards against callers that return while there is no capacity, or too late for their
+// deadline.
+func TestRetryDelayFollowsDemand(t *testing.T) {
+	b := newBalancer(engine("e1", "m"))
+	for b.Reserve(objective400(1000), start).Verdict == sched.Chosen {
+	}
+	brief := b.Reserve(objective400(1000), start)
+	require.Positive(t, brief.CapacityIn)
+	for range 200 {
+		b.Reserve(objective400(1000), start)
+	}
+	lasting := b.Reserve(objective400(1000), start)
+	require.Greater(t, lasting.CapacityIn, brief.CapacityIn)
+	require.LessOrEqual(t, lasting.CapacityIn, 3*time.Second)
+
+	c := call("m")
+	c.Deadline = start.Add(3 * time.Second)
+	var delays []time.Duration
+	for range 200 {
+		delays = append(delays, b.ChoiceWhenRefused(lasting, c, start).RetryAfter)
+	}
+	require.LessOrEqual(t, slices.Max(delays), time.Second)
+	require.Greater(t, slices.Max(delays)-slices.Min(delays), 400*time.Millisecond, "the delays are spread")
+
+	// A call with time waits for capacity that comes in time, however few calls its daemon sends.
+	c.Route.Expectation = 10 * time.Second
+	require.True(t, sched.HasCapacityInTime(lasting, c, start))
+	require.False(t, sched.HasCapacityInTime(lasting, c, start.Add(8*time.Second)))
+}
+
+// TestCallsWithSpareTimeGiveWay guards against calls that are late because a call with seconds left was sent before.
+func TestCallsWithSpareTimeGiveWay(t *testing.T) {
+	spare, urgent := call("m"), call("m")
+	spare.Route.Expectation = 6 * time.Second
+	urgent.Route.Priority = 1
+	list := []*sched.Waiter{{Call: spare}, {Call: urgent}}
+	sched.SortWaiters(list, start)
+	require.Same(t, urgent, list[0].Call)
+	spare.Arrived, urgent.Arrived = start.Add(-4500*time.Millisecond), start.Add(-100*time.Millisecond)
+	sched.SortWaiters(list, start)
+	require.Same(t, spare, list[0].Call, "its time is nearly used up")
+}
--- a/limpetd/sched/queue.go
+++ b/limpetd/sched/queue.go
@@ -34,30 +34,14 @@
 	return now.Sub(c.Arrived) > onTimeLimit(c)
 }
 
-// SortWaiters sorts waiters in the order in which they get servers: calls that continue an answer before
-// the others, calls that can still be answered in time before late ones, then by priority, then by arrival.
+// SortWaiters sorts waiters in the order in which they get servers: calls that continue an answer before the others, calls
+// that can still be answered in time before late ones, calls whose objective leaves little time before those that can
+// wait, then by priority, then by the time at which their objective ends.
 //
 // In a burst, calls that are already late wait behind the others, so that they don't make
 // the others late too.
 func SortWaiters(list []*Waiter, now time.Time) {
-	slices.SortStableFunc(list, func(a, b *Waiter) int {
-		if a.Call.Resumes() != b.Call.Resumes() {
-			if a.Call.Resumes() {
-				return -1
-			}
-			return 1
-		}
-		if lateA, lateB := Late(a.Call, now), Late(b.Call, now); lateA != lateB {
-			if lateB {
-				return -1
-			}
-			return 1
-		}
-		if pa, pb := a.Call.Priority(), b.Call.Priority(); pa != pb {
-			return pa - pb
-		}
-		return a.Call.Arrived.Compare(b.Call.Arrived)
-	})
+	slices.SortStableFunc(list, func(a, b *Waiter) int { return before(a.Call, b.Call, now) })
 }
 
 // WaitUntil returns until when a call waits for room at an engine: as long as it can be
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -82,6 +82,8 @@
 	// Exclusive reports whether, by the reservations, the engine has no other prompt to
 	// prefill.
 	Exclusive bool
+	// CapacityIn is the estimated time until there is capacity for a call that finds none; 0 if it is not known.
+	CapacityIn time.Duration
 }
 
 // NewReservationRequest returns the reservation request for a call. It excludes servers
@@ -140,7 +142,7 @@
 	var best *server
 	var start time.Time
 	var rank uint64
-	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens))/b.prefillShares.of(a.Service))
+	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
@@ -162,7 +164,7 @@
 	d := b.demandOf(a, now)
 	if maxWait := a.maxWait(b.firstEventTime(a, prefillTime), d); wait > maxWait {
 		d.record(a, false)
-		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay)}
+		return Reservation{Verdict: Full, Delay: min(max(wait-maxWait, minAskDelay), maxAskDelay), CapacityIn: d.capacityIn(wait, maxWait)}
 	}
 	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
 	if exclusive {
@@ -207,8 +209,12 @@
 		latest = a.MaxStartDelay
 	}
 	share := lateBacklog
-	if latest > 0 {
+	switch {
+	case latest > 0:
 		share = a.backlog(d)
+	case d.isShort():
+		// Calls that can be on time use all but idle engines.
+		share = 0
 	}
 	maxWait := time.Duration(share * float64(a.ShortestExpectation))
 	if latest > 0 {
--- a/limpetd/sched/shortage.go
+++ b/limpetd/sched/shortage.go
@@ -20,9 +20,11 @@
 	leastBacklog = 0.1
 	// shortBacklog is the most for calls without the highest priority under a shortage.
 	shortBacklog = 0.5
-	// agedLeft is the time left, as a multiple of the shortest expectation, from which on a call that had more time is
-	// treated as without a shortage: it was moved to a later time, but must not be late for it.
-	agedLeft = 3
+	// agedBacklog is the least for a call that had more time than others and has little left: it was moved to a later
+	// time, but not behind all others.
+	agedBacklog = 0.5
+	// agedLeft is the time left, as a multiple of the shortest expectation, from which on a call has little left.
+	agedLeft = 1.5
 	// excessSlope is the inverse of the excess from which on a call accepts leastBacklog only.
 	excessSlope = 6
 )
@@ -106,10 +108,11 @@
 	if !a.IsTopPriority {
 		usual = min(usual, shortBacklog)
 	}
-	if a.Waited > 0 && a.MaxStartDelay <= agedLeft*a.ShortestExpectation && a.MaxStartDelay+a.Waited > agedLeft*a.ShortestExpectation {
-		return usual
+	least := usual - min(excessSlope*d.excess(a.rank()), 1)*max(usual-leastBacklog, 0)
+	if a.Waited > 0 && a.MaxStartDelay <= time.Duration(agedLeft*float64(a.ShortestExpectation)) && a.MaxStartDelay+a.Waited > time.Duration(agedLeft*float64(a.ShortestExpectation)) {
+		return max(least, agedBacklog)
 	}
-	return usual - min(excessSlope*d.excess(a.rank()), 1)*max(usual-leastBacklog, 0)
+	return least
 }
 
 // demandOf returns the demand for a model, decayed to now.
