sched: Keep organisations from being refused far more often than others

Under a shortage, an organisation of low priority or with long prompts could be refused almost always. Its calls now keep their backlog while it is granted less than 0.4 of the mean share of calls. The request states the organisation.

In the test, an organisation with a fifth of the calls, the lowest priority and prompts of twice the length gets at least a quarter of the mean share; by priority alone it got less.

--- a/limpetd/sched/order_test.go
+++ b/limpetd/sched/order_test.go
@@ -99,6 +99,9 @@
 	late.MaxStartDelay, late.Waited = 0, time.Second
 	granted := overload(b, late, onTime)
 	require.Less(t, granted[0], 0.02)
+	later := start.Add(300*2*time.Duration(late.Tokens)*b.PrefillTimePerToken("llm", "m")*5/8 + time.Second)
+	require.Equal(t, sched.Chosen, b.Reserve(&onTime, later).Verdict)
+	require.Equal(t, sched.Full, b.Reserve(&late, later.Add(40*time.Millisecond)).Verdict)
 	require.Equal(t, sched.Chosen, b.Reserve(&late, start.Add(time.Hour)).Verdict)
 }
 
@@ -154,3 +157,19 @@
 	sched.SortWaiters(list, start)
 	require.Same(t, spare, list[0].Call, "its time is nearly used up")
 }
+
+// TestNoOrganisationIsNeglected guards against an organisation of low priority, or one with long prompts, that gets far
+// fewer of its calls served than all organisations do.
+func TestNoOrganisationIsNeglected(t *testing.T) {
+	high, low := *objective400(800), *objective400(1600)
+	high.Level, low.Level, low.IsTopPriority = 1, 3, false
+	high.Organisation, low.Organisation = "large", "small"
+	granted := overload(newBalancer(engine("e1", "m")), low, high, high, high, high)
+	mean := (granted[0] + granted[1] + granted[2] + granted[3] + granted[4]) / 5
+	require.GreaterOrEqual(t, granted[0], mean/4)
+	require.Less(t, granted[0], mean)
+
+	high.Organisation, low.Organisation = "", ""
+	granted = overload(newBalancer(engine("e1", "m")), low, high, high, high, high)
+	require.Less(t, granted[0], mean/4, "the priorities alone leave less")
+}
--- a/limpetd/sched/shortage.go
+++ b/limpetd/sched/shortage.go
@@ -36,6 +36,9 @@
 	asked [demandRanks]float64
 	// granted is the work of granted calls, refused that of calls without time to wait that were refused.
 	granted, refused, total float64
+	// all counts the calls of organisations, organisations those of each.
+	all           counts
+	organisations map[string]*counts
 }
 
 // work returns the work of a call, in tokens.
@@ -108,6 +111,9 @@
 	if !a.IsTopPriority {
 		usual = min(usual, shortBacklog)
 	}
+	if d.isNeglected(a) {
+		return usual
+	}
 	least := usual - min(excessSlope*d.excess(a.rank()), 1)*max(usual-leastBacklog, 0)
 	if a.Waited > 0 && a.MaxStartDelay <= time.Duration(agedLeft*float64(a.ShortestExpectation)) && a.MaxStartDelay+a.Waited > time.Duration(agedLeft*float64(a.ShortestExpectation)) {
 		return max(least, agedBacklog)
@@ -129,6 +135,7 @@
 
 // record adds the answer to a request.
 func (d *demand) record(a *ReservationRequest, granted bool) {
+	d.recordOrganisation(a, granted)
 	w := a.work()
 	if a.Waited <= firstAsk {
 		d.asked[a.rank()] += w
