--- a/limpetd/sched/order_test.go
+++ b/limpetd/sched/order_test.go
@@ -92,6 +92,20 @@
 	require.Greater(t, granted[1], 0.9)
 }
 
+// TestShortageDistinguishesLevels guards against treating all calls below the highest priority alike, and against calls
+// of an older build, which states no level, that rank above them.
+func TestShortageDistinguishesLevels(t *testing.T) {
+	second, third := *objective400(1000), *objective400(1000)
+	second.Level, second.IsTopPriority, third.Level, third.IsTopPriority = 2, false, 3, false
+	granted := overload(newBalancer(engine("e1", "m")), third, second)
+	require.Greater(t, granted[1], granted[0]+0.3)
+
+	unstated := second
+	unstated.Level = 0
+	granted = overload(newBalancer(engine("e1", "m")), second, unstated)
+	require.Greater(t, granted[0], granted[1], "of calls of one rank, those that ask first are granted")
+}
+
 // TestLateCallsGetOnlyIdleEnginesUnderShortage guards against late calls that make others late.
 func TestLateCallsGetOnlyIdleEnginesUnderShortage(t *testing.T) {
 	b := newBalancer(engine("e1", "m"))
