--- a/limpetd/front/quota.go
+++ b/limpetd/front/quota.go
@@ -101,6 +101,7 @@
 	g := sched.Reservation{Verdict: sched.Chosen}
 	if a.Organisation == "" || a.Service != "" {
 		g = f.balancer.Reserve(&a, now)
+		f.metrics.recordReservation(g, f.balancer.ReasonOf(&a, g, now))
 	}
 	if g.Verdict == sched.Chosen && a.Charge > 0 {
 		g.Charged = f.quotas.Charge(a.Organisation, a.Charge, now)
--- a/limpetd/front/slots.go
+++ b/limpetd/front/slots.go
@@ -17,7 +17,7 @@
 	if c.sharesSlots() {
 		return c.front.balancer.SlotsFull(&c.schedCall, g.Delay, now)
 	}
-	return c.front.balancer.ChoiceWhenFull(&c.schedCall, now)
+	return c.front.balancer.ChoiceWhenRefused(g, &c.schedCall, now)
 }
 
 // reportPlain reports to the lease holder how long a plain server took to answer a call whose slot the lease holder
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -153,6 +153,7 @@
 	worthWaiting := choice.Verdict == sched.Full && !refusedSlot && (c.waited || c.responseBegun || c.schedCall.TakesUp || f.balancer.WorthWaiting(&c.schedCall, f.countAhead(c), now))
 	f.mu.Unlock()
 	if reservation != nil {
+		worthWaiting = worthWaiting || choice.Verdict == sched.Full && sched.HasCapacityInTime(*reservation, &c.schedCall, now)
 		worthWaiting = worthWaiting && sched.WaitsForReservation(&c.schedCall, f.activeConfig.Load().requirements[c.schedCall.Service])
 	}
 	var until time.Time
@@ -277,6 +278,7 @@
 		c.front.metrics.retried.Inc(1)
 	}
 	c.outcome.waited = now.Sub(c.schedCall.Arrived)
+	c.front.metrics.wait.RecordDuration(c.outcome.waited)
 	return choice
 }
 
--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -25,19 +25,19 @@
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (r ReservationRequest) EncodeMsgpack(e *msgpack.Encoder) error {
-	return array.Encode(e, 3, r.Service, r.Model, r.Adapter, r.Tokens, r.Session,
+	return array.Encode(e, 7, r.Service, r.Model, r.Adapter, r.Tokens, r.Session,
 		r.MaxStartDelay, r.MaxPause, r.ShortestExpectation, r.IsTopPriority, r.Excluded,
 		r.Level, r.Waited, r.Resumes, r.DataCentre, r.Organisation, r.Charge, r.Unconditional)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Reservation) DecodeMsgpack(d *msgpack.Decoder) error {
-	return array.Decode(d, &r.Verdict, &r.Server, &r.Delay, &r.Exclusive, &r.Charged)
+	return array.Decode(d, &r.Verdict, &r.Server, &r.Delay, &r.Exclusive, &r.CapacityIn, &r.Charged)
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (r Reservation) EncodeMsgpack(e *msgpack.Encoder) error {
-	return array.Encode(e, 1, r.Verdict, r.Server, r.Delay, r.Exclusive, r.Charged)
+	return array.Encode(e, 2, r.Verdict, r.Server, r.Delay, r.Exclusive, r.CapacityIn, r.Charged)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -63,9 +63,10 @@
 	Resumes bool
 	// DataCentre is the data centre of the caller's daemon; empty from older builds.
 	DataCentre string
-	// Organisation is the organisation whose quota is charged if the verdict is Chosen; empty if none is. Charge is what
-	// the call counts as. An Unconditional charge is for a further send of a call, which is not refused for it. A request
-	// without a Service is for the charge only: the daemon chooses the server.
+	// Organisation is the caller's organisation; empty if the call needs none. Charge is what the call counts as in the
+	// organisation's quota, which is charged if the verdict is Chosen; 0 if it has none. An Unconditional charge is for a
+	// further send of a call, which is not refused for it. A request without a Service is for the charge only: the
+	// daemon chooses the server.
 	Organisation  string
 	Charge        float64
 	Unconditional bool
@@ -90,6 +91,8 @@
 	// Exclusive reports whether, by the reservations, the engine has no other prompt to
 	// prefill.
 	Exclusive bool
+	// CapacityIn is the estimated time until there is capacity for a call that finds none; 0 if it is not known.
+	CapacityIn time.Duration
 	// Charged reports whether the quota of the organisation was charged. Lease holders of builds without quotas don't
 	// charge.
 	Charged bool
@@ -117,7 +120,8 @@
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
 		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
 		Level: max(c.Priority()-d.TopPriority, 0) + 1, Waited: now.Sub(c.Arrived), Resumes: c.Resumes(),
-		DataCentre: b.settings.DataCentre,
+		DataCentre:   b.settings.DataCentre,
+		Organisation: c.organisation(),
 	}
 }
 
@@ -193,7 +197,7 @@
 	}
 	if late := expected.Sub(now) - maxWait; late > 0 {
 		d.record(a, false)
-		return Reservation{Verdict: Full, Delay: min(max(late, minAskDelay), maxAskDelay)}
+		return Reservation{Verdict: Full, Delay: min(max(late, minAskDelay), maxAskDelay), CapacityIn: d.capacityIn(expected.Sub(now), maxWait)}
 	}
 	wait := start.Sub(now)
 	exclusive := wait == 0 || now.Sub(best.sampledAt) >= sampleInterval
@@ -240,8 +244,12 @@
 		latest = a.MaxStartDelay
 	}
 	share := lateBacklog
-	if latest > 0 {
+	switch {
+	case latest > 0:
 		share = a.backlog(d)
+	case d.isShort():
+		// Calls that can be on time use all but idle engines.
+		share = 0
 	}
 	maxWait := time.Duration(share * float64(a.ShortestExpectation))
 	if latest > 0 {
--- a/limpetd/sched/shortage.go
+++ b/limpetd/sched/shortage.go
@@ -20,9 +20,11 @@
 	leastBacklog = 0.1
 	// shortBacklog is the most for calls without the highest priority under a shortage.
 	shortBacklog = 0.5
-	// agedLeft is the time left, as a multiple of the shortest expectation, from which on a call that had more time is
-	// treated as without a shortage: it was moved to a later time, but must not be late for it.
-	agedLeft = 3
+	// agedBacklog is the least for a call that had more time than others and has little left: it was moved to a later
+	// time, but not behind all others.
+	agedBacklog = 0.5
+	// agedLeft is the time left, as a multiple of the shortest expectation, from which on a call has little left.
+	agedLeft = 1.5
 	// excessSlope is the inverse of the excess from which on a call accepts leastBacklog only.
 	excessSlope = 6
 )
@@ -34,6 +36,9 @@
 	asked [demandRanks]float64
 	// granted is the work of granted calls, refused that of calls without time to wait that were refused.
 	granted, refused, total float64
+	// all counts the calls of organisations, organisations those of each.
+	all           counts
+	organisations map[string]*counts
 }
 
 // work returns the work of a call, in tokens.
@@ -106,10 +111,14 @@
 	if !a.IsTopPriority {
 		usual = min(usual, shortBacklog)
 	}
-	if a.Waited > 0 && a.MaxStartDelay <= agedLeft*a.ShortestExpectation && a.MaxStartDelay+a.Waited > agedLeft*a.ShortestExpectation {
+	if d.isNeglected(a) {
 		return usual
 	}
-	return usual - min(excessSlope*d.excess(a.rank()), 1)*max(usual-leastBacklog, 0)
+	least := usual - min(excessSlope*d.excess(a.rank()), 1)*max(usual-leastBacklog, 0)
+	if a.Waited > 0 && a.MaxStartDelay <= time.Duration(agedLeft*float64(a.ShortestExpectation)) && a.MaxStartDelay+a.Waited > time.Duration(agedLeft*float64(a.ShortestExpectation)) {
+		return max(least, agedBacklog)
+	}
+	return least
 }
 
 // demandOf returns the demand for a model, decayed to now.
@@ -126,6 +135,7 @@
 
 // record adds the answer to a request.
 func (d *demand) record(a *ReservationRequest, granted bool) {
+	d.recordOrganisation(a, granted)
 	w := a.work()
 	if a.Waited <= firstAsk {
 		d.asked[a.rank()] += w
