--- a/limpetd/sched/shortage_load_test.go
+++ b/limpetd/sched/shortage_load_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package sched_test
 
 import (
