--- a/limpetd/sched/decode.go
+++ b/limpetd/sched/decode.go
@@ -20,7 +20,7 @@
 func (r *ReservationRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	return array.Decode(d, &r.Service, &r.Model, &r.Adapter, &r.Tokens, &r.Session,
 		&r.MaxStartDelay, &r.MaxPause, &r.ShortestExpectation, &r.IsTopPriority, &r.Excluded,
-		&r.Organisation, &r.Level, &r.Waited, &r.Resumes)
+		&r.CallerOrganisation, &r.Level, &r.Waited, &r.Resumes)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/limpetd/sched/fairness.go
+++ b/limpetd/sched/fairness.go
@@ -62,21 +62,21 @@
 
 // recordOrganisation counts the answer to a request for all calls and for those of its organisation.
 func (d *demand) recordOrganisation(a *ReservationRequest, granted bool) {
-	if a.Organisation == "" {
+	if a.CallerOrganisation == "" {
 		return
 	}
 	d.all.decay(d.at)
 	d.all.add(a.Waited <= firstAsk, granted)
-	d.of(a.Organisation).add(a.Waited <= firstAsk, granted)
+	d.of(a.CallerOrganisation).add(a.Waited <= firstAsk, granted)
 }
 
 // isNeglected reports whether the organisation of the request is granted a far smaller share of its calls than all
 // organisations are.
 func (d *demand) isNeglected(a *ReservationRequest) bool {
-	if a.Organisation == "" || d.all.asked < minAsked {
+	if a.CallerOrganisation == "" || d.all.asked < minAsked {
 		return false
 	}
-	c := d.of(a.Organisation)
+	c := d.of(a.CallerOrganisation)
 	return c.asked >= minAsked && c.granted*d.all.asked < leastServed*d.all.granted*c.asked
 }
 
--- a/limpetd/sched/order_test.go
+++ b/limpetd/sched/order_test.go
@@ -177,13 +177,13 @@
 func TestNoOrganisationIsNeglected(t *testing.T) {
 	high, low := *objective400(800), *objective400(1600)
 	high.Level, low.Level, low.IsTopPriority = 1, 3, false
-	high.Organisation, low.Organisation = "large", "small"
+	high.CallerOrganisation, low.CallerOrganisation = "large", "small"
 	granted := overload(newBalancer(engine("e1", "m")), low, high, high, high, high)
 	mean := (granted[0] + granted[1] + granted[2] + granted[3] + granted[4]) / 5
 	require.GreaterOrEqual(t, granted[0], mean/4)
 	require.Less(t, granted[0], mean)
 
-	high.Organisation, low.Organisation = "", ""
+	high.CallerOrganisation, low.CallerOrganisation = "", ""
 	granted = overload(newBalancer(engine("e1", "m")), low, high, high, high, high)
 	require.Less(t, granted[0], mean/4, "the priorities alone leave less")
 }
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -55,8 +55,8 @@
 	// Excluded are the IDs of the servers that the call was sent to before or that its daemon
 	// can't use.
 	Excluded []string
-	// Organisation is the name of the caller's organisation; empty if the call needs none.
-	Organisation string
+	// CallerOrganisation is the name of the caller's organisation, with or without a quota; empty if the call needs none.
+	CallerOrganisation string
 	// Level is the number of priority levels between the call and the most urgent calls of the service, plus 1; 0 if
 	// the build of the daemon does not state it.
 	Level int
@@ -108,7 +108,7 @@
 		Service: c.Service, Model: c.Model, Adapter: c.Adapter, Tokens: c.PromptTokens, Session: c.Session,
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
 		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
-		Organisation: c.organisation(), Level: max(c.Priority()-d.TopPriority, 0) + 1, Waited: now.Sub(c.Arrived), Resumes: c.Resumes(),
+		CallerOrganisation: c.organisation(), Level: max(c.Priority()-d.TopPriority, 0) + 1, Waited: now.Sub(c.Arrived), Resumes: c.Resumes(),
 	}
 }
 
