--- a/limpetd/front/slots.go
+++ b/limpetd/front/slots.go
@@ -28,3 +28,18 @@
 		a.call.front.deps.Reserver.RecordSample(sched.Sample{Service: c.Service, Took: took, Server: a.server.ID, Pace: r.pace()})
 	}
 }
+
+// fullReason returns the reason for the refusal of a call for which no server has room.
+func (c *call) fullReason() string {
+	if c.schedCall.Model == "" {
+		return "no server has room in time"
+	}
+	return "no engine has room in time"
+}
+
+// needsSlot reports whether the lease holder must have reserved a slot for the call.
+func (c *call) needsSlot() bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return c.sharesSlots()
+}
--- a/limpetd/front/wait.go
+++ b/limpetd/front/wait.go
@@ -228,16 +228,16 @@
 // engine that holds the model but this daemon has one, which may want no calls from it for a time.
 func (c *call) useReservation(ctx context.Context, g sched.Reservation) (sched.Choice, bool) {
 	f := c.front
+	if g.Verdict == sched.Chosen && !g.Exclusive && c.needsSlot() {
+		// A lease holder of an older build, or one that does not know the slots yet, reserves none.
+		return sched.Choice{Verdict: sched.NoServer}, false
+	}
 	if g.Verdict == sched.Chosen && g.Delay > 0 {
 		life.Sleep(ctx, g.Delay)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if c.sharesSlots() && g.Verdict == sched.Chosen && !g.Exclusive {
-		// A lease holder of an older build, or one that does not know the slots yet, reserves none.
-		return sched.Choice{Verdict: sched.NoServer}, false
-	}
 	choice := f.balancer.ChoiceFor(g, &c.schedCall, now)
 	switch choice.Verdict {
 	case sched.NoServer:
@@ -278,7 +278,7 @@
 	case sched.NotLoaded:
 		c.giveUp(code.NoEngine, choice, "no engine holds the model")
 	case sched.Full:
-		c.giveUp(code.ShedDeadline, choice, "no engine has room in time")
+		c.giveUp(code.ShedDeadline, choice, c.fullReason())
 	case sched.NoServer, sched.Chosen, sched.ChooseAgain:
 		c.giveUp(code.NoBackend, choice, "no server of the service can be used")
 	}
--- a/limpetd/sched/choose.go
+++ b/limpetd/sched/choose.go
@@ -39,7 +39,7 @@
 	list := make([]candidate, 0, len(within))
 	for _, s := range within {
 		if b.hasRoom(s, c, now) {
-			list = append(list, candidate{server: s, load: b.load(s, now), pace: b.pace(s, now)})
+			list = append(list, candidate{server: s, load: b.load(s, now), pace: s.pace.at(now)})
 		}
 	}
 	if len(list) == 0 {
@@ -174,7 +174,7 @@
 // load returns the estimated calls per slot at a server, which count for more at a slow one, plus a penalty for failures.
 func (b *Balancer) load(s *server, now time.Time) float64 {
 	slots := max(s.entry.Slots, 1)
-	return b.inFlight(s, now)/float64(slots)*max(b.pace(s, now), 1) + s.failureRate*failurePenalty
+	return b.inFlight(s, now)/float64(slots)*max(s.pace.at(now), 1) + s.failureRate*failurePenalty
 }
 
 // pick returns the highest-ranked of the candidates whose load is close to minLoad.
--- a/limpetd/sched/near.go
+++ b/limpetd/sched/near.go
@@ -31,7 +31,7 @@
 // mayTry reports whether a slow server may get the call of a request to show that it has recovered. A call does not leave
 // its data centre for that.
 func (b *Balancer) mayTry(s *server, a *ReservationRequest, pace float64, now time.Time) bool {
-	return s.dueForTrial(pace, now) && (!b.prefersNear(a.Service, a.DataCentre) || s.entry.DataCentre == a.DataCentre)
+	return b.dueForTrial(s, pace, now) && (!b.prefersNear(a.Service, a.DataCentre) || s.entry.DataCentre == a.DataCentre)
 }
 
 // near returns the candidates in the data centre of this daemon that have room; all candidates if there are none.
--- a/limpetd/sched/pace.go
+++ b/limpetd/sched/pace.go
@@ -10,8 +10,12 @@
 	minPaceSamples = 8
 	// timedWeight is the weight of the newest timed answer in the long-term pace, quickWeight in the present one, and
 	// figureWeight that of the newest reported figure in the usual figure.
-	timedWeight  = 0.03
-	quickWeight  = 0.3
+	timedWeight = 0.03
+	quickWeight = 0.3
+	// If all answers of changeTerm differ from the long-term pace by more than a factor of changeRatio, the pace has
+	// changed for long, and they count in it with quickWeight. Slow moments are shorter.
+	changeTerm   = time.Second
+	changeRatio  = 1.25
 	figureWeight = 0.02
 	// A rejection raises the present pace by a factor of rejectionRaise, to at most maxRaise times the long-term one: the
 	// calls of a server that has no slot when one was expected to be free take longer than expected.
@@ -30,10 +34,12 @@
 	maxPace = 10.0
 	// usualPace is the figure of a server that is neither quick nor slow.
 	usualPace = 100
-	// A server whose pace is above slowPace gets a call at least once in trialInterval, if the call is on time there.
-	// Otherwise nothing would show that it has recovered.
+	// A server whose pace is above slowPace times the mean pace of the answers of its service gets a call at least once in
+	// trialInterval, if the call is on time there. Otherwise nothing would show that it has recovered.
 	slowPace      = 1.15
 	trialInterval = 700 * time.Millisecond
+	// meanPaceWeight is the weight of the newest answer in the mean pace.
+	meanPaceWeight = 0.02
 )
 
 // paceEstimate estimates how long work takes on a server, relative to the estimate of its service: from the figure that
@@ -46,6 +52,9 @@
 	timed, quick  float64
 	samples       int
 	timedAt       time.Time
+	// changedSince is when the first of the answers arrived that differ from the long-term pace; zero if the last one did
+	// not.
+	changedSince time.Time
 }
 
 // report adds a reported figure in percent.
@@ -60,7 +69,16 @@
 	ratio = min(max(ratio, minPace), maxPace)
 	quick := p.timed + (p.quick-p.timed)*ageWeight(now.Sub(p.timedAt), quickAge)
 	p.samples++
-	p.timed += max(timedWeight, 1/float64(p.samples))*(ratio-p.timed) + paceAnchor*(1-p.timed)
+	weight := timedWeight
+	switch {
+	case ratio <= changeRatio*p.timed && p.timed <= changeRatio*ratio:
+		p.changedSince = time.Time{}
+	case p.changedSince.IsZero():
+		p.changedSince = now
+	case now.Sub(p.changedSince) >= changeTerm:
+		weight = quickWeight
+	}
+	p.timed += max(weight, 1/float64(p.samples))*(ratio-p.timed) + paceAnchor*(1-p.timed)
 	p.quick = quick + max(quickWeight, 1/float64(p.samples))*(ratio-quick)
 	p.timedAt = now
 }
@@ -100,14 +118,6 @@
 	}
 }
 
-// pace returns the pace of a server. It is 1 for engines of services that report none, which are served as before.
-func (b *Balancer) pace(s *server, now time.Time) float64 {
-	if len(s.entry.Models) > 0 && !b.paced[s.entry.Service] {
-		return 1
-	}
-	return s.pace.at(now)
-}
-
 // recordEngineTime records the time of a sample in the pace of its engine, and returns the time that an engine of the
 // usual pace would have taken.
 func (b *Balancer) recordEngineTime(sample Sample, now time.Time) time.Duration {
@@ -117,12 +127,29 @@
 	}
 	b.reportPace(s, sample.Pace, now)
 	if !b.paced[sample.Service] {
+		// Engines of services that report no pace are served as before.
 		return sample.Took
 	}
 	if expected := b.prefillSpeeds.expected(sample); expected > 0 {
 		s.pace.add(float64(sample.Took)/expected, now)
 	}
-	return time.Duration(float64(sample.Took) / s.pace.at(now))
+	return time.Duration(float64(sample.Took) / b.notePace(s, now))
+}
+
+// notePace adds the pace of a server that has answered to the mean pace of its service, and returns the pace.
+func (b *Balancer) notePace(s *server, now time.Time) float64 {
+	pace := s.pace.at(now)
+	mean := b.meanPace(s.entry.Service)
+	b.meanPaces[s.entry.Service] = mean + meanPaceWeight*(pace-mean)
+	return pace
+}
+
+// meanPace returns the mean pace of the answers of a service.
+func (b *Balancer) meanPace(service string) float64 {
+	if mean, ok := b.meanPaces[service]; ok {
+		return mean
+	}
+	return 1
 }
 
 // expected returns the expected time of a sample in nanoseconds; 0 if it is not known.
@@ -138,9 +165,9 @@
 	return base + v.perToken(s.Service, s.Model)*float64(s.Tokens)
 }
 
-// dueForTrial reports whether a slow server has got no call for trialInterval.
-func (s *server) dueForTrial(pace float64, now time.Time) bool {
-	return pace > slowPace && now.Sub(s.grantedAt) >= trialInterval
+// dueForTrial reports whether a server that is slow for its service has got no call for trialInterval.
+func (b *Balancer) dueForTrial(s *server, pace float64, now time.Time) bool {
+	return pace > slowPace*b.meanPace(s.entry.Service) && now.Sub(s.grantedAt) >= trialInterval
 }
 
 // pacedRank weights the rank of a server by its pace: of servers with similar load, one that is twice as slow gets half
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -143,7 +143,7 @@
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
 		}
-		pace := b.pace(s, now)
+		pace := s.pace.at(now)
 		paced := time.Duration(float64(prefillTime) * pace)
 		at := s.earliestStart(paced, a.MaxPause, now)
 		if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -236,6 +236,8 @@
 	plainSlots map[string]*plainSlots
 	// paced holds the services of which a server has reported its pace.
 	paced map[string]bool
+	// meanPaces holds the mean paces of the answers of services.
+	meanPaces map[string]float64
 	// timePerPending is the smoothed time to a first event per call that waits for one.
 	timePerPending time.Duration
 }
@@ -255,6 +257,7 @@
 		prefillShares:  prefillShares{},
 		plainSlots:     map[string]*plainSlots{},
 		paced:          map[string]bool{},
+		meanPaces:      map[string]float64{},
 		timePerPending: initialTimePerPending,
 	}
 }
--- a/limpetd/sched/slots.go
+++ b/limpetd/sched/slots.go
@@ -20,6 +20,9 @@
 	// busyPenalty is the part of a service time by which a server whose slots are all in use ranks behind an idle one:
 	// at the same expected finish, the less used server leaves more room for wrong estimates.
 	busyPenalty = 0.3
+	// usualCalls is the number of calls per slot up to which the calls that daemons report at a server are no sign of
+	// trouble: some of them are under way, and the reports are a quarter of a second old.
+	usualCalls = 3
 	// lateStart is how long a call that is already late may wait for a slot. A longer wait would delay calls that can
 	// still be on time.
 	lateStart = 10 * time.Millisecond
@@ -27,9 +30,9 @@
 	// a call.
 	rejectedShare = 0.3
 	// marginUp is added to the margin of a server for each call that it rejects, marginDown is subtracted for each that it
-	// answers: the margin is stable if a server rejects one call in twenty. Servers that let calls wait get the next one
+	// answers: the margin is stable if a server rejects one call in ten. Servers that let calls wait get the next one
 	// before the last one is expected to end. Their service times then include the wait, which keeps it short.
-	marginUp   = 0.02
+	marginUp   = 0.01
 	marginDown = 0.001
 	minMargin  = -0.1
 	maxMargin  = 0.1
@@ -129,6 +132,7 @@
 		if first.After(start) {
 			start = first
 		}
+		start = start.Add(b.backlog(s, len(freeAt), took, now))
 		score := float64(start.Sub(now)) + float64(took)*(1+busyPenalty*float64(busy)/float64(len(freeAt))+failurePenalty*s.failureRate)
 		if prefersNear && !s.isNear(a, start.Sub(now)+took, a.MaxStartDelay) {
 			score += float64(crossPenalty)
@@ -149,6 +153,15 @@
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: true}
 }
 
+// backlog returns how long a call would wait behind the calls that daemons have reported beyond what the slots explain.
+// They pile up at a server that does not answer, which reports no service times.
+func (b *Balancer) backlog(s *server, slots int, took time.Duration, now time.Time) time.Duration {
+	if now.Sub(b.sharedAt) >= sharedMaxAge {
+		return 0
+	}
+	return time.Duration(max(b.inFlight(s, now)/float64(slots)-usualCalls, 0) * float64(took))
+}
+
 // take uses the slot that is free first.
 func (p *slotPlan) take(start time.Time, took time.Duration) {
 	first := 0
@@ -241,7 +254,7 @@
 			s.pace.add(took/p.mean, now)
 		}
 		p.count++
-		p.mean += max(serviceTimeWeight, 1/float64(p.count)) * (took/s.pace.at(now) - p.mean)
+		p.mean += max(serviceTimeWeight, 1/float64(p.count)) * (took/b.notePace(s, now) - p.mean)
 		if s.slots != nil {
 			s.slots.margin = max(s.slots.margin-marginDown, minMargin)
 		}
