front: Leave errors and rejections out of the pace of engines

An engine that answers with an error or rejects a call does so within milliseconds, and would have looked quick. Such samples now name no server; they count in the speed of the service as before.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -58,6 +58,8 @@
 	pending int
 	// alone is whether, according to the reservations, the engine read no other prompt.
 	alone bool
+	// isError is whether the response shows an error or a rejection.
+	isError bool
 	// lastEventAt is when the last events arrived.
 	lastEventAt time.Time
 	// begunAt is when the head of the response arrived, lastBytesAt when bytes last did. They
@@ -144,8 +146,8 @@
 	a.started = true
 	f.dispatch(now)
 	f.mu.Unlock()
-	if sc := &a.call.schedCall; first && a.alone && sc.Model != "" {
-		f.deps.Reserver.RecordSample(sched.Sample{Service: sc.Service, Model: sc.Model, Tokens: sc.PromptTokens, Took: now.Sub(a.sentAt), Server: a.server.ID, Pace: r.pace()})
+	if first && a.alone && a.call.schedCall.Model != "" {
+		a.reportFirstEvent(r, now)
 	}
 }
 
@@ -253,6 +255,7 @@
 		a.conn.Release(resp)
 	}
 	c.runs--
+	a.isError = true
 	a.recordStart(r)
 	if r.WrongServer {
 		a.finish(sched.WrongServer)
@@ -319,6 +322,7 @@
 		a.conn.Close()
 		return a.handleFailure(ctx, err)
 	}
+	a.isError = resp.StatusCode >= http.StatusBadRequest
 	a.recordStart(r)
 	a.conn.Release(resp)
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
--- a/limpetd/front/reserve_test.go
+++ b/limpetd/front/reserve_test.go
@@ -78,6 +78,7 @@
 	require.GreaterOrEqual(t, time.Since(begin), 120*time.Millisecond)
 	require.Len(t, r.asks, 1)
 	require.Len(t, r.samples, 1, "the read time of an engine without other prompts is recorded")
+	require.Equal(t, "i1", r.samples[0].Server)
 	require.Equal(t, 1, r.streams)
 }
 
--- a/limpetd/front/slots.go
+++ b/limpetd/front/slots.go
@@ -43,3 +43,14 @@
 	defer c.front.mu.Unlock()
 	return c.sharesSlots()
 }
+
+// reportFirstEvent reports to the lease holder how long an engine took to begin its response, or to answer with an error,
+// which says nothing about the pace of the engine.
+func (a *attempt) reportFirstEvent(r ResponseHeaders, now time.Time) {
+	c := &a.call.schedCall
+	sample := sched.Sample{Service: c.Service, Model: c.Model, Tokens: c.PromptTokens, Took: now.Sub(a.sentAt)}
+	if !a.isError {
+		sample.Server, sample.Pace = a.server.ID, r.pace()
+	}
+	a.call.front.deps.Reserver.RecordSample(sample)
+}
--- a/limpetd/front/slots_test.go
+++ b/limpetd/front/slots_test.go
@@ -31,12 +31,8 @@
 		}
 	}
 	fx := newFixtureWithReserver(t, r, layout.Route{Kind: layout.Unsafe, MaxAttempts: 2, Expectation: 300 * time.Millisecond}, answer, answer)
-	var servers []*layout.Server
-	for _, s := range fx.servers {
-		s.Models = nil
-		servers = append(servers, s)
-	}
-	fx.front.SetServers(servers)
+	fx.servers[0].Models, fx.servers[1].Models = nil, nil
+	fx.front.SetServers(fx.servers)
 	fx.front.SetDaemons(58, 0)
 	post := func() (responseHead, time.Duration) {
 		begin := time.Now()
@@ -83,3 +79,13 @@
 	}
 	require.Equal(t, 2, fx.logs.FilterMessage("pace_invalid").Len())
 }
+
+// TestErrorsSayNothingAboutPace guards against engines that look quick because they reject calls.
+func TestErrorsSayNothingAboutPace(t *testing.T) {
+	r := &reserver{reservations: []sched.Reservation{{Verdict: sched.Chosen, Server: "i0", Exclusive: true}}}
+	fx := newFixtureWithReserver(t, r, streamRoute, unexpectedServer)
+	_, _, err := fx.post(t, "/r/1", map[string]string{"Model": "m"})
+	require.NoError(t, err)
+	require.Len(t, r.samples, 1)
+	require.Empty(t, r.samples[0].Server)
+}
--- a/limpetd/sched/near_test.go
+++ b/limpetd/sched/near_test.go
@@ -22,14 +22,11 @@
 		near.DataCentre = "b"
 		b := newBalancer(far, near, engine("e3", "m"))
 		b.RecordLoad("e2", sched.LoadReport{Slots: 64, Pace: v.pace}, start)
-		servers := map[string]int{}
-		first := 0
+		servers, first := map[string]int{}, 0
 		for i := range 15 {
-			g := b.Reserve(&sched.ReservationRequest{Service: "llm", Model: "m", Tokens: 1000, MaxStartDelay: 340 * time.Millisecond,
-				ShortestExpectation: 400 * time.Millisecond, IsTopPriority: true, DataCentre: v.centre, Session: uint64(i)}, start)
+			g := b.Reserve(engineRequest(1000, v.centre, uint64(i)), start)
 			require.Equal(t, sched.Chosen, g.Verdict)
-			servers[g.Server]++
-			if g.Server == "e2" && first == i {
+			if servers[g.Server]++; servers["e2"] == i+1 {
 				first++
 			}
 		}
@@ -38,6 +35,12 @@
 	}
 }
 
+// engineRequest is an urgent request for a reservation at an engine that holds the model m.
+func engineRequest(tokens int, dataCentre string, session uint64) *sched.ReservationRequest {
+	return &sched.ReservationRequest{Service: "llm", Model: "m", Tokens: tokens, MaxStartDelay: 340 * time.Millisecond,
+		ShortestExpectation: 400 * time.Millisecond, IsTopPriority: true, DataCentre: dataCentre, Session: session}
+}
+
 // TestCallsToPlainServersStayInDataCentre guards against calls that leave their data centre although its server has
 // a free slot, and against slow servers of other data centres that are tried with them.
 func TestCallsToPlainServersStayInDataCentre(t *testing.T) {
--- a/limpetd/sched/pace_test.go
+++ b/limpetd/sched/pace_test.go
@@ -27,7 +27,7 @@
 				paces["e2"] = 0.6
 			}
 			tokens := 200 + int(at/time.Millisecond)*7%1800
-			g := b.Reserve(&sched.ReservationRequest{Service: "llm", Model: "m", Tokens: tokens, MaxStartDelay: 340 * time.Millisecond, ShortestExpectation: 400 * time.Millisecond, IsTopPriority: true}, now)
+			g := b.Reserve(engineRequest(tokens, "", 0), now)
 			if g.Verdict != sched.Chosen {
 				continue
 			}
--- a/limpetd/sched/slots_test.go
+++ b/limpetd/sched/slots_test.go
@@ -284,26 +284,19 @@
 // TestSlotsAreSharedOnlyByManyDaemons guards against a change for deployments with few daemons, and for servers that
 // report no slots, have a limit of requests or are brittle.
 func TestSlotsAreSharedOnlyByManyDaemons(t *testing.T) {
-	for _, v := range []struct {
-		daemons int
-		servers []*layout.Server
-		change  func(b *sched.Balancer)
-		shares  bool
-	}{
-		{daemons: 19, shares: true},
-		{daemons: 18},
-		{daemons: 9, servers: []*layout.Server{{ID: "p0", Service: "plain"}}},
-		{daemons: 58, servers: []*layout.Server{{ID: "new", Service: "plain", Slots: plainSlots}}},
-		{daemons: 58, change: func(b *sched.Balancer) { b.RecordLimit("p0", 9, start, start) }},
-		{daemons: 58, change: func(b *sched.Balancer) { b.RecordBrittle("p0", true, 9, start, start) }},
-	} {
-		b := newPlainWorld(v.daemons, false, true).daemons[0]
-		if v.servers != nil {
-			b.SetServers(v.servers)
-		}
-		if v.change != nil {
-			v.change(b)
-		}
-		require.Equal(t, v.shares, b.SharesSlots("plain"), "%d daemons", v.daemons)
+	shares := func(daemons int, change func(b *sched.Balancer)) bool {
+		b := newPlainWorld(daemons, false, true).daemons[0]
+		change(b)
+		return b.SharesSlots("plain")
+	}
+	setServer := func(id string) func(b *sched.Balancer) {
+		return func(b *sched.Balancer) { b.SetServers([]*layout.Server{{ID: id, Service: "plain", Slots: plainSlots}}) }
 	}
+	require.True(t, shares(19, func(*sched.Balancer) {}))
+	require.False(t, shares(18, func(*sched.Balancer) {}))
+	require.True(t, shares(11, setServer("p0")))
+	require.False(t, shares(9, setServer("p0")))
+	require.False(t, shares(58, setServer("has not reported")))
+	require.False(t, shares(58, func(b *sched.Balancer) { b.RecordLimit("p0", 9, start, start) }))
+	require.False(t, shares(58, func(b *sched.Balancer) { b.RecordBrittle("p0", true, 9, start, start) }))
 }
