--- a/limpetd/sched/brittle.go
+++ b/limpetd/sched/brittle.go
@@ -177,6 +177,7 @@
 
 // recordGrant records that the lease holder granted a call at the server to another daemon.
 func (b *Balancer) recordGrant(s *server, now time.Time) {
+	s.grantedAt = now
 	if !b.HasBrittle(s.entry.Service) {
 		return
 	}
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -30,9 +30,12 @@
 	// baseRise is the part of the difference to a longer sample by which the sample raises
 	// base, the estimated time to a first event without a prompt.
 	baseRise = 0.003
-	// minSlope and maxSlope limit the slope, as factors of the mean.
-	minSlope = 0.5
+	// minSlope and maxSlope limit the slope, as factors of the mean. With a minimum of 0.5, the estimate fell to two
+	// thirds of the truth under shortage, since prompts that engines prefill in one step take the same time.
+	minSlope = 0.85
 	maxSlope = 1.5
+	// maxBaseShare limits the part of the mean size of prompts that the shortest sample may have had.
+	maxBaseShare = 0.4
 	// maxSample is the longest sample that is used: an engine that takes longer is unhealthy.
 	maxSample = time.Second
 	// maxSampleRatio is how many times as long as estimated a sample counts at the most.
@@ -55,11 +58,13 @@
 //
 // The slope is limited to a range around the mean time per token above base, the shortest
 // sample. If an engine receives prompts faster than it can prefill them, small prompts take
-// long too, which flattens the line. The mean then rises, prompts are sent at longer
-// intervals, and the engine catches up.
+// long too, which flattens the line. The mean, the least slope that is used, then rises,
+// prompts are sent at longer intervals, and the engine catches up.
 type prefillFit struct {
 	// base is the shortest sample, which rises slowly towards longer ones.
 	base float64
+	// baseTokens is the size of the prompt of that sample.
+	baseTokens float64
 	// weight is the decayed number of samples.
 	weight float64
 	// tokens and took are decayed sums of the sizes and times of the samples, squares of
@@ -93,7 +98,7 @@
 func (p *prefillFit) add(tokens, took float64) {
 	switch {
 	case p.weight == 0 || took < p.base:
-		p.base = took
+		p.base, p.baseTokens = took, tokens
 	default:
 		p.base += baseRise * (took - p.base)
 	}
@@ -114,7 +119,8 @@
 	if p.weight == 0 {
 		return prior
 	}
-	mean := max(p.took-p.base*p.weight, 0) / p.tokens
+	// The shortest sample includes the prefill of its own prompt.
+	mean := max(p.took-p.base*p.weight, 0) / (p.tokens - min(p.baseTokens*p.weight, maxBaseShare*p.tokens))
 	fitted := mean
 	if spread := p.weight*p.squares - p.tokens*p.tokens; spread > 0 {
 		fitted = min(max((p.weight*p.products-p.tokens*p.took)/spread, minSlope*mean), maxSlope*mean)
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -55,6 +55,12 @@
 	// Excluded are the IDs of the servers that the call was sent to before or that its daemon
 	// can't use.
 	Excluded []string
+	// Level is the number of priority levels between the call and the most urgent calls of the service, plus 1; 0 if
+	// the build of the daemon does not state it.
+	Level int
+	// Waited is the time since the call arrived, Resumes whether it continues an answer.
+	Waited  time.Duration
+	Resumes bool
 	// DataCentre is the data centre of the caller's daemon; empty from older builds.
 	DataCentre string
 }
@@ -100,7 +106,9 @@
 	return ReservationRequest{
 		Service: c.Service, Model: c.Model, Adapter: c.Adapter, Tokens: c.PromptTokens, Session: c.Session,
 		MaxStartDelay: max(within, 0), MaxPause: c.Route.MaxPause, ShortestExpectation: d.ShortestExpectation,
-		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude, DataCentre: b.settings.DataCentre,
+		IsTopPriority: c.Resumes() || c.Priority() <= d.TopPriority, Excluded: exclude,
+		Level: max(c.Priority()-d.TopPriority, 0) + 1, Waited: now.Sub(c.Arrived), Resumes: c.Resumes(),
+		DataCentre: b.settings.DataCentre,
 	}
 }
 
@@ -138,29 +146,28 @@
 	var length time.Duration
 	var rank uint64
 	prefersNear, near := b.prefersNear(a.Service, a.DataCentre), false
-	prefillTime := time.Duration(float64(b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)) / b.prefillShares.of(a.Service))
+	prompt := b.prefillSpeeds.prefillTime(a.Service, a.Model, a.Tokens)
+	prefillTime := time.Duration(float64(prompt) / b.prefillShares.of(a.Service))
+	d := b.demandOf(a, now)
+	maxWait := a.maxWait(b.firstEventTime(a, prefillTime), d)
 	for _, s := range b.bearing(a.Service, true, withModel, now) {
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
 		}
 		pace := s.pace.at(now)
-		paced := time.Duration(float64(prefillTime) * pace)
-		at := s.earliestStart(paced, a.MaxPause, now)
-		if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
-			at = at.Add(maxAskDelay)
-		}
+		paced := time.Duration(float64(prompt) * pace / b.prefillShares.ofEngine(a.Service, pace))
+		at := s.earliestStart(paced, a.MaxPause, now).Add(b.slotDelay(s, now))
 		// An engine that needs longer for the prompt counts as starting later.
 		from := at.Add(paced - prefillTime)
 		r := b.reservationRank(s, a)
-		if b.mayTry(s, a, pace, now) && from.Sub(now) <= a.maxWait() {
+		if b.mayTry(s, a, pace, now) && from.Sub(now) <= maxWait {
 			best, start, expected, length = s, at, from, paced
 			break
 		}
-		isNear := prefersNear && s.isNear(a, from.Sub(now), a.maxWait())
-		if near && !isNear {
-			continue
-		}
-		if isNear && !near {
+		if isNear := prefersNear && s.isNear(a, from.Sub(now), maxWait); isNear != near {
+			if near {
+				continue
+			}
 			best, near = nil, true
 		}
 		similar := best != nil && from.Sub(expected).Abs() <= similarStart
@@ -171,7 +178,8 @@
 	if best == nil {
 		return Reservation{Verdict: Full, Delay: min(max(tokenDelay(withModel), minAskDelay), maxAskDelay)}
 	}
-	if late := expected.Sub(now) - a.maxWait(); late > 0 {
+	if late := expected.Sub(now) - maxWait; late > 0 {
+		d.record(a, false)
 		return Reservation{Verdict: Full, Delay: min(max(late, minAskDelay), maxAskDelay)}
 	}
 	wait := start.Sub(now)
@@ -179,13 +187,21 @@
 	if exclusive {
 		best.sampledAt = now
 	}
+	d.record(a, true)
 	best.reserve(start, length)
-	best.grantedAt = now
 	best.takeToken(now)
 	b.recordGrant(best, now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: exclusive}
 }
 
+// slotDelay returns how much later an engine starts a reservation because all its slots are in use.
+func (b *Balancer) slotDelay(s *server, now time.Time) time.Duration {
+	if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
+		return maxAskDelay
+	}
+	return 0
+}
+
 // earliestStart returns when an engine can start a reservation of a given length. A run of
 // reservations without a gap takes at most blockShare of a stream's longest allowed pause,
 // unless a single reservation is longer; a gap of blockGap follows, in which running streams
@@ -210,20 +226,20 @@
 
 // maxWait returns how long the call may wait for its reservation to start: a part of the
 // service's shortest expectation that depends on the urgency of the call, but no longer
-// than MaxStartDelay unless the call is already late.
-func (a *ReservationRequest) maxWait() time.Duration {
-	share := urgentBacklog
-	switch {
-	case a.MaxStartDelay <= 0:
-		share = lateBacklog
-	case a.IsTopPriority:
-		share = topPriorityBacklog
-	case a.MaxStartDelay > a.ShortestExpectation:
-		share = relaxedBacklog
+// than MaxStartDelay and latestStart unless the call is already late. firstEvent is the time
+// from the start to the first event.
+func (a *ReservationRequest) maxWait(firstEvent time.Duration, d *demand) time.Duration {
+	latest := min(a.MaxStartDelay, a.latestStart(firstEvent))
+	if a.Resumes {
+		latest = a.MaxStartDelay
+	}
+	share := lateBacklog
+	if latest > 0 {
+		share = a.backlog(d)
 	}
 	maxWait := time.Duration(share * float64(a.ShortestExpectation))
-	if a.MaxStartDelay > 0 {
-		maxWait = min(maxWait, a.MaxStartDelay)
+	if latest > 0 {
+		maxWait = min(maxWait, latest)
 	}
 	return maxWait
 }
@@ -269,6 +285,7 @@
 		return
 	}
 	s.Took = b.recordEngineTime(s, now)
+	b.recordDelay(s)
 	b.prefillSpeeds.add(s, now)
 }
 
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -36,6 +36,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ReserveSlots is whether the lease holder reserves the slots of plain servers for all daemons, where
+	// SharesSlots allows it.
+	ReserveSlots bool
 	// FirstStart is whether no process of this daemon has run before. If it is not known, the budget of this
 	// process is empty for a window.
 	FirstStart bool
@@ -232,6 +235,10 @@
 	sharedAt      time.Time
 	prefillSpeeds prefillSpeeds
 	prefillShares prefillShares
+	// demands holds the recent demand by model, at the lease holder.
+	demands map[modelKey]*demand
+	// delays holds, by service, how much longer than the prefill the first events take.
+	delays map[string]*firstEventDelay
 	// plainSlots is what the lease holder knows about plain services.
 	plainSlots map[string]*plainSlots
 	// paced holds the services of which a server has reported its pace.
@@ -255,6 +262,8 @@
 		sendRate:       map[string]*sendRate{},
 		prefillSpeeds:  newPrefillSpeeds(),
 		prefillShares:  prefillShares{},
+		demands:        map[modelKey]*demand{},
+		delays:         map[string]*firstEventDelay{},
 		plainSlots:     map[string]*plainSlots{},
 		paced:          map[string]bool{},
 		meanPaces:      map[string]float64{},
