--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -167,12 +167,9 @@
 		if !s.mayGrant(a.IsTopPriority, now) {
 			continue
 		}
-		pace := b.pace(s, now)
+		pace := s.pace.at(now)
 		paced := time.Duration(float64(prompt) * pace / b.prefillShares.ofEngine(a.Service, pace))
-		at := s.earliestStart(paced, a.MaxPause, now)
-		if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
-			at = at.Add(maxAskDelay)
-		}
+		at := s.earliestStart(paced, a.MaxPause, now).Add(b.slotDelay(s, now))
 		// An engine that needs longer for the prompt counts as starting later.
 		from := at.Add(paced - prefillTime)
 		r := b.reservationRank(s, a)
@@ -180,11 +177,10 @@
 			best, start, expected, length = s, at, from, paced
 			break
 		}
-		isNear := prefersNear && s.isNear(a, from.Sub(now), maxWait)
-		if near && !isNear {
-			continue
-		}
-		if isNear && !near {
+		if isNear := prefersNear && s.isNear(a, from.Sub(now), maxWait); isNear != near {
+			if near {
+				continue
+			}
 			best, near = nil, true
 		}
 		similar := best != nil && from.Sub(expected).Abs() <= similarStart
@@ -206,12 +202,19 @@
 	}
 	d.record(a, true)
 	best.reserve(start, length)
-	best.grantedAt = now
 	best.takeToken(now)
 	b.recordGrant(best, now)
 	return Reservation{Verdict: Chosen, Server: best.entry.ID, Delay: wait, Exclusive: exclusive}
 }
 
+// slotDelay returns how much later an engine starts a reservation because all its slots are in use.
+func (b *Balancer) slotDelay(s *server, now time.Time) time.Duration {
+	if s.entry.Slots > 0 && b.inFlight(s, now) >= float64(s.entry.Slots) {
+		return maxAskDelay
+	}
+	return 0
+}
+
 // earliestStart returns when an engine can start a reservation of a given length. A run of
 // reservations without a gap takes at most blockShare of a stream's longest allowed pause,
 // unless a single reservation is longer; a gap of blockGap follows, in which running streams
