budget, guard, front, platform: Bound what clients hold

Request bodies were read without a bound over all calls: 300 clients that stopped just short of the end of 1 MiB took 363 MB under memory_mb 160. The limits of headers and idle connections were decoded and not applied, max_fds was not read.

Package budget keeps one account of the memory held for callers and servers, and decides who is admitted, waits, is refused or dropped. Package guard applies it to HTTP servers: connections, headers and bodies are charged by what has arrived, bodies have a minimum rate, and connections are bounded below max_fds. The limits of the configuration apply at their values. A buffered response that its caller does not read is given up after 15 s for 64 KiB; it held the space of buffered responses for as long as the caller liked.

--- /dev/null
+++ b/limpetd/budget/limits.go
@@ -0,0 +1,84 @@
+package budget
+
+import "time"
+
+const (
+	// Share is the part of a process's memory limit that the account covers. The rest is for the
+	// program itself, for memory that the garbage collector has not freed, and for received bytes in
+	// the kernel. The Go runtime's soft limit is 0.6 of the memory limit.
+	Share = 0.3
+	// ConnectionBytes is what a connection of a caller holds without a request: its two buffers of
+	// 4 KiB, the stack of its goroutine, and the connection to a server that its calls use.
+	ConnectionBytes = 16 << 10
+	// connectionShare is the part of the account that connections may use.
+	connectionShare = 0.5
+	// reservedFDs is the number of descriptors that are reserved for files.
+	reservedFDs = 200
+	// callerShare is the part of the other descriptors that connections of callers may use. The rest
+	// is for servers, of which each call uses one connection, for other daemons and for the store.
+	callerShare = 0.5
+	// minConnections is the number of connections that are accepted under any limits.
+	minConnections = 16
+)
+
+// Bytes returns the limit of the account of a process with a memory limit in MB; 0 for no limit.
+func Bytes(memoryMB int) int64 { return int64(Share * float64(memoryMB) * (1 << 20)) }
+
+// ConnectionLimit returns how many connections of callers a process with limits for memory, in MB, and
+// descriptors may have; 0 of either means no limit, and so does the result.
+func ConnectionLimit(memoryMB, maxFDs int) int {
+	limit := 0
+	if maxFDs > 0 {
+		limit = max(int(callerShare*float64(maxFDs-reservedFDs)), minConnections)
+	}
+	if memoryMB > 0 {
+		byMemory := max(int(connectionShare*float64(Bytes(memoryMB))/ConnectionBytes), minConnections)
+		if limit == 0 || byMemory < limit {
+			limit = byMemory
+		}
+	}
+	return limit
+}
+
+// Phase is what a connection does.
+type Phase int
+
+// The phases of a connection. A connection begins with Header, is Active from the end of a header to the
+// end of the response, then Idle until the first byte of the next header.
+const (
+	Header Phase = iota
+	Active
+	Idle
+)
+
+// Connection is a connection of a caller for which a decision is made.
+type Connection struct {
+	Phase Phase
+	// Since is when the phase began.
+	Since time.Time
+}
+
+// Timeouts limit the phases of connections; 0 means no limit.
+type Timeouts struct {
+	Header, Idle time.Duration
+}
+
+// Expired reports whether a connection is to be closed at a time.
+func (t Timeouts) Expired(c Connection, now time.Time) bool {
+	age := now.Sub(c.Since)
+	return c.Phase == Header && t.Header > 0 && age > t.Header || c.Phase == Idle && t.Idle > 0 && age > t.Idle
+}
+
+// Victim returns the index of the connection that is closed for a new one when there are too many; -1 if
+// there is none, so that the new one waits. It is the one whose header has been arriving for the longest time, from
+// dropAge on. Idle connections, which callers may use again, are closed only where closeIdle says so.
+func Victim(list []Connection, closeIdle bool, now time.Time) int {
+	victim := -1
+	for i, c := range list {
+		droppable := c.Phase == Header && now.Sub(c.Since) >= dropAge || c.Phase == Idle && closeIdle
+		if droppable && (victim < 0 || c.Since.Before(list[victim].Since)) {
+			victim = i
+		}
+	}
+	return victim
+}
--- a/limpetd/code/table.go
+++ b/limpetd/code/table.go
@@ -52,6 +52,8 @@
 	BadContentType  Code = 1109
 	UnknownPriority Code = 1110
 	HeaderTooLarge  Code = 1111
+	// MemoryShort means that the daemon has no memory for the body.
+	MemoryShort Code = 1112
 )
 
 // Codes of admission and routing.
@@ -167,6 +169,7 @@
 	{BadContentType, "bad_content_type", http.StatusUnsupportedMediaType, RunNo, "The content type is not supported.", "Send application/json."},
 	{UnknownPriority, "unknown_priority", http.StatusBadRequest, RunNo, "The document does not declare this priority.", "Use a declared priority."},
 	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, RunNo, "The header exceeds the size limit.", "Send a shorter header."},
+	{MemoryShort, "memory_short", http.StatusServiceUnavailable, RunNo, "The daemon has no memory for the body of the request.", "Retry after the time in Retry-After; a body that arrives without pauses is admitted first. If it persists, add daemons or memory."},
 
 	{CallerLimit, "caller_limit", http.StatusTooManyRequests, RunNo, "The caller exceeds its rate limit.", "Retry after the time in the Retry-After header."},
 	{QueueFull, "queue_full", http.StatusTooManyRequests, RunNo, "The queue of this priority is full.", "Retry after the time in the Retry-After header."},
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -28,6 +28,10 @@
 	// forwarded, maxBufferedTotal the largest size of all bodies that are buffered at a time.
 	maxBuffered      = 4 << 20
 	maxBufferedTotal = 12 << 20
+	// writePart is the size of the parts in which a buffered response is written, writeTimeout how long a caller
+	// may take to accept one.
+	writePart    = 64 << 10
+	writeTimeout = 15 * time.Second
 	// maxRejection is the largest body of a response that reports that the call was not run.
 	maxRejection = 64 << 10
 	// minTimeLeft is the least time before its deadline at which a call is sent.
@@ -351,7 +355,26 @@
 	}
 	c.writer.Header().Set("Content-Length", itoa(len(r.body)))
 	c.writeHead(r.status)
-	if _, err := c.writer.Write(r.body); err != nil {
+	if err := c.writeParts(r.body); err != nil {
 		c.outcome.result, c.outcome.reason = code.CallerGone, err.Error()
 	}
 }
+
+// writeParts writes the body of a response. A caller that does not accept a part of it within writeTimeout would
+// hold the buffer for as long as it likes.
+func (c *call) writeParts(body []byte) error {
+	w, ok := c.writer.(interface{ SetWriteDeadline(t time.Time) error })
+	for {
+		if ok {
+			// An error means that the connection is closed, which the write reports.
+			_ = w.SetWriteDeadline(time.Now().Add(writeTimeout))
+		}
+		part := body[:min(len(body), writePart)]
+		if _, err := c.writer.Write(part); err != nil {
+			return err
+		}
+		if body = body[len(part):]; len(body) == 0 {
+			return nil
+		}
+	}
+}
--- a/limpetd/front/buffer.go
+++ b/limpetd/front/buffer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 
+	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
@@ -11,6 +12,9 @@
 // size of the body. Chunks of one byte each take six.
 const maxFramingBytes = 64 << 10
 
+// bufferGrowth is how many bytes a buffer that grows takes at most for each byte that it holds.
+const bufferGrowth = 2
+
 // errBuffersFull means that the responses that are buffered at a time exceed maxBufferedTotal,
 // errSmallChunks that a body has more framing than maxFramingBytes allows.
 var (
@@ -33,6 +37,7 @@
 func (b *bufferedBody) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
 	b.bytes += int64(n)
+	b.front.deps.Guard.Charge(budget.Responses, bufferGrowth*int64(n))
 	switch {
 	case b.front.buffered.Add(int64(n)) > maxBufferedTotal:
 		return n, errBuffersFull
@@ -43,4 +48,7 @@
 }
 
 // free ends the count of the bytes.
-func (b *bufferedBody) free() { b.front.buffered.Add(-b.bytes) }
+func (b *bufferedBody) free() {
+	b.front.buffered.Add(-b.bytes)
+	b.front.deps.Guard.Release(budget.Responses, bufferGrowth*b.bytes)
+}
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -37,6 +37,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/crash"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/origin"
@@ -90,8 +91,10 @@
 	// Departures is nil if servers announce their leaving in no other way than by the list of
 	// servers.
 	Departures DepartureRecorder
-	Log        *zap.Logger
-	Scope      tally.Scope
+	// Guard bounds the memory of calls; nil if there is no limit.
+	Guard *guard.Guard
+	Log   *zap.Logger
+	Scope tally.Scope
 }
 
 // Option configures a Front.
@@ -179,6 +182,10 @@
 // run until ctx ends.
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
+	if d.Guard == nil {
+		d.Guard = guard.New(ctx, guard.Config{}, guard.Deps{})
+		t.Go(d.Guard.Wait)
+	}
 	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
 	if d.Contact == nil {
 		f.origins.SetComplete()
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -12,8 +12,10 @@
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/abort"
+	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -28,6 +30,9 @@
 	// give no reason for a longer wait. It is short because a new connection reaches
 	// another daemon.
 	minRetryAfter = 20 * time.Millisecond
+	// memoryRetryAfter is the Retry-After while bodies take the memory of the daemon. Slow ones are dropped after
+	// one second.
+	memoryRetryAfter = time.Second
 	// maxAttempts limits the attempts of a call, including those that servers rejected
 	// without running the call. Route.Attempts limits only the servers that may have run
 	// the call.
@@ -47,6 +52,8 @@
 	info      CallHeaders
 	schedCall sched.Call
 	body      []byte
+	// bodyRead is whether the body was read to its end.
+	bodyRead bool
 	// parts are the request and the parts of its prompt, by which a call that ends servers is known.
 	parts []uint64
 	// runs counts the servers that may have run the call. connected counts the attempts
@@ -137,6 +144,7 @@
 	f.metrics.calls.Inc(1)
 	c := &call{front: f, writer: w, request: r}
 	c.schedCall.Arrived = time.Now()
+	defer func() { f.deps.Guard.Release(budget.Waiting, int64(cap(c.body))) }()
 	// The body may arrive much later than the head.
 	if !c.refuseLeaving() && c.prepare() && !c.refuseLeaving() {
 		c.serve()
@@ -168,6 +176,11 @@
 		c.refuse(code.NoDocument, noConfigRetryAfter, "no configuration yet")
 		return false
 	}
+	if n, limit := int64(guard.HeaderSize(r)), s.config.Limits.MaxHeaderBytes; limit > 0 && n > limit {
+		c.writer.Header().Set("Connection", "close")
+		c.fail(code.HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header has %d bytes, max_header_bytes is %d", n, limit))
+		return false
+	}
 	route, ok := s.routeIndex.Match(r.Host, r.URL.Path)
 	if !ok {
 		c.fail(code.UnknownPath, http.StatusNotFound, "no route matches")
@@ -177,17 +190,12 @@
 	if !c.authenticate(s.config, route) {
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, r.Body, maxBody(s.config)))
+	body, err := f.deps.Guard.ReadBody(c.writer, r, maxBody(s.config))
 	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			c.fail(code.BodyTooLarge, http.StatusRequestEntityTooLarge, "body over the limit")
-			return false
-		}
-		c.abort(code.CallerGone, "reading the request body: "+err.Error())
+		c.refuseBody(err)
 		return false
 	}
-	c.body = body
+	c.body, c.bodyRead = body, true
 	c.parts = c.suspectedParts()
 	removeHopHeaders(r.Header)
 	if s.config.Keys != nil {
@@ -197,6 +205,18 @@
 	return true
 }
 
+// refuseBody ends a call whose body was not read to its end.
+func (c *call) refuseBody(err error) {
+	switch result := code.Of(err); result {
+	case code.CallerGone:
+		c.abort(result, err.Error())
+	case code.MemoryShort:
+		c.refuse(result, memoryRetryAfter, err.Error())
+	default:
+		c.fail(result, result.Info().Status, err.Error())
+	}
+}
+
 // defaultMaxBody is the size limit of request bodies, in bytes, if the configuration has none.
 const defaultMaxBody = 8 << 20
 
@@ -334,6 +354,9 @@
 		c.abort(result, reason)
 		return
 	}
+	if !c.bodyRead && c.request.ContentLength != 0 {
+		guard.EndBody(c.writer)
+	}
 	c.outcome.result, c.outcome.status, c.outcome.reason = result, status, reason
 	h := c.writer.Header()
 	h.Set("limpet-code", strconv.Itoa(int(result)))
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/limpetlb/limpetlb/limpetd/abort"
+	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
@@ -19,6 +20,9 @@
 const (
 	// streamBuffer is the size of reads from a stream. An event has some hundred bytes.
 	streamBuffer = 4 << 10
+	// streamMemory is what a stream usually holds: the buffer of its reads, and as much for an event that is not
+	// complete. Its caller may read slowly until the deadline of the call.
+	streamMemory = 2 * streamBuffer
 	// maxEventSize limits the size of one event, of which each stream keeps one in memory.
 	maxEventSize = 128 << 10
 	// writeSlack is how long after the deadline of a call its response may still be written.
@@ -49,6 +53,8 @@
 	if err := controller.SetWriteDeadline(c.schedCall.Deadline.Add(writeSlack)); err != nil {
 		c.front.deps.Log.Debug("write_deadline_not_set")
 	}
+	c.front.deps.Guard.Charge(budget.Streams, streamMemory)
+	defer c.front.deps.Guard.Release(budget.Streams, streamMemory)
 	err := a.copyEvents(ctx, resp, r, controller)
 	if err == nil {
 		a.conn.Release(resp)
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
@@ -80,19 +81,6 @@
 	})
 }
 
-// headerSize returns the length in bytes of the request header in HTTP/1.1
-// format.
-func headerSize(r *http.Request) int {
-	const separator, hostField = len(": \r\n"), len("Host: \r\n")
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len(r.Host) + hostField
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + separator
-		}
-	}
-	return n
-}
-
 // newRequestID returns a random request ID.
 func newRequestID() string {
 	var b [16]byte
@@ -108,7 +96,7 @@
 // requests with an oversized header or an unknown key, and all requests while
 // the daemon is leaving or has no document.
 func (x *exchange) authenticate() error {
-	if n, limit := headerSize(x.request), x.gate.config.MaxHeaderBytes; n > limit {
+	if n, limit := guard.HeaderSize(x.request), x.gate.config.MaxHeaderBytes; n > limit {
 		x.writer.Header().Set("Connection", "close")
 		return code.Errorf(code.HeaderTooLarge, "the header has %d bytes, the limit is %d bytes", n, limit)
 	}
