gate, admin, node, conf: Bound callers of limpetd's own interface

Callers of limpetd could take memory with announced bodies, for which the gate allocated the announced size at once, and all descriptors of a VM: 300 clients took 332 to 384 MB, 500 clients 655 descriptors. The first two default to none. Bodies of operators must arrive within a minute. The limiting listener of the gate is replaced by the door.

--- a/limpetd/admin/server.go
+++ b/limpetd/admin/server.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -87,6 +88,15 @@
 
 // ServeHTTP handles a call. The body is limited to MaxBodyBytes.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	// The errors are ignored: not every response writer supports deadlines, but that of http.Server does.
+	if r.ContentLength != 0 {
+		_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+		r.Body = &timedBody{ReadCloser: r.Body, controller: controller}
+	}
+	if !strings.HasPrefix(r.URL.Path, operatorPath) {
+		_ = controller.SetWriteDeadline(time.Now().Add(probeTimeout))
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
 	s.mux.ServeHTTP(w, r)
 }
@@ -220,6 +230,30 @@
 // maxBodyBytes is the largest body of a call of an operator.
 const maxBodyBytes = 16 << 20
 
+const (
+	// operatorPath is the prefix of the paths of operators' calls.
+	operatorPath = "/operator/"
+	// bodyTimeout is how long the body of an operator's call may take to arrive, probeTimeout the time for a
+	// response to a health check or with metrics.
+	bodyTimeout  = time.Minute
+	probeTimeout = 30 * time.Second
+)
+
+// timedBody is a body that must arrive within bodyTimeout. The time does not apply to the handling of the call.
+type timedBody struct {
+	io.ReadCloser
+	controller *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.controller.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // readJSON decodes a JSON body of at most maxBodyBytes into v and rejects unknown fields.
 func readJSON(r *http.Request, v any) error {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
--- a/limpetd/budget/budget_test.go
+++ b/limpetd/budget/budget_test.go
@@ -145,8 +145,9 @@
 // TestVictimIsOldestHeader guards against closing connections that callers use or may use again.
 func TestVictimIsOldestHeader(t *testing.T) {
 	list := []budget.Connection{{Phase: budget.Active, Since: at(0)}, {Phase: budget.Idle, Since: at(0.5)}, {Phase: budget.Header, Since: at(2)}, {Phase: budget.Header, Since: at(1)}}
-	require.Equal(t, 3, budget.Victim(list, false, at(4)))
-	require.Equal(t, 1, budget.Victim(list, true, at(4)))
-	require.Equal(t, -1, budget.Victim(list[:2], false, at(4)))
-	require.Equal(t, -1, budget.Victim(list[3:], false, at(1.9)))
+	require.Equal(t, 3, budget.Victim(list, 0, at(4)))
+	require.Equal(t, 1, budget.Victim(list, time.Second, at(4)))
+	require.Equal(t, 3, budget.Victim(list, 4*time.Second, at(4)))
+	require.Equal(t, -1, budget.Victim(list[:2], 0, at(4)))
+	require.Equal(t, -1, budget.Victim(list[3:], 0, at(1.9)))
 }
--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -71,11 +71,11 @@
 
 // Victim returns the index of the connection that is closed for a new one when there are too many; -1 if
 // there is none, so that the new one waits. It is the one whose header has been arriving for the longest time, from
-// dropAge on. Idle connections, which callers may use again, are closed only where closeIdle says so.
-func Victim(list []Connection, closeIdle bool, now time.Time) int {
+// dropAge on. Idle connections, which callers may use again, are closed from an age of closeIdle on; 0 means never.
+func Victim(list []Connection, closeIdle time.Duration, now time.Time) int {
 	victim := -1
 	for i, c := range list {
-		droppable := c.Phase == Header && now.Sub(c.Since) >= dropAge || c.Phase == Idle && closeIdle
+		droppable := c.Phase == Header && now.Sub(c.Since) >= dropAge || c.Phase == Idle && closeIdle > 0 && now.Sub(c.Since) >= closeIdle
 		if droppable && (victim < 0 || c.Since.Before(list[victim].Since)) {
 			victim = i
 		}
--- a/limpetd/conf/conf.go
+++ b/limpetd/conf/conf.go
@@ -57,6 +57,9 @@
 	BatchKeep     time.Duration `name:"batch-keep" env:"LIMPETD_BATCH_KEEP" help:"How long an ended batch is kept, with its input and result; must be the same on all daemons." default:"168h"`
 	MaxBody       int64         `name:"max-body" env:"LIMPETD_MAX_BODY" help:"Maximum size of a request body in bytes." default:"4194304"`
 	BodyTimeout   time.Duration `name:"body-timeout" env:"LIMPETD_BODY_TIMEOUT" help:"Maximum time to receive a request body." default:"30s"`
+	MinBodyRate   int64         `name:"min-body-rate" env:"LIMPETD_MIN_BODY_RATE" help:"Minimum rate of a request body in bytes per second, over 5 s." default:"1024"`
+	MemoryMB      int           `name:"memory-mb" env:"LIMPETD_MEMORY_MB" help:"Memory limit of the process in MB, from which the limit of what it holds for callers is derived; 0 for none." default:"0"`
+	MaxFDs        int           `name:"max-fds" env:"LIMPETD_MAX_FDS" help:"Maximum number of open descriptors, from which the limit of connections of callers is derived; 0 for none." default:"0"`
 	EventCapacity int           `name:"event-capacity" env:"LIMPETD_EVENT_CAPACITY" help:"Number of events that the daemon keeps for the timeline." default:"8192"`
 	LogLevel      string        `name:"log-level" env:"LIMPETD_LOG_LEVEL" help:"Minimum level of log lines: debug, info, warn or error." default:"info"`
 }
@@ -195,6 +198,9 @@
 	k.require(c.BatchKeep >= MinBatchKeep && c.BatchKeep <= MaxBatchKeep, "batch-keep", c.BatchKeep,
 		fmt.Sprintf("%v to %v", MinBatchKeep, MaxBatchKeep))
 	k.require(c.BodyTimeout >= time.Second, "body-timeout", c.BodyTimeout, "at least 1s")
+	k.require(c.MinBodyRate >= 0, "min-body-rate", c.MinBodyRate, "0 or more; 0 for the default")
+	k.require(c.MemoryMB >= 0, "memory-mb", c.MemoryMB, "0 or more")
+	k.require(c.MaxFDs >= 0, "max-fds", c.MaxFDs, "0 or more")
 	k.require(c.MaxBody >= MinBodyBytes && c.MaxBody <= MaxBodyBytes, "max-body", c.MaxBody,
 		fmt.Sprintf("%d to %d bytes", MinBodyBytes, MaxBodyBytes))
 	k.require(c.EventCapacity >= 1 && c.EventCapacity <= 1<<20, "event-capacity", c.EventCapacity, "1 to 1048576")
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -183,8 +183,7 @@
 func New(ctx context.Context, d Deps, opts ...Option) *Front {
 	t, ctx := life.WithContext(ctx)
 	if d.Guard == nil {
-		d.Guard = guard.New(ctx, guard.Config{}, guard.Deps{})
-		t.Go(d.Guard.Wait)
+		d.Guard = guard.Unlimited()
 	}
 	f := &Front{tomb: t, deps: d, metrics: newMetrics(d.Scope), connects: newConnectTracker(d.Log), ends: newEndTracker(), origins: origin.NewTable(), crashesChanged: make(chan struct{}, 1), retriesLogged: map[string]time.Time{}, estimateLogged: map[string]time.Time{}}
 	if d.Contact == nil {
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -4,7 +4,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"mime"
 	"net/http"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/limpetlb/limpetlb/limpetd/abort"
+	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
@@ -55,6 +55,9 @@
 	proxied bool
 	// unframed reports whether the response has no length.
 	unframed bool
+	// bodyRead reports whether the body was read to its end, held is its memory.
+	bodyRead bool
+	held     int64
 }
 
 // callerHandler returns an HTTP handler for requests that need a caller's key.
@@ -122,46 +125,21 @@
 }
 
 // readBody reads the whole request body, of at most limit bytes and within
-// BodyTimeout. An error has code BodyTooLarge, SlowCaller or CallerGone.
+// BodyTimeout. An error has code BodyTooLarge, MemoryShort, SlowCaller or CallerGone.
 func (x *exchange) readBody(limit int64) ([]byte, error) {
-	if x.request.ContentLength > limit {
-		x.writer.Header().Set("Connection", "close")
-		return nil, bodyTooLarge(limit)
-	}
 	// The error is ignored: not every response writer supports deadlines, but
 	// that of http.Server does.
 	_ = x.controller.SetReadDeadline(time.Now().Add(x.gate.config.BodyTimeout))
-	body, err := x.readAll(limit)
-	_ = x.controller.SetReadDeadline(time.Time{})
-	if err == nil {
-		return body, nil
-	}
-	x.writer.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, bodyTooLarge(limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	body, err := x.gate.deps.Guard.ReadBody(x.writer, x.request, limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, code.Errorf(code.SlowCaller, "the body was not received within %s", x.gate.config.BodyTimeout)
 	}
-	return nil, code.WithRun(code.Errorf(code.CallerGone, "the body is incomplete"), code.RunNo)
-}
-
-// readAll reads the request body. With a Content-Length it allocates a buffer of
-// just that size.
-func (x *exchange) readAll(limit int64) ([]byte, error) {
-	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	if n := x.request.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(reader, body)
-		return body, err
+	if err != nil {
+		return nil, err
 	}
-	return io.ReadAll(reader)
-}
-
-// bodyTooLarge returns the error for a body of more than limit bytes.
-func bodyTooLarge(limit int64) error {
-	return code.Errorf(code.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
+	_ = x.controller.SetReadDeadline(time.Time{})
+	x.bodyRead, x.held = true, int64(cap(body))
+	return body, nil
 }
 
 // readJSONBody reads a request body whose content type is JSON.
@@ -251,6 +229,10 @@
 // connection.
 func (x *exchange) finish(err error) {
 	c := code.Of(err)
+	x.gate.deps.Guard.Release(budget.Waiting, x.held)
+	if !x.bodyRead && x.request.ContentLength != 0 {
+		guard.EndBody(x.writer)
+	}
 	if err != nil && !x.proxied {
 		x.writeError(err)
 	} else if x.headerWritten && !x.resultWritten {
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -16,6 +16,7 @@
 package gate
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,10 +29,12 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/batch"
+	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/claim"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 )
 
@@ -79,6 +82,10 @@
 	GenerationTimeout time.Duration
 }
 
+// closeIdle is the age from which an idle connection is closed for a new one, if there are too many.
+// Callers that use connections again seldom pause for so long.
+const closeIdle = 10 * time.Second
+
 // withDefaults returns c with defaults in place of zero values.
 func (c Config) withDefaults() Config {
 	if c.MaxHeaderBytes == 0 {
@@ -130,9 +137,11 @@
 	Claims    *claim.Claims
 	Batches   *batch.Manager
 	Ready     ReadyProvider
-	Log       *zap.Logger
-	Events    *event.Timeline
-	Scope     tally.Scope
+	// Guard bounds the memory and connections of callers; nil if there is no limit.
+	Guard  *guard.Guard
+	Log    *zap.Logger
+	Events *event.Timeline
+	Scope  tally.Scope
 }
 
 // Option configures a Gate.
@@ -160,6 +169,9 @@
 	if d.Log == nil {
 		d.Log = zap.NewNop()
 	}
+	if d.Guard == nil {
+		d.Guard = guard.Unlimited()
+	}
 	if d.Scope == nil {
 		d.Scope = tally.NoopScope
 	}
@@ -210,8 +222,11 @@
 // Server returns an HTTP server with the limits of the configuration.
 func (g *Gate) Server() *http.Server {
 	return &http.Server{
-		Handler:           g.mux,
-		ConnContext:       abort.ConnContext,
+		Handler:   g.mux,
+		ConnState: guard.ConnState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return abort.ConnContext(guard.ConnContext(ctx, c), c)
+		},
 		MaxHeaderBytes:    headerLimitFactor * g.config.MaxHeaderBytes,
 		ReadHeaderTimeout: g.config.HeaderTimeout,
 		IdleTimeout:       g.config.IdleTimeout,
@@ -220,9 +235,16 @@
 }
 
 // Listener returns a listener that accepts at most MaxConnections connections
-// of l at a time. Further connections wait to be accepted.
+// of l at a time, and at most as many as the Guard allows. One whose header is slow, or that
+// has been idle for long, is closed for a new one; other connections wait to be accepted.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	return newLimitListener(l, g.config.MaxConnections)
+	limit := g.config.MaxConnections
+	if n := g.deps.Guard.ConnectionLimit(); n > 0 {
+		limit = min(limit, n)
+	}
+	return g.deps.Guard.Door(l, guard.DoorConfig{Max: limit, CloseIdle: closeIdle, Timeouts: func() budget.Timeouts {
+		return budget.Timeouts{Header: g.config.HeaderTimeout, Idle: g.config.IdleTimeout}
+	}})
 }
 
 // InFlight returns the number of requests in flight, without health checks.
--- a/limpetd/guard/body.go
+++ b/limpetd/guard/body.go
@@ -172,7 +172,7 @@
 		g.metrics.refused.Inc(1)
 		return code.Errorf(code.MemoryShort, "the bodies of calls take the memory of %d bytes that memory_mb %d allows", g.account.Limit(), g.config.MemoryMB)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return code.Errorf(code.SlowCaller, "the body was not received in time")
+		return code.Errorf(code.SlowCaller, "the body was not received in time: %w", os.ErrDeadlineExceeded)
 	}
 	return code.WithRun(code.Errorf(code.CallerGone, "reading the request body: %w", err), code.RunNo)
 }
--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -18,8 +18,8 @@
 type DoorConfig struct {
 	// Max is the maximum number of open connections; 0 means no limit. Others wait to be accepted.
 	Max int
-	// CloseIdle is whether idle connections are closed for new ones.
-	CloseIdle bool
+	// CloseIdle is the age from which idle connections are closed for new ones; 0 means never.
+	CloseIdle time.Duration
 	// Timeouts returns the timeouts in force. It is nil if only the timeouts of the server apply.
 	Timeouts func() budget.Timeouts
 }
--- a/limpetd/guard/guard.go
+++ b/limpetd/guard/guard.go
@@ -86,6 +86,22 @@
 
 // New returns a Guard. Its goroutine runs until ctx ends.
 func New(ctx context.Context, c Config, d Deps) *Guard {
+	t, ctx := life.WithContext(ctx)
+	g := newGuard(c, d)
+	g.tomb = t
+	t.Go(func() error {
+		for life.Sleep(ctx, sweepPeriod) {
+			g.sweep(time.Now())
+		}
+		return nil
+	})
+	return g
+}
+
+// Unlimited returns a Guard that only keeps the account. It has no goroutine.
+func Unlimited() *Guard { return newGuard(Config{}, Deps{}) }
+
+func newGuard(c Config, d Deps) *Guard {
 	if d.Log == nil {
 		d.Log = zap.NewNop()
 	}
@@ -95,18 +111,10 @@
 	if c.MinBodyRate == 0 {
 		c.MinBodyRate = DefaultMinBodyRate
 	}
-	t, ctx := life.WithContext(ctx)
-	g := &Guard{
-		tomb: t, config: c, log: d.Log, metrics: newMetrics(d.Scope), account: budget.New(budget.Bytes(c.MemoryMB)),
+	return &Guard{
+		config: c, log: d.Log, metrics: newMetrics(d.Scope), account: budget.New(budget.Bytes(c.MemoryMB)),
 		parts: map[budget.ID]part{}, freed: make(chan struct{}), sweptAt: time.Now(),
 	}
-	t.Go(func() error {
-		for life.Sleep(ctx, sweepPeriod) {
-			g.sweep(time.Now())
-		}
-		return nil
-	})
-	return g
 }
 
 // Wait returns when the goroutine of the Guard has ended.
--- a/limpetd/main.go
+++ b/limpetd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -24,6 +25,10 @@
 	exitSettings = 2
 )
 
+// memoryLimitRatio is the ratio of the Go runtime's soft memory limit to the memory limit of
+// the process. The rest covers received bytes that have not been read.
+const memoryLimitRatio = 0.6
+
 func main() {
 	os.Exit(run())
 }
@@ -49,6 +54,9 @@
 	log := telem.NewLogger(os.Stderr, c.LogLevel)
 	defer func() { _ = log.Sync() }()
 
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(c.MemoryMB) * (1 << 20)))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	n, err := node.New(context.WithoutCancel(ctx), c, node.WithLogger(log))
--- a/limpetd/node/node.go
+++ b/limpetd/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/gate"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/keys"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/member"
@@ -80,6 +81,7 @@
 	relay                *relay.Relay
 	claims               *claim.Claims
 	batches              *batch.Manager
+	guard                *guard.Guard
 	gate                 *gate.Gate
 	orders               *order.Controller
 
@@ -219,8 +221,9 @@
 		Table: n.platform, OrderSender: n.engines, Documents: n.docs, VMs: n.members, VMAbsence: n.members, Reports: n.watch,
 		Remotes: n.reach, Demand: n.lateBound, Grants: sentClient{n}, Log: log, Events: events, Scope: scope,
 	})
+	n.guard = guard.New(ctx, guard.Config{MemoryMB: c.MemoryMB, MaxFDs: c.MaxFDs, MinBodyRate: c.MinBodyRate}, guard.Deps{Log: log, Scope: scope})
 	n.gate = gate.New(gate.Config{MaxBodyBytes: c.MaxBody, BodyTimeout: c.BodyTimeout}, gate.Deps{
-		Documents: n.docs, Relay: n.relay, Claims: n.claims, Batches: n.batches, Ready: n,
+		Documents: n.docs, Relay: n.relay, Claims: n.claims, Batches: n.batches, Ready: n, Guard: n.guard,
 		Log: log, Events: events, Scope: scope,
 	})
 	n.lateBound.bind(n.watch, n.queue, n.orders)
@@ -339,7 +342,7 @@
 func (n *Node) Wait() error {
 	err := n.tomb.Wait()
 	for _, w := range []waiter{
-		n.orders, n.batches, n.claims, n.queue, n.reach, n.watch, n.docs, n.members, n.peerServer, n.peers, n.callerKeys, n.peerKeys,
+		n.guard, n.orders, n.batches, n.claims, n.queue, n.reach, n.watch, n.docs, n.members, n.peerServer, n.peers, n.callerKeys, n.peerKeys,
 	} {
 		if e := w.Wait(); e != nil && !errors.Is(e, context.Canceled) {
 			err = errors.Join(err, e)
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -17,6 +17,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/docs"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/keys"
 	"github.com/limpetlb/limpetlb/limpetd/peer"
 	"github.com/limpetlb/limpetlb/limpetd/store"
@@ -26,6 +27,14 @@
 // operator's request.
 const operatorHeaderTimeout = 5 * time.Second
 
+// Limits of the connections of operators, health checks and metrics. The one that has been idle for
+// the longest time is closed for a new one.
+const (
+	operatorIdleTimeout = time.Minute
+	maxOperatorConns    = 64
+	operatorCloseIdle   = time.Second
+)
+
 // createClients loads the certificates and keys, and creates the clients of the
 // platform, the engines and the peers.
 func (n *Node) createClients(ctx context.Context) error {
@@ -78,12 +87,15 @@
 	o := operatorAPI{n}
 	n.startServer(ctx, &http.Server{
 		ReadHeaderTimeout: operatorHeaderTimeout,
+		IdleTimeout:       operatorIdleTimeout,
+		ConnState:         guard.ConnState,
+		ConnContext:       guard.ConnContext,
 		TLSConfig:         n.callerKeys.CallerServer(),
 		Handler: admin.New(admin.Deps{
 			Operators: operators, Applier: o, Status: o, Plan: o, Events: o, Drainer: o,
 			Probes: n.probeHandler(), Log: n.log, Timeline: n.events,
 		}),
-	}, n.listeners.operator)
+	}, n.guard.Door(n.listeners.operator, guard.DoorConfig{Max: maxOperatorConns, CloseIdle: operatorCloseIdle}))
 }
 
 // probeHandler returns the handler for health checks and metrics on the interface
