--- a/limpetd/claim/claim.go
+++ b/limpetd/claim/claim.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/random"
@@ -291,7 +292,7 @@
 		h.version--
 		return s.confirm(h), true, nil
 	case VerdictStored:
-		if found.Outcome == nil || found.Outcome.TooLong {
+		if found.Outcome == nil || found.Outcome.TooLong || !conns.ValidStatus(found.Outcome.Status) {
 			return Claimed{}, true, code.Errorf(code.ClaimNoAnswer, "request %s with this key ran, but its answer was not kept", found.Request)
 		}
 		return Claimed{Stored: found.Outcome}, true, nil
--- a/limpetd/claim/claim_test.go
+++ b/limpetd/claim/claim_test.go
@@ -128,6 +128,26 @@
 	})
 }
 
+// TestInvalidStatusIsNotAnswered guards against an answer with a status that is no HTTP status, which an earlier build has
+// kept, and which a repeat of the call would get.
+func TestInvalidStatusIsNotAnswered(t *testing.T) {
+	withDaemons(t, &fakes.Table{}, func(t *testing.T, daemons []*Claims) {
+		for i, status := range []int{0, 1, 42, 99, 100, 101, 600, 999, 200, 599} {
+			key := fmt.Sprint("k", i)
+			first, err := daemons[0].Claim(t.Context(), testCall(key))
+			require.NoError(t, err)
+			first.Hold.Close(t.Context(), Outcome{Status: status})
+			repeat, err := daemons[1].Claim(t.Context(), testCall(key))
+			if status == 200 || status == 599 {
+				require.NoError(t, err, status)
+				require.Equal(t, status, repeat.Stored.Status)
+				continue
+			}
+			require.Equal(t, code.ClaimNoAnswer, code.Of(err), status)
+		}
+	})
+}
+
 // TestLongAnswerIsNotKept checks that a repeat of a call whose answer exceeds the limit
 // is refused, as a call that ran.
 func TestLongAnswerIsNotKept(t *testing.T) {
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -201,9 +201,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response) {
 			continue
 		}
+		if err := CheckStatus(response); err != nil {
+			return nil, err
+		}
 		if r.Matches == nil || r.Matches(response.Header, c.reused) {
 			return response, nil
 		}
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -197,13 +197,17 @@
 		t.Release(serviceOutcome(ctx))
 		return nil, sent, r.serviceError(ctx, c, choice.VM, sent, err)
 	}
-	if answersOtherRequest(response, c.Admission.ID) {
+	err = conns.CheckStatus(response)
+	if err == nil && answersOtherRequest(response, c.Admission.ID) {
 		r.counts.answersCrossed.Inc(1)
+		err = errOtherRequest
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		r.services.transport.CloseIdleConnections()
 		cancel()
 		t.Release(admit.OutcomeFailed)
-		return nil, true, r.serviceError(ctx, c, choice.VM, true, errOtherRequest)
+		return nil, true, r.serviceError(ctx, c, choice.VM, true, err)
 	}
 	t.FirstToken()
 	body := &ticketBody{ReadCloser: response.Body, reader: conns.BodyReader(response), cancel: cancel, ticket: t, caller: ctx}
