budget, guard, platform, steer: Leave descriptors for servers and daemons

Callers could take half of the descriptors and their calls the other half, so that none was left for links, tunnels and the store. Callers now have 0.4, links 0.13 and tunnels 0.05 of them.

--- a/limpetd/budget/budget.go
+++ b/limpetd/budget/budget.go
@@ -184,10 +184,10 @@
 	var drop []ID
 	for need > 0 {
 		id, worst := a.worst(own, now, drop)
-		switch {
-		case worst == nil:
+		switch worst {
+		case nil:
 			return Decision{Verdict: Waits}
-		case worst == own:
+		case own:
 			return Decision{Verdict: Refused}
 		}
 		drop = append(drop, id)
--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -14,9 +14,13 @@
 	connectionShare = 0.5
 	// reservedFDs is the number of descriptors that are reserved for files.
 	reservedFDs = 200
-	// callerShare is the part of the other descriptors that connections of callers may use. The rest
-	// is for servers, of which each call uses one connection, for other daemons and for the store.
-	callerShare = 0.5
+	// callerShare is the part of the other descriptors that connections of callers may use. Their calls
+	// use as many connections to servers.
+	callerShare = 0.4
+	// linkShare and tunnelShare are the parts for links and tunnels of other daemons. Of 361 daemons, the
+	// lease holder has a link of each. A tunnel takes two descriptors. The rest is for the store.
+	linkShare   = 0.13
+	tunnelShare = 0.05
 	// minConnections is the number of connections that are accepted under any limits.
 	minConnections = 16
 )
@@ -27,10 +31,7 @@
 // ConnectionLimit returns how many connections of callers a process with limits for memory, in MB, and
 // descriptors may have; 0 of either means no limit, and so does the result.
 func ConnectionLimit(memoryMB, maxFDs int) int {
-	limit := 0
-	if maxFDs > 0 {
-		limit = max(int(callerShare*float64(maxFDs-reservedFDs)), minConnections)
-	}
+	limit := descriptors(callerShare, maxFDs)
 	if memoryMB > 0 {
 		byMemory := max(int(connectionShare*float64(Bytes(memoryMB))/ConnectionBytes), minConnections)
 		if limit == 0 || byMemory < limit {
@@ -40,6 +41,20 @@
 	return limit
 }
 
+// LinkLimit returns how many links of other daemons a process may have; 0 means no limit.
+func LinkLimit(maxFDs int) int { return descriptors(linkShare, maxFDs) }
+
+// TunnelLimit is LinkLimit for tunnels.
+func TunnelLimit(maxFDs int) int { return descriptors(tunnelShare/2, maxFDs) }
+
+// descriptors returns a share of the descriptors that are not reserved; 0 if there is no limit.
+func descriptors(share float64, maxFDs int) int {
+	if maxFDs <= 0 {
+		return 0
+	}
+	return max(int(share*float64(maxFDs-reservedFDs)), minConnections)
+}
+
 // Phase is what a connection does.
 type Phase int
 
@@ -61,6 +76,8 @@
 // Timeouts limit the phases of connections; 0 means no limit.
 type Timeouts struct {
 	Header, Idle time.Duration
+	// CloseIdle is the age from which idle connections are closed for new ones; 0 means never.
+	CloseIdle time.Duration
 }
 
 // Expired reports whether a connection is to be closed at a time.
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -242,8 +242,8 @@
 	if n := g.deps.Guard.ConnectionLimit(); n > 0 {
 		limit = min(limit, n)
 	}
-	return g.deps.Guard.Door(l, guard.DoorConfig{Max: limit, CloseIdle: closeIdle, Timeouts: func() budget.Timeouts {
-		return budget.Timeouts{Header: g.config.HeaderTimeout, Idle: g.config.IdleTimeout}
+	return g.deps.Guard.Door(l, guard.DoorConfig{Max: limit, Timeouts: func() budget.Timeouts {
+		return budget.Timeouts{Header: g.config.HeaderTimeout, Idle: g.config.IdleTimeout, CloseIdle: closeIdle}
 	}})
 }
 
--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -18,8 +18,6 @@
 type DoorConfig struct {
 	// Max is the maximum number of open connections; 0 means no limit. Others wait to be accepted.
 	Max int
-	// CloseIdle is the age from which idle connections are closed for new ones; 0 means never.
-	CloseIdle time.Duration
 	// Timeouts returns the timeouts in force. It is nil if only the timeouts of the server apply.
 	Timeouts func() budget.Timeouts
 }
@@ -96,7 +94,11 @@
 	for c := range d.conns {
 		list, conns = append(list, c.state), append(conns, c)
 	}
-	if i := budget.Victim(list, d.config.CloseIdle, now); i >= 0 {
+	var closeIdle time.Duration
+	if d.config.Timeouts != nil {
+		closeIdle = d.config.Timeouts().CloseIdle
+	}
+	if i := budget.Victim(list, closeIdle, now); i >= 0 {
 		return conns[i]
 	}
 	return nil
--- a/limpetd/guard/guard_test.go
+++ b/limpetd/guard/guard_test.go
@@ -165,7 +165,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status(idle))
 
-	address = startServer(t, g, guard.DoorConfig{Max: 1, CloseIdle: time.Millisecond})
+	address = startServer(t, g, guard.DoorConfig{Max: 1, Timeouts: func() budget.Timeouts { return budget.Timeouts{CloseIdle: time.Millisecond} }})
 	idle = dial(t, address, request)
 	require.Equal(t, http.StatusOK, status(idle))
 	require.Equal(t, http.StatusOK, status(dial(t, address, request)))
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -14,6 +14,7 @@
 	"goji.io/pat"
 
 	"github.com/limpetlb/limpetlb/limpetd/admin"
+	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/docs"
 	"github.com/limpetlb/limpetlb/limpetd/engine"
@@ -95,7 +96,7 @@
 			Operators: operators, Applier: o, Status: o, Plan: o, Events: o, Drainer: o,
 			Probes: n.probeHandler(), Log: n.log, Timeline: n.events,
 		}),
-	}, n.guard.Door(n.listeners.operator, guard.DoorConfig{Max: maxOperatorConns, CloseIdle: operatorCloseIdle}))
+	}, n.guard.Door(n.listeners.operator, guard.DoorConfig{Max: maxOperatorConns, Timeouts: func() budget.Timeouts { return budget.Timeouts{CloseIdle: operatorCloseIdle} }}))
 }
 
 // probeHandler returns the handler for health checks and metrics on the interface
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -37,6 +37,9 @@
 	maxMessageBytes  = 16 << 20
 	// maxHeadBytes bounds the headers of a call of another daemon, and of its response.
 	maxHeadBytes = 64 << 10
+	// maxStreams bounds the concurrent calls of another daemon: its link, and a request for each of its calls that
+	// waits for an engine.
+	maxStreams = 4096
 )
 
 // linkUserTimeout is the TCP_USER_TIMEOUT of accepted links, which gRPC sets to the timeout of its pings.
@@ -137,7 +140,7 @@
 
 // serveLinks accepts links at l until ctx ends.
 func serveLinks(ctx context.Context, l net.Listener, s linkServer) error {
-	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes), grpc.KeepaliveParams(linkKeepalive))
+	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes), grpc.KeepaliveParams(linkKeepalive), grpc.MaxConcurrentStreams(maxStreams))
 	description := grpc.ServiceDesc{
 		ServiceName: linkService,
 		HandlerType: (*linkServer)(nil),
