--- a/limpetd/steer/reserve.go
+++ b/limpetd/steer/reserve.go
@@ -16,7 +16,8 @@
 
 // Reserve requests time of an engine from the lease holder, which may be this daemon. It
 // returns an error if there is no link to a lease holder, if requests are paused after
-// failures, or if the lease holder does not answer within reserveTimeout.
+// failures, or if the lease holder does not answer within reserveTimeout. A request that charges a quota is not paused, and
+// waits for chargeTimeout.
 func (s *Controller) Reserve(ctx context.Context, a sched.ReservationRequest) (sched.Reservation, error) {
 	if s.IsLeaseHolder() {
 		return s.reserve(a), nil
@@ -24,10 +25,15 @@
 	s.mu.Lock()
 	conn, paused := s.holderConn, time.Now().Before(s.reserveAfter)
 	s.mu.Unlock()
+	timeout := reserveTimeout
+	if a.Charge > 0 {
+		// Without an answer, most calls of the organisation are refused.
+		timeout, paused = chargeTimeout, false
+	}
 	if conn == nil || paused {
 		return sched.Reservation{}, errNoHolder
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var g sched.Reservation
 	err := conn.Invoke(ctx, reservePath, &a, &g)
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -294,6 +294,9 @@
 	linkOpenTimeout = 500 * time.Millisecond
 	// reserveTimeout bounds a reservation request, some round trips.
 	reserveTimeout = 40 * time.Millisecond
+	// chargeTimeout bounds a request that charges a quota. It covers moments in which the lease holder plans or reads a
+	// configuration, and leaves half of the shortest usual expectation.
+	chargeTimeout = 200 * time.Millisecond
 	// maxReserveFailures is the number of consecutive unanswered reservation requests
 	// after which none are sent for reservePause.
 	maxReserveFailures = 2
