sched: Let refused callers return after the shortage

Under a shortage, callers were told to return when an engine's backlog had fallen, within some ten milliseconds. They now return after the time constant of the demand at the earliest. The test of messages of other builds sets the last field, since trailing zero fields are not sent.

--- a/limpetd/sched/reserve_test.go
+++ b/limpetd/sched/reserve_test.go
@@ -319,7 +319,7 @@
 // TestReservationRequestOfAnotherBuildIsRead guards against daemons of two builds that don't understand each other while
 // they are replaced: arrays with more or fewer fields are read.
 func TestReservationRequestOfAnotherBuildIsRead(t *testing.T) {
-	raw, err := msgpack.Marshal(sched.ReservationRequest{Service: "llm", Model: "m", Tokens: 7, Excluded: []string{"e1"}})
+	raw, err := msgpack.Marshal(sched.ReservationRequest{Service: "llm", Model: "m", Tokens: 7, Excluded: []string{"e1"}, Unconditional: true})
 	require.NoError(t, err)
 	var fields []any
 	require.NoError(t, msgpack.Unmarshal(raw, &fields))
--- a/limpetd/sched/retry_after.go
+++ b/limpetd/sched/retry_after.go
@@ -17,6 +17,8 @@
 	for _, w := range d.asked {
 		asked += w
 	}
+	// A shortage lasts for seconds. Callers that return earlier are late already, and are refused again.
+	at = max(at, demandWindow)
 	if excess := asked/d.granted - 1; excess > 0 {
 		at = max(at, time.Duration(min(excess*float64(demandWindow), float64(maxRetryAfter))))
 	}
