--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -288,57 +287,6 @@
 	}
 }
 
-// recordOutcome writes the log line of an ended call and updates the metrics.
-func (c *call) recordOutcome() {
-	m := c.front.metrics
-	now := time.Now()
-	o := &c.outcome
-	switch {
-	case o.result == code.OK:
-		m.served.Inc(1)
-		m.firstEvent.RecordDuration(c.firstAt.Sub(c.schedCall.Arrived))
-		m.total.RecordDuration(now.Sub(c.schedCall.Arrived))
-		m.maxPause.RecordDuration(c.maxPause)
-	case o.result == code.CallerGone:
-		m.callersGone.Inc(1)
-	case o.status == http.StatusServiceUnavailable, o.result == code.OverQuota:
-		m.refused.Inc(1)
-	default:
-		m.failed.Inc(1)
-	}
-	c.countOrganisation()
-	route := ""
-	if c.schedCall.Route != nil {
-		route = c.schedCall.Route.Name
-	}
-	fields := []zap.Field{
-		zap.String("request", c.info.ID), zap.String("route", route), zap.String("model", c.info.Model), zap.String("adapter", c.info.Adapter),
-		zap.Int("code", int(o.result)), zap.Int("status", o.status), zap.String("server", o.server),
-		zap.Int("sends", o.attempts), zap.Float64("load", math.Round(o.load*100)/100), zap.Duration("load_age", o.loadAge),
-		zap.Int("asks", o.asks), zap.Bool("granted", o.granted), zap.Duration("waited", o.waited), zap.Duration("took", now.Sub(c.schedCall.Arrived)),
-	}
-	if name := c.organisation(); name != "" {
-		fields = append(fields, zap.String("organisation", name))
-	}
-	if o.result == code.BadKey || o.result == code.OverQuota || o.result == code.QuotaUnknown {
-		fields = append(fields, zap.Int64("version", c.front.Config().Version))
-	}
-	if !c.firstAt.IsZero() {
-		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
-	}
-	if c.schedCall.TakesUp {
-		fields = append(fields, zap.String("resumes", c.info.Resumes), zap.String("software", c.schedCall.Software))
-	}
-	if o.via != "" {
-		fields = append(fields, zap.String("via", o.via), zap.String("tunnel", o.tunnel))
-	}
-	fields = append(fields, o.received.fields(o.received.readError)...)
-	if o.reason != "" {
-		fields = append(fields, zap.String("reason", o.reason))
-	}
-	c.front.deps.Log.Info("request_ended", fields...)
-}
-
 // formatSeconds formats a duration as seconds for the Retry-After header.
 func formatSeconds(d time.Duration) string {
 	return strconv.FormatFloat(max(d, 0).Seconds(), 'f', 3, 64)
