sched: Don't take answers of a busy engine for a lasting change of its pace

The answers of an engine take longer while it is busy. After a second of them, its pace was taken for changed, more of its time was reserved and calls were refused. A server whose reported figures state its speed shows such a change by itself.

--- a/limpetd/sched/pace.go
+++ b/limpetd/sched/pace.go
@@ -14,9 +14,11 @@
 	quickWeight = 0.3
 	// If all answers of changeTerm differ from the long-term pace by more than a factor of changeRatio, the pace has
 	// changed for long, and they count in it with quickWeight. Slow moments are shorter.
-	changeTerm   = time.Second
-	changeRatio  = 1.25
-	figureWeight = 0.02
+	changeTerm  = time.Second
+	changeRatio = 1.25
+	// speedTolerance is how far the usual figure of a server may be from 1 without stating its speed.
+	speedTolerance = 0.05
+	figureWeight   = 0.02
 	// A rejection raises the present pace by a factor of rejectionRaise, to at most maxRaise times the long-term one: the
 	// calls of a server that has no slot when one was expected to be free take longer than expected.
 	rejectionRaise = 1.1
@@ -75,7 +77,8 @@
 		p.changedSince = time.Time{}
 	case p.changedSince.IsZero():
 		p.changedSince = now
-	case now.Sub(p.changedSince) >= changeTerm:
+	case !p.statesSpeed() && now.Sub(p.changedSince) >= changeTerm:
+		// A server that states its speed shows such a change by itself, and its answers also take longer while it is busy.
 		weight = quickWeight
 	}
 	p.timed += max(weight, 1/float64(p.samples))*(ratio-p.timed) + paceAnchor*(1-p.timed)
@@ -83,6 +86,11 @@
 	p.timedAt = now
 }
 
+// statesSpeed reports whether the reported figures contain the usual speed of the server, and not only its changes.
+func (p *paceEstimate) statesSpeed() bool {
+	return p.figures > 0 && math.Abs(p.usual-1) > speedTolerance
+}
+
 // recordRejection raises the present pace after a rejection of a call that was granted.
 func (p *paceEstimate) recordRejection() {
 	p.quick = max(p.quick, min(rejectionRaise*p.quick, maxRaise*p.timed))
