--- a/limpetd/quota/fleet_test.go
+++ b/limpetd/quota/fleet_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package quota_test
 
 import (
