--- a/limpetd/sched/retry_after.go
+++ b/limpetd/sched/retry_after.go
@@ -6,9 +6,15 @@
 // delays.
 const maxRetryShare = 1.0 / 3
 
+// minReturn is the least time after which a caller that is refused under a shortage is told to return.
+const minReturn = demandWindow
+
 // capacityIn estimates when a model has capacity for a refused call: when an engine's backlog has fallen to maxWait or,
-// under a shortage, when the demand beyond what is granted is worked off.
+// under a shortage, when the demand beyond what is granted is worked off. It returns 0 if calls are not ordered by value.
 func (d *demand) capacityIn(wait, maxWait time.Duration) time.Duration {
+	if !d.ordered {
+		return 0
+	}
 	at := wait - maxWait
 	if !d.isShort() || d.granted <= 0 {
 		return at
@@ -18,7 +24,7 @@
 		asked += w
 	}
 	// A shortage lasts for seconds. Callers that return earlier are late already, and are refused again.
-	at = max(at, demandWindow)
+	at = max(at, minReturn)
 	if excess := asked/d.granted - 1; excess > 0 {
 		at = max(at, time.Duration(min(excess*float64(demandWindow), float64(maxRetryAfter))))
 	}
--- a/limpetd/sched/sched.go
+++ b/limpetd/sched/sched.go
@@ -36,6 +36,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// OrderByValue is whether calls are ordered by value per work under a shortage at all services, and not only at those
+	// whose servers report their pace.
+	OrderByValue bool
 	// ReserveSlots is whether the lease holder reserves the slots of plain servers for all daemons, where
 	// SharesSlots allows it.
 	ReserveSlots bool
--- a/limpetd/sched/sched_test.go
+++ b/limpetd/sched/sched_test.go
@@ -25,7 +25,7 @@
 }
 
 func newBalancer(servers ...*layout.Server) *sched.Balancer {
-	b := sched.NewBalancer(sched.Settings{DataCentre: "a", RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second}, random.Seeded(1, "sched"))
+	b := sched.NewBalancer(sched.Settings{DataCentre: "a", RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second, OrderByValue: true}, random.Seeded(1, "sched"))
 	b.SetServers(servers)
 	return b
 }
--- a/limpetd/sched/shortage.go
+++ b/limpetd/sched/shortage.go
@@ -32,6 +32,8 @@
 // demand is the recent demand for one model: decayed sums of prompt work.
 type demand struct {
 	at time.Time
+	// ordered is whether calls are ordered by value under a shortage.
+	ordered bool
 	// asked is the work of the calls that asked for the first time, by rank, the most valuable ones first.
 	asked [demandRanks]float64
 	// granted is the work of granted calls, refused that of calls without time to wait that were refused.
@@ -70,7 +72,7 @@
 }
 
 // isShort reports whether there is too little capacity: calls that can't wait were refused.
-func (d *demand) isShort() bool { return d.refused > minRefused*d.total }
+func (d *demand) isShort() bool { return d.ordered && d.refused > minRefused*d.total }
 
 // excess returns by how much the demand of a call's rank and of more valuable ones exceeds what is granted: 0 if all of
 // it can be granted, 1 for the least valuable calls.
@@ -130,6 +132,7 @@
 		b.demands[key] = d
 	}
 	d.decay(now)
+	d.ordered = b.settings.OrderByValue || b.paced[a.Service]
 	return d
 }
 
