sched: Keep the estimates of prefill times of services whose servers report no pace

The latest start, the least slope and the highest prefill share of the order by value now apply only with it.

--- a/limpetd/sched/prefill_share.go
+++ b/limpetd/sched/prefill_share.go
@@ -6,7 +6,9 @@
 	// lasting shortage, and the share then fell to its minimum for seconds.
 	initialShare = 0.9
 	minShare     = 0.7
-	maxShare     = 0.9
+	// The lower maximum applies where calls are ordered by value.
+	maxShare        = 1.0
+	maxOrderedShare = 0.9
 	// minEngineShare is the least share of a slow engine.
 	minEngineShare = 0.25
 	// shareDown and shareUp are the steps for a stream that paused too long and for a
@@ -41,7 +43,11 @@
 
 // add adjusts the prefill share of a service to streams that ended. paused is the number
 // of them that paused for too long.
-func (v prefillShares) add(service string, streams, paused int) {
+func (v prefillShares) add(service string, ordered bool, streams, paused int) {
 	share := v.of(service) + shareUp*float64(streams-paused) - shareDown*float64(paused)
-	v[service] = min(max(share, minShare), maxShare)
+	most := maxShare
+	if ordered {
+		most = maxOrderedShare
+	}
+	v[service] = min(max(share, minShare), most)
 }
--- a/limpetd/sched/prefill_speed.go
+++ b/limpetd/sched/prefill_speed.go
@@ -32,8 +32,10 @@
 	baseRise = 0.003
 	// minSlope and maxSlope limit the slope, as factors of the mean. With a minimum of 0.5, the estimate fell to two
 	// thirds of the truth under shortage, since prompts that engines prefill in one step take the same time.
-	minSlope = 0.85
-	maxSlope = 1.5
+	// The higher minimum applies where calls are ordered by value.
+	minSlope        = 0.5
+	minOrderedSlope = 0.85
+	maxSlope        = 1.5
 	// maxBaseShare limits the part of the mean size of prompts that the shortest sample may have had.
 	maxBaseShare = 0.4
 	// maxSample is the longest sample that is used: an engine that takes longer is unhealthy.
@@ -65,6 +67,8 @@
 	base float64
 	// baseTokens is the size of the prompt of that sample.
 	baseTokens float64
+	// ordered is whether calls of the service are ordered by value under a shortage.
+	ordered bool
 	// weight is the decayed number of samples.
 	weight float64
 	// tokens and took are decayed sums of the sizes and times of the samples, squares of
@@ -120,10 +124,15 @@
 		return prior
 	}
 	// The shortest sample includes the prefill of its own prompt.
-	mean := max(p.took-p.base*p.weight, 0) / (p.tokens - min(p.baseTokens*p.weight, maxBaseShare*p.tokens))
+	tokens, slope := p.tokens, minSlope
+	if p.ordered {
+		tokens -= min(p.baseTokens*p.weight, maxBaseShare*p.tokens)
+		slope = minOrderedSlope
+	}
+	mean := max(p.took-p.base*p.weight, 0) / tokens
 	fitted := mean
 	if spread := p.weight*p.squares - p.tokens*p.tokens; spread > 0 {
-		fitted = min(max((p.weight*p.products-p.tokens*p.took)/spread, minSlope*mean), maxSlope*mean)
+		fitted = min(max((p.weight*p.products-p.tokens*p.took)/spread, slope*mean), maxSlope*mean)
 	}
 	return (prior*priorWeight + fitted*p.weight) / (priorWeight + p.weight)
 }
@@ -138,6 +147,12 @@
 	return prefillSpeeds{services: map[string]*prefillFit{}, models: map[string]*prefillFit{}}
 }
 
+// setOrdered sets whether the calls of a sample's service are ordered by value.
+func (v *prefillSpeeds) setOrdered(s Sample, ordered bool) {
+	fitOf(v.services, s.Service).ordered = ordered
+	fitOf(v.models, s.Service+"/"+s.Model).ordered = ordered
+}
+
 // add adds a sample to the fits of its service and its model, unless the sample is invalid, too long or an outlier.
 func (v *prefillSpeeds) add(s Sample, now time.Time) {
 	if s.Took <= 0 || s.Took > maxSample || s.Tokens <= 0 {
--- a/limpetd/sched/prefill_speed_test.go
+++ b/limpetd/sched/prefill_speed_test.go
@@ -47,7 +47,7 @@
 func TestEstimateHoldsWhilePromptsShareSteps(t *testing.T) {
 	const truth, base = 50 * time.Microsecond, 15 * time.Millisecond
 	now := time.Unix(1000, 0)
-	b := NewBalancer(Settings{}, rand.New(rand.NewPCG(1, 1)))
+	b := NewBalancer(Settings{OrderByValue: true}, rand.New(rand.NewPCG(1, 1)))
 	for i := range 400 {
 		now = now.Add(50 * time.Millisecond)
 		tokens, together := 200+37*i%1600, 200+53*i%1600
--- a/limpetd/sched/reserve.go
+++ b/limpetd/sched/reserve.go
@@ -242,9 +242,9 @@
 // than MaxStartDelay and latestStart unless the call is already late. firstEvent is the time
 // from the start to the first event.
 func (a *ReservationRequest) maxWait(firstEvent time.Duration, d *demand) time.Duration {
-	latest := min(a.MaxStartDelay, a.latestStart(firstEvent))
-	if a.Resumes {
-		latest = a.MaxStartDelay
+	latest := a.MaxStartDelay
+	if d.ordered && !a.Resumes {
+		latest = min(latest, a.latestStart(firstEvent))
 	}
 	share := lateBacklog
 	switch {
@@ -286,7 +286,7 @@
 // RecordStreams records how many streams of a service ended, and how many of these paused for
 // too long.
 func (b *Balancer) RecordStreams(service string, streams, paused int) {
-	b.prefillShares.add(service, streams, paused)
+	b.prefillShares.add(service, b.ordersByValue(service), streams, paused)
 }
 
 // PrefillEstimate returns the time that engines of a service take to prefill one token, and the share of their time
@@ -303,6 +303,7 @@
 	}
 	s.Took = b.recordEngineTime(s, now)
 	b.recordDelay(s)
+	b.prefillSpeeds.setOrdered(s, b.ordersByValue(s.Service))
 	b.prefillSpeeds.add(s, now)
 }
 
--- a/limpetd/sched/shortage.go
+++ b/limpetd/sched/shortage.go
@@ -123,6 +123,12 @@
 	return least
 }
 
+// ordersByValue reports whether the calls of a service are ordered by value under a shortage. Services whose servers
+// report no pace are served as before.
+func (b *Balancer) ordersByValue(service string) bool {
+	return b.settings.OrderByValue || b.paced[service]
+}
+
 // demandOf returns the demand for a model, decayed to now.
 func (b *Balancer) demandOf(a *ReservationRequest, now time.Time) *demand {
 	key := modelKey{a.Service, a.Model}
@@ -132,7 +138,7 @@
 		b.demands[key] = d
 	}
 	d.decay(now)
-	d.ordered = b.settings.OrderByValue || b.paced[a.Service]
+	d.ordered = b.ordersByValue(a.Service)
 	return d
 }
 
