--- a/limpetlab/soak/retries_test.go
+++ b/limpetlab/soak/retries_test.go
@@ -21,16 +21,21 @@
 
 // startRunWithGrace starts daemons with a grace period in seconds; 0 means that of the stand-in.
 func startRunWithGrace(t *testing.T, daemons, engines, grace int) *run {
+	t.Helper()
+	return startRunWith(t, daemons, stand.Config{Engines: engines, GraceSeconds: grace})
+}
+
+// startRunWith starts daemons with a stand-in of some settings.
+func startRunWith(t *testing.T, daemons int, c stand.Config) *run {
 	t.Helper()
 	program, err := Build(t.Context(), t.TempDir())
 	require.NoError(t, err)
 	r := &run{
 		config: Config{Program: program, Directory: t.TempDir(), Seed: 1, Daemons: daemons}, random: rand.New(rand.NewPCG(1, 2)),
-		faults: map[string]int{}, serverLinks: map[string]*link.Link{}, grace: time.Duration(grace) * time.Second,
+		faults: map[string]int{}, serverLinks: map[string]*link.Link{}, grace: time.Duration(c.GraceSeconds) * time.Second,
 	}
-	r.platform, err = stand.New(t.Context(), stand.Config{
-		Engines: engines, Models: models, ModelsPerEngine: 3, PlainServers: plainServers, LoadTime: modelLoadTime, ProxyAddress: r.startStoppableLink, GraceSeconds: grace,
-	})
+	c.Models, c.ModelsPerEngine, c.PlainServers, c.LoadTime, c.ProxyAddress = models, 3, plainServers, modelLoadTime, r.startStoppableLink
+	r.platform, err = stand.New(t.Context(), c)
 	require.NoError(t, err)
 	require.NoError(t, r.start(t.Context()))
 	t.Cleanup(func() { require.NoError(t, r.stop()) })
