front: Keep streams that callers take up at the service that began them

Callers saw streams with events of two services. A call that takes up a stream has a new id, and a daemon picked its service by the route of that moment and that id. The service changed when the route had moved or its weights had changed, and with several weighted services at any time.

The recorded service goes before the route's choice.

--- a/limpetd/front/fixture_test.go
+++ b/limpetd/front/fixture_test.go
@@ -132,7 +132,10 @@
 	deps := front.Deps{Dialect: dialect{}, Pool: conns.New(t.Context()), Loader: fx.loader, Log: zap.New(core), Scope: tally.NoopScope}
 	change(&deps)
 	fx.front = front.New(t.Context(), deps, front.WithSettings(settings))
-	route.Host, route.Prefix, route.Targets = "127.0.0.1", "/r/", []layout.Target{{Service: "s", Weight: 1}}
+	route.Host, route.Prefix = "127.0.0.1", "/r/"
+	if route.Targets == nil {
+		route.Targets = []layout.Target{{Service: "s", Weight: 1}}
+	}
 	if route.Timeout == 0 {
 		route.Timeout = 10 * time.Second
 	}
--- a/limpetd/front/front.go
+++ b/limpetd/front/front.go
@@ -142,7 +142,9 @@
 	crashes  *crash.Ledger
 	// origins remembers at which software version streams began. services are the services that have
 	// been listed with servers.
-	origins  *origin.Table
+	origins *origin.Table
+	// moved are the routes that led to other services lately.
+	moved    movedRoutes
 	services []string
 	// endNoticed is whether this daemon has noticed an end since the observer was told last.
 	endNoticed bool
@@ -238,7 +240,13 @@
 		if old != nil && old.config.Version >= c.Version {
 			return false
 		}
-		if f.activeConfig.CompareAndSwap(old, newActiveConfig(c)) {
+		next := newActiveConfig(c)
+		if f.activeConfig.CompareAndSwap(old, next) {
+			if old != nil {
+				f.mu.Lock()
+				f.moved.record(old, next, time.Now())
+				f.mu.Unlock()
+			}
 			f.applyQuotas()
 			f.endWithdrawn()
 			f.notify()
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -239,16 +239,26 @@
 		deadline = min(deadline, route.Timeout)
 	}
 	c.schedCall.Route = route
-	c.schedCall.Service = pickService(route, c.info.ID)
-	c.delivery = sched.NewDelivery(c.schedCall.Service)
 	c.schedCall.Deadline = c.schedCall.Arrived.Add(deadline)
 	c.lastEvent = c.info.LastEvent
 	c.schedCall.TakesUp = c.takesUp()
-	if s := config.Services[c.schedCall.Service]; s != nil && s.Engines != nil {
+	c.setService(config, pickService(route, c.info.ID))
+}
+
+// setService sets the service of the call, and the values that only calls to engines have.
+func (c *call) setService(config *layout.Config, service string) {
+	if service == c.schedCall.Service {
+		return
+	}
+	c.schedCall.Service = service
+	c.delivery = sched.NewDelivery(service)
+	if s := config.Services[service]; s != nil && s.Engines != nil {
 		c.schedCall.Model, c.schedCall.Adapter = c.info.Model, c.info.Adapter
 		c.schedCall.PromptTokens, c.schedCall.OutputTokens = c.info.PromptTokens, c.info.OutputTokens
 		c.schedCall.Session = c.info.Session
+		return
 	}
+	c.schedCall.Model, c.schedCall.Adapter, c.schedCall.Session = "", "", 0
 }
 
 // serve attempts the call until it is answered or ended.
--- a/limpetd/front/origins.go
+++ b/limpetd/front/origins.go
@@ -98,16 +98,21 @@
 	return c.info.LastEvent != "" && c.schedCall.Route.Kind == layout.Stream && c.schedCall.Route.Resumable
 }
 
-// pinOrigin makes a call that takes up a stream go on only at the version that began it. It returns false if it
-// ended the call, because this daemon can't find out the version.
+// pinOrigin makes a call that takes up a stream go on only at the service and the version that began it. It returns
+// false if it ended the call, because this daemon can't find them out or the route leads to other services now.
 func (c *call) pinOrigin(ctx context.Context) bool {
 	if !c.schedCall.TakesUp {
 		return true
 	}
 	until := time.Now().Add(originWait)
 	for {
-		software, known := c.lookupOrigin(time.Now())
+		service, software, known := c.lookupOrigin(time.Now())
+		if known && !leadsTo(c.schedCall.Route, service) {
+			c.refuse(code.StreamVersion, originRetryAfter, "the route no longer leads to the service that began the stream")
+			return false
+		}
 		if known {
+			c.setService(c.front.Config(), service)
 			c.schedCall.Software, c.schedCall.PinsSoftware = software, true
 			return true
 		}
@@ -118,18 +123,22 @@
 	}
 }
 
-// lookupOrigin returns the version that began the stream which the call takes up. Without contact to the
+// lookupOrigin returns the service and the version that began the stream which the call takes up. Without contact to the
 // other daemons and the list of servers, another version may have begun it than this daemon knows of.
-func (c *call) lookupOrigin(now time.Time) (string, bool) {
+func (c *call) lookupOrigin(now time.Time) (service, software string, known bool) {
 	f := c.front
 	id := hash(c.info.Resumes)
 	contact := f.deps.Contact == nil || f.deps.Contact.HasContact()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !contact && !f.origins.Known(id) {
-		return "", false
+	if _, recorded := f.origins.Service(id); !contact && !recorded {
+		return "", "", false
+	}
+	if service, known = c.originService(now); !known {
+		return "", "", false
 	}
-	return f.origins.Lookup(c.schedCall.Service, id, now)
+	software, known = f.origins.Lookup(service, id, now)
+	return service, software, known
 }
 
 // runsEverywhere reports whether all engines of the service that take calls can go on with the stream of a call.
--- a/limpetd/origin/origin.go
+++ b/limpetd/origin/origin.go
@@ -180,10 +180,10 @@
 // Mixed reports whether a service had several versions within term.
 func (t *Table) Mixed(service string) bool { return t.mixed[service] }
 
-// Known reports whether a stream is recorded.
-func (t *Table) Known(id uint64) bool {
-	_, ok := t.software[id]
-	return ok
+// Service returns the service at which a stream began, and whether the stream is recorded.
+func (t *Table) Service(id uint64) (string, bool) {
+	k, ok := t.software[id]
+	return k.service, ok
 }
 
 // Facts carry records between tables. Times are sent as ages, because the clocks of VMs differ.
