--- a/limpetd/front/quota.go
+++ b/limpetd/front/quota.go
@@ -172,7 +172,7 @@
 		return c.takeShare(time.Now())
 	}
 	if g.Charged || g.Verdict == sched.OverQuota {
-		f.holdings.RecordAnswer(a.Organisation)
+		f.holdings.RecordAnswer(a.Organisation, time.Now())
 	}
 	return true
 }
--- a/limpetd/quota/daemon.go
+++ b/limpetd/quota/daemon.go
@@ -82,9 +82,9 @@
 }
 
 // RecordAnswer records that the lease holder has answered a call of an organisation.
-func (d *Daemon) RecordAnswer(organisation string) {
+func (d *Daemon) RecordAnswer(organisation string, now time.Time) {
 	if h := d.holdings[organisation]; h != nil {
-		h.share.Stop()
+		h.share.Stop(now)
 	}
 }
 
