--- a/limpetd/front/outcome.go
+++ b/limpetd/front/outcome.go
@@ -42,9 +42,7 @@
 	if name := c.organisation(); name != "" {
 		fields = append(fields, zap.String("organisation", name))
 	}
-	if o.result == code.BadKey || o.result == code.OverQuota || o.result == code.QuotaUnknown {
-		fields = append(fields, zap.Int64("version", c.front.Config().Version))
-	}
+	fields = append(fields, c.decisionFields(now)...)
 	if !c.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", c.firstAt.Sub(c.schedCall.Arrived)), zap.Duration("pause", c.maxPause))
 	}
@@ -60,3 +58,29 @@
 	}
 	c.front.deps.Log.Info("request_ended", fields...)
 }
+
+// decisionFields returns the log fields of a refusal for the caller's key or quota: the version of the configuration that
+// decided and, for a quota, whose credit and the time since the lease holder last answered a call of the organisation.
+func (c *call) decisionFields(now time.Time) []zap.Field {
+	result := c.outcome.result
+	if result != code.BadKey && result != code.OverQuota && result != code.QuotaUnknown {
+		return nil
+	}
+	fields := []zap.Field{zap.Int64("version", c.front.Config().Version)}
+	if result == code.BadKey {
+		return fields
+	}
+	credit := "lease_holder"
+	if result == code.QuotaUnknown {
+		credit = "share"
+	}
+	f := c.front
+	f.mu.Lock()
+	answeredAt := f.holdings.AnsweredAt(c.organisation())
+	f.mu.Unlock()
+	fields = append(fields, zap.String("credit", credit))
+	if !answeredAt.IsZero() {
+		fields = append(fields, zap.Duration("credit_age", now.Sub(answeredAt)))
+	}
+	return fields
+}
--- a/limpetd/front/quota_test.go
+++ b/limpetd/front/quota_test.go
@@ -220,3 +220,23 @@
 		require.Zero(t, l.charged)
 	}
 }
+
+// TestRefusalsShowWhoseCreditDecided guards against log lines from which nobody can tell whether the quota was used up or
+// the lease holder did not answer, and since when.
+func TestRefusalsShowWhoseCreditDecided(t *testing.T) {
+	fx, l := newQuotaFixture(t, plainRoute, sendEvent)
+	refusal := func(status int) map[string]any {
+		require.Eventually(t, func() bool { return fx.call(t, "single", "").StatusCode == status }, 5*time.Second, time.Millisecond)
+		lines := fx.logs.FilterMessage("request_ended").All()
+		return lines[len(lines)-1].ContextMap()
+	}
+	over := refusal(http.StatusTooManyRequests)
+	require.Equal(t, "lease_holder", over["credit"])
+	require.Less(t, over["credit_age"], time.Second)
+	l.down = true
+	time.Sleep(50 * time.Millisecond)
+	unknown := refusal(http.StatusServiceUnavailable)
+	require.Equal(t, "share", unknown["credit"])
+	require.GreaterOrEqual(t, unknown["credit_age"], 50*time.Millisecond)
+	require.EqualValues(t, 2, unknown["version"])
+}
--- a/limpetd/quota/daemon.go
+++ b/limpetd/quota/daemon.go
@@ -21,6 +21,8 @@
 	credit Credit
 	// used is what was used without the lease holder and is to be reported to it.
 	used float64
+	// answeredAt is when the lease holder last answered a call; zero if it never has.
+	answeredAt time.Time
 }
 
 // NewDaemon returns a Daemon without organisations, which uses no shares before SetDaemons.
@@ -85,9 +87,18 @@
 func (d *Daemon) RecordAnswer(organisation string, now time.Time) {
 	if h := d.holdings[organisation]; h != nil {
 		h.share.Stop(now)
+		h.answeredAt = now
 	}
 }
 
+// AnsweredAt returns when the lease holder last answered a call of an organisation; the zero time if it never has.
+func (d *Daemon) AnsweredAt(organisation string) time.Time {
+	if h := d.holdings[organisation]; h != nil {
+		return h.answeredAt
+	}
+	return time.Time{}
+}
+
 // TakeUse returns what was used without the lease holder since the last call, by organisation; nil if nothing was.
 func (d *Daemon) TakeUse() map[string]float64 {
 	var use map[string]float64
