steer: Plan for a fifth of the time at most

The lease holder of 76 daemons planned after each report with waiting calls and each answer to an order: hundreds of times a second, 4.4 ms each with 90 engines and 147 models (BenchmarkPlan). Events are now planned for together.

--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/limpetlb/limpetlb/limpetd/crash"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
 	"github.com/limpetlb/limpetlb/limpetd/origin"
@@ -250,3 +252,37 @@
 	}
 	return out
 }
+
+// publish passes the placement of engines to this daemon's router if they have changed.
+func (s *Controller) publish(p *planState) {
+	adapters, unloading := p.placement()
+	if maps.EqualFunc(adapters, p.adapters, slices.Equal[[]string]) && maps.EqualFunc(unloading, p.unloading, slices.Equal[[]string]) {
+		return
+	}
+	p.adapters, p.unloading = adapters, unloading
+	s.deps.Router.SetPlacement(toSets(adapters), toSets(unloading))
+}
+
+// broadcastUpdate sends an update to all daemons, and the load of all daemons to this
+// daemon's router.
+func (s *Controller) broadcastUpdate(p *planState, now time.Time) {
+	if !s.IsLeaseHolder() {
+		return
+	}
+	adapters, unloading := p.placement()
+	shared, leaving, limits := p.loads.sum(now), p.recentlyLeaving(now), s.deps.Router.Limits()
+	s.deps.Router.SetSharedLoad(shared)
+	s.deps.Router.SetLeading(true)
+	s.deps.Router.SetConnected(s.connectedFraction(now))
+	s.mu.Lock()
+	row, version := s.lease.Row(), s.lease.Version()
+	s.mu.Unlock()
+	encodeWithLoads := func(u stateUpdate) (encodedMessage, error) {
+		u.Loads, u.Leaving, u.Limits = shared, leaving, limits
+		u.Lease = leaseState{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Era: row.Era, Version: version}
+		return encode(u)
+	}
+	if err := s.broadcaster.broadcast(adapters, unloading, s.crashesSince, s.allOriginsSince, encodeWithLoads, now); err != nil {
+		s.deps.Log.Error("word_not_encoded", zap.Error(err))
+	}
+}
--- a/limpetd/steer/plan.go
+++ b/limpetd/steer/plan.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,8 +19,10 @@
 	defer ticker.Stop()
 	updates := time.NewTicker(updatePeriod)
 	defer updates.Stop()
-	// urgent fires when an update is due before the next one, because a server has ended.
-	var urgent <-chan time.Time
+	// urgent fires when an update is due before the next one, because a server has ended. due fires when the next plan
+	// may begin, if something has happened since the last one.
+	var urgent, due <-chan time.Time
+	var nextPlan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -44,6 +44,8 @@
 			apply(p)
 		case <-s.replan:
 		case <-ticker.C:
+		case <-due:
+			due = nil
 		case <-updates.C:
 			s.broadcastUpdate(p, time.Now())
 			continue
@@ -52,10 +54,25 @@
 			s.broadcastUpdate(p, time.Now())
 			continue
 		}
-		p = s.planOnce(ctx, p, time.Now())
+		begun := time.Now()
+		if wait := nextPlan.Sub(begun); wait > 0 {
+			if due == nil {
+				due = time.After(wait)
+			}
+			continue
+		}
+		p = s.planOnce(ctx, p, begun)
+		nextPlan = begun.Add(planInterval(time.Since(begun)))
 	}
 }
 
+// planInterval returns the least time from the start of a plan that took some time to the start of the next one. With 90
+// engines a plan takes some milliseconds, and calls that wait for adapters ask for hundreds of plans a second. Without a
+// pause, requests for reservations waited for 80 ms behind them.
+func planInterval(took time.Duration) time.Duration {
+	return took + min(time.Duration(float64(took)*(1/planShare-1)), maxPlanPause)
+}
+
 // urgentDelay returns the time from a report on the end of a server until the update that passes it on.
 func urgentDelay(links int) time.Duration {
 	return max(urgentUpdateDelay, time.Duration(links)*urgentUpdatePerLink)
@@ -358,37 +375,3 @@
 		p.demand.clearWaiting(modelKey{e.server.Service, o.Model, o.Adapter})
 	}
 }
-
-// publish passes the placement of engines to this daemon's router if they have changed.
-func (s *Controller) publish(p *planState) {
-	adapters, unloading := p.placement()
-	if maps.EqualFunc(adapters, p.adapters, slices.Equal[[]string]) && maps.EqualFunc(unloading, p.unloading, slices.Equal[[]string]) {
-		return
-	}
-	p.adapters, p.unloading = adapters, unloading
-	s.deps.Router.SetPlacement(toSets(adapters), toSets(unloading))
-}
-
-// broadcastUpdate sends an update to all daemons, and the load of all daemons to this
-// daemon's router.
-func (s *Controller) broadcastUpdate(p *planState, now time.Time) {
-	if !s.IsLeaseHolder() {
-		return
-	}
-	adapters, unloading := p.placement()
-	shared, leaving, limits := p.loads.sum(now), p.recentlyLeaving(now), s.deps.Router.Limits()
-	s.deps.Router.SetSharedLoad(shared)
-	s.deps.Router.SetLeading(true)
-	s.deps.Router.SetConnected(s.connectedFraction(now))
-	s.mu.Lock()
-	row, version := s.lease.Row(), s.lease.Version()
-	s.mu.Unlock()
-	encodeWithLoads := func(u stateUpdate) (encodedMessage, error) {
-		u.Loads, u.Leaving, u.Limits = shared, leaving, limits
-		u.Lease = leaseState{VM: row.VM, Instance: row.Instance, Fence: row.Fence, Era: row.Era, Version: version}
-		return encode(u)
-	}
-	if err := s.broadcaster.broadcast(adapters, unloading, s.crashesSince, s.allOriginsSince, encodeWithLoads, now); err != nil {
-		s.deps.Log.Error("word_not_encoded", zap.Error(err))
-	}
-}
--- a/limpetd/steer/plan_state_test.go
+++ b/limpetd/steer/plan_state_test.go
@@ -21,3 +21,13 @@
 		require.Equal(t, state == layout.Ready, engines[0].Alive)
 	}
 }
+
+// TestPlansTakeAPartOfTheTime guards against a lease holder that does nothing but plan, and against plans that are put off
+// for long.
+func TestPlansTakeAPartOfTheTime(t *testing.T) {
+	for took, want := range map[time.Duration]time.Duration{
+		0: 0, time.Millisecond: 5 * time.Millisecond, 10 * time.Millisecond: 50 * time.Millisecond, 100 * time.Millisecond: 150 * time.Millisecond,
+	} {
+		require.InDelta(t, want, planInterval(took), float64(time.Microsecond))
+	}
+}
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -270,6 +270,10 @@
 	storePollAge = 2 * time.Second
 	// planPeriod is the time between plans that no event triggers.
 	planPeriod = 250 * time.Millisecond
+	// planShare is the part of the time that plans may take while events trigger one after the other, maxPlanPause the
+	// longest pause between two of them.
+	planShare    = 0.2
+	maxPlanPause = 50 * time.Millisecond
 	// updatePeriod is the time between state updates from the lease holder to all
 	// daemons. Several of them fit in the time after which a daemon follows the store
 	// itself.
