sched: Take the figures that servers report for their pace

Paces were learned from the times of answers relative to the estimate of the service, and the figures used for moments only. Times vary with the load of an engine more than with its pace, so that even engines seemed uneven under shortage. Answers correct them only if they differ by more than a factor of 1.4, which shows that figures don't state how quick a server usually is. Moments don't change the usual figure.

--- a/limpetd/sched/pace.go
+++ b/limpetd/sched/pace.go
@@ -6,19 +6,22 @@
 )
 
 const (
-	// minPaceSamples is the number of timed answers of a server from which on they determine its pace.
+	// minPaceSamples is the number of timed answers from which on they determine the pace of a server that reports none.
 	minPaceSamples = 8
 	// timedWeight is the weight of the newest timed answer in the long-term pace, quickWeight in the present one, and
 	// figureWeight that of the newest reported figure in the usual figure.
 	timedWeight = 0.03
 	quickWeight = 0.3
-	// If all answers of changeTerm differ from the long-term pace by more than a factor of changeRatio, the pace has
-	// changed for long, and they count in it with quickWeight. Slow moments are shorter.
-	changeTerm  = time.Second
-	changeRatio = 1.25
-	// speedTolerance is how far the usual figure of a server may be from 1 without stating its speed.
-	speedTolerance = 0.05
-	figureWeight   = 0.02
+	// If all answers or figures of changeTerm differ from the long-term pace by more than a factor of changeRatio, the pace
+	// has changed for long: answers count in it with quickWeight, a figure replaces it. Slow moments are shorter.
+	changeTerm   = time.Second
+	changeRatio  = 1.25
+	figureWeight = 0.02
+	// If the answers of a server take longer or shorter than its figures say, by more than a factor of paceTolerance over
+	// minCorrectionSamples of them, the figures do not state how quick the server usually is. Answers of a busy server vary
+	// by less.
+	paceTolerance        = 1.4
+	minCorrectionSamples = 32
 	// A rejection raises the present pace by a factor of rejectionRaise, to at most maxRaise times the long-term one: the
 	// calls of a server that has no slot when one was expected to be free take longer than expected.
 	rejectionRaise = 1.1
@@ -44,16 +47,18 @@
 	meanPaceWeight = 0.02
 )
 
-// paceEstimate estimates how long work takes on a server, relative to the estimate of its service: from the figure that
-// the server reports and from timed answers. A figure is taken relative to the usual figure of the server, because timed
-// answers show how quick the server usually is.
+// paceEstimate estimates how long work takes on a server, relative to the estimate of its service: from the figures that
+// the server reports or, if it reports none, from timed answers. Answers are timed beside other prompts, so that the pace
+// that they show is that of the load too.
 type paceEstimate struct {
-	figure, usual float64
-	figures       int
-	figureAt      time.Time
-	timed, quick  float64
-	samples       int
-	timedAt       time.Time
+	// usual is the figure of the server apart from its slow moments, otherSince when the first of the figures arrived that
+	// differ from it; zero if the last one did not.
+	figure, usual        float64
+	figures              int
+	figureAt, otherSince time.Time
+	timed, quick         float64
+	samples              int
+	timedAt              time.Time
 	// changedSince is when the first of the answers arrived that differ from the long-term pace; zero if the last one did
 	// not.
 	changedSince time.Time
@@ -63,9 +68,22 @@
 func (p *paceEstimate) report(percent int, now time.Time) {
 	p.figure, p.figureAt = float64(percent)/usualPace, now
 	p.figures++
-	p.usual += max(figureWeight, 1/float64(p.figures)) * (p.figure - p.usual)
+	switch {
+	case p.figures == 1:
+		p.usual = p.figure
+	case isSimilar(p.figure, p.usual):
+		p.usual += figureWeight * (p.figure - p.usual)
+		p.otherSince = time.Time{}
+	case p.otherSince.IsZero():
+		p.otherSince = now
+	case now.Sub(p.otherSince) >= changeTerm:
+		p.usual, p.otherSince = p.figure, time.Time{}
+	}
 }
 
+// isSimilar reports whether two paces differ by changeRatio at most.
+func isSimilar(a, b float64) bool { return a <= changeRatio*b && b <= changeRatio*a }
+
 // add adds a timed answer, as a multiple of the time that the service takes.
 func (p *paceEstimate) add(ratio float64, now time.Time) {
 	ratio = min(max(ratio, minPace), maxPace)
@@ -73,12 +91,12 @@
 	p.samples++
 	weight := timedWeight
 	switch {
-	case ratio <= changeRatio*p.timed && p.timed <= changeRatio*ratio:
+	case isSimilar(ratio, p.timed):
 		p.changedSince = time.Time{}
 	case p.changedSince.IsZero():
 		p.changedSince = now
-	case !p.statesSpeed() && now.Sub(p.changedSince) >= changeTerm:
-		// A server that states its speed shows such a change by itself, and its answers also take longer while it is busy.
+	case (p.figures == 0 || p.correction() != 1) && now.Sub(p.changedSince) >= changeTerm:
+		// A server whose figures state its pace shows such a change by itself.
 		weight = quickWeight
 	}
 	p.timed += max(weight, 1/float64(p.samples))*(ratio-p.timed) + paceAnchor*(1-p.timed)
@@ -86,11 +104,6 @@
 	p.timedAt = now
 }
 
-// statesSpeed reports whether the reported figures contain the usual speed of the server, and not only its changes.
-func (p *paceEstimate) statesSpeed() bool {
-	return p.figures > 0 && math.Abs(p.usual-1) > speedTolerance
-}
-
 // recordRejection raises the present pace after a rejection of a call that was granted.
 func (p *paceEstimate) recordRejection() {
 	p.quick = max(p.quick, min(rejectionRaise*p.quick, maxRaise*p.timed))
@@ -98,26 +111,42 @@
 
 // long returns the long-term pace.
 func (p *paceEstimate) long() float64 {
-	switch {
-	case p.samples >= minPaceSamples:
-		return p.timed
-	case p.figures > 0:
-		return p.usual
+	if p.figures > 0 {
+		return p.usual * p.correction()
 	}
-	return 1
+	return p.correction()
+}
+
+// correction returns by how much longer the answers of a server take than its figures say, if the difference is more than
+// that of its load, or than those of its service, if it reports no figures.
+func (p *paceEstimate) correction() float64 {
+	if p.samples < minPaceSamples {
+		return 1
+	}
+	if isLoad := p.timed <= paceTolerance && p.timed >= 1/paceTolerance; p.figures > 0 && (isLoad || p.samples < minCorrectionSamples) {
+		return 1
+	}
+	return p.timed
 }
 
 // at returns the pace at a time.
 func (p *paceEstimate) at(now time.Time) float64 {
-	long, recent := p.long(), 1.0
-	if p.samples >= minPaceSamples {
+	recent := 1.0
+	if p.correction() != 1 {
 		recent += (p.quick/p.timed - 1) * ageWeight(now.Sub(p.timedAt), quickAge)
 	}
 	if p.figures > 0 {
-		w := ageWeight(now.Sub(p.figureAt), figureAge)
-		recent = w*p.figure/p.usual + (1-w)*recent
+		recent *= 1 + (p.figure/p.usual-1)*ageWeight(now.Sub(p.figureAt), figureAge)
+	}
+	return min(max(p.long()*recent, minPace), maxPace)
+}
+
+// reported returns the pace that the figures of a server state; 1 if it reports none.
+func (p *paceEstimate) reported(now time.Time) float64 {
+	if p.figures == 0 {
+		return 1
 	}
-	return min(max(long*recent, minPace), maxPace)
+	return p.usual + (p.figure-p.usual)*ageWeight(now.Sub(p.figureAt), figureAge)
 }
 
 // ageWeight returns the weight of what was observed some time ago, which falls to 1/e at the given age.
@@ -162,7 +191,7 @@
 		return sample.Took
 	}
 	if expected := b.prefillSpeeds.expected(sample); expected > 0 {
-		s.pace.add(float64(sample.Took)/expected, now)
+		s.pace.add(float64(sample.Took)/expected/s.pace.reported(now), now)
 	}
 	return time.Duration(float64(sample.Took) / b.notePace(s, now))
 }
--- a/limpetd/sched/shortage_load_test.go
+++ b/limpetd/sched/shortage_load_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -142,6 +143,8 @@
 	mix     string
 	daemons int
 	uneven  bool
+	// reports is whether engines report their pace.
+	reports bool
 	demand  float64
 	hasty   float64
 	// calls are the calls that were played, by arrival.
@@ -158,9 +161,20 @@
 	if r.uneven {
 		engines = "uneven"
 	}
+	if r.reports {
+		engines += "-reported"
+	}
 	return fmt.Sprintf("%s-%d-%s-%.1f", r.mix, r.daemons, engines, r.demand)
 }
 
+// figure returns the pace that an engine reports, in percent of the usual time; 0 if it reports none.
+func (r *loadRun) figure(e *loadEngine) int {
+	if !r.reports {
+		return 0
+	}
+	return int(math.Round(100 / e.pace))
+}
+
 // arrivals returns the calls of the mix at the run's part of the engines' capacity.
 func (r *loadRun) arrivals(random *rand.Rand) []*loadCall {
 	work, calls := 0.0, []*loadCall{}
@@ -222,7 +236,7 @@
 		}
 		b[p.from].RecordFirstEvent(p.to, p.call, 1, p.sent, at)
 		if p.alone {
-			b[0].RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: p.tokens, Took: at.Sub(p.sent)}, at)
+			b[0].RecordSample(sched.Sample{Service: "llm", Model: "m", Tokens: p.tokens, Took: at.Sub(p.sent), Server: p.to, Pace: r.figure(engines[p.to])}, at)
 		}
 	}
 	ended := func(p *loadTry, at time.Time) {
--- a/limpetd/sched/shortage_test.go
+++ b/limpetd/sched/shortage_test.go
@@ -103,7 +103,7 @@
 func (r *loadRun) measure(t *testing.T) (value, urgent float64, refused int, starved []int) {
 	t.Helper()
 	for seed := range uint64(2) {
-		*r = loadRun{mix: r.mix, daemons: r.daemons, uneven: r.uneven, demand: r.demand}
+		*r = loadRun{mix: r.mix, daemons: r.daemons, uneven: r.uneven, reports: r.reports, demand: r.demand}
 		r.play(seed)
 		line := ""
 		for p := range 3 {
@@ -125,17 +125,24 @@
 
 // TestShortage checks the bounds of docs/hard_load.md for callers of engines that have too little capacity. Without an
 // order by value and work, half of the urgent calls were late at 1.2 times the capacity.
-func TestShortage(t *testing.T) { checkShortage(t, false) }
+func TestShortage(t *testing.T) { checkShortage(t, false, false) }
 
 // TestShortageOfUnevenEngines checks the same for engines with paces of 0.6, 1.0 and 1.6.
-func TestShortageOfUnevenEngines(t *testing.T) { checkShortage(t, true) }
+func TestShortageOfUnevenEngines(t *testing.T) { checkShortage(t, true, false) }
 
-func checkShortage(t *testing.T, uneven bool) {
+// TestShortageOfReportedPaces checks the same for even engines that report their pace: what is learned of it must not make
+// them seem uneven.
+func TestShortageOfReportedPaces(t *testing.T) { checkShortage(t, false, true) }
+
+// TestShortageOfUnevenReportedPaces checks the same for uneven engines that report their pace.
+func TestShortageOfUnevenReportedPaces(t *testing.T) { checkShortage(t, true, true) }
+
+func checkShortage(t *testing.T, uneven, reports bool) {
 	t.Helper()
 	for _, mix := range []string{"kereste", "kervan"} {
 		for _, daemons := range []int{3, 58, 361} {
 			for _, demand := range []float64{0.8, 1.2, 2, 4} {
-				r := &loadRun{mix: mix, daemons: daemons, uneven: uneven, demand: demand}
+				r := &loadRun{mix: mix, daemons: daemons, uneven: uneven, reports: reports, demand: demand}
 				t.Run(r.String(), func(t *testing.T) {
 					t.Parallel()
 					value, urgent, refused, starved := r.measure(t)
--- a/limpetd/sched/slots.go
+++ b/limpetd/sched/slots.go
@@ -251,7 +251,7 @@
 	if sample.Took > 0 {
 		p, took := b.plain(sample.Service), float64(min(sample.Took, maxServiceTime))
 		if p.count > 0 {
-			s.pace.add(took/p.mean, now)
+			s.pace.add(took/p.mean/s.pace.reported(now), now)
 		}
 		p.count++
 		p.mean += max(serviceTimeWeight, 1/float64(p.count)) * (took/b.notePace(s, now) - p.mean)
