steer: Don't ask a silent lease holder for charges

While a data centre was cut off, each call of an organisation with a quota waited 200 ms for the lease holder before it used its daemon's share, for 1.5 s until the link was lost. Plain calls with an objective of 150 ms were late. A lease holder sends an update each 250 ms; after three missed ones, charges are not requested.

--- a/limpetd/steer/fixture_test.go
+++ b/limpetd/steer/fixture_test.go
@@ -164,8 +164,8 @@
 	used, charged map[string]float64
 	// samples counts the samples, paused the streams that had too long a pause.
 	samples, paused int
-	// freeze blocks reservations while it is locked.
-	freeze sync.Mutex
+	// freeze blocks reservations while it is locked, freezeUpdates the updates of the lease holder.
+	freeze, freezeUpdates sync.Mutex
 }
 
 func (l *fakeRouter) OwnLoad() map[string]sched.ServerLoad { return l.own }
@@ -248,6 +248,8 @@
 }
 
 func (l *fakeRouter) Limits() map[string]sched.Limit {
+	l.freezeUpdates.Lock()
+	defer l.freezeUpdates.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return maps.Clone(l.limits)
--- a/limpetd/steer/reserve.go
+++ b/limpetd/steer/reserve.go
@@ -17,18 +17,18 @@
 // Reserve requests time of an engine from the lease holder, which may be this daemon. It
 // returns an error if there is no link to a lease holder, if requests are paused after
 // failures, or if the lease holder does not answer within reserveTimeout. A request that charges a quota is not paused, and
-// waits for chargeTimeout.
+// waits for chargeTimeout, unless the lease holder has sent no update for silentHolder.
 func (s *Controller) Reserve(ctx context.Context, a sched.ReservationRequest) (sched.Reservation, error) {
 	if s.IsLeaseHolder() {
 		return s.reserve(a), nil
 	}
 	s.mu.Lock()
-	conn, paused := s.holderConn, time.Now().Before(s.reserveAfter)
+	conn, paused, silent := s.holderConn, time.Now().Before(s.reserveAfter), time.Since(s.lastUpdate) > silentHolder
 	s.mu.Unlock()
 	timeout := reserveTimeout
 	if a.Charge > 0 {
 		// Without an answer, most calls of the organisation are refused.
-		timeout, paused = chargeTimeout, false
+		timeout, paused = chargeTimeout, silent
 	}
 	if conn == nil || paused {
 		return sched.Reservation{}, errNoHolder
--- a/limpetd/steer/reserve_test.go
+++ b/limpetd/steer/reserve_test.go
@@ -52,4 +52,13 @@
 		require.Error(t, err)
 	}
 	require.Less(t, time.Since(begin), 400*time.Millisecond)
+	holder.router.freezeUpdates.Lock()
+	defer holder.router.freezeUpdates.Unlock()
+	time.Sleep(time.Second)
+	begin = time.Now()
+	for range 20 {
+		_, err := other.Reserve(t.Context(), sched.ReservationRequest{Organisation: "a", Charge: 1})
+		require.Error(t, err)
+	}
+	require.Less(t, time.Since(begin), 400*time.Millisecond, "charges don't wait for a lease holder that is silent")
 }
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -296,6 +296,9 @@
 	streamReportDelayPerDaemon = 2 * time.Millisecond
 	// linkOpenTimeout bounds the opening of a link, a few round trips.
 	linkOpenTimeout = 500 * time.Millisecond
+	// silentHolder is how long after its last update a lease holder counts as one that does not answer charges of quotas.
+	// Calls would otherwise wait for chargeTimeout each until the link is lost.
+	silentHolder = 3 * updatePeriod
 	// reserveTimeout bounds a reservation request, some round trips.
 	reserveTimeout = 40 * time.Millisecond
 	// chargeTimeout bounds a request that charges a quota. It covers moments in which the lease holder plans or reads a
