quota: Refuse calls that a share can never hold

A call that its caller declares to have 2^30 tokens was admitted with the small probability of the part of it that a share holds, and exceeded the quota then. Calls of more than a share can hold and MaxOverdraft are refused, as by the lease holder. Found by reading.

--- a/limpetd/quota/quota_test.go
+++ b/limpetd/quota/quota_test.go
@@ -141,6 +141,15 @@
 	require.Zero(t, take(60_200))
 }
 
+// TestShareAdmitsNoHugeCall guards against a single call that exceeds the quota, by the number of tokens that its caller
+// states.
+func TestShareAdmitsNoHugeCall(t *testing.T) {
+	var s quota.Share
+	require.False(t, s.Take(100, 1<<30, 0, after(1000)))
+	require.True(t, s.Take(100, 50, 0, after(1000)), "it uses nothing")
+	require.True(t, s.Take(100, quota.MaxOverdraft, 0, after(2000)))
+}
+
 // TestDaemonReportsUse guards against use of shares that the lease holder does not learn of, and against shares of
 // daemons that are not counted.
 func TestDaemonReportsUse(t *testing.T) {
--- a/limpetd/quota/share.go
+++ b/limpetd/quota/share.go
@@ -23,19 +23,24 @@
 //
 // With many daemons, the share of one is less than a call for seconds. A share that does not suffice is used up
 // nevertheless, and the call is admitted with the probability of the part of it that there is: all daemons together
-// admit what their shares add up to, and none has to save for a call that may not come.
+// admit what their shares add up to, and none has to save for a call that may not come. A call that exceeds what a share
+// can hold by more than MaxOverdraft is not admitted: one such call could exceed the quota.
 func (s *Share) Take(perSecond, charge, random float64, now time.Time) bool {
 	if !s.started {
 		s.started, s.filledAt = true, now
 		s.level = perSecond * min(now.Sub(s.stoppedAt), startTime).Seconds()
 	}
+	capacity := perSecond * shareTime.Seconds()
 	if d := now.Sub(s.filledAt); d > 0 {
-		s.level = max(s.level, min(s.level+d.Seconds()*perSecond, perSecond*shareTime.Seconds()))
+		s.level = max(s.level, min(s.level+d.Seconds()*perSecond, capacity))
 		s.filledAt = now
 	}
-	if s.level >= charge {
+	switch {
+	case s.level >= charge:
 		s.level -= charge
 		return true
+	case charge > capacity+MaxOverdraft:
+		return false
 	}
 	admitted := s.level > random*charge
 	s.level = min(s.level, 0)
