--- a/limpetd/lease/era_test.go
+++ b/limpetd/lease/era_test.go
@@ -156,9 +156,12 @@
 	} {
 		c := NewCandidate(Config{VM: "a", Instance: "a2", Term: time.Minute})
 		c.Observe(row, 1, now)
+		require.NotEqual(t, Acquire, c.Next(now), "unless it may")
+		c.SetInherits(true)
 		require.Equal(t, want, c.Next(now), "%+v", row)
 	}
 	restored := NewCandidate(Config{VM: "a", Instance: "a2", Term: time.Minute})
+	restored.SetInherits(true)
 	require.True(t, restored.EnterEra(1, now))
 	restored.Observe(Row{VM: "a", Instance: "a1", Fence: 4}, 1, now)
 	require.Equal(t, Wait, restored.Next(now), "another daemon may have taken the lease before the store was restored")
--- a/limpetd/lease/lease.go
+++ b/limpetd/lease/lease.go
@@ -5,7 +5,7 @@
 // takes the lease once it has seen the same version of the row for a whole term
 // on its own monotonic clock, so clocks of different VMs are never compared.
 //
-// A process that finds the lease with an earlier process of its own VM takes it at once.
+// A process that finds the lease with an earlier process of its own VM takes it at once if SetInherits allows it.
 //
 // Taking the lease raises the fencing number and rewrites the fence row, a row of
 // its own. Ledger writes are conditional on the version of the fence row, so the
@@ -148,6 +148,8 @@
 	trustedUntil time.Time
 	// fenceVersion is the version of the fence row as of this daemon's last write.
 	fenceVersion int64
+	// inherits is whether the lease of an earlier process of the VM is taken at once.
+	inherits bool
 }
 
 // NewCandidate returns the state machine of a candidate that has not read the lease
@@ -168,6 +170,9 @@
 	return true
 }
 
+// SetInherits sets whether this daemon takes the lease of an earlier process of its VM at once, instead of after a term.
+func (m *Candidate) SetInherits(inherits bool) { m.inherits = inherits }
+
 // Era returns the era of the store.
 func (m *Candidate) Era() int64 { return m.era }
 
@@ -208,7 +213,7 @@
 // isPredecessor reports whether the last observed row names an earlier process of this VM in the era of the store. A VM
 // runs one process at a time, so that process has ended, and its lease needs no term to expire.
 func (m *Candidate) isPredecessor() bool {
-	return m.config.VM != "" && m.row.VM == m.config.VM && m.row.Instance != m.config.Instance && m.row.Era == m.era
+	return m.inherits && m.config.VM != "" && m.row.VM == m.config.VM && m.row.Instance != m.config.Instance && m.row.Era == m.era
 }
 
 // Trusted reports whether this daemon trusts, at now, that it holds the lease.
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -144,6 +144,9 @@
 // SetServers sets the configuration and the servers that are known to run.
 func (s *Controller) SetServers(c *layout.Config, servers []*layout.Server) {
 	s.mu.Lock()
+	if c != s.config {
+		s.lease.SetInherits(hasQuotas(c))
+	}
 	s.config, s.servers = c, servers
 	s.mu.Unlock()
 	notify(s.replan)
--- a/limpetd/steer/link_era_test.go
+++ b/limpetd/steer/link_era_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -47,3 +48,14 @@
 	require.EqualValues(t, 4, s.lease.Version())
 	require.EqualValues(t, 3, s.lease.Era(), "the lease holder knows a later era than this daemon")
 }
+
+// TestLeaseOfPredecessorIsTakenAtOnceWithQuotas guards against a fleet that refuses the calls of its organisations for a
+// term after a restart, and against a changed election in deployments without quotas.
+func TestLeaseOfPredecessorIsTakenAtOnceWithQuotas(t *testing.T) {
+	for rate, want := range map[float64]lease.Action{0: lease.Wait, 100: lease.Acquire} {
+		s := &Controller{lease: lease.NewCandidate(lease.Config{VM: "vm", Instance: "vm-2", Term: time.Minute}), replan: make(chan struct{}, 1)}
+		s.SetServers(&layout.Config{Organisations: []*layout.Organisation{{Name: "a", Quota: layout.Quota{PerSecond: rate}}}}, nil)
+		s.lease.Observe(lease.Row{VM: "vm", Instance: "vm-1", Fence: 1}, 1, time.Now())
+		require.Equal(t, want, s.lease.Next(time.Now()), "%v a second", rate)
+	}
+}
--- a/limpetd/steer/quota.go
+++ b/limpetd/steer/quota.go
@@ -1,8 +1,10 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
+	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/quota"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
@@ -15,6 +17,12 @@
 	return s.deps.Router.Reserve(a)
 }
 
+// hasQuotas reports whether a configuration has quotas. Without a lease holder, most calls of their organisations are
+// refused, so that a restarted lease holder takes its lease again at once.
+func hasQuotas(c *layout.Config) bool {
+	return c != nil && slices.ContainsFunc(c.Organisations, func(o *layout.Organisation) bool { return o.Quota.Limited() })
+}
+
 // mayCharge reports whether this daemon may charge quotas: whether its lease is valid. A lease holder that goes on
 // without the store may have a successor, which charges too. The buckets are empty at the first charge of a lease.
 func (s *Controller) mayCharge() bool {
