--- a/limpetlab/soak/order_test.go
+++ b/limpetlab/soak/order_test.go
@@ -61,12 +61,12 @@
 		return true
 	}
 	r.Host = stand.Host
-	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "15000", "Model": s.model, "Token-Count": "100,20"} {
-		r.Header.Set(name, value)
-	}
+	last := ""
 	if s.last >= 0 {
-		r.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
-		r.Header.Set("Resumes", s.id)
+		last = strconv.Itoa(s.last)
+	}
+	for name, value := range stand.StreamHeaders(id, s.model, s.id, last) {
+		r.Header.Set(name, value)
 	}
 	abandon := time.AfterFunc(orderGap, cancel)
 	defer abandon.Stop()
