--- a/limpetlab/crowd/crowd_test.go
+++ b/limpetlab/crowd/crowd_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,9 +20,9 @@
 
 // The numbers of clients of a crowd.
 const (
-	// bodyCrowd clients hold more than memoryMB together if all of their bodies are kept.
+	// bodyCrowd clients hold more than the limit of memory together if all of their bodies are kept.
 	bodyCrowd = 300
-	// connCrowd clients hold more than maxFDs descriptors.
+	// connCrowd clients hold more than the limit of descriptors.
 	connCrowd = 500
 	// settleTime is how long a crowd stays before the ordinary request. What the kernel has accepted
 	// reaches the process in this time.
@@ -34,16 +34,21 @@
 )
 
 // startLimpetp starts the users' platform and limpetp, and returns its entry for callers of a route.
-func startLimpetp(t *testing.T, path, headers string) (*process, entry, *stand.Platform) {
+func startLimpetp(t *testing.T, l limits, path, headers string) (*process, entry, *stand.Platform) {
 	t.Helper()
 	w, err := stand.New(t.Context(), stand.Config{Engines: 2, Models: 2, ModelsPerEngine: 2})
 	require.NoError(t, err)
 	settings, front, ready, err := w.Settings("vm")
 	require.NoError(t, err)
-	settings = strings.Replace(settings, "memory_mb = 2000", fmt.Sprintf("memory_mb = %d\nmax_fds = %d", memoryMB, maxFDs), 1)
+	settings = strings.Replace(settings, "memory_mb = 2000", l.settings(), 1)
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
-	p := startProcess(t, build(t, "limpetp", "github.com/limpetlb/limpetlb/platform/limpetp"), []string{"LIMPETLB_BOOT=" + file}, nil)
+	p := startProcess(t, build(t, "limpetp", "github.com/limpetlb/limpetlb/platform/limpetp"), l, []string{"LIMPETLB_BOOT=" + file}, nil)
+	_, ports, _ := strings.Cut(settings, "port_range = [")
+	linkPort, _, _ := strings.Cut(ports, ",")
+	ip, _, err := net.SplitHostPort(front)
+	require.NoError(t, err)
+	p.linkAddress = net.JoinHostPort(ip, linkPort)
 	require.Eventually(t, func() bool { return stand.Ready(ready) }, startTimeout, 50*time.Millisecond)
 	e := entry{address: front, head: "POST " + path + "1 HTTP/1.1\r\nHost: " + stand.Host + "\r\nRequest-Id: {id}\r\n" + headers}
 	require.NoError(t, ask(t.Context(), e))
@@ -52,7 +57,7 @@
 
 // startLimpetd starts the environment of limpetd and limpetd, and returns its entry for callers of a
 // plain service.
-func startLimpetd(t *testing.T) (*process, entry) {
+func startLimpetd(t *testing.T, l limits) (*process, entry) {
 	t.Helper()
 	d := deploy.Andesoft()
 	d.DataCentres, d.ServiceVMs = d.DataCentres[:1], 1
@@ -62,7 +67,7 @@
 	var p *process
 	f := fleet.New(d, w, func(_ context.Context, c conf.Config) (fleet.Daemon, error) {
 		a := make(chan addresses, 1)
-		p = startProcess(t, build(t, "limpetd", "github.com/limpetlb/limpetlb/limpetd"), environment(c), func(text string) {
+		p = startProcess(t, build(t, "limpetd", "github.com/limpetlb/limpetlb/limpetd"), l, environment(c, l), func(text string) {
 			if strings.Contains(text, "daemon_started") {
 				a <- parseAddresses(text)
 			}
@@ -100,7 +105,7 @@
 func TestBodiesStayWithinMemory(t *testing.T) {
 	for _, crowd := range bodyPatterns {
 		t.Run(crowd.name, func(t *testing.T) {
-			p, e, _ := startLimpetp(t, stand.SafeRoute, "")
+			p, e, _ := startLimpetp(t, standardLimits, stand.SafeRoute, "")
 			runCrowd(t, p, e, e, crowd, bodyCrowd)
 		})
 	}
@@ -110,7 +115,7 @@
 func TestConnectionsStayWithinDescriptors(t *testing.T) {
 	for _, crowd := range connPatterns {
 		t.Run(crowd.name, func(t *testing.T) {
-			p, e, _ := startLimpetp(t, stand.SafeRoute, "")
+			p, e, _ := startLimpetp(t, standardLimits, stand.SafeRoute, "")
 			runCrowd(t, p, e, e, crowd, connCrowd)
 		})
 	}
@@ -118,7 +123,7 @@
 
 // TestUnreadStreamsFreeEngines guards against clients that hold engines by not reading their answers.
 func TestUnreadStreamsFreeEngines(t *testing.T) {
-	p, e, w := startLimpetp(t, stand.EngineRoute, "Model: "+stand.Model(0)+"\r\n")
+	p, e, w := startLimpetp(t, standardLimits, stand.EngineRoute, "Model: "+stand.Model(0)+"\r\n")
 	for _, engine := range w.Engines {
 		engine.EventPeriod, engine.EventCount = 0, unreadEvents
 	}
@@ -132,7 +137,7 @@
 func TestBodiesOfOwnInterfaceStayWithinMemory(t *testing.T) {
 	for _, crowd := range bodyPatterns {
 		t.Run(crowd.name, func(t *testing.T) {
-			p, e := startLimpetd(t)
+			p, e := startLimpetd(t, standardLimits)
 			runCrowd(t, p, e, e, crowd, bodyCrowd)
 		})
 	}
@@ -143,7 +148,7 @@
 func TestConnectionsOfOwnInterfaceStayWithinDescriptors(t *testing.T) {
 	for _, crowd := range connPatterns {
 		t.Run(crowd.name, func(t *testing.T) {
-			p, e := startLimpetd(t)
+			p, e := startLimpetd(t, standardLimits)
 			runCrowd(t, p, e, e, crowd, connCrowd)
 		})
 	}
--- a/limpetlab/crowd/daemon_test.go
+++ b/limpetlab/crowd/daemon_test.go
@@ -37,7 +37,7 @@
 func (d *daemon) Leave(context.Context) error { return d.process.command.Process.Kill() }
 
 // environment returns the environment variables for the settings in c, with the limits of the tests.
-func environment(c conf.Config) []string {
+func environment(c conf.Config, l limits) []string {
 	return []string{
 		"LIMPETD_VM=" + c.VM,
 		"LIMPETD_DATA_CENTRE=" + c.DataCentre,
@@ -56,7 +56,7 @@
 		"LIMPETD_PLAN_PERIOD=" + c.PlanPeriod.String(),
 		"LIMPETD_DRAIN_TIMEOUT=" + c.DrainTimeout.String(),
 		fmt.Sprint("LIMPETD_MAX_BODY=", bodyLimit),
-		fmt.Sprint("LIMPETD_MEMORY_MB=", memoryMB),
-		fmt.Sprint("LIMPETD_MAX_FDS=", maxFDs),
+		fmt.Sprint("LIMPETD_MEMORY_MB=", l.memoryMB),
+		fmt.Sprint("LIMPETD_MAX_FDS=", l.maxFDs),
 	}
 }
--- /dev/null
+++ b/limpetlab/crowd/link_test.go
@@ -0,0 +1,102 @@
+package crowd_test
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"golang.org/x/net/http2"
+
+	"github.com/limpetlb/limpetlb/platform/stand"
+)
+
+const (
+	// linkCrowd connections with linkMessages messages of linkMessage bytes each hold more than the limit of memory.
+	linkCrowd    = 20
+	linkMessages = 10
+	linkMessage  = 4 << 20
+)
+
+// message is the body of a gRPC message that stops before its last byte and stays open.
+type message struct {
+	ctx  context.Context
+	text io.Reader
+	sent func()
+}
+
+func newMessage(ctx context.Context, size int, sent func()) *message {
+	prefix := binary.BigEndian.AppendUint32([]byte{0}, uint32(size))
+	return &message{ctx: ctx, text: io.MultiReader(strings.NewReader(string(prefix)), strings.NewReader(strings.Repeat("x", size-1))), sent: sent}
+}
+
+// Read implements io.Reader.
+func (m *message) Read(p []byte) (int, error) {
+	n, err := m.text.Read(p)
+	if err != nil {
+		m.sent()
+		<-m.ctx.Done()
+		return n, m.ctx.Err()
+	}
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (m *message) Close() error {
+	m.sent()
+	return nil
+}
+
+// linkPattern returns the pattern of clients of the port for links that send gRPC messages without their last byte.
+func linkPattern(name, path string) pattern {
+	return pattern{name: name, send: func(ctx context.Context, c *client) {
+		transport := &http2.Transport{AllowHTTP: true, DialTLSContext: func(context.Context, string, string, *tls.Config) (net.Conn, error) { return c.conn, nil }}
+		conn, err := transport.NewClientConn(c.conn)
+		if err != nil {
+			return
+		}
+		var sent sync.WaitGroup
+		for range linkMessages {
+			sent.Add(1)
+			done := sync.OnceFunc(sent.Done)
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry.address+path, newMessage(ctx, linkMessage, done))
+			if err != nil {
+				done()
+				continue
+			}
+			r.Header.Set("Content-Type", "application/grpc+msgpack")
+			r.Header.Set("Te", "trailers")
+			go func() {
+				defer done()
+				if a, err := conn.RoundTrip(r); err == nil {
+					_, _ = io.Copy(io.Discard, a.Body)
+					_ = a.Body.Close()
+				}
+			}()
+		}
+		sent.Wait()
+	}}
+}
+
+// linkPatterns are the patterns of clients of the port for links.
+var linkPatterns = []pattern{
+	linkPattern("reports without their last byte", "/limpet.Steer/Link"),
+	linkPattern("reservations without their last byte", "/limpet.Steer/Reserve"),
+}
+
+// TestLinksStayWithinMemory guards against messages at the port for links whose memory is not bounded together.
+func TestLinksStayWithinMemory(t *testing.T) {
+	for _, crowd := range linkPatterns {
+		t.Run(crowd.name, func(t *testing.T) {
+			p, e, _ := startLimpetp(t, standardLimits, stand.SafeRoute, "")
+			links := e
+			links.address = p.linkAddress
+			runCrowd(t, p, links, e, crowd, linkCrowd)
+		})
+	}
+}
--- a/limpetlab/crowd/process_test.go
+++ b/limpetlab/crowd/process_test.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// memoryMB and maxFDs are the limits in the settings of a process.
-	memoryMB = 160
-	maxFDs   = 400
 	// startTimeout is how long a process may take until it answers requests.
 	startTimeout = 30 * time.Second
 	// answerTimeout is how long the ordinary request is tried, attemptTimeout how long one attempt may take.
@@ -61,10 +58,28 @@
 	return path
 }
 
+// limits are the limits in the settings of a process. A maxFDs of 0 means that the settings have none.
+type limits struct{ memoryMB, maxFDs int }
+
+// standardLimits are the limits of most tests.
+var standardLimits = limits{memoryMB: 160, maxFDs: 400}
+
+// settings returns the lines of a settings file.
+func (l limits) settings() string {
+	text := fmt.Sprintf("memory_mb = %d", l.memoryMB)
+	if l.maxFDs > 0 {
+		text += fmt.Sprintf("\nmax_fds = %d", l.maxFDs)
+	}
+	return text
+}
+
 // process is a program that runs under test.
 type process struct {
 	command *exec.Cmd
+	limits  limits
 	ended   chan struct{}
+	// linkAddress is the address for links of other daemons, empty for limpetd.
+	linkAddress string
 	// mu guards peakFDs, the largest number of open descriptors that was counted.
 	mu      sync.Mutex
 	peakFDs int
@@ -72,9 +87,9 @@
 
 // startProcess starts a program with additional environment variables. line is called with each line
 // of its standard output and error.
-func startProcess(t *testing.T, program string, env []string, line func(text string)) *process {
+func startProcess(t *testing.T, program string, l limits, env []string, line func(text string)) *process {
 	t.Helper()
-	p := &process{command: exec.Command(program), ended: make(chan struct{})}
+	p := &process{command: exec.Command(program), limits: l, ended: make(chan struct{})}
 	p.command.Env = append(os.Environ(), env...)
 	r, w, err := os.Pipe()
 	require.NoError(t, err)
@@ -156,9 +171,11 @@
 	fds := p.peakFDs
 	p.mu.Unlock()
 	load, _ := os.ReadFile("/proc/loadavg")
-	t.Logf("peak memory %d of %d MB, descriptors %d of %d, load %s", peak, memoryMB, fds, maxFDs, strings.TrimSpace(string(load)))
-	require.Less(t, peak, memoryMB, "peak memory in MB")
-	require.Less(t, fds, maxFDs, "open descriptors")
+	t.Logf("peak memory %d of %d MB, descriptors %d of %d, load %s", peak, p.limits.memoryMB, fds, p.limits.maxFDs, strings.TrimSpace(string(load)))
+	require.Less(t, peak, p.limits.memoryMB, "peak memory in MB")
+	if p.limits.maxFDs > 0 {
+		require.Less(t, fds, p.limits.maxFDs, "open descriptors")
+	}
 }
 
 // ask sends an ordinary request until it is answered with 200: again after a status that permits it,
