--- a/limpetlab/crowd/daemon_test.go
+++ b/limpetlab/crowd/daemon_test.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/limpetlb/limpetlb/limpetd/conf"
+	"github.com/limpetlb/limpetlb/limpetlab/crowd"
 	"github.com/limpetlb/limpetlb/limpetlab/fleet"
 )
 
@@ -55,7 +56,7 @@
 		"LIMPETD_LEASE_TERM=" + c.LeaseTerm.String(),
 		"LIMPETD_PLAN_PERIOD=" + c.PlanPeriod.String(),
 		"LIMPETD_DRAIN_TIMEOUT=" + c.DrainTimeout.String(),
-		fmt.Sprint("LIMPETD_MAX_BODY=", bodyLimit),
+		fmt.Sprint("LIMPETD_MAX_BODY=", crowd.BodyLimit),
 		fmt.Sprint("LIMPETD_MEMORY_MB=", l.memoryMB),
 		fmt.Sprint("LIMPETD_MAX_FDS=", l.maxFDs),
 	}
--- a/limpetlab/crowd/link_test.go
+++ b/limpetlab/crowd/link_test.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/net/http2"
 
+	"github.com/limpetlb/limpetlb/limpetlab/crowd"
 	"github.com/limpetlb/limpetlb/platform/stand"
 )
 
@@ -53,10 +54,10 @@
 }
 
 // linkPattern returns the pattern of clients of the port for links that send gRPC messages without their last byte.
-func linkPattern(name, path string) pattern {
-	return pattern{name: name, send: func(ctx context.Context, c *client) {
-		transport := &http2.Transport{AllowHTTP: true, DialTLSContext: func(context.Context, string, string, *tls.Config) (net.Conn, error) { return c.conn, nil }}
-		conn, err := transport.NewClientConn(c.conn)
+func linkPattern(name, path string) crowd.Pattern {
+	return crowd.Pattern{Name: name, Send: func(ctx context.Context, c *crowd.Client) {
+		transport := &http2.Transport{AllowHTTP: true, DialTLSContext: func(context.Context, string, string, *tls.Config) (net.Conn, error) { return c.Conn, nil }}
+		conn, err := transport.NewClientConn(c.Conn)
 		if err != nil {
 			return
 		}
@@ -64,7 +65,7 @@
 		for range linkMessages {
 			sent.Add(1)
 			done := sync.OnceFunc(sent.Done)
-			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry.address+path, newMessage(ctx, linkMessage, done))
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Entry.Address+path, newMessage(ctx, linkMessage, done))
 			if err != nil {
 				done()
 				continue
@@ -84,19 +85,19 @@
 }
 
 // linkPatterns are the patterns of clients of the port for links.
-var linkPatterns = []pattern{
+var linkPatterns = []crowd.Pattern{
 	linkPattern("reports without their last byte", "/limpet.Steer/Link"),
 	linkPattern("reservations without their last byte", "/limpet.Steer/Reserve"),
 }
 
 // TestLinksStayWithinMemory guards against messages at the port for links whose memory is not bounded together.
 func TestLinksStayWithinMemory(t *testing.T) {
-	for _, crowd := range linkPatterns {
-		t.Run(crowd.name, func(t *testing.T) {
+	for _, clients := range linkPatterns {
+		t.Run(clients.Name, func(t *testing.T) {
 			p, e, _ := startLimpetp(t, standardLimits, stand.SafeRoute, "")
 			links := e
-			links.address = p.linkAddress
-			runCrowd(t, p, links, e, crowd, linkCrowd)
+			links.Address = p.linkAddress
+			runCrowd(t, p, links, e, clients, linkCrowd)
 		})
 	}
 }
--- a/limpetlab/crowd/process_test.go
+++ b/limpetlab/crowd/process_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetlab/crowd"
 )
 
 const (
@@ -78,8 +80,10 @@
 	command *exec.Cmd
 	limits  limits
 	ended   chan struct{}
-	// linkAddress is the address for links of other daemons, empty for limpetd.
-	linkAddress string
+	// linkAddress, tunnelAddress and readyAddress are addresses of limpetp, operatorAddress and peerAddress those of
+	// limpetd.
+	linkAddress, tunnelAddress, readyAddress string
+	operatorAddress, peerAddress             string
 	// mu guards peakFDs, the largest number of open descriptors that was counted.
 	mu      sync.Mutex
 	peakFDs int
@@ -180,7 +184,7 @@
 
 // ask sends an ordinary request until it is answered with 200: again after a status that permits it,
 // and after a closed connection. It returns an error if answerTimeout passes first.
-func ask(ctx context.Context, e entry) error {
+func ask(ctx context.Context, e crowd.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	for n := 0; ; n++ {
@@ -197,16 +201,16 @@
 }
 
 // askOnce sends an ordinary request once. If it fails, it returns when the caller may retry.
-func askOnce(ctx context.Context, e entry, n int) (time.Duration, error) {
+func askOnce(ctx context.Context, e crowd.Entry, n int) (time.Duration, error) {
 	const retryAfter = 100 * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	text := strings.ReplaceAll(e.head, "{id}", fmt.Sprint("ask-", n)) + "Connection: close\r\nContent-Length: 4\r\n\r\nbody"
+	text := strings.ReplaceAll(e.Head, "{id}", fmt.Sprint("ask-", n)) + "Connection: close\r\nContent-Length: 4\r\n\r\nbody"
 	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 	if err != nil {
 		return 0, err
 	}
-	request.URL.Scheme, request.URL.Host, request.RequestURI = "http", e.address, ""
+	request.URL.Scheme, request.URL.Host, request.RequestURI = "http", e.Address, ""
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return retryAfter, err
