guard: Charge headers by their lines before they are parsed

Callers lost a daemon to clients inside the header limit: a parsed header takes about 128 bytes for each of its lines beside its bytes, up to 28 times what was sent, and the account charged bytes. Headers over the limit were parsed up to 64 KiB, whatever the configuration says, before they were refused.

The listener counts the lines of a header as its bytes arrive, and charges them before net/http parses them. It answers a header that exceeds the configured limit by more than 4 KiB itself, with the status and code of the handler. The next header is never read together with an announced body, and is charged as it is read ahead otherwise. A body's header and the state of its call count when the largest holder is chosen, and become free for others when the call has ended, not when its body is dropped; the header of a refused call is not kept while its connection closes.

The test of gate expected a 431 without a code, because net/http refused such headers. It now expects the code, the run state and the request id, like all refusals.

--- a/limpetd/budget/budget.go
+++ b/limpetd/budget/budget.go
@@ -32,6 +32,8 @@
 	Reading
 	// Waiting are the bodies of calls that wait for a server or for its response.
 	Waiting
+	// Calls is what calls take beside their headers and bodies, from the end of the header to the end of the response.
+	Calls
 	// Responses are responses that are buffered.
 	Responses
 	// Streams are the buffers of streams, which are full while their callers read slowly.
@@ -39,7 +41,7 @@
 	kinds
 )
 
-var kindNames = [kinds]string{"connections", "headers", "reading", "waiting", "responses", "streams"}
+var kindNames = [kinds]string{"connections", "headers", "reading", "waiting", "calls", "responses", "streams"}
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string { return kindNames[k] }
@@ -78,8 +80,8 @@
 	// known is whether its size was announced.
 	known bool
 	began time.Time
-	// held is the memory that it holds.
-	held int64
+	// held is the memory that it holds. attached is charged elsewhere, and becomes free with it.
+	held, attached int64
 	// windowAt is when the window began over which its rate is measured, windowBytes what arrived since.
 	windowAt    time.Time
 	windowBytes int64
@@ -95,7 +97,8 @@
 	Refused
 )
 
-// Decision is the answer to Ask. Drop are those that are dropped for it: the caller ends them.
+// Decision is the answer to Ask. Drop are those that are dropped for it, whatever the verdict: the caller ends them, and
+// calls Left when what is attached to them is free.
 type Decision struct {
 	Verdict Verdict
 	Drop    []ID
@@ -107,6 +110,8 @@
 	used       [kinds]int64
 	total      int64
 	incomplete map[ID]*Incomplete
+	// leaving is the part of total that becomes free soon, because what it is attached to was dropped.
+	leaving int64
 	// spare are Incompletes that ended, so that an ordinary body allocates none.
 	spare []*Incomplete
 }
@@ -162,6 +167,14 @@
 	}
 }
 
+// Attach records that n bytes that are charged elsewhere become free when a body or header is dropped, as the header of
+// a body does.
+func (a *Account) Attach(id ID, n int64) {
+	if i := a.incomplete[id]; i != nil {
+		i.attached = n
+	}
+}
+
 // Arrive records that n bytes of a body or header have arrived.
 func (a *Account) Arrive(id ID, n int64) {
 	if i := a.incomplete[id]; i != nil {
@@ -180,7 +193,7 @@
 		a.hold(own, n)
 		return Decision{}
 	}
-	need := a.total + n - a.limitOf(own, n)
+	need := a.total - a.leaving + n - a.limitOf(own, n)
 	var drop []ID
 	for need > 0 {
 		id, worst := a.worst(own, now, drop)
@@ -191,15 +204,22 @@
 			return Decision{Verdict: Refused}
 		}
 		drop = append(drop, id)
-		need -= worst.held
+		need -= worst.held + worst.attached
 	}
 	for _, d := range drop {
+		a.leaving += a.incomplete[d].attached
 		a.End(d)
 	}
+	if a.total+n > a.limitOf(own, n) {
+		return Decision{Verdict: Waits, Drop: drop}
+	}
 	a.hold(own, n)
 	return Decision{Drop: drop}
 }
 
+// Left records that n bytes that were attached to something that was dropped are free.
+func (a *Account) Left(n int64) { a.leaving -= n }
+
 // hold charges n bytes to a body or header.
 func (a *Account) hold(i *Incomplete, n int64) {
 	i.held += n
@@ -225,7 +245,7 @@
 		worst = own
 	}
 	for other, i := range a.incomplete {
-		if i == own || i.held == 0 || now.Sub(i.began) < dropAge || contains(except, other) {
+		if i == own || i.held+i.attached == 0 || now.Sub(i.began) < dropAge || contains(except, other) {
 			continue
 		}
 		if w := i.weight(now); w > most {
@@ -237,7 +257,7 @@
 
 // weight returns the byte seconds that it has held: the larger and the slower it is, the more.
 func (i *Incomplete) weight(now time.Time) float64 {
-	w := float64(i.held) * now.Sub(i.began).Seconds()
+	w := float64(i.held+i.attached) * now.Sub(i.began).Seconds()
 	if !i.known {
 		w *= unknownFactor
 	}
--- a/limpetd/budget/budget_test.go
+++ b/limpetd/budget/budget_test.go
@@ -157,3 +157,37 @@
 	require.Equal(t, -1, budget.Victim(list[:2], 0, at(4)))
 	require.Equal(t, -1, budget.Victim(list[3:], 0, at(1.9)))
 }
+
+// TestDroppedMemoryIsUsedWhenItIsFree guards against admitting a body for one whose header is still held.
+func TestDroppedMemoryIsUsedWhenItIsFree(t *testing.T) {
+	a := budget.New(8 * mib)
+	body(t, a, 1, mib, true, 0)
+	a.Charge(budget.Headers, 6*mib)
+	a.Attach(1, 6*mib)
+	a.Begin(2, budget.Reading, true, at(2))
+	require.Equal(t, budget.Decision{Verdict: budget.Waits, Drop: []budget.ID{1}}, a.Ask(2, 2*mib, at(2)))
+	require.Equal(t, budget.Decision{Verdict: budget.Waits}, a.Ask(2, 2*mib, at(2)), "nothing else is dropped for it")
+	a.Charge(budget.Headers, -6*mib)
+	a.Left(6 * mib)
+	require.Equal(t, budget.Decision{}, a.Ask(2, 2*mib, at(2)))
+}
+
+// TestHeaderScan checks what a header is charged with, wherever it is split, and what is known of the next one.
+func TestHeaderScan(t *testing.T) {
+	const header, rest = "GET / HTTP/1.1\r\nHost: h\r\na:\n\r\n", "body\nmore"
+	for split := range len(header) {
+		var s budget.HeaderScan
+		cost := s.Add([]byte(header[:split])) + s.Add([]byte(header[split:]+rest))
+		require.EqualValues(t, len(header)+len(rest)+4*budget.HeaderLineBytes, cost, split)
+		require.EqualValues(t, len(header), s.Bytes, split)
+		require.EqualValues(t, len(rest), s.Rest)
+		require.Zero(t, s.Behind(int64(len(rest))), "all is body")
+		require.EqualValues(t, len(rest)-4+budget.HeaderLineBytes, s.Behind(4))
+		require.EqualValues(t, len(rest)+budget.HeaderLineBytes, s.Behind(-1))
+		s.Next()
+		require.Zero(t, s.Bytes)
+	}
+	var encrypted budget.HeaderScan
+	require.Greater(t, encrypted.Add([]byte("\x16\x03\x01")), int64(3*budget.HeaderLineBytes/4), "as if it had the shortest lines")
+	require.True(t, encrypted.Opaque())
+}
--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -8,8 +8,10 @@
 	// the kernel. The Go runtime's soft limit is 0.6 of the memory limit.
 	Share = 0.3
 	// ConnectionBytes is what a connection of a caller holds without a request: its two buffers of
-	// 4 KiB, the stack of its goroutine, and the connection to a server that its calls use.
+	// 4 KiB and the stack of its goroutine. CallBytes is what a call adds: the stacks that it grows, its state, and the
+	// connection to a server.
 	ConnectionBytes = 16 << 10
+	CallBytes       = 24 << 10
 	// connectionShare is the part of the account that connections may use.
 	connectionShare = 0.5
 	// reservedFDs is the number of descriptors that are reserved for files.
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,6 +143,8 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	f.deps.Guard.BeginCall()
+	defer f.deps.Guard.EndCall(r)
 	f.metrics.calls.Inc(1)
 	c := &call{front: f, writer: w, request: r}
 	c.schedCall.Arrived = time.Now()
@@ -177,10 +180,15 @@
 		c.refuse(code.NoDocument, noConfigRetryAfter, "no configuration yet")
 		return false
 	}
-	if n, limit := int64(guard.HeaderSize(r)), s.config.Limits.MaxHeaderBytes; limit > 0 && n > limit {
-		c.writer.Header().Set("Connection", "close")
+	limit := s.config.Limits.MaxHeaderBytes
+	n, err := f.deps.Guard.Header(c.writer, r, limit)
+	switch {
+	case code.Of(err) == code.HeaderTooLarge:
 		c.fail(code.HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header has %d bytes, max_header_bytes is %d", n, limit))
 		return false
+	case err != nil:
+		c.refuseBody(err)
+		return false
 	}
 	route, ok := s.routeIndex.Match(r.Host, r.URL.Path)
 	if !ok {
@@ -206,7 +214,20 @@
 	return true
 }
 
-// refuseBody ends a call whose body was not read to its end.
+// HeaderTooLarge returns the response to a call whose header exceeds a limit so far that it was not parsed.
+func HeaderTooLarge(limit int64) *http.Response {
+	text := fmt.Sprintf("the header exceeds max_header_bytes, which is %d\n", limit)
+	return &http.Response{
+		StatusCode: http.StatusRequestHeaderFieldsTooLarge,
+		Header: http.Header{
+			"Limpet-Code":  {strconv.Itoa(int(code.HeaderTooLarge))},
+			"Content-Type": {"text/plain; charset=utf-8"},
+		},
+		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+	}
+}
+
+// refuseBody ends a call whose header or body is not held.
 func (c *call) refuseBody(err error) {
 	switch result := code.Of(err); result {
 	case code.CallerGone:
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -99,9 +99,8 @@
 // requests with an oversized header or an unknown key, and all requests while
 // the daemon is leaving or has no document.
 func (x *exchange) authenticate() error {
-	if n, limit := guard.HeaderSize(x.request), x.gate.config.MaxHeaderBytes; n > limit {
-		x.writer.Header().Set("Connection", "close")
-		return code.Errorf(code.HeaderTooLarge, "the header has %d bytes, the limit is %d bytes", n, limit)
+	if _, err := x.gate.deps.Guard.Header(x.writer, x.request, int64(x.gate.config.MaxHeaderBytes)); err != nil {
+		return err
 	}
 	if x.gate.leaving.Load() {
 		x.writer.Header().Set("Connection", "close")
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -16,9 +16,13 @@
 package gate
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +40,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
 
 // Default values of the limits in Config. Sizes are in bytes.
@@ -216,13 +221,17 @@
 
 // Handler returns the HTTP handler of the interface.
 func (g *Gate) Handler() http.Handler {
-	return g.mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.deps.Guard.BeginCall()
+		defer g.deps.Guard.EndCall(r)
+		g.mux.ServeHTTP(w, r)
+	})
 }
 
 // Server returns an HTTP server with the limits of the configuration.
 func (g *Gate) Server() *http.Server {
 	return &http.Server{
-		Handler:   g.mux,
+		Handler:   g.Handler(),
 		ConnState: guard.ConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return abort.ConnContext(guard.ConnContext(ctx, c), c)
@@ -242,9 +251,29 @@
 	if n := g.deps.Guard.ConnectionLimit(); n > 0 {
 		limit = min(limit, n)
 	}
-	return g.deps.Guard.Door(l, guard.DoorConfig{Max: limit, Timeouts: func() budget.Timeouts {
-		return budget.Timeouts{Header: g.config.HeaderTimeout, Idle: g.config.IdleTimeout, CloseIdle: closeIdle}
-	}})
+	return g.deps.Guard.Door(l, guard.DoorConfig{
+		Max: limit,
+		Timeouts: func() budget.Timeouts {
+			return budget.Timeouts{Header: g.config.HeaderTimeout, Idle: g.config.IdleTimeout, CloseIdle: closeIdle}
+		},
+		HeaderLimit: func() int64 { return int64(g.config.MaxHeaderBytes) },
+		TooLarge:    headerTooLarge,
+	})
+}
+
+// headerTooLarge returns the response to a request whose header exceeds the limit so far that it was not parsed.
+func headerTooLarge(limit int64) *http.Response {
+	id := newRequestID()
+	err := code.Errorf(code.HeaderTooLarge, "the header exceeds the limit of %d bytes", limit)
+	// The type of an error is always encoded.
+	body, _ := json.Marshal(wire.NewError(err, id))
+	return &http.Response{
+		StatusCode: code.HeaderTooLarge.Info().Status,
+		Header: http.Header{
+			headerRequestID: {id}, headerCode: {strconv.Itoa(int(code.HeaderTooLarge))}, headerRun: {string(code.RunOf(err))}, "Content-Type": {contentTypeJSON},
+		},
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
 }
 
 // InFlight returns the number of requests in flight, without health checks.
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -242,13 +242,16 @@
 	require.Empty(t, g.engines.Requests(), "a rejected request reached an engine")
 }
 
-// TestHeaderBeyondServerLimitGetsPlain431 sends a header that net/http rejects
-// itself, without a result code, and one that is just within MaxHeaderBytes.
-func TestHeaderBeyondServerLimitGetsPlain431(t *testing.T) {
+// TestHeaderFarBeyondLimitIsRefusedWithCode sends a header that is refused before it is
+// parsed, and one that is just within MaxHeaderBytes.
+func TestHeaderFarBeyondLimitIsRefusedWithCode(t *testing.T) {
 	g := startGate(t, testConfig{doc: testDocument()})
 	resp := g.do(t, "GET", "/v1/models", "", "X-Long", strings.Repeat("x", (headerLimitFactor+1)*DefaultMaxHeaderBytes))
+	e := resp.wireError(t)
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.status)
-	require.Empty(t, resp.code())
+	require.Equal(t, int(code.HeaderTooLarge), e.Code)
+	require.Equal(t, "no", resp.header.Get(headerRun))
+	require.Equal(t, e.RequestID, resp.header.Get(headerRequestID))
 	resp = g.do(t, "GET", "/v1/models", "", "X-Long", strings.Repeat("x", DefaultMaxHeaderBytes-1<<10))
 	require.Equal(t, http.StatusOK, resp.status)
 }
--- a/limpetd/guard/body.go
+++ b/limpetd/guard/body.go
@@ -35,6 +35,10 @@
 	reason atomic.Int32
 	buffer []byte
 	conn   *conn
+	// factor is what a byte of the body is charged with.
+	factor int64
+	// attached is what becomes free when the call ends.
+	attached int64
 	// from is how many bytes of the connection had been read before, framing how many were charged that are not
 	// part of the body.
 	from, framing int64
@@ -47,10 +51,19 @@
 	_ = http.NewResponseController(b.writer).SetReadDeadline(time.Unix(1, 0))
 }
 
+// BodyOption configures how a body is read.
+type BodyOption func(*reader)
+
+// WithFactor sets what a byte of the body is charged with, for a body whose processing takes a multiple of its size. What
+// is incomplete can be dropped, so that complete bodies don't wait for each other.
+func WithFactor(n int64) BodyOption {
+	return func(b *reader) { b.factor = n }
+}
+
 // ReadBody reads the body of a request, of at most limit bytes, within the memory of the process. The capacity of
-// the result is charged as a body of a waiting call: the caller releases it. An error has the code BodyTooLarge,
+// the result, times the factor, is charged as a body of a waiting call: the caller releases it. An error has the code BodyTooLarge,
 // MemoryShort, SlowCaller or CallerGone, and the connection is then closed after the response.
-func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, limit int64, opts ...BodyOption) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -58,18 +71,28 @@
 		closeAfter(w)
 		return nil, tooLarge(limit)
 	}
-	b := &reader{guard: g, writer: w}
+	b := &reader{guard: g, writer: w, factor: 1}
+	for _, o := range opts {
+		o(b)
+	}
 	if b.conn, _ = r.Context().Value(contextKey{}).(*conn); b.conn != nil {
 		b.from = b.conn.bytes.Load()
+		b.conn.beginBody(r.ContentLength)
 	}
 	g.mu.Lock()
 	b.id = g.begin(b, budget.Reading, r.ContentLength >= 0, time.Now())
+	if b.conn != nil {
+		b.attached = b.conn.headerBytes + budget.CallBytes
+		g.account.Attach(b.id, b.attached)
+	}
 	g.mu.Unlock()
 	err := b.readAll(r.Body, r.ContentLength, limit)
+	// Trailers are parsed, too. Nothing uses them.
+	r.Trailer = nil
 	g.mu.Lock()
 	kept := g.finish(b.id)
 	if kept && err == nil {
-		g.account.Charge(budget.Waiting, int64(cap(b.buffer)))
+		g.account.Charge(budget.Waiting, b.factor*int64(cap(b.buffer)))
 	}
 	g.mu.Unlock()
 	if kept && err == nil {
@@ -130,7 +153,7 @@
 		size = 4 * old
 	}
 	size = min(size, most)
-	if !b.guard.ask(b.id, size) {
+	if !b.guard.ask(b.id, b.factor*size) {
 		return false
 	}
 	buffer := make([]byte, len(b.buffer), size)
@@ -138,7 +161,7 @@
 	b.buffer = buffer
 	if old > 0 {
 		b.guard.mu.Lock()
-		b.guard.account.Free(b.id, old)
+		b.guard.account.Free(b.id, b.factor*old)
 		b.guard.mu.Unlock()
 	}
 	return true
@@ -169,14 +192,45 @@
 	case reason(b.reason.Load()) == slowBody:
 		return code.Errorf(code.SlowCaller, "the body arrives at less than the minimum of %d bytes per second", g.config.MinBodyRate)
 	case reason(b.reason.Load()) == shortMemory, errors.Is(err, errNoMemory), err == nil:
-		g.metrics.refused.Inc(1)
-		return code.Errorf(code.MemoryShort, "the bodies of calls take the memory of %d bytes that memory_mb %d allows", g.account.Limit(), g.config.MemoryMB)
+		return g.memoryShort()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return code.Errorf(code.SlowCaller, "the body was not received in time: %w", os.ErrDeadlineExceeded)
 	}
 	return code.WithRun(code.Errorf(code.CallerGone, "reading the request body: %w", err), code.RunNo)
 }
 
+// Reserve charges n bytes more for a request that was received. It waits while memory is short. An error has the code
+// MemoryShort, and the connection is then closed after the response.
+func (g *Guard) Reserve(w http.ResponseWriter, k budget.Kind, n int64) error {
+	if !g.reserve(w, k, n, maxWait) {
+		closeAfter(w)
+		return g.memoryShort()
+	}
+	return nil
+}
+
+// reserve charges n bytes if they are free within a time, and reports whether they were.
+func (g *Guard) reserve(w http.ResponseWriter, k budget.Kind, n int64, wait time.Duration) bool {
+	b := &reader{guard: g, writer: w}
+	g.mu.Lock()
+	b.id = g.begin(b, k, true, time.Now())
+	g.mu.Unlock()
+	ok := g.askWithin(b.id, n, wait)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.finish(b.id) || !ok {
+		return false
+	}
+	g.account.Charge(k, n)
+	return true
+}
+
+// memoryShort returns the error for a call for which there is no memory.
+func (g *Guard) memoryShort() error {
+	g.metrics.refused.Inc(1)
+	return code.Errorf(code.MemoryShort, "calls take the memory of %d bytes that memory_mb %d allows", g.account.Limit(), g.config.MemoryMB)
+}
+
 // tooLarge returns the error for a body of more than limit bytes.
 func tooLarge(limit int64) error {
 	return code.Errorf(code.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
@@ -198,15 +252,3 @@
 	// Without deadlines, as in tests, there is no connection that could be held.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(endDelay))
 }
-
-// HeaderSize returns the length in bytes of the request header in HTTP/1.1 format.
-func HeaderSize(r *http.Request) int {
-	const separator, hostField = len(": \r\n"), len("Host: \r\n")
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len(r.Host) + hostField
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + separator
-		}
-	}
-	return n
-}
--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,8 +21,30 @@
 	Max int
 	// Timeouts returns the timeouts in force. It is nil if only the timeouts of the server apply.
 	Timeouts func() budget.Timeouts
+	// HeaderLimit returns the size limit of request headers in bytes; 0 means none. It is nil if only the limit of
+	// the server applies.
+	HeaderLimit func() int64
+	// TooLarge returns the response to a header over a limit. It is nil if the connection is closed without one.
+	TooLarge func(limit int64) *http.Response
+	// MaxUnadmitted is the maximum number of connections that were not admitted by Admit yet; 0 if connections need no
+	// admission. A connection without admission is in the phase Header, all that it sends counts as header, and it is
+	// charged with UnadmittedBytes. An admitted one is not charged.
+	MaxUnadmitted   int
+	UnadmittedBytes int64
 }
 
+// connBytes returns what a connection is charged with when it is accepted.
+func (c *DoorConfig) connBytes() int64 {
+	if c.MaxUnadmitted > 0 {
+		return c.UnadmittedBytes
+	}
+	return budget.ConnectionBytes
+}
+
+// headerSlack is how far a header may exceed its limit until the Door refuses it. The handler refuses headers between
+// the two limits.
+const headerSlack = 4 << 10
+
 // Door is a listener whose connections a Guard bounds.
 type Door struct {
 	net.Listener
@@ -76,17 +99,57 @@
 	g := d.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d.config.Max > 0 && len(d.conns) >= d.config.Max {
+	if d.config.Max > 0 && len(d.conns) >= d.config.Max || d.config.MaxUnadmitted > 0 && d.unadmitted() >= d.config.MaxUnadmitted {
 		return d.victim(now), false
 	}
 	d.conns[c] = struct{}{}
 	g.metrics.connections.Update(float64(len(d.conns)))
-	g.account.Charge(budget.Connections, budget.ConnectionBytes)
+	c.charged = d.config.connBytes()
+	g.account.Charge(budget.Connections, c.charged)
 	c.state = budget.Connection{Phase: budget.Header, Since: now}
 	c.header = g.begin(c, budget.Headers, false, now)
 	return nil, true
 }
 
+// unadmitted returns the number of connections that were not admitted. The lock must be held.
+func (d *Door) unadmitted() int {
+	n := 0
+	for c := range d.conns {
+		if c.state.Phase == budget.Header {
+			n++
+		}
+	}
+	return n
+}
+
+// Admit admits a connection of a Door whose connections need it.
+func Admit(c net.Conn) {
+	found := find(c)
+	if found == nil || found.door.config.MaxUnadmitted == 0 {
+		return
+	}
+	g := found.door.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if found.closed || found.state.Phase == budget.Active {
+		return
+	}
+	found.active.Store(true)
+	found.endHeader()
+	found.state = budget.Connection{Phase: budget.Active, Since: time.Now()}
+	g.account.Charge(budget.Connections, -found.charged)
+	found.charged = 0
+	found.door.notifyFreed()
+}
+
+// notifyFreed wakes Accept after there is room for a connection.
+func (d *Door) notifyFreed() {
+	select {
+	case d.freed <- struct{}{}:
+	default:
+	}
+}
+
 // victim returns the connection that is to be closed for a new one. The lock must be held.
 func (d *Door) victim(now time.Time) *conn {
 	list := make([]budget.Connection, 0, len(d.conns))
@@ -142,23 +205,104 @@
 	header      budget.ID
 	headerBytes int64
 	closed      bool
+	// charged is what the connection itself is charged with, leaving what becomes free when its call ends because the
+	// body was dropped.
+	charged, leaving int64
+	// The fields below belong to the goroutine that reads, which is that of the server between two requests. scan follows
+	// the header that is arriving. remaining is the part of an announced body that has not arrived: no read goes beyond
+	// it, so that the next header is read by itself. behind is what the next header takes at most as far as the
+	// server has read it ahead.
+	scan      budget.HeaderScan
+	remaining int64
+	behind    int64
 }
 
-// Read implements net.Conn. The bytes of a header are charged.
+// bufferSize is the size of the buffer into which the server reads ahead.
+const bufferSize = 4 << 10
+
+// smallBehind is what a header that was read ahead may take without being charged before it is parsed.
+const smallBehind = 8 << 10
+
+// Read implements net.Conn. The lines of a header are charged before the server parses them.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.remaining > 0 {
+		p = p[:min(int64(len(p)), c.remaining)]
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
 	c.bytes.Add(int64(n))
-	if !c.active.Load() && !c.chargeHeader(int64(n)) {
+	if c.active.Load() {
+		c.readAhead(p, n)
+		return n, err
+	}
+	c.behind = 0
+	cost := int64(n)
+	if c.door.config.MaxUnadmitted > 0 {
+		c.scan.Bytes += cost
+	} else {
+		cost = c.scan.Add(p[:n])
+	}
+	if f := c.door.config.HeaderLimit; f != nil {
+		if limit := f(); limit > 0 && c.scan.Bytes > limit+headerSlack {
+			c.refuseHeader(limit, p)
+			return 0, io.EOF
+		}
+	}
+	if !c.chargeHeader(cost) {
 		_ = c.Close()
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// chargeHeader charges n bytes of a header, and reports whether it may hold them.
+// readAhead records that n bytes were read into p while a request is active.
+func (c *conn) readAhead(p []byte, n int) {
+	if c.scan.Opaque() || len(p) == 1 {
+		// The server reads one byte while it runs a request, to learn that the client has gone.
+		return
+	}
+	if c.remaining > 0 {
+		c.remaining -= int64(n)
+		return
+	}
+	c.behind = 0
+	if len(p) <= bufferSize {
+		c.behind = budget.LinesBytes(p[:n])
+	}
+}
+
+// beginBody records the size of the body that is read next; negative if it is unknown.
+func (c *conn) beginBody(size int64) {
+	if c.scan.Opaque() || c.scan.Bytes == 0 {
+		return
+	}
+	c.behind = c.scan.Behind(size)
+	c.remaining = max(size-c.scan.Rest, 0)
+}
+
+// refuseHeader answers a header over the limit, and reads on for a moment: the response could be lost to a reset
+// otherwise. What it reads is discarded in buffer.
+func (c *conn) refuseHeader(limit int64, buffer []byte) {
+	c.door.guard.metrics.headersRefused.Inc(1)
+	if c.door.config.TooLarge == nil {
+		return
+	}
+	// An error of the connection ends the loop below.
+	_ = c.SetDeadline(time.Now().Add(endDelay))
+	response := c.door.config.TooLarge(limit)
+	response.ProtoMajor, response.ProtoMinor, response.Close = 1, 1, true
+	_ = response.Write(c.Conn)
+	_ = c.CloseWrite()
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// chargeHeader charges n bytes for a header, and reports whether it may hold them.
 func (c *conn) chargeHeader(n int64) bool {
 	g := c.door.guard
 	g.mu.Lock()
@@ -184,16 +328,14 @@
 func (c *conn) Close() error {
 	g := c.door.guard
 	g.mu.Lock()
+	c.left()
 	if !c.closed {
 		c.closed = true
 		c.endHeader()
 		delete(c.door.conns, c)
-		g.account.Charge(budget.Connections, -budget.ConnectionBytes)
+		g.account.Charge(budget.Connections, -c.charged)
 		g.metrics.connections.Update(float64(len(c.door.conns)))
-		select {
-		case c.door.freed <- struct{}{}:
-		default:
-		}
+		c.door.notifyFreed()
 	}
 	g.mu.Unlock()
 	return c.Conn.Close()
@@ -213,6 +355,13 @@
 
 // setState records what the server does with the connection.
 func (c *conn) setState(s http.ConnState, now time.Time) {
+	switch {
+	case s == http.StateIdle:
+		defer c.chargeBehind()
+	case c.scan.Bytes > 0:
+		// A body whose size is not known yet may be a part of it.
+		c.behind = c.scan.Behind(-1)
+	}
 	g := c.door.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -230,11 +379,20 @@
 		}
 	case http.StateIdle:
 		c.endHeader()
+		c.scan.Next()
 		c.state = budget.Connection{Phase: budget.Idle, Since: now}
 		c.active.Store(false)
 	}
 }
 
+// chargeBehind charges the header that was read ahead before it is parsed, or closes the connection.
+func (c *conn) chargeBehind() {
+	c.remaining = 0
+	if c.behind > smallBehind && !c.chargeHeader(c.behind) {
+		_ = c.Close()
+	}
+}
+
 // NetConn returns the underlying connection, by which package abort resets it.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
--- a/limpetd/guard/guard.go
+++ b/limpetd/guard/guard.go
@@ -9,6 +9,9 @@
 //	server.Serve(door)
 //
 //	func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+//		g.BeginCall()
+//		defer g.EndCall(r)
+//		size, err := g.Header(w, r, headerLimit)
 //		body, err := g.ReadBody(w, r, limit)
 //		defer g.Release(budget.Waiting, int64(cap(body)))
 //	}
@@ -172,17 +175,25 @@
 
 // ask asks for n bytes more for a part, and waits for them for at most maxWait. It reports whether the part
 // may hold them.
-func (g *Guard) ask(id budget.ID, n int64) bool {
+func (g *Guard) ask(id budget.ID, n int64) bool { return g.askWithin(id, n, maxWait) }
+
+// askWithin is ask with another limit of the wait.
+func (g *Guard) askWithin(id budget.ID, n int64, wait time.Duration) bool {
 	var end time.Time
 	for {
 		now := time.Now()
 		if end.IsZero() {
-			end = now.Add(maxWait)
+			end = now.Add(wait)
 		}
 		g.mu.Lock()
 		d := g.account.Ask(id, n, now)
 		dropped := g.take(d.Drop)
-		if d.Verdict == budget.Waits && now.After(end) {
+		for _, p := range dropped {
+			if b, ok := p.(*reader); ok && b.conn != nil {
+				b.conn.leaving += b.attached
+			}
+		}
+		if d.Verdict == budget.Waits && !now.Before(end) {
 			d.Verdict = budget.Refused
 		}
 		freed := g.freed
--- a/limpetd/guard/guard_test.go
+++ b/limpetd/guard/guard_test.go
@@ -197,3 +197,86 @@
 	go func() { _, _ = io.WriteString(c, head+strings.Repeat("1\r\nx\r\n", size)+"0\r\n\r\n") }()
 	require.Equal(t, http.StatusServiceUnavailable, status(c))
 }
+
+// shortLines returns n header lines without values, whose names differ.
+func shortLines(n int) string {
+	var b strings.Builder
+	for i := range n {
+		_, _ = fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String()
+}
+
+// TestHeaderOverLimitIsAnsweredUnparsed guards against headers over the limit that are parsed before they are refused,
+// and against refusals that are lost because the client goes on sending.
+func TestHeaderOverLimitIsAnsweredUnparsed(t *testing.T) {
+	g := guard.New(t.Context(), guard.Config{}, guard.Deps{})
+	address := startServer(t, g, guard.DoorConfig{
+		HeaderLimit: func() int64 { return 1 << 10 },
+		TooLarge: func(limit int64) *http.Response {
+			return &http.Response{StatusCode: http.StatusRequestHeaderFieldsTooLarge, Header: http.Header{"Limit": {fmt.Sprint(limit)}}}
+		},
+	})
+	open := strings.TrimSuffix(request, "\r\n")
+	c := dial(t, address, open+shortLines(10_000))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	require.Equal(t, "1024", response.Header.Get("Limit"))
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, status(dial(t, address, open+shortLines(100)+"\r\n")))
+}
+
+// TestLinesOfHeadersAreCharged guards against headers that take far more memory than bytes. The account of 1.2 MB holds a
+// header of 2,000 lines, and not one of 16,000, whole, or behind another request in pieces that are read ahead.
+func TestLinesOfHeadersAreCharged(t *testing.T) {
+	g := guard.New(t.Context(), guard.Config{MemoryMB: 4}, guard.Deps{})
+	address := startServer(t, g, guard.DoorConfig{})
+	open := strings.TrimSuffix(request, "\r\n")
+	c := dial(t, address, open+shortLines(2000)+"\r\n")
+	require.Equal(t, http.StatusOK, status(c))
+	_, err := io.WriteString(c, request)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status(c), "the charge ends with the request")
+	_, _ = io.WriteString(c, open+shortLines(16_000)+"\r\n")
+	require.Zero(t, status(c))
+	g.Charge(budget.Waiting, 1<<20)
+	require.Equal(t, http.StatusOK, status(dial(t, address, request)))
+	c = dial(t, address, request+open+shortLines(500)+"\r\n")
+	reader := bufio.NewReader(c)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	_, err = http.ReadResponse(reader, nil)
+	require.Error(t, err, "the connection is closed before the second header is parsed")
+}
+
+// TestUnadmittedConnectionsAreBounded guards against connections that hold memory without showing to whom they belong:
+// few are accepted, they send little, and they make room for others.
+func TestUnadmittedConnectionsAreBounded(t *testing.T) {
+	g := guard.New(t.Context(), guard.Config{}, guard.Deps{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := g.Door(l, guard.DoorConfig{MaxUnadmitted: 1, UnadmittedBytes: 1, HeaderLimit: func() int64 { return 100 }})
+	t.Cleanup(func() { require.NoError(t, d.Close()) })
+	address := l.Addr().String()
+	text := strings.Repeat("x", 8<<10)
+	admitted := dial(t, address, text)
+	first, err := d.Accept()
+	require.NoError(t, err)
+	guard.Admit(first)
+	_, err = io.ReadFull(first, make([]byte, len(text)))
+	require.NoError(t, err)
+	refused := dial(t, address, text)
+	second, err := d.Accept()
+	require.NoError(t, err)
+	_, err = io.ReadFull(second, make([]byte, len(text)))
+	require.Error(t, err)
+	dial(t, address, "")
+	_, err = d.Accept()
+	require.NoError(t, err, "the second makes room")
+	_, err = refused.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NoError(t, admitted.Close())
+}
--- a/limpetd/guard/metrics.go
+++ b/limpetd/guard/metrics.go
@@ -16,6 +16,8 @@
 	refused, dropped, slow tally.Counter
 	// expired counts the connections that were closed by a timeout, replaced those that were closed for new ones.
 	expired, replaced tally.Counter
+	// headersRefused counts the headers over the limit that were refused before they were parsed.
+	headersRefused tally.Counter
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -27,6 +29,8 @@
 		slow:        s.Counter("slow_bodies"),
 		expired:     s.Counter("connections_expired"),
 		replaced:    s.Counter("connections_replaced"),
+
+		headersRefused: s.Counter("headers_refused"),
 	}
 	for _, k := range budget.Kinds() {
 		m.memory = append(m.memory, s.Tagged(map[string]string{"kind": k.String()}).Gauge("memory"))
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -28,6 +28,9 @@
 // operator's request.
 const operatorHeaderTimeout = 5 * time.Second
 
+// operatorHeaderBytes is the size limit of the header of an operator's request.
+const operatorHeaderBytes = 64 << 10
+
 // Limits of the connections of operators, health checks and metrics. The one that has been idle for
 // the longest time is closed for a new one.
 const (
@@ -89,6 +92,7 @@
 	n.startServer(ctx, &http.Server{
 		ReadHeaderTimeout: operatorHeaderTimeout,
 		IdleTimeout:       operatorIdleTimeout,
+		MaxHeaderBytes:    operatorHeaderBytes,
 		ConnState:         guard.ConnState,
 		ConnContext:       guard.ConnContext,
 		TLSConfig:         n.callerKeys.CallerServer(),
@@ -96,7 +100,10 @@
 			Operators: operators, Applier: o, Status: o, Plan: o, Events: o, Drainer: o,
 			Probes: n.probeHandler(), Log: n.log, Timeline: n.events,
 		}),
-	}, n.guard.Door(n.listeners.operator, guard.DoorConfig{Max: maxOperatorConns, Timeouts: func() budget.Timeouts { return budget.Timeouts{CloseIdle: operatorCloseIdle} }}))
+	}, n.guard.Door(n.listeners.operator, guard.DoorConfig{
+		Max: maxOperatorConns, Timeouts: func() budget.Timeouts { return budget.Timeouts{CloseIdle: operatorCloseIdle} },
+		HeaderLimit: func() int64 { return operatorHeaderBytes },
+	}))
 }
 
 // probeHandler returns the handler for health checks and metrics on the interface
