wire, gate: Decode requests as streams, and charge what decoding takes

One caller with a valid key and 60 connections ended a daemon: a body of 1 MiB of empty messages, parts of content, prompts or requests of a batch was decoded into far more memory than its bytes, and the account charged its bytes.

jsontext of github.com/go-json-experiment/json reads the body token by token, and only the text of the prompt is kept. Elements that are not needed take nothing, and a batch stops at its limit of requests. A byte of a body is charged with three while it arrives, can be dropped until it is complete, and covers the body, the text and the prompt; a batch with four. After decoding, the prompt and its encoding for an engine are charged, with characters that JSON escapes counted as six bytes. Prompts, codes and the fields without case are as before; the texts of errors name a field without the name of a Go type.

--- a/limpetd/gate/batch.go
+++ b/limpetd/gate/batch.go
@@ -3,22 +3,17 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
+	"slices"
 
 	"goji.io/pat"
 
 	"github.com/limpetlb/limpetlb/limpetd/batch"
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
 
-// batchRequest is the JSON body of a batch submission.
-type batchRequest struct {
-	Priority string       `json:"priority"`
-	Requests []batch.Item `json:"requests"`
-}
-
 // batchView is a batch in the JSON responses to callers.
 type batchView struct {
 	ID          string        `json:"id"`
@@ -76,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := x.readBody(g.config.MaxBatchBytes)
+	body, err := x.readBody(g.config.MaxBatchBytes, batchFactor)
 	if err != nil {
 		return err
 	}
@@ -84,21 +79,19 @@
 		Caller: x.caller,
 		Key:    x.request.Header.Get(headerKey),
 	}
+	if err := x.holdBatch(body); err != nil {
+		return err
+	}
 	switch mediaType {
 	case contentTypeJSON:
-		var b batchRequest
-		if err := json.Unmarshal(body, &b); err != nil {
-			return code.Errorf(code.MalformedBody, "body: %w", err)
-		}
-		s.Priority = b.Priority
-		s.Items = b.Requests
+		s.Priority, s.Items, err = decodeBatch(body)
 	case contentTypeJSONL, contentTypeNDJSON:
 		s.Items, err = decodeJSONLines(body)
-		if err != nil {
-			return err
-		}
 	default:
-		return code.Errorf(code.BadContentType, "content type %q is not %s or %s", mediaType, contentTypeJSON, contentTypeJSONL)
+		err = code.Errorf(code.BadContentType, "content type %q is not %s or %s", mediaType, contentTypeJSON, contentTypeJSONL)
+	}
+	if err != nil {
+		return err
 	}
 	if p := x.request.Header.Get(headerPriority); p != "" {
 		s.Priority = p
@@ -110,24 +103,48 @@
 	return x.writeJSON(http.StatusAccepted, newBatchView(j))
 }
 
+// batchFactor is what a byte of a batch takes at most: the body, the decoded requests, and the buffer and the result of
+// their encoding for the store.
+const batchFactor = 4
+
+// holdBatch charges what a batch takes beyond batchFactor because of characters that are escaped.
+func (x *exchange) holdBatch(body []byte) error {
+	const chunk = 4 << 10
+	n := 2 * int64(len(body))
+	for part := range slices.Chunk(body, chunk) {
+		n += engine.EncodeBytes(string(part))
+	}
+	return x.hold(max(n, x.held))
+}
+
+// decodeBatch decodes a batch that is a JSON object.
+func decodeBatch(body []byte) (priority string, items []batch.Item, err error) {
+	priority, requests, err := wire.SplitBatch(body, batch.MaxItems)
+	if err != nil {
+		return "", nil, err
+	}
+	items, err = decodeItems(requests)
+	return priority, items, err
+}
+
 // decodeJSONLines decodes a batch of one item per line.
 func decodeJSONLines(body []byte) ([]batch.Item, error) {
-	d := json.NewDecoder(bytes.NewReader(body))
-	var items []batch.Item
-	for {
-		var i batch.Item
-		err := d.Decode(&i)
-		if errors.Is(err, io.EOF) {
-			return items, nil
-		}
-		if err != nil {
-			return nil, code.Errorf(code.MalformedBody, "line %d: %w", len(items)+1, err)
-		}
-		if len(items) == batch.MaxItems {
-			return nil, code.Errorf(code.BadParameter, "the batch has more than %d requests", batch.MaxItems)
+	requests, err := wire.SplitLines(body, batch.MaxItems)
+	if err != nil {
+		return nil, err
+	}
+	return decodeItems(requests)
+}
+
+// decodeItems decodes the requests of a batch.
+func decodeItems(requests [][]byte) ([]batch.Item, error) {
+	items := make([]batch.Item, len(requests))
+	for i, r := range requests {
+		if err := json.Unmarshal(r, &items[i]); err != nil {
+			return nil, code.Errorf(code.MalformedBody, "requests[%d]: %w", i, err)
 		}
-		items = append(items, i)
 	}
+	return items, nil
 }
 
 // listBatches returns one page of the caller's batches, at most 100 in the order
--- a/limpetd/gate/exchange.go
+++ b/limpetd/gate/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/code"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/event"
 	"github.com/limpetlb/limpetlb/limpetd/guard"
@@ -123,13 +124,27 @@
 	return nil
 }
 
+// hold changes the memory that is charged for the body, or for what was decoded from it, to n bytes. An error has code
+// MemoryShort.
+func (x *exchange) hold(n int64) error {
+	if more := n - x.held; more > 0 {
+		if err := x.gate.deps.Guard.Reserve(x.writer, budget.Waiting, more); err != nil {
+			return err
+		}
+	} else {
+		x.gate.deps.Guard.Release(budget.Waiting, -more)
+	}
+	x.held = n
+	return nil
+}
+
 // readBody reads the whole request body, of at most limit bytes and within
-// BodyTimeout. An error has code BodyTooLarge, MemoryShort, SlowCaller or CallerGone.
-func (x *exchange) readBody(limit int64) ([]byte, error) {
+// BodyTimeout. Each byte is charged as factor bytes. An error has code BodyTooLarge, MemoryShort, SlowCaller or CallerGone.
+func (x *exchange) readBody(limit, factor int64) ([]byte, error) {
 	// The error is ignored: not every response writer supports deadlines, but
 	// that of http.Server does.
 	_ = x.controller.SetReadDeadline(time.Now().Add(x.gate.config.BodyTimeout))
-	body, err := x.gate.deps.Guard.ReadBody(x.writer, x.request, limit)
+	body, err := x.gate.deps.Guard.ReadBody(x.writer, x.request, limit, guard.WithFactor(factor))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, code.Errorf(code.SlowCaller, "the body was not received within %s", x.gate.config.BodyTimeout)
 	}
@@ -137,10 +152,32 @@
 		return nil, err
 	}
 	_ = x.controller.SetReadDeadline(time.Time{})
-	x.bodyRead, x.held = true, int64(cap(body))
+	x.bodyRead, x.held = true, factor*int64(cap(body))
 	return body, nil
 }
 
+// decodeFactor is what a byte of the body of a request for a generation takes at most while it is decoded, and while its
+// prompt is encoded for an engine.
+var decodeFactor = 1 + wire.DecodeBytes(1)
+
+// decodeBody reads a request body whose content type is JSON and decodes it, within the memory of the process.
+func (x *exchange) decodeBody(limit int64, decode func([]byte) (wire.Generation, error)) (wire.Generation, error) {
+	body, err := x.readJSONBody(limit)
+	if err != nil {
+		return wire.Generation{}, err
+	}
+	if n := int64(cap(body)) + wire.DecodeBytesOf(body); n > x.held {
+		if err := x.hold(n); err != nil {
+			return wire.Generation{}, err
+		}
+	}
+	g, err := decode(body)
+	if err != nil {
+		return g, err
+	}
+	return g, x.hold(int64(len(g.Prompt)) + engine.EncodeBytes(g.Prompt))
+}
+
 // readJSONBody reads a request body whose content type is JSON.
 func (x *exchange) readJSONBody(limit int64) ([]byte, error) {
 	mediaType, err := x.contentType()
@@ -150,7 +187,7 @@
 	if mediaType != contentTypeJSON {
 		return nil, code.Errorf(code.BadContentType, "content type %q is not %s", mediaType, contentTypeJSON)
 	}
-	return x.readBody(limit)
+	return x.readBody(limit, decodeFactor)
 }
 
 // Content types of requests and responses.
--- a/limpetd/gate/generate.go
+++ b/limpetd/gate/generate.go
@@ -14,11 +14,7 @@
 
 // chat handles a chat completion request.
 func (g *Gate) chat(x *exchange) error {
-	body, err := x.readJSONBody(g.config.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	q, err := wire.DecodeChat(body)
+	q, err := x.decodeBody(g.config.MaxBodyBytes, wire.DecodeChat)
 	if err != nil {
 		return err
 	}
@@ -27,11 +23,7 @@
 
 // completion handles a text completion request.
 func (g *Gate) completion(x *exchange) error {
-	body, err := x.readJSONBody(g.config.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	q, err := wire.DecodeCompletion(body)
+	q, err := x.decodeBody(g.config.MaxBodyBytes, wire.DecodeCompletion)
 	if err != nil {
 		return err
 	}
--- a/limpetd/gate/service.go
+++ b/limpetd/gate/service.go
@@ -49,7 +49,7 @@
 	if key == "" && declared.KeyRequired {
 		return code.Errorf(code.KeyRequired, "%s %s requires the header %s", declared.Method, declared.Path, headerKey)
 	}
-	body, err := x.readBody(g.config.MaxBodyBytes)
+	body, err := x.readBody(g.config.MaxBodyBytes, 1)
 	if err != nil {
 		return err
 	}
--- a/limpetd/wire/request.go
+++ b/limpetd/wire/request.go
@@ -9,15 +9,7 @@
 //	event = e.AppendChunk(event[:0], wire.Chunk{Text: "text"})
 package wire
 
-import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"io"
-	"strings"
-
-	"github.com/limpetlb/limpetlb/limpetd/code"
-)
+import "github.com/limpetlb/limpetlb/limpetd/code"
 
 // Limits of a request.
 const (
@@ -51,136 +43,130 @@
 	Priority string
 }
 
-// common holds the fields that both kinds of request share. N, Stop and Tools are
-// decoded only to reject requests that set them, because they change the answer and
-// engines don't support them. The name of this type is part of the texts of errors about
-// its fields, for example "common.model", since package json includes it.
+// common holds the fields that both kinds of request share. hasStop and hasTools reject requests that set them,
+// because they change the answer and engines don't support them.
 type common struct {
-	Model               string          `json:"model"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	Temperature         *float64        `json:"temperature"`
-	Seed                int64           `json:"seed"`
-	Stream              bool            `json:"stream"`
-	StreamOptions       *streamOptions  `json:"stream_options"`
-	Priority            string          `json:"priority"`
-	N                   *int            `json:"n"`
-	Stop                json.RawMessage `json:"stop"`
-	Tools               json.RawMessage `json:"tools"`
-}
-
-// streamOptions holds the options of a streamed answer.
-type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
-}
-
-// chatRequest is the body of a request for a chat completion.
-type chatRequest struct {
-	common
-	Messages []message `json:"messages"`
-}
-
-// message is one message of a chat. Content is a string or a list of content parts.
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
-// contentPart is a part of the content of a message.
-type contentPart struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
-}
-
-// completionRequest is the body of a request for a completion. Prompt is a string or a
-// list of one string.
-type completionRequest struct {
-	common
-	Prompt json.RawMessage `json:"prompt"`
+	model               string
+	maxTokens           *int
+	maxCompletionTokens *int
+	temperature         *float64
+	seed                int64
+	stream              bool
+	includeUsage        bool
+	priority            string
+	n                   *int
+	hasStop, hasTools   bool
+}
+
+// read reads the value of a field, and reports whether it is one that both kinds of request share.
+func (q *common) read(d *decoder, name string) (bool, error) {
+	switch name {
+	case "model":
+		return true, d.scalar(name, &q.model)
+	case "max_tokens":
+		return true, d.scalar(name, &q.maxTokens)
+	case "max_completion_tokens":
+		return true, d.scalar(name, &q.maxCompletionTokens)
+	case "temperature":
+		return true, d.scalar(name, &q.temperature)
+	case "seed":
+		return true, d.scalar(name, &q.seed)
+	case "stream":
+		return true, d.scalar(name, &q.stream)
+	case "stream_options":
+		return true, d.object(name, func(option string) error {
+			if option == "include_usage" {
+				return d.scalar(name+"."+option, &q.includeUsage)
+			}
+			return d.SkipValue()
+		})
+	case "priority":
+		return true, d.scalar(name, &q.priority)
+	case "n":
+		return true, d.scalar(name, &q.n)
+	case "stop":
+		return true, d.isSet(&q.hasStop)
+	case "tools":
+		return true, d.isSet(&q.hasTools)
+	}
+	return false, nil
 }
 
 // DecodeChat decodes the body of a request for a chat completion. An error has code
 // MalformedBody or BadParameter.
 func DecodeChat(body []byte) (Generation, error) {
-	var q chatRequest
-	if err := decode(body, &q); err != nil {
-		return Generation{}, err
+	var q common
+	// The text of messages is shorter than their JSON.
+	p := prompt{text: make([]byte, 0, len(body)+len(chatEnd))}
+	err := decode(body, func(d *decoder, name string) error {
+		if known, err := q.read(d, name); known {
+			return err
+		}
+		if name == "messages" {
+			return p.readMessages(d)
+		}
+		return d.SkipValue()
+	})
+	if err == nil {
+		err = p.err
 	}
-	if len(q.Messages) == 0 {
-		return Generation{}, code.Errorf(code.BadParameter, "messages: at least one message is required")
+	if err == nil && p.messages == 0 {
+		err = code.Errorf(code.BadParameter, "messages: at least one message is required")
 	}
-	prompt, err := chatPrompt(q.Messages)
 	if err != nil {
 		return Generation{}, err
 	}
 	g, err := q.generation()
 	g.Chat = true
-	g.Prompt = prompt
+	g.Prompt = string(append(p.text, chatEnd...))
 	return g, err
 }
 
 // DecodeCompletion decodes the body of a request for a completion. An error has code
 // MalformedBody or BadParameter.
 func DecodeCompletion(body []byte) (Generation, error) {
-	var q completionRequest
-	if err := decode(body, &q); err != nil {
-		return Generation{}, err
+	var q common
+	p := prompt{text: make([]byte, 0, len(body)), err: errNoPrompt}
+	err := decode(body, func(d *decoder, name string) error {
+		if known, err := q.read(d, name); known {
+			return err
+		}
+		if name == "prompt" {
+			return p.readPrompt(d)
+		}
+		return d.SkipValue()
+	})
+	if err == nil {
+		err = p.err
 	}
-	prompt, err := completionPrompt(q.Prompt)
 	if err != nil {
 		return Generation{}, err
 	}
 	g, err := q.generation()
-	g.Prompt = prompt
+	g.Prompt = string(p.text)
 	return g, err
 }
 
-// decode decodes a body into dst. The body must consist of exactly one JSON value.
-func decode(body []byte, dst any) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	if err := d.Decode(dst); err != nil {
-		return code.Errorf(code.MalformedBody, "body: %s", describeJSONError(err))
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return code.Errorf(code.MalformedBody, "body: unexpected data after the JSON value, near byte %d", d.InputOffset())
-	}
-	return nil
-}
-
-// describeJSONError returns the text of an error of package json without the Go type of
-// the field.
-func describeJSONError(err error) string {
-	var typeError *json.UnmarshalTypeError
-	if errors.As(err, &typeError) {
-		return "field " + typeError.Field + ": a JSON " + typeError.Value + " is not accepted"
-	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return "unexpected end of the JSON value"
-	}
-	return err.Error()
-}
-
 // generation returns the Generation for the shared fields, without Chat and Prompt. It
 // returns an error if a field is invalid or not supported.
 func (q *common) generation() (Generation, error) {
 	g := Generation{
-		Model:     q.Model,
+		Model:     q.model,
 		MaxTokens: DefaultMaxTokens,
-		Seed:      q.Seed,
-		Stream:    q.Stream,
-		Priority:  q.Priority,
-	}
-	if q.MaxTokens != nil {
-		g.MaxTokens = *q.MaxTokens
+		Seed:      q.seed,
+		Stream:    q.stream,
+		Priority:  q.priority,
+
+		IncludeUsage: q.includeUsage,
 	}
-	if q.MaxCompletionTokens != nil {
-		g.MaxTokens = *q.MaxCompletionTokens
+	if q.maxTokens != nil {
+		g.MaxTokens = *q.maxTokens
 	}
-	if q.Temperature != nil {
-		g.Temperature = *q.Temperature
+	if q.maxCompletionTokens != nil {
+		g.MaxTokens = *q.maxCompletionTokens
 	}
-	if q.StreamOptions != nil {
-		g.IncludeUsage = q.StreamOptions.IncludeUsage
+	if q.temperature != nil {
+		g.Temperature = *q.temperature
 	}
 	return g, q.validate(g)
 }
@@ -195,81 +181,12 @@
 		return code.Errorf(code.BadParameter, "max_tokens: %d is not in the range 1 to %d", g.MaxTokens, MaxTokensLimit)
 	case g.Temperature < 0 || g.Temperature > MaxTemperature:
 		return code.Errorf(code.BadParameter, "temperature: %g is not in the range 0 to %g", g.Temperature, MaxTemperature)
-	case q.N != nil && *q.N != 1:
+	case q.n != nil && *q.n != 1:
 		return code.Errorf(code.BadParameter, "n: only 1 is supported")
-	case isSet(q.Stop):
+	case q.hasStop:
 		return code.Errorf(code.BadParameter, "stop: not supported")
-	case isSet(q.Tools):
+	case q.hasTools:
 		return code.Errorf(code.BadParameter, "tools: not supported")
 	}
 	return nil
 }
-
-// isSet reports whether a field holds a value other than null, an empty list and an
-// empty string.
-func isSet(raw json.RawMessage) bool {
-	switch string(raw) {
-	case "", "null", "[]", `""`:
-		return false
-	}
-	return true
-}
-
-// chatPrompt returns the text that the engine continues: one line "role: content" for
-// each message, and "assistant:" at the end.
-func chatPrompt(messages []message) (string, error) {
-	var b strings.Builder
-	for i, m := range messages {
-		if m.Role == "" {
-			return "", code.Errorf(code.BadParameter, "messages[%d].role: a role is required", i)
-		}
-		text, err := contentText(m.Content)
-		if err != nil {
-			return "", code.Errorf(code.BadParameter, "messages[%d].content: a string or a list of text parts is required", i)
-		}
-		b.WriteString(m.Role)
-		b.WriteString(": ")
-		b.WriteString(text)
-		b.WriteByte('\n')
-	}
-	b.WriteString("assistant:")
-	return b.String(), nil
-}
-
-// errContentNotText is returned for content that is neither a string nor a list of text
-// parts.
-var errContentNotText = errors.New("the content is not text")
-
-// contentText returns the text of the content of a message, which is a string or a list
-// of text parts.
-func contentText(raw json.RawMessage) (string, error) {
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		return text, nil
-	}
-	var parts []contentPart
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", errContentNotText
-	}
-	for _, p := range parts {
-		if p.Type != "text" {
-			return "", errContentNotText
-		}
-		text += p.Text
-	}
-	return text, nil
-}
-
-// completionPrompt returns the prompt of a completion, which is a string or a list of
-// exactly one string.
-func completionPrompt(raw json.RawMessage) (string, error) {
-	var text string
-	if len(raw) > 0 && raw[0] == '"' && json.Unmarshal(raw, &text) == nil {
-		return text, nil
-	}
-	var list []string
-	if json.Unmarshal(raw, &list) == nil && len(list) == 1 {
-		return list[0], nil
-	}
-	return "", code.Errorf(code.BadParameter, "prompt: a string or a list of one string is required")
-}
--- a/limpetd/wire/wire_test.go
+++ b/limpetd/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -121,3 +122,58 @@
 	require.Equal(t, 1, strings.Count(event, "\n\n"))
 	require.True(t, json.Valid([]byte(data)))
 }
+
+// TestDecodeMatchesForms checks the texts of prompts in all their forms, and the fields that the decoder compares
+// without case.
+func TestDecodeMatchesForms(t *testing.T) {
+	chats := map[string]string{
+		`[{"content":"b","role":"a"}]`:                                               "a: b\nassistant:",
+		`[{"role":"a","content":null},{"Role":"b","CONTENT":"\u00e9\n"}]`:            "a: \nb: é\n\nassistant:",
+		`[{"role":"a","content":[]}]`:                                                "a: \nassistant:",
+		`[{"role":"a","content":"x","content":[{"text":"1","type":"text"}],"y":{}}]`: "a: 1\nassistant:",
+		"[{\"role\":\"a\",\"content\":\"\xff\"}]":                                    "a: \uFFFD\nassistant:",
+	}
+	for messages, want := range chats {
+		g, err := DecodeChat([]byte(`{"ignored":[{}],"MODEL":"m","messages":` + messages + `}`))
+		require.NoError(t, err, messages)
+		require.Equal(t, want, g.Prompt)
+		require.Equal(t, "m", g.Model)
+	}
+	for _, messages := range []string{`null`, `[]`, `[null]`, `[{}]`, `[{"role":"a"}]`, `[{"role":"a","content":1}]`, `[{"role":"a","content":[1]}]`, `[{"role":"a","content":[{"type":"text","text":1}]}]`} {
+		_, err := DecodeChat([]byte(`{"model":"m","messages":` + messages + `}`))
+		require.Equal(t, code.BadParameter, code.Of(err), messages)
+	}
+	for text, want := range map[string]string{`"p"`: "p", `["p"]`: "p", `[null]`: "", `""`: ""} {
+		g, err := DecodeCompletion([]byte(`{"model":"m","prompt":` + text + `}`))
+		require.NoError(t, err, text)
+		require.Equal(t, want, g.Prompt)
+	}
+	for _, text := range []string{`null`, `[]`, `["p",null]`, `{}`, `1`} {
+		_, err := DecodeCompletion([]byte(`{"model":"m","prompt":` + text + `}`))
+		require.Equal(t, code.BadParameter, code.Of(err), text)
+	}
+}
+
+// TestDecodingAllocatesForThePromptOnly guards against values that take far more memory than bytes once they are
+// decoded.
+func TestDecodingAllocatesForThePromptOnly(t *testing.T) {
+	// slack is for what does not depend on the size of the body, and for rounding to pages.
+	const size, slack = 1 << 20, 32 << 10
+	bodies := map[string]string{
+		"messages": `{"model":"m","messages":[` + strings.Repeat(`{"role":"a","content":""},`, size/26) + `{}]}`,
+		"empty":    `{"model":"m","messages":[` + strings.Repeat(`{},`, size/3) + `{}]}`,
+		"parts":    `{"model":"m","messages":[{"role":"a","content":[` + strings.Repeat(`{},`, size/3) + `{}]}]}`,
+		"unknown":  `{"model":"m","messages":[],"other":[` + strings.Repeat(`[],`, size/3) + `{}]}`,
+		"names":    `{"model":"m",` + strings.Repeat(`"":0,`, size/5) + `"messages":[]}`,
+		"text":     `{"model":"m","messages":[{"content":"` + strings.Repeat("x", size) + `","role":"a"}]}`,
+		"tools":    `{"model":"m","tools":[` + strings.Repeat(`{},`, size/3) + `{}],"messages":[{"role":"a","content":""}]}`,
+	}
+	for name, text := range bodies {
+		body := []byte(text)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _ = DecodeChat(body)
+		runtime.ReadMemStats(&after)
+		require.LessOrEqual(t, int64(after.TotalAlloc-before.TotalAlloc), DecodeBytes(int64(len(body)))+slack, name)
+	}
+}
