steer, guard: Admit links of daemons only, before their first message

The port for links accepted messages of anyone: 20 connections with 10 messages of 4 MB each, without their last byte, took 842 MB. It shares the address of the VM with the entry of callers.

A daemon that opens a link names the instance of the lease holder, and its own, in the metadata of the stream. They are random, and only those who read the store know them. The lease holder refuses a stream before its first message unless it knows one of them: its own instance needs no list of daemons, so that a daemon that is not listed yet, or a list from a restored store, makes no difference. Requests for reservations need a link on their connection. Admitted ones are not charged.

--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -23,6 +23,11 @@
 	// lease holder has a link of each. A tunnel takes two descriptors. The rest is for the store.
 	linkShare   = 0.13
 	tunnelShare = 0.05
+	// maxLinks is the limit of links without a limit of descriptors, for up to 361 daemons.
+	maxLinks = 400
+	// LinkBytes is what a connection for links takes before its first message: the buffers of gRPC of 32 KiB each, and
+	// the stacks of its goroutines.
+	LinkBytes = 80 << 10
 	// minConnections is the number of connections that are accepted under any limits.
 	minConnections = 16
 )
@@ -43,8 +48,15 @@
 	return limit
 }
 
-// LinkLimit returns how many links of other daemons a process may have; 0 means no limit.
-func LinkLimit(maxFDs int) int { return descriptors(linkShare, maxFDs) }
+// LinkLimit returns how many links of other daemons a process with limits for memory, in MB, and descriptors may have; 0
+// means no limit.
+func LinkLimit(memoryMB, maxFDs int) int {
+	limit := descriptors(linkShare, maxFDs)
+	if memoryMB > 0 && limit == 0 {
+		limit = maxLinks
+	}
+	return limit
+}
 
 // TunnelLimit is LinkLimit for tunnels.
 func TunnelLimit(maxFDs int) int { return descriptors(tunnelShare/2, maxFDs) }
--- /dev/null
+++ b/limpetd/steer/admission.go
@@ -0,0 +1,107 @@
+package steer
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync/atomic"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
+
+	"github.com/limpetlb/limpetlb/limpetd/guard"
+)
+
+// proofKey is the key under which a daemon that opens a link names instances of daemons: that of the lease holder, and its
+// own. They are random, and known only to those who read the store.
+const proofKey = "limpet-proof"
+
+// errNotMember ends links and requests of connections that belong to no daemon.
+var errNotMember = status.Error(codes.PermissionDenied, "the connection belongs to no daemon of this deployment")
+
+// withProof returns a context for a link to a lease holder.
+func withProof(ctx context.Context, holder, self Member) context.Context {
+	return metadata.AppendToOutgoingContext(ctx, proofKey, holder.Instance, proofKey, self.Instance)
+}
+
+// admits reports whether a connection may open a link: one that names an instance that this daemon knows. Builds
+// without proofs are known by the addresses of their rows.
+func (s *Controller) admits(proof []string, ip string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(proof, s.settings.Self.Instance) || s.holder.Instance != "" && slices.Contains(proof, s.holder.Instance) {
+		return true
+	}
+	if !s.membersKnown {
+		return true
+	}
+	for _, m := range s.members {
+		if slices.Contains(proof, m.Instance) || !m.Proves && sameHost(m.Address, ip) {
+			return true
+		}
+	}
+	return false
+}
+
+// sameHost reports whether an address has a given IP address.
+func sameHost(address, ip string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && host == ip
+}
+
+// linkConn is a connection of another daemon.
+type linkConn struct {
+	credentials.CommonAuthInfo
+	conn     net.Conn
+	admitted atomic.Bool
+}
+
+// AuthType implements credentials.AuthInfo.
+func (*linkConn) AuthType() string { return "limpet-proof" }
+
+// linkCredentials keep the connection of each call for its admission. They don't encrypt.
+type linkCredentials struct {
+	credentials.TransportCredentials
+}
+
+func newLinkCredentials() linkCredentials { return linkCredentials{insecure.NewCredentials()} }
+
+// ServerHandshake implements credentials.TransportCredentials.
+func (linkCredentials) ServerHandshake(c net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return c, &linkConn{CommonAuthInfo: credentials.CommonAuthInfo{SecurityLevel: credentials.NoSecurity}, conn: c}, nil
+}
+
+// Clone implements credentials.TransportCredentials.
+func (l linkCredentials) Clone() credentials.TransportCredentials {
+	return linkCredentials{l.TransportCredentials.Clone()}
+}
+
+// admitCalls returns a handler that refuses the calls of a connection before their first message, unless it has opened a
+// link with a valid proof.
+func admitCalls(s linkServer) tap.ServerInHandle {
+	return func(ctx context.Context, call *tap.Info) (context.Context, error) {
+		p, ok := peer.FromContext(ctx)
+		if !ok {
+			return ctx, errNotMember
+		}
+		c, ok := p.AuthInfo.(*linkConn)
+		switch {
+		case !ok:
+			return ctx, errNotMember
+		case c.admitted.Load():
+			return ctx, nil
+		}
+		ip, _, err := net.SplitHostPort(p.Addr.String())
+		if err != nil || call.FullMethodName != linkPath || !s.admits(call.Header.Get(proofKey), ip) {
+			return ctx, errNotMember
+		}
+		c.admitted.Store(true)
+		guard.Admit(c.conn)
+		return ctx, nil
+	}
+}
--- /dev/null
+++ b/limpetd/steer/admission_test.go
@@ -0,0 +1,68 @@
+package steer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/limpetlb/limpetlb/limpetd/sched"
+)
+
+// TestLinksNeedAProof guards against clients that are no daemons at the port for links, and against refusing daemons that
+// this one has not read yet, or that run a build without proofs.
+func TestLinksNeedAProof(t *testing.T) {
+	self := Member{VM: "a", Instance: "a-1", Address: "10.0.0.1:1", Proves: true}
+	other := Member{VM: "b", Instance: "b-1", Address: "10.0.0.2:1", Proves: true}
+	earlier := Member{VM: "c", Instance: "c-1", Address: "10.0.0.3:1"}
+	s := &Controller{settings: Config{Self: self}}
+	require.True(t, s.admits(nil, "10.0.0.9"), "the list of daemons was not read")
+	s.SetMembers([]Member{self, other, earlier})
+	for name, c := range map[string]struct {
+		proof []string
+		ip    string
+		want  bool
+	}{
+		"nothing":                               {nil, "10.0.0.9", false},
+		"unknown instance":                      {[]string{"x"}, "10.0.0.9", false},
+		"empty instance":                        {[]string{""}, "10.0.0.9", false},
+		"this daemon, by one not listed":        {[]string{"a-1", "x-1"}, "10.0.0.9", true},
+		"earlier lease holder, by one listed":   {[]string{"a-0", "b-1"}, "10.0.0.2", true},
+		"address of a daemon with proofs":       {nil, "10.0.0.2", false},
+		"address of an earlier build":           {nil, "10.0.0.3", true},
+		"address that begins like a daemon's":   {nil, "10.0.0.", false},
+		"instance of an earlier build":          {[]string{"c-1"}, "10.0.0.9", true},
+		"this daemon after a restored list too": {[]string{"a-1"}, "10.0.0.2", true},
+	} {
+		require.Equal(t, c.want, s.admits(c.proof, c.ip), name)
+	}
+}
+
+// guardedLinks is a server for links that admits those that name an instance.
+type guardedLinks struct{ openLinks }
+
+func (guardedLinks) admits(proof []string, _ string) bool { return len(proof) > 0 && proof[0] == "a-1" }
+
+// TestCallsWithoutLinkAreRefused guards against calls of clients that have not opened a link.
+func TestCallsWithoutLinkAreRefused(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- serveLinks(ctx, l, guardedLinks{}) }()
+	for instance, want := range map[string]codes.Code{"a-1": codes.OK, "a-2": codes.PermissionDenied} {
+		stream, conn, err := dialLink(ctx, Member{Address: l.Addr().String(), Instance: instance}, Member{})
+		require.NoError(t, err)
+		var g sched.Reservation
+		require.Equal(t, want, status.Code(conn.Invoke(ctx, reservePath, &sched.ReservationRequest{}, &g)))
+		if want != codes.OK {
+			require.Equal(t, want, status.Code(stream.RecvMsg(&stateUpdate{})))
+		}
+		require.NoError(t, conn.Close())
+	}
+	cancel()
+	require.NoError(t, <-served)
+}
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -218,7 +218,7 @@
 	defer cancel()
 	// A suspended VM accepts connections but sends nothing.
 	timeout := time.AfterFunc(linkOpenTimeout, cancel)
-	stream, conn, err := dialLink(ctx, holder.Address)
+	stream, conn, err := dialLink(ctx, holder, s.settings.Self)
 	if err != nil {
 		return err
 	}
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -134,13 +134,15 @@
 
 // linkServer handles the links and reservation requests of other daemons.
 type linkServer interface {
+	admits(proof []string, ip string) bool
 	handleLink(stream grpc.ServerStream) error
 	handleReserve(a sched.ReservationRequest) (sched.Reservation, error)
 }
 
 // serveLinks accepts links at l until ctx ends.
 func serveLinks(ctx context.Context, l net.Listener, s linkServer) error {
-	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes), grpc.KeepaliveParams(linkKeepalive), grpc.MaxConcurrentStreams(maxStreams))
+	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes), grpc.KeepaliveParams(linkKeepalive), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.Creds(newLinkCredentials()), grpc.InTapHandle(admitCalls(s)))
 	description := grpc.ServiceDesc{
 		ServiceName: linkService,
 		HandlerType: (*linkServer)(nil),
@@ -169,10 +171,10 @@
 	return err
 }
 
-// dialLink opens a link to the lease holder at address.
-func dialLink(ctx context.Context, address string) (grpc.ClientStream, *grpc.ClientConn, error) {
+// dialLink opens a link of a daemon to the lease holder.
+func dialLink(ctx context.Context, holder, self Member) (grpc.ClientStream, *grpc.ClientConn, error) {
 	dialer := conns.NewDialer()
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	conn, err := grpc.NewClient("passthrough:///"+holder.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp4", a) }),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{})),
@@ -182,7 +184,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	stream, err := conn.NewStream(ctx, &linkStream, linkPath)
+	stream, err := conn.NewStream(withProof(ctx, holder, self), &linkStream, linkPath)
 	if err != nil {
 		return nil, nil, errors.Join(err, conn.Close())
 	}
--- a/limpetd/steer/link_timeout_test.go
+++ b/limpetd/steer/link_timeout_test.go
@@ -36,6 +36,8 @@
 	return s.Context().Err()
 }
 
+func (openLinks) admits([]string, string) bool { return true }
+
 func (openLinks) handleReserve(sched.ReservationRequest) (sched.Reservation, error) {
 	return sched.Reservation{}, nil
 }
@@ -51,7 +53,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
 	go func() { served <- serveLinks(ctx, accepted, openLinks{}) }()
-	stream, conn, err := dialLink(ctx, l.Addr().String())
+	stream, conn, err := dialLink(ctx, Member{Address: l.Addr().String()}, Member{})
 	require.NoError(t, err)
 	require.NoError(t, stream.SendMsg(daemonReport{}))
 	raw, err := (<-accepted.conns).(*net.TCPConn).SyscallConn()
--- a/limpetd/steer/steer.go
+++ b/limpetd/steer/steer.go
@@ -62,6 +62,8 @@
 	TunnelAddress string `msgpack:"tunnel_address,omitempty"`
 	// Power is the capacity of the VM in cores, reduced if its network link is slow.
 	Power float64 `msgpack:"power"`
+	// Proves is whether the daemon proves that it is a member when it opens a link.
+	Proves bool `msgpack:"proves,omitempty"`
 }
 
 // EngineReport is the state of an engine as it reports it, some hundred milliseconds old.
