--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -26,8 +26,9 @@
 	// maxLinks is the limit of links without a limit of descriptors, for up to 361 daemons.
 	maxLinks = 400
 	// LinkBytes is what a connection for links takes before its first message: the buffers of gRPC of 32 KiB each, and
-	// the stacks of its goroutines.
-	LinkBytes = 80 << 10
+	// the stacks of its goroutines. TunnelBytes is what a tunnel takes: its buffers, and those of its two connections.
+	LinkBytes   = 80 << 10
+	TunnelBytes = 28 << 10
 	// minConnections is the number of connections that are accepted under any limits.
 	minConnections = 16
 )
@@ -59,7 +60,16 @@
 }
 
 // TunnelLimit is LinkLimit for tunnels.
-func TunnelLimit(maxFDs int) int { return descriptors(tunnelShare/2, maxFDs) }
+func TunnelLimit(memoryMB, maxFDs int) int {
+	limit := descriptors(tunnelShare/2, maxFDs)
+	if memoryMB > 0 {
+		byMemory := max(int(tunnelShare*float64(Bytes(memoryMB))/TunnelBytes), minConnections)
+		if limit == 0 || byMemory < limit {
+			limit = byMemory
+		}
+	}
+	return limit
+}
 
 // descriptors returns a share of the descriptors that are not reserved; 0 if there is no limit.
 func descriptors(share float64, maxFDs int) int {
