--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -8,10 +8,11 @@
 	// the kernel. The Go runtime's soft limit is 0.6 of the memory limit.
 	Share = 0.3
 	// ConnectionBytes is what a connection of a caller holds without a request: its two buffers of
-	// 4 KiB and the stack of its goroutine. CallBytes is what a call adds: the stacks that it grows, its state, and the
-	// connection to a server.
+	// 4 KiB and the stack of its goroutine.
 	ConnectionBytes = 16 << 10
-	CallBytes       = 24 << 10
+	// CallBytes is what a call adds to its connection: the stacks that it grows, its state, and the connection to a
+	// server.
+	CallBytes = 24 << 10
 	// connectionShare is the part of the account that connections may use.
 	connectionShare = 0.5
 	// reservedFDs is the number of descriptors that are reserved for files.
@@ -26,8 +27,9 @@
 	// maxLinks is the limit of links without a limit of descriptors, for up to 361 daemons.
 	maxLinks = 400
 	// LinkBytes is what a connection for links takes before its first message: the buffers of gRPC of 32 KiB each, and
-	// the stacks of its goroutines. TunnelBytes is what a tunnel takes: its buffers, and those of its two connections.
-	LinkBytes   = 80 << 10
+	// the stacks of its goroutines.
+	LinkBytes = 80 << 10
+	// TunnelBytes is what a tunnel takes: its buffers, and those of its two connections.
 	TunnelBytes = 28 << 10
 	// minConnections is the number of connections that are accepted under any limits.
 	minConnections = 16
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -215,15 +214,11 @@
 }
 
 // HeaderTooLarge returns the response to a call whose header exceeds a limit so far that it was not parsed.
-func HeaderTooLarge(limit int64) *http.Response {
-	text := fmt.Sprintf("the header exceeds max_header_bytes, which is %d\n", limit)
-	return &http.Response{
-		StatusCode: http.StatusRequestHeaderFieldsTooLarge,
-		Header: http.Header{
-			"Limpet-Code":  {strconv.Itoa(int(code.HeaderTooLarge))},
-			"Content-Type": {"text/plain; charset=utf-8"},
-		},
-		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+func HeaderTooLarge(limit int64) guard.Refusal {
+	return guard.Refusal{
+		Status: http.StatusRequestHeaderFieldsTooLarge,
+		Header: http.Header{"Limpet-Code": {strconv.Itoa(int(code.HeaderTooLarge))}, "Content-Type": {"text/plain; charset=utf-8"}},
+		Body:   fmt.Appendf(nil, "the header exceeds max_header_bytes, which is %d\n", limit),
 	}
 }
 
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -16,10 +16,8 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -262,17 +260,17 @@
 }
 
 // headerTooLarge returns the response to a request whose header exceeds the limit so far that it was not parsed.
-func headerTooLarge(limit int64) *http.Response {
+func headerTooLarge(limit int64) guard.Refusal {
 	id := newRequestID()
 	err := code.Errorf(code.HeaderTooLarge, "the header exceeds the limit of %d bytes", limit)
 	// The type of an error is always encoded.
 	body, _ := json.Marshal(wire.NewError(err, id))
-	return &http.Response{
-		StatusCode: code.HeaderTooLarge.Info().Status,
+	return guard.Refusal{
+		Status: code.HeaderTooLarge.Info().Status,
 		Header: http.Header{
 			headerRequestID: {id}, headerCode: {strconv.Itoa(int(code.HeaderTooLarge))}, headerRun: {string(code.RunOf(err))}, "Content-Type": {contentTypeJSON},
 		},
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+		Body: body,
 	}
 }
 
--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -25,7 +26,7 @@
 	// the server applies.
 	HeaderLimit func() int64
 	// TooLarge returns the response to a header over a limit. It is nil if the connection is closed without one.
-	TooLarge func(limit int64) *http.Response
+	TooLarge func(limit int64) Refusal
 	// MaxUnadmitted is the maximum number of connections that were not admitted by Admit yet; 0 if connections need no
 	// admission. A connection without admission is in the phase Header, all that it sends counts as header, and it is
 	// charged with UnadmittedBytes. An admitted one is not charged.
@@ -41,6 +42,13 @@
 	return budget.ConnectionBytes
 }
 
+// Refusal is a response that a Door writes itself.
+type Refusal struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // headerSlack is how far a header may exceed its limit until the Door refuses it. The handler refuses headers between
 // the two limits.
 const headerSlack = 4 << 10
@@ -291,8 +299,11 @@
 	}
 	// An error of the connection ends the loop below.
 	_ = c.SetDeadline(time.Now().Add(endDelay))
-	response := c.door.config.TooLarge(limit)
-	response.ProtoMajor, response.ProtoMinor, response.Close = 1, 1, true
+	refusal := c.door.config.TooLarge(limit)
+	response := &http.Response{
+		StatusCode: refusal.Status, ProtoMajor: 1, ProtoMinor: 1, Header: refusal.Header, Close: true,
+		ContentLength: int64(len(refusal.Body)), Body: io.NopCloser(bytes.NewReader(refusal.Body)),
+	}
 	_ = response.Write(c.Conn)
 	_ = c.CloseWrite()
 	for {
--- a/limpetlab/crowd/protocol.go
+++ b/limpetlab/crowd/protocol.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,6 +87,15 @@
 	return all
 }
 
+// IncompletePatterns returns the patterns whose clients send no request that may run.
+func IncompletePatterns() []Pattern {
+	complete := map[string]bool{
+		"many header names behind a request": true, "idle connections after a request": true, UnreadPattern.Name: true,
+		"many trailers": true, "pipelined requests whose responses are not read": true,
+	}
+	return slices.DeleteFunc(Patterns(), func(p Pattern) bool { return complete[p.Name] })
+}
+
 // AskLargest sends one request with a header of nearly headerBytes in the shortest lines and a body of bodyBytes. It returns
 // an error unless the response has status 200.
 func AskLargest(ctx context.Context, e Entry, headerBytes, bodyBytes int) error {
--- a/limpetlab/soak/fault.go
+++ b/limpetlab/soak/fault.go
@@ -70,6 +70,10 @@
 	seriesRandom := rand.New(rand.NewPCG(r.config.Seed, 17))
 	failureRandom := rand.New(rand.NewPCG(r.config.Seed, 21))
 	r.running.Go(func() { r.failCalls(breaking, failureRandom) })
+	hostileRandom := rand.New(rand.NewPCG(r.config.Seed, 23))
+	if r.config.OldProgram == "" {
+		r.running.Go(func() { r.sendHostileClients(breaking, hostileRandom) })
+	}
 	upgradeRandom := rand.New(rand.NewPCG(r.config.Seed, 19))
 	switch {
 	case r.config.KeepDaemons:
