--- a/limpetd/budget/budget_test.go
+++ b/limpetd/budget/budget_test.go
@@ -163,14 +163,15 @@
 // TestDroppedMemoryIsUsedWhenItIsFree guards against admitting a body for one whose header is still held.
 func TestDroppedMemoryIsUsedWhenItIsFree(t *testing.T) {
 	a := budget.New(8 * mib)
-	body(t, a, 1, mib, true, 0)
-	a.Charge(budget.Headers, 6*mib)
-	a.Attach(1, 6*mib)
+	body(t, a, 1, mib, true, -2)
+	a.Charge(budget.Headers, 2*mib)
+	a.Attach(1, 2*mib)
+	body(t, a, 3, 4*mib, true, 0)
 	a.Begin(2, budget.Reading, true, at(2))
 	require.Equal(t, budget.Decision{Verdict: budget.Waits, Drop: []budget.ID{1}}, a.Ask(2, 2*mib, at(2)))
 	require.Equal(t, budget.Decision{Verdict: budget.Waits}, a.Ask(2, 2*mib, at(2)), "nothing else is dropped for it")
-	a.Charge(budget.Headers, -6*mib)
-	a.Left(6 * mib)
+	a.Charge(budget.Headers, -2*mib)
+	a.Left(2 * mib)
 	require.Equal(t, budget.Decision{}, a.Ask(2, 2*mib, at(2)))
 }
 
--- a/limpetd/steer/admission_test.go
+++ b/limpetd/steer/admission_test.go
@@ -60,6 +60,8 @@
 		require.Equal(t, want, status.Code(conn.Invoke(ctx, reservePath, &sched.ReservationRequest{}, &g)))
 		if want != codes.OK {
 			require.Equal(t, want, status.Code(stream.RecvMsg(&stateUpdate{})))
+			proven := withProof(ctx, Member{Instance: "a-1"}, Member{})
+			require.Equal(t, want, status.Code(conn.Invoke(proven, reservePath, &sched.ReservationRequest{}, &g)), "a proof without a link")
 		}
 		require.NoError(t, conn.Close())
 	}
--- a/limpetd/wire/wire_test.go
+++ b/limpetd/wire/wire_test.go
@@ -177,3 +177,21 @@
 		require.LessOrEqual(t, int64(after.TotalAlloc-before.TotalAlloc), DecodeBytes(int64(len(body)))+slack, name)
 	}
 }
+
+// TestSplitBatchIsBounded guards against batches of more requests than the maximum, and against cutting requests wrongly.
+func TestSplitBatchIsBounded(t *testing.T) {
+	const body = `{"priority":"night", "requests": [ {"a":1} , 2,[]]}`
+	priority, requests, err := SplitBatch([]byte(body), 3)
+	require.NoError(t, err)
+	require.Equal(t, "night", priority)
+	require.Equal(t, [][]byte{[]byte(`{"a":1}`), []byte(`2`), []byte(`[]`)}, requests)
+	_, _, err = SplitBatch([]byte(body), 2)
+	require.Equal(t, code.BadParameter, code.Of(err))
+	lines, err := SplitLines([]byte("{\"a\":1}\n 2\n"), 2)
+	require.NoError(t, err)
+	require.Equal(t, [][]byte{[]byte(`{"a":1}`), []byte(`2`)}, lines)
+	_, err = SplitLines([]byte("1\n2\n"), 1)
+	require.Equal(t, code.BadParameter, code.Of(err))
+	_, err = SplitLines([]byte("1\n["), 2)
+	require.Equal(t, code.MalformedBody, code.Of(err))
+}
