guard: Close connections before headers that were read ahead

A connection whose last 4 KiB of chunks have more than 56 lines was treated as one whose next header is arriving: the time limit of headers, and not that of idle connections, applied to it, and its caller could lose a request on a connection that it rightly used again. The response now says that the connection closes, when more than 8 KiB may be needed for a header that was read ahead; announced bodies never are. Found by reading; the test covers both.

--- a/limpetd/guard/guard_test.go
+++ b/limpetd/guard/guard_test.go
@@ -247,6 +247,33 @@
 	require.Equal(t, 1, strings.Count(string(text), "HTTP/1.1 200 OK"), "the connection is closed before the second header is parsed")
 }
 
+// TestConnectionsCloseBeforeHeadersReadAhead guards against parsing a header that was read ahead before it is charged, and
+// against closing connections whose bodies have lines. A caller that may use the connection again is told.
+func TestConnectionsCloseBeforeHeadersReadAhead(t *testing.T) {
+	g := guard.New(t.Context(), guard.Config{}, guard.Deps{})
+	address := startServer(t, g, guard.DoorConfig{})
+	const post = "POST / HTTP/1.1\r\nHost: h\r\n"
+	chunked := func(text string) string {
+		return post + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	}
+	lines := strings.Repeat("\n", 1000)
+	for name, c := range map[string]struct {
+		text   string
+		closes bool
+	}{
+		"announced body of lines": {post + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(lines), lines), false},
+		"chunks":                  {chunked("body"), false},
+		"chunks of lines":         {chunked(lines), true},
+		"next header behind":      {post + "Content-Length: 1\r\n\r\nx" + post + shortLines(300), true},
+	} {
+		response, err := http.ReadResponse(bufio.NewReader(dial(t, address, c.text)), nil)
+		require.NoError(t, err, name)
+		require.Equal(t, http.StatusOK, response.StatusCode, name)
+		require.Equal(t, c.closes, response.Close, name)
+		require.NoError(t, response.Body.Close())
+	}
+}
+
 // TestUnadmittedConnectionsAreBounded guards against connections that hold memory without showing to whom they belong:
 // few are accepted, they send little, and they make room for others.
 func TestUnadmittedConnectionsAreBounded(t *testing.T) {
--- a/limpetd/guard/header.go
+++ b/limpetd/guard/header.go
@@ -42,13 +42,25 @@
 		closeAfter(w)
 		return size, code.Errorf(code.HeaderTooLarge, "the header has %d bytes, the limit is %d bytes", size, limit)
 	}
-	if c, _ := r.Context().Value(contextKey{}).(*conn); c != nil && !g.settleHeader(w, c, size+lines*budget.HeaderLineBytes) {
+	c, _ := r.Context().Value(contextKey{}).(*conn)
+	if c != nil && !g.settleHeader(w, c, size+lines*budget.HeaderLineBytes) {
 		closeAfter(w)
 		return size, g.memoryShort()
 	}
+	if r.ContentLength == 0 {
+		c.closeIfBehind(w)
+	}
 	return size, nil
 }
 
+// closeIfBehind makes the server close the connection after the response if a large header may have been read ahead,
+// which would be parsed before it is charged. It doesn't wait for memory, because the connection may as well be idle.
+func (c *conn) closeIfBehind(w http.ResponseWriter) {
+	if c != nil && c.behind > smallBehind {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // settleHeader replaces what was charged for the lines of a header while it arrived by what it takes. A header that
 // arrived together with the request before it was not charged at all. It reports whether the memory suffices.
 func (g *Guard) settleHeader(w http.ResponseWriter, c *conn, size int64) bool {
