guard, gate: Answer requests that memory refuses, and admit the largest batch

Callers of limpetd got a 503 for memory without Retry-After, which docs/codes.md promises, and callers of both programs a closed connection when there was no memory for their header.

The code is among those that carry a Retry-After, and the listener answers with 503, the code and the bound before it closes a connection for whose header there is no memory. Growth of a body that is charged with a factor is charged once. TestRefusalForMemoryIsCoded failed with a closed connection and TestLargestRequestsAreServed with 503 for the batch; they pass, with the race detector, too.

--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -215,10 +215,22 @@
 
 // HeaderTooLarge returns the response to a call whose header exceeds a limit so far that it was not parsed.
 func HeaderTooLarge(limit int64) guard.Refusal {
+	return refusal(code.HeaderTooLarge, fmt.Sprintf("the header exceeds max_header_bytes, which is %d", limit))
+}
+
+// HeaderNotHeld returns the response to a call for whose header there is no memory.
+func HeaderNotHeld(err error) guard.Refusal {
+	r := refusal(code.MemoryShort, err.Error())
+	r.Header.Set("Retry-After", formatSeconds(memoryRetryAfter))
+	return r
+}
+
+// refusal returns a response that is written before the call is parsed.
+func refusal(result code.Code, reason string) guard.Refusal {
 	return guard.Refusal{
-		Status: http.StatusRequestHeaderFieldsTooLarge,
-		Header: http.Header{"Limpet-Code": {strconv.Itoa(int(code.HeaderTooLarge))}, "Content-Type": {"text/plain; charset=utf-8"}},
-		Body:   fmt.Appendf(nil, "the header exceeds max_header_bytes, which is %d\n", limit),
+		Status: result.Info().Status,
+		Header: http.Header{"Limpet-Code": {strconv.Itoa(int(result))}, "Content-Type": {"text/plain; charset=utf-8"}},
+		Body:   []byte(reason + "\n"),
 	}
 }
 
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -256,22 +256,29 @@
 		},
 		HeaderLimit: func() int64 { return int64(g.config.MaxHeaderBytes) },
 		TooLarge:    headerTooLarge,
+		Short:       refusal,
 	})
 }
 
 // headerTooLarge returns the response to a request whose header exceeds the limit so far that it was not parsed.
 func headerTooLarge(limit int64) guard.Refusal {
+	return refusal(code.Errorf(code.HeaderTooLarge, "the header exceeds the limit of %d bytes", limit))
+}
+
+// refusal returns a response that is written before the request is parsed.
+func refusal(err error) guard.Refusal {
 	id := newRequestID()
-	err := code.Errorf(code.HeaderTooLarge, "the header exceeds the limit of %d bytes", limit)
 	// The type of an error is always encoded.
 	body, _ := json.Marshal(wire.NewError(err, id))
-	return guard.Refusal{
-		Status: code.HeaderTooLarge.Info().Status,
-		Header: http.Header{
-			headerRequestID: {id}, headerCode: {strconv.Itoa(int(code.HeaderTooLarge))}, headerRun: {string(code.RunOf(err))}, "Content-Type": {contentTypeJSON},
-		},
-		Body: body,
+	h := http.Header{}
+	h.Set(headerRequestID, id)
+	h.Set(headerCode, strconv.Itoa(int(code.Of(err))))
+	h.Set(headerRun, string(code.RunOf(err)))
+	h.Set("Content-Type", contentTypeJSON)
+	if wait := retryAfter(err); wait > 0 {
+		h.Set("Retry-After", strconv.Itoa(ceilSeconds(wait)))
 	}
+	return guard.Refusal{Status: code.Of(err).Info().Status, Header: h, Body: body}
 }
 
 // InFlight returns the number of requests in flight, without health checks.
--- a/limpetd/gate/gate_test.go
+++ b/limpetd/gate/gate_test.go
@@ -23,6 +23,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/engine"
 	"github.com/limpetlb/limpetlb/limpetd/envdoc"
 	"github.com/limpetlb/limpetlb/limpetd/fakes"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/relay"
 	"github.com/limpetlb/limpetlb/limpetd/wire"
 )
@@ -85,6 +86,8 @@
 	engines  *fakes.Generator
 	// serviceTimeout is the timeout of calls to plain services.
 	serviceTimeout time.Duration
+	// guard bounds the memory of callers; nil means no limit.
+	guard *guard.Guard
 }
 
 // startGate starts a Gate that is stopped at the end of the test.
@@ -110,7 +113,7 @@
 	batches := batch.New(ctx, batch.Config{Instance: "i", Environment: "test"}, batch.Deps{
 		Table: c.table, Objects: &fakes.Objects{}, Answerer: r, Documents: docs,
 	})
-	g := New(c.config, Deps{Documents: docs, Relay: r, Claims: claims, Batches: batches})
+	g := New(c.config, Deps{Documents: docs, Relay: r, Claims: claims, Batches: batches, Guard: c.guard})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = g.Server()
 	server.Listener = g.Listener(server.Listener)
--- a/limpetd/gate/retry.go
+++ b/limpetd/gate/retry.go
@@ -21,7 +21,7 @@
 	case code.Stopping, code.NoDocument, code.CallerLimit, code.QueueFull,
 		code.ShedDeadline, code.NoEngine, code.NoBackend, code.RetryBudget,
 		code.BackendFailed, code.ClaimStoreDown, code.ClaimInProgress,
-		code.BatchStoreDown:
+		code.BatchStoreDown, code.MemoryShort:
 		return defaultRetryAfter
 	}
 	return 0
--- a/limpetd/guard/body.go
+++ b/limpetd/guard/body.go
@@ -154,15 +154,20 @@
 		size = 4 * old
 	}
 	size = min(size, most)
-	if !b.guard.ask(b.id, b.factor*size) {
+	// Both buffers are held while the bytes are copied. A factor covers that.
+	more, free := size, old
+	if b.factor > 1 {
+		more, free = b.factor*(size-old), 0
+	}
+	if !b.guard.ask(b.id, more) {
 		return false
 	}
 	buffer := make([]byte, len(b.buffer), size)
 	copy(buffer, b.buffer)
 	b.buffer = buffer
-	if old > 0 {
+	if free > 0 {
 		b.guard.mu.Lock()
-		b.guard.account.Free(b.id, b.factor*old)
+		b.guard.account.Free(b.id, free)
 		b.guard.mu.Unlock()
 	}
 	return true
--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -27,6 +27,9 @@
 	HeaderLimit func() int64
 	// TooLarge returns the response to a header over a limit. It is nil if the connection is closed without one.
 	TooLarge func(limit int64) Refusal
+	// Short returns the response to a request for whose header there is no memory, with the error. It is nil if the
+	// connection is closed without one.
+	Short func(err error) Refusal
 	// MaxUnadmitted is the maximum number of connections that were not admitted by Admit yet; 0 if connections need no
 	// admission. A connection without admission is in the phase Header, all that it sends counts as header, and it is
 	// charged with UnadmittedBytes. An admitted one is not charged.
@@ -254,17 +257,30 @@
 	}
 	if f := c.door.config.HeaderLimit; f != nil {
 		if limit := f(); limit > 0 && c.scan.Bytes > limit+headerSlack {
-			c.refuseHeader(limit, p)
+			c.door.guard.metrics.headersRefused.Inc(1)
+			if f := c.door.config.TooLarge; f != nil {
+				c.refuse(f(limit), p)
+			}
 			return 0, io.EOF
 		}
 	}
 	if !c.chargeHeader(cost) {
+		if f := c.door.config.Short; f != nil && !c.isClosed() {
+			c.refuse(f(c.door.guard.memoryShort()), p)
+		}
 		_ = c.Close()
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// isClosed reports whether the connection was closed, for example because its header was dropped for others.
+func (c *conn) isClosed() bool {
+	c.door.guard.mu.Lock()
+	defer c.door.guard.mu.Unlock()
+	return c.closed
+}
+
 // readAhead records that n bytes were read into p while a request is active.
 func (c *conn) readAhead(p []byte, n int) {
 	if c.scan.Opaque() || len(p) == 1 {
@@ -290,19 +306,14 @@
 	c.remaining = max(size-c.scan.Rest, 0)
 }
 
-// refuseHeader answers a header over the limit, and reads on for a moment: the response could be lost to a reset
+// refuse answers a request whose header is not parsed, and reads on for a moment: the response could be lost to a reset
 // otherwise. What it reads is discarded in buffer.
-func (c *conn) refuseHeader(limit int64, buffer []byte) {
-	c.door.guard.metrics.headersRefused.Inc(1)
-	if c.door.config.TooLarge == nil {
-		return
-	}
+func (c *conn) refuse(r Refusal, buffer []byte) {
 	// An error of the connection ends the loop below.
 	_ = c.SetDeadline(time.Now().Add(endDelay))
-	refusal := c.door.config.TooLarge(limit)
 	response := &http.Response{
-		StatusCode: refusal.Status, ProtoMajor: 1, ProtoMinor: 1, Header: refusal.Header, Close: true,
-		ContentLength: int64(len(refusal.Body)), Body: io.NopCloser(bytes.NewReader(refusal.Body)),
+		StatusCode: r.Status, ProtoMajor: 1, ProtoMinor: 1, Header: r.Header, Close: true,
+		ContentLength: int64(len(r.Body)), Body: io.NopCloser(bytes.NewReader(r.Body)),
 	}
 	_ = response.Write(c.Conn)
 	_ = c.CloseWrite()
--- a/limpetd/guard/guard.go
+++ b/limpetd/guard/guard.go
@@ -138,6 +138,13 @@
 	g.mu.Unlock()
 }
 
+// Used returns the memory in bytes that is charged for a kind.
+func (g *Guard) Used(k budget.Kind) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.account.Used(k)
+}
+
 // Release subtracts n bytes that were charged.
 func (g *Guard) Release(k budget.Kind, n int64) {
 	if n == 0 {
