--- a/limpetd/budget/budget_test.go
+++ b/limpetd/budget/budget_test.go
@@ -132,6 +132,8 @@
 	require.Equal(t, 71, budget.TunnelLimit(144, 3075))
 	require.Equal(t, 78, budget.TunnelLimit(144, 0), "bounded by memory")
 	require.Equal(t, 400, budget.LinkLimit(144, 0), "all of 361 daemons")
+	require.Equal(t, 517, budget.PeerLimit(3075), "all of 361 daemons")
+	require.Zero(t, budget.PeerLimit(0))
 	for _, fds := range []int{1000, 3075, 10250} {
 		used := 2*budget.ConnectionLimit(0, fds) + budget.LinkLimit(0, fds) + 2*budget.TunnelLimit(0, fds)
 		require.LessOrEqual(t, used, fds-200, "calls, their servers, links and tunnels, with files and the store, of %d", fds)
--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -61,6 +61,10 @@
 	return limit
 }
 
+// PeerLimit returns how many connections of other daemons a process of limpetd may have, which grants no tunnels; 0 means
+// no limit.
+func PeerLimit(maxFDs int) int { return descriptors(linkShare+tunnelShare, maxFDs) }
+
 // TunnelLimit is LinkLimit for tunnels.
 func TunnelLimit(memoryMB, maxFDs int) int {
 	limit := descriptors(tunnelShare/2, maxFDs)
--- a/limpetd/conf/conf.go
+++ b/limpetd/conf/conf.go
@@ -58,8 +58,8 @@
 	MaxBody       int64         `name:"max-body" env:"LIMPETD_MAX_BODY" help:"Maximum size of a request body in bytes." default:"4194304"`
 	BodyTimeout   time.Duration `name:"body-timeout" env:"LIMPETD_BODY_TIMEOUT" help:"Maximum time to receive a request body." default:"30s"`
 	MinBodyRate   int64         `name:"min-body-rate" env:"LIMPETD_MIN_BODY_RATE" help:"Minimum rate of a request body in bytes per second, over 5 s." default:"1024"`
-	MemoryMB      int           `name:"memory-mb" env:"LIMPETD_MEMORY_MB" help:"Memory limit of the process in MB, from which the limit of what it holds for callers is derived; 0 for none." default:"0"`
-	MaxFDs        int           `name:"max-fds" env:"LIMPETD_MAX_FDS" help:"Maximum number of open descriptors, from which the limit of connections of callers is derived; 0 for none." default:"0"`
+	MemoryMB      int           `name:"memory-mb" env:"LIMPETD_MEMORY_MB" help:"Memory limit of the process in MB, from which the limit of what it holds for callers is derived; 0 for none. A batch of 8 MiB needs 123." default:"0"`
+	MaxFDs        int           `name:"max-fds" env:"LIMPETD_MAX_FDS" help:"Maximum number of open descriptors, from which the limits of connections of callers and of other daemons are derived; 0 for none. 361 daemons need 2,210." default:"0"`
 	EventCapacity int           `name:"event-capacity" env:"LIMPETD_EVENT_CAPACITY" help:"Number of events that the daemon keeps for the timeline." default:"8192"`
 	LogLevel      string        `name:"log-level" env:"LIMPETD_LOG_LEVEL" help:"Minimum level of log lines: debug, info, warn or error." default:"info"`
 }
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	goji "goji.io"
 	"goji.io/pat"
+	"golang.org/x/net/netutil"
 
 	"github.com/limpetlb/limpetlb/limpetd/admin"
 	"github.com/limpetlb/limpetlb/limpetd/budget"
@@ -80,7 +81,11 @@
 
 // startServers starts the servers of the three interfaces.
 func (n *Node) startServers(ctx context.Context) {
-	n.peerServer = peer.NewServer(ctx, n.peerConfig(), n.listeners.peer, peer.ServerDeps{
+	peers := n.listeners.peer
+	if limit := budget.PeerLimit(n.config.MaxFDs); limit > 0 {
+		peers = netutil.LimitListener(peers, limit)
+	}
+	n.peerServer = peer.NewServer(ctx, n.peerConfig(), peers, peer.ServerDeps{
 		TLS: n.peerKeys.PeerServer(), Members: n.members, Documents: n.docs, Grants: peerHandler{n}, Timeline: n.events, Holders: n.reach,
 		Placed: n.reach, Claims: n.claims, Loans: n.queue, Drain: peerHandler{n}, Log: n.log, Events: n.events, Scope: n.metrics.Scope,
 	})
