broken: Break off all responses of servers without Rest

The panic ended the test process.

A client of another test that dials a port which was its server's before is the likely sender. That was not seen.

A server without Rest now breaks off all responses, so that a request of another client neither ends the process nor changes what the test's own client receives.

--- a/limpetd/broken/broken.go
+++ b/limpetd/broken/broken.go
@@ -130,14 +130,16 @@
 	return err
 }
 
-// Server is a backend server that breaks off the response to the first request.
+// Server is a backend server that breaks off the response to the first request, or all responses.
 type Server struct {
-	// Response is the response to the first request.
+	// Response is the response that is broken off.
 	Response Response
 	// Header returns the headers of a response other than Content-Length and
 	// Transfer-Encoding. If Header is nil, there are none.
 	Header func(*http.Request) http.Header
-	// Rest returns the bodies of the other responses.
+	// Rest returns the bodies of the other responses. If Rest is nil, all responses are broken
+	// off, so that requests of other clients, which may still dial a port that was theirs, don't
+	// change what the first client of a test receives.
 	Rest func(*http.Request) string
 	// Requests counts the requests. Servers that share it break off one response together.
 	Requests *atomic.Int64
@@ -169,7 +171,7 @@
 	if s.Header != nil {
 		header = s.Header(r)
 	}
-	if s.Requests.Add(1) > 1 {
+	if s.Requests.Add(1) > 1 && s.Rest != nil {
 		body := s.Rest(r)
 		header.Set("Connection", "close")
 		header.Set("Content-Length", strconv.Itoa(len(body)))
