steer: Test that 360 daemons open their links together

After a restart of all daemons, 361 of them connect to the lease holder at once, which may have few of them in its list and admits 128 connections that have proved nothing yet. The test opens 360 links through a Door with the limits of the smallest VM, and requires that each is admitted, sends a request, and is no longer charged.

--- a/limpetd/steer/admission_test.go
+++ b/limpetd/steer/admission_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/limpetlb/limpetlb/limpetd/budget"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
@@ -68,3 +72,56 @@
 	cancel()
 	require.NoError(t, <-served)
 }
+
+// TestAllDaemonsAreAdmittedTogether guards against limits of connections that refuse some of 361 daemons which open their
+// links at the same time, as after a restart of all, when few of them are in the list.
+func TestAllDaemonsAreAdmittedTogether(t *testing.T) {
+	const daemons, maxUnadmitted = 360, 128
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := guard.New(t.Context(), guard.Config{MemoryMB: 144, MaxFDs: 3075}, guard.Deps{})
+	door := g.Door(l, guard.DoorConfig{Max: budget.LinkLimit(144, 3075), MaxUnadmitted: maxUnadmitted, UnadmittedBytes: budget.LinkBytes})
+	self := Member{VM: "a", Instance: "a-1", Address: l.Addr().String(), Proves: true}
+	s := &Controller{settings: Config{Self: self}}
+	s.SetMembers([]Member{self})
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- serveLinks(ctx, door, membersOnly{s}) }()
+	var opening sync.WaitGroup
+	var results [daemons]error
+	for i := range daemons {
+		opening.Go(func() {
+			// A connect may time out beside other load. Daemons then try again.
+			for results[i] = errNoHolder; status.Code(results[i]) == codes.Unavailable && ctx.Err() == nil; {
+				results[i] = openLink(ctx, t, self)
+			}
+		})
+	}
+	opening.Wait()
+	for i, err := range results {
+		require.NoError(t, err, "daemon %d", i)
+	}
+	require.Zero(t, g.Used(budget.Connections), "admitted connections are not charged")
+	cancel()
+	require.NoError(t, <-served)
+}
+
+// openLink opens a link to the lease holder, and sends a request on its connection. The connection stays open.
+func openLink(ctx context.Context, t *testing.T, holder Member) error {
+	_, conn, err := dialLink(ctx, holder, Member{Instance: "x"})
+	if err != nil {
+		return err
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	var r sched.Reservation
+	return conn.Invoke(ctx, reservePath, &sched.ReservationRequest{}, &r)
+}
+
+// membersOnly is a server for links that admits like a Controller.
+type membersOnly struct{ *Controller }
+
+func (membersOnly) handleLink(s grpc.ServerStream) error { return openLinks{}.handleLink(s) }
+
+func (membersOnly) handleReserve(sched.ReservationRequest) (sched.Reservation, error) {
+	return sched.Reservation{}, nil
+}
