budget, guard: Name what the account holds by the terms of HTTP servers

Bytes of the next request that the server has read already were "behind", what was dropped but is not free yet was "leaving", and headers over TLS were "opaque". They are ReadAhead, pendingFree and encrypted now, and DoorConfig.Short, which answers when there is no memory, is NoMemory.

--- a/limpetd/budget/budget.go
+++ b/limpetd/budget/budget.go
@@ -98,7 +98,7 @@
 )
 
 // Decision is the answer to Ask. Drop are those that are dropped for it, whatever the verdict: the caller ends them, and
-// calls Left when what is attached to them is free.
+// calls Freed when what is attached to them is free.
 type Decision struct {
 	Verdict Verdict
 	Drop    []ID
@@ -110,8 +110,8 @@
 	used       [kinds]int64
 	total      int64
 	incomplete map[ID]*Incomplete
-	// leaving is the part of total that becomes free soon, because what it is attached to was dropped.
-	leaving int64
+	// pendingFree is the part of total that is attached to dropped Incompletes and not released yet.
+	pendingFree int64
 	// spare are Incompletes that ended, so that an ordinary body allocates none.
 	spare []*Incomplete
 }
@@ -193,7 +193,7 @@
 		a.hold(own, n)
 		return Decision{}
 	}
-	need := a.total - a.leaving + n - a.limitOf(own, n)
+	need := a.total - a.pendingFree + n - a.limitOf(own, n)
 	var drop []ID
 	for need > 0 {
 		id, worst := a.worst(own, now, drop)
@@ -207,7 +207,7 @@
 		need -= worst.held + worst.attached
 	}
 	for _, d := range drop {
-		a.leaving += a.incomplete[d].attached
+		a.pendingFree += a.incomplete[d].attached
 		a.End(d)
 	}
 	if a.total+n > a.limitOf(own, n) {
@@ -217,8 +217,8 @@
 	return Decision{Drop: drop}
 }
 
-// Left records that n bytes that were attached to something that was dropped are free.
-func (a *Account) Left(n int64) { a.leaving -= n }
+// Freed records the release of n bytes that were attached to a dropped Incomplete.
+func (a *Account) Freed(n int64) { a.pendingFree -= n }
 
 // hold charges n bytes to a body or header.
 func (a *Account) hold(i *Incomplete, n int64) {
--- a/limpetd/budget/budget_test.go
+++ b/limpetd/budget/budget_test.go
@@ -173,7 +173,7 @@
 	require.Equal(t, budget.Decision{Verdict: budget.Waits, Drop: []budget.ID{1}}, a.Ask(2, 2*mib, at(2)))
 	require.Equal(t, budget.Decision{Verdict: budget.Waits}, a.Ask(2, 2*mib, at(2)), "nothing else is dropped for it")
 	a.Charge(budget.Headers, -2*mib)
-	a.Left(2 * mib)
+	a.Freed(2 * mib)
 	require.Equal(t, budget.Decision{}, a.Ask(2, 2*mib, at(2)))
 }
 
@@ -186,13 +186,13 @@
 		require.EqualValues(t, len(header)+len(rest)+4*budget.HeaderLineBytes, cost, split)
 		require.EqualValues(t, len(header), s.Bytes, split)
 		require.EqualValues(t, len(rest), s.Rest)
-		require.Zero(t, s.Behind(int64(len(rest))), "all is body")
-		require.EqualValues(t, len(rest)-4+budget.HeaderLineBytes, s.Behind(4))
-		require.EqualValues(t, len(rest)+budget.HeaderLineBytes, s.Behind(-1))
+		require.Zero(t, s.ReadAhead(int64(len(rest))), "all is body")
+		require.EqualValues(t, len(rest)-4+budget.HeaderLineBytes, s.ReadAhead(4))
+		require.EqualValues(t, len(rest)+budget.HeaderLineBytes, s.ReadAhead(-1))
 		s.Next()
 		require.Zero(t, s.Bytes)
 	}
 	var encrypted budget.HeaderScan
 	require.Greater(t, encrypted.Add([]byte("\x16\x03\x01")), int64(3*budget.HeaderLineBytes/4), "as if it had the shortest lines")
-	require.True(t, encrypted.Opaque())
+	require.True(t, encrypted.Encrypted())
 }
--- a/limpetd/budget/header.go
+++ b/limpetd/budget/header.go
@@ -3,12 +3,11 @@
 import "bytes"
 
 const (
-	// HeaderLineBytes is what a line of a header takes once it is parsed, beside its bytes: its entry in the map of
-	// the header, its list of values and its name.
+	// HeaderLineBytes is the memory of a parsed header line beside its bytes: the map entry, the list of values and the
+	// name.
 	HeaderLineBytes = 128
-	// opaqueFactor is what a byte of a header takes at most once it is parsed: the shortest lines have four
-	// bytes.
-	opaqueFactor = HeaderLineBytes/4 + 1
+	// encryptedFactor is the maximum memory per byte of a parsed header: the shortest line has four bytes.
+	encryptedFactor = HeaderLineBytes/4 + 1
 	// tlsHandshake is the first byte of a connection that begins with TLS. It can't begin a request line.
 	tlsHandshake = 0x16
 )
@@ -22,23 +21,23 @@
 	ended     bool
 	// Rest is the size of what arrived behind the header, restLines its number of lines.
 	Rest, restLines int64
-	// began is whether the connection has sent anything, opaque whether it uses TLS.
-	began, opaque bool
+	// began is whether the connection has sent anything, encrypted whether it uses TLS.
+	began, encrypted bool
 }
 
 // Next begins the header of the next request of the connection.
-func (s *HeaderScan) Next() { *s = HeaderScan{began: s.began, opaque: s.opaque} }
+func (s *HeaderScan) Next() { *s = HeaderScan{began: s.began, encrypted: s.encrypted} }
 
-// Opaque reports whether the connection uses TLS, so that its bytes show no lines.
-func (s *HeaderScan) Opaque() bool { return s.opaque }
+// Encrypted reports whether the connection uses TLS, so that its bytes show no lines.
+func (s *HeaderScan) Encrypted() bool { return s.encrypted }
 
-// Add adds bytes that were read from the connection, and returns what they take once they are parsed.
+// Add adds bytes that were read from the connection, and returns the memory for them after parsing.
 func (s *HeaderScan) Add(p []byte) int64 {
 	if !s.began && len(p) > 0 {
-		s.began, s.opaque = true, p[0] == tlsHandshake
+		s.began, s.encrypted = true, p[0] == tlsHandshake
 	}
-	if s.opaque {
-		return opaqueFactor * int64(len(p))
+	if s.encrypted {
+		return encryptedFactor * int64(len(p))
 	}
 	cost := int64(len(p))
 	for len(p) > 0 && !s.ended {
@@ -58,16 +57,16 @@
 	return cost
 }
 
-// Behind returns what the header behind a request takes at most once it is parsed, if it arrived together with the
-// request, whose body has a size; negative if that is unknown.
-func (s *HeaderScan) Behind(body int64) int64 {
-	if s.opaque || body >= s.Rest {
+// ReadAhead returns an upper bound of the memory for the next header, as far as it arrived together with this header. body
+// is the size of the body between the two; negative if it is unknown.
+func (s *HeaderScan) ReadAhead(body int64) int64 {
+	if s.encrypted || body >= s.Rest {
 		return 0
 	}
 	return s.Rest - max(body, 0) + s.restLines*HeaderLineBytes
 }
 
-// LinesBytes returns what bytes take at most if they are lines of a header that is parsed.
+// LinesBytes returns the memory for p if it is a part of a header that is parsed.
 func LinesBytes(p []byte) int64 {
 	return int64(len(p)) + int64(bytes.Count(p, []byte("\n")))*HeaderLineBytes
 }
--- a/limpetd/budget/limits.go
+++ b/limpetd/budget/limits.go
@@ -10,8 +10,8 @@
 	// ConnectionBytes is what a connection of a caller holds without a request: its two buffers of
 	// 4 KiB and the stack of its goroutine.
 	ConnectionBytes = 16 << 10
-	// CallBytes is what a call adds to its connection: the stacks that it grows, its state, and the connection to a
-	// server.
+	// CallBytes is the additional memory of a connection with a call in flight: larger stacks, the state of the call and
+	// the connection to a server.
 	CallBytes = 24 << 10
 	// connectionShare is the part of the account that connections may use.
 	connectionShare = 0.5
@@ -26,10 +26,10 @@
 	tunnelShare = 0.05
 	// maxLinks is the limit of links without a limit of descriptors, for up to 361 daemons.
 	maxLinks = 400
-	// LinkBytes is what a connection for links takes before its first message: the buffers of gRPC of 32 KiB each, and
-	// the stacks of its goroutines.
+	// LinkBytes is the memory of a connection for links before its first message: two gRPC buffers of 32 KiB and the
+	// stacks of its goroutines.
 	LinkBytes = 80 << 10
-	// TunnelBytes is what a tunnel takes: its buffers, and those of its two connections.
+	// TunnelBytes is the memory of a tunnel: its buffers and the stacks of its goroutines.
 	TunnelBytes = 28 << 10
 	// minConnections is the number of connections that are accepted under any limits.
 	minConnections = 16
--- a/limpetd/gate/gate.go
+++ b/limpetd/gate/gate.go
@@ -256,7 +256,7 @@
 		},
 		HeaderLimit: func() int64 { return int64(g.config.MaxHeaderBytes) },
 		TooLarge:    headerTooLarge,
-		Short:       refusal,
+		NoMemory:    refusal,
 	})
 }
 
--- a/limpetd/guard/body.go
+++ b/limpetd/guard/body.go
@@ -89,7 +89,7 @@
 	err := b.readAll(r.Body, r.ContentLength, limit)
 	// Trailers are parsed, too. Nothing uses them.
 	r.Trailer = nil
-	b.conn.closeIfBehind(w)
+	b.conn.closeIfReadAhead(w)
 	g.mu.Lock()
 	kept := g.finish(b.id)
 	if kept && err == nil {
--- a/limpetd/guard/conn.go
+++ b/limpetd/guard/conn.go
@@ -12,8 +12,8 @@
 	"github.com/limpetlb/limpetlb/limpetd/budget"
 )
 
-// headerSlack is how far a header may exceed its limit until the Door refuses it. The handler refuses headers between
-// the two limits.
+// headerSlack is the excess of a header over its limit from which the Door refuses it. The handler refuses smaller
+// excesses.
 const headerSlack = 4 << 10
 
 // conn is a connection that a Door has accepted.
@@ -30,23 +30,24 @@
 	header      budget.ID
 	headerBytes int64
 	closed      bool
-	// charged is what the connection itself is charged with, leaving what becomes free when its call ends because the
-	// body was dropped.
-	charged, leaving int64
-	// The fields below belong to the goroutine that reads, which is that of the server between two requests. scan follows
-	// the header that is arriving. remaining is the part of an announced body that has not arrived: no read goes beyond
-	// it, so that the next header is read by itself. behind is what the next header takes at most as far as the
-	// server has read it ahead.
+	// charged is the charge for the connection itself. pendingFree is the memory of the call that is released when the
+	// call ends, after its body was dropped.
+	charged, pendingFree int64
+
+	// The fields below are used by one goroutine at a time: the one that reads, or the server's between two requests.
+	// scan follows the header that is being received. remaining is the number of bytes of an announced body that were
+	// not received; a read ends there, so that the next header begins with a new read. ahead is an upper bound of the
+	// memory for the part of the next header that the server has buffered.
 	scan      budget.HeaderScan
 	remaining int64
-	behind    int64
+	ahead     int64
 }
 
 // bufferSize is the size of the buffer into which the server reads ahead.
 const bufferSize = 4 << 10
 
-// smallBehind is what a header that was read ahead may take without being charged before it is parsed.
-const smallBehind = 8 << 10
+// maxUncharged is the maximum memory for a buffered header that is parsed before it is charged.
+const maxUncharged = 8 << 10
 
 // Read implements net.Conn. The lines of a header are charged before the server parses them.
 func (c *conn) Read(p []byte) (int, error) {
@@ -62,7 +63,7 @@
 		c.readAhead(p, n)
 		return n, err
 	}
-	c.behind = 0
+	c.ahead = 0
 	cost := int64(n)
 	if c.door.config.MaxUnadmitted > 0 {
 		c.scan.Bytes += cost
@@ -79,7 +80,7 @@
 		}
 	}
 	if !c.chargeHeader(cost) {
-		if f := c.door.config.Short; f != nil && !c.isClosed() {
+		if f := c.door.config.NoMemory; f != nil && !c.isClosed() {
 			c.refuse(f(c.door.guard.memoryShort()), p)
 		}
 		_ = c.Close()
@@ -97,7 +98,7 @@
 
 // readAhead records that n bytes were read into p while a request is active.
 func (c *conn) readAhead(p []byte, n int) {
-	if c.scan.Opaque() || len(p) == 1 {
+	if c.scan.Encrypted() || len(p) == 1 {
 		// The server reads one byte while it runs a request, to learn that the client has gone.
 		return
 	}
@@ -105,18 +106,18 @@
 		c.remaining -= int64(n)
 		return
 	}
-	c.behind = 0
+	c.ahead = 0
 	if len(p) <= bufferSize {
-		c.behind = budget.LinesBytes(p[:n])
+		c.ahead = budget.LinesBytes(p[:n])
 	}
 }
 
 // beginBody records the size of the body that is read next; negative if it is unknown.
 func (c *conn) beginBody(size int64) {
-	if c.scan.Opaque() || c.scan.Bytes == 0 {
+	if c.scan.Encrypted() || c.scan.Bytes == 0 {
 		return
 	}
-	c.behind = c.scan.Behind(size)
+	c.ahead = c.scan.ReadAhead(size)
 	c.remaining = max(size-c.scan.Rest, 0)
 }
 
@@ -164,7 +165,7 @@
 func (c *conn) Close() error {
 	g := c.door.guard
 	g.mu.Lock()
-	c.left()
+	c.confirmFreed()
 	if !c.closed {
 		c.closed = true
 		c.endHeader()
@@ -193,10 +194,10 @@
 func (c *conn) setState(s http.ConnState, now time.Time) {
 	switch {
 	case s == http.StateIdle:
-		defer c.chargeBehind()
+		defer c.chargeReadAhead()
 	case c.scan.Bytes > 0:
 		// A body whose size is not known yet may be a part of it.
-		c.behind = c.scan.Behind(-1)
+		c.ahead = c.scan.ReadAhead(-1)
 	}
 	g := c.door.guard
 	g.mu.Lock()
@@ -221,10 +222,10 @@
 	}
 }
 
-// chargeBehind charges the header that was read ahead before it is parsed, or closes the connection.
-func (c *conn) chargeBehind() {
+// chargeReadAhead charges the buffered part of the next header before it is parsed, or closes the connection.
+func (c *conn) chargeReadAhead() {
 	c.remaining = 0
-	if c.behind > smallBehind && !c.chargeHeader(c.behind) {
+	if c.ahead > maxUncharged && !c.chargeHeader(c.ahead) {
 		_ = c.Close()
 	}
 }
--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -24,9 +24,9 @@
 	HeaderLimit func() int64
 	// TooLarge returns the response to a header over a limit. It is nil if the connection is closed without one.
 	TooLarge func(limit int64) Refusal
-	// Short returns the response to a request for whose header there is no memory, with the error. It is nil if the
+	// NoMemory returns the response to a request for whose header there is no memory, with the error. It is nil if the
 	// connection is closed without one.
-	Short func(err error) Refusal
+	NoMemory func(err error) Refusal
 	// MaxUnadmitted is the maximum number of connections that were not admitted by Admit yet; 0 if connections need no
 	// admission. A connection without admission is in the phase Header, all that it sends counts as header, and it is
 	// charged with UnadmittedBytes. An admitted one is not charged.
--- a/limpetd/guard/guard.go
+++ b/limpetd/guard/guard.go
@@ -197,7 +197,7 @@
 		dropped := g.take(d.Drop)
 		for _, p := range dropped {
 			if b, ok := p.(*reader); ok && b.conn != nil {
-				b.conn.leaving += b.attached
+				b.conn.pendingFree += b.attached
 			}
 		}
 		if d.Verdict == budget.Waits && !now.Before(end) {
--- a/limpetd/guard/guard_test.go
+++ b/limpetd/guard/guard_test.go
@@ -247,8 +247,8 @@
 	require.Equal(t, 1, strings.Count(string(text), "HTTP/1.1 200 OK"), "the connection is closed before the second header is parsed")
 }
 
-// TestConnectionsCloseBeforeHeadersReadAhead guards against parsing a header that was read ahead before it is charged, and
-// against closing connections whose bodies have lines. A caller that may use the connection again is told.
+// TestConnectionsCloseBeforeHeadersReadAhead guards against parsing a buffered header before it is charged, and against
+// closing connections after announced bodies with many lines. The response announces that the connection closes.
 func TestConnectionsCloseBeforeHeadersReadAhead(t *testing.T) {
 	g := guard.New(t.Context(), guard.Config{}, guard.Deps{})
 	address := startServer(t, g, guard.DoorConfig{})
--- a/limpetd/guard/header.go
+++ b/limpetd/guard/header.go
@@ -10,8 +10,8 @@
 // BeginCall charges what a call takes beside its header and body.
 func (g *Guard) BeginCall() { g.Charge(budget.Calls, budget.CallBytes) }
 
-// EndCall ends the charge of a call and its header. It removes the header, which the server would keep while it closes the
-// connection. r must be the request that the server passed to its handler.
+// EndCall ends the charge of a call and its header. It removes the header from r, because net/http keeps r while it closes
+// a connection. r must be the request that the server passed to its handler.
 func (g *Guard) EndCall(r *http.Request) {
 	r.Header = nil
 	c, _ := r.Context().Value(contextKey{}).(*conn)
@@ -19,7 +19,7 @@
 	defer g.mu.Unlock()
 	g.account.Charge(budget.Calls, -budget.CallBytes)
 	if c != nil {
-		c.left()
+		c.confirmFreed()
 		if !c.closed {
 			c.endHeader()
 		}
@@ -27,10 +27,10 @@
 	g.notifyFreed()
 }
 
-// left records that what was attached to a dropped body is free. The lock must be held.
-func (c *conn) left() {
-	c.door.guard.account.Left(c.leaving)
-	c.leaving = 0
+// confirmFreed records that the memory attached to a dropped body is released. The lock must be held.
+func (c *conn) confirmFreed() {
+	c.door.guard.account.Freed(c.pendingFree)
+	c.pendingFree = 0
 }
 
 // Header returns the length in bytes of the request header in HTTP/1.1 format, and charges what it takes. An error has
@@ -48,15 +48,15 @@
 		return size, g.memoryShort()
 	}
 	if r.ContentLength == 0 {
-		c.closeIfBehind(w)
+		c.closeIfReadAhead(w)
 	}
 	return size, nil
 }
 
-// closeIfBehind makes the server close the connection after the response if a large header may have been read ahead,
-// which would be parsed before it is charged. It doesn't wait for memory, because the connection may as well be idle.
-func (c *conn) closeIfBehind(w http.ResponseWriter) {
-	if c != nil && c.behind > smallBehind {
+// closeIfReadAhead closes the connection after the response if the server may have buffered a part of a header that takes
+// much memory, because it would parse that part before it is charged.
+func (c *conn) closeIfReadAhead(w http.ResponseWriter) {
+	if c != nil && c.ahead > maxUncharged {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/limpetd/steer/admission.go
+++ b/limpetd/steer/admission.go
@@ -17,8 +17,8 @@
 	"github.com/limpetlb/limpetlb/limpetd/guard"
 )
 
-// proofKey is the key under which a daemon that opens a link names instances of daemons: that of the lease holder, and its
-// own. They are random, and known only to those who read the store.
+// proofKey is the metadata key of the proof of membership: the instance IDs of the lease holder and of the daemon that
+// opens the link. Instance IDs are random, and only daemons can read them from the store.
 const proofKey = "limpet-proof"
 
 // errNotMember ends links and requests of connections that belong to no daemon.
@@ -29,8 +29,8 @@
 	return metadata.AppendToOutgoingContext(ctx, proofKey, holder.Instance, proofKey, self.Instance)
 }
 
-// admits reports whether a connection may open a link: one that names an instance that this daemon knows. Builds
-// without proofs are known by the addresses of their rows.
+// admits reports whether a connection with a proof from an IP address may open a link. The proof must contain a known
+// instance ID. A daemon whose build has no proofs is identified by the IP address in its row.
 func (s *Controller) admits(proof []string, ip string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
