front: Count buffered responses for as long as they are held

A failure of a server is kept while a call is sent to another one, and is forwarded if no attempt succeeds.

Bodies were read by io.ReadAll, which holds a body twice when it joins its parts, also for a response that is over the limit and dropped.

Bodies are now read into parts that are charged by their capacity, used again, and freed when the response has ended. A failure is kept during further attempts only while all buffered bodies take less than half of the limit; otherwise the call ends with the status of its last attempt.

--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -28,9 +28,10 @@
 	// forwarded, maxBufferedTotal the largest size of all bodies that are buffered at a time.
 	maxBuffered      = 4 << 20
 	maxBufferedTotal = 12 << 20
-	// writePart is the size of the parts in which a buffered response is written, writeTimeout how long a caller
-	// may take to accept one.
-	writePart    = 64 << 10
+	// maxFailedTotal is the largest size of all bodies that are buffered, up to which failures are kept during
+	// further attempts.
+	maxFailedTotal = maxBufferedTotal / 2
+	// writeTimeout is how long a caller may take to accept a part of a buffered response.
 	writeTimeout = 15 * time.Second
 	// maxRejection is the largest body of a response that reports that the call was not run.
 	maxRejection = 64 << 10
@@ -40,13 +41,6 @@
 
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
 
-// bufferedResponse is a response that was read to its end.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // attempt is one sending of a call to a backend server.
 type attempt struct {
 	call   *call
@@ -327,19 +321,19 @@
 // is to be sent again.
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
 	c := a.call
-	buffer := &bufferedBody{front: c.front, conn: a.conn, source: conns.BodyReader(resp), from: a.conn.BytesRead()}
-	defer buffer.free()
-	body, err := conns.ReadBody(buffer, maxBuffered)
-	c.outcome.received.bytes = len(body)
+	buffered := &bufferedResponse{front: c.front, status: resp.StatusCode, header: resp.Header}
+	err := buffered.read(conns.BodyReader(resp), a.conn)
+	c.outcome.received.bytes = int(buffered.size)
 	if err != nil {
+		buffered.free()
 		a.conn.Close()
 		return a.handleFailure(ctx, err)
 	}
 	a.isError = resp.StatusCode >= http.StatusBadRequest
 	a.recordStart(r)
 	a.conn.Release(resp)
-	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode < http.StatusInternalServerError {
+		defer buffered.free()
 		a.finish(sched.Answered)
 		a.reportPlain(time.Since(a.sentAt), r)
 		c.writeBuffered(buffered)
@@ -347,11 +341,18 @@
 	}
 	a.finish(sched.Failed)
 	if !c.schedCall.Route.Repeatable() {
+		defer buffered.free()
 		c.writeBuffered(buffered)
 		return false
 	}
+	c.failedResponse.free()
 	c.failedResponse = buffered
-	return c.retryOrEnd(ctx, code.BackendFailed, "the server failed with "+resp.Status)
+	again := c.retryOrEnd(ctx, code.BackendFailed, "the server failed with "+resp.Status)
+	if again && c.front.buffered.Load() > maxFailedTotal {
+		c.failedResponse.free()
+		c.failedResponse = nil
+	}
+	return again
 }
 
 // writeBuffered writes a buffered response to the caller.
@@ -367,28 +368,25 @@
 	if r.status >= http.StatusInternalServerError {
 		c.outcome.result = code.BackendFailed
 	}
-	c.writer.Header().Set("Content-Length", itoa(len(r.body)))
+	c.writer.Header().Set("Content-Length", itoa(int(r.size)))
 	c.writeHead(r.status)
-	if err := c.writeParts(r.body); err != nil {
+	if err := c.writeParts(r.parts); err != nil {
 		c.outcome.result, c.outcome.reason = code.CallerGone, err.Error()
 	}
 }
 
 // writeParts writes the body of a response. A caller that does not accept a part of it within writeTimeout would
 // hold the buffer for as long as it likes.
-func (c *call) writeParts(body []byte) error {
+func (c *call) writeParts(parts [][]byte) error {
 	w, ok := c.writer.(interface{ SetWriteDeadline(t time.Time) error })
-	for {
+	for _, part := range parts {
 		if ok {
 			// An error means that the connection is closed, which the write reports.
 			_ = w.SetWriteDeadline(time.Now().Add(writeTimeout))
 		}
-		part := body[:min(len(body), writePart)]
 		if _, err := c.writer.Write(part); err != nil {
 			return err
 		}
-		if body = body[len(part):]; len(body) == 0 {
-			return nil
-		}
 	}
+	return nil
 }
--- a/limpetd/front/endless_test.go
+++ b/limpetd/front/endless_test.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -66,43 +68,104 @@
 			e, address := startEndless(t, answer.prefix, answer.text)
 			route := layout.Route{Kind: layout.Stream, MaxAttempts: 1, Expectation: time.Second, Timeout: 30 * time.Second}
 			fx := newFixtureWithServers(t, nil, route, address)
-			var highest atomic.Uint64
-			stop := make(chan struct{})
-			var sampler, callers sync.WaitGroup
-			runtime.GC()
-			sampler.Go(func() {
-				for {
-					var m runtime.MemStats
-					runtime.ReadMemStats(&m)
-					highest.Store(max(highest.Load(), m.HeapAlloc))
-					select {
-					case <-stop:
-						return
-					case <-time.After(5 * time.Millisecond):
-					}
-				}
-			})
-			statuses := make([]int, endlessCalls)
-			for i := range endlessCalls {
-				callers.Go(func() {
-					head, _, err := fx.post(t, "/r/1", nil)
-					if err == nil {
-						statuses[i] = head.StatusCode
-					}
-				})
-			}
-			callers.Wait()
-			close(stop)
-			sampler.Wait()
+			statuses, highest := fx.postTogether(t, endlessCalls)
 			for _, status := range statuses {
 				require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, status)
 			}
-			require.Less(t, highest.Load(), uint64(maxHeap))
+			require.Less(t, highest, uint64(maxHeap))
 			require.Eventually(t, func() bool { return e.Open.Load() == 0 }, 5*time.Second, 10*time.Millisecond, "connections are closed")
 		})
 	}
 }
 
+// postTogether makes calls at the same time. It returns their statuses, and the largest size of the heap until the last
+// one has ended.
+func (fx *fixture) postTogether(t *testing.T, calls int) ([]int, uint64) {
+	t.Helper()
+	var highest uint64
+	stop := make(chan struct{})
+	var sampler, callers sync.WaitGroup
+	runtime.GC()
+	sampler.Go(func() {
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			highest = max(highest, m.HeapAlloc)
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	})
+	statuses := make([]int, calls)
+	for i := range calls {
+		callers.Go(func() {
+			head, _, err := fx.post(t, "/r/1", nil)
+			if err == nil {
+				statuses[i] = head.StatusCode
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	sampler.Wait()
+	return statuses, highest
+}
+
+// TestFailedResponsesStayWithinMemory guards against failures that are kept, for the case that no later attempt
+// succeeds, beyond the limit of all buffered responses. Each call gets a large failure, and waits for a silent server then.
+func TestFailedResponsesStayWithinMemory(t *testing.T) {
+	const bodyBytes = 2 << 20
+	var requests atomic.Int64
+	var sending sync.Mutex
+	arrived, retried := make(chan struct{}), make(chan struct{}, 2*endlessCalls)
+	failure := make([]byte, bodyBytes)
+	var addresses []string
+	for range 16 {
+		addresses = append(addresses, startHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+			switch n := requests.Add(1); {
+			case n > endlessCalls:
+				retried <- struct{}{}
+				<-t.Context().Done()
+				return
+			case n == endlessCalls:
+				close(arrived)
+			}
+			select {
+			case <-arrived:
+			case <-t.Context().Done():
+				return
+			}
+			// Wait for the retry of each call, so that few responses are read together.
+			sending.Lock()
+			defer sending.Unlock()
+			w.Header().Set("Stamp", "1")
+			w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
+			w.WriteHeader(http.StatusInternalServerError)
+			// An error means that the daemon has closed the connection.
+			_, _ = w.Write(failure)
+			select {
+			case <-retried:
+			case <-t.Context().Done():
+			}
+		}))
+	}
+	route := layout.Route{Kind: layout.Idempotent, MaxAttempts: 2, Timeout: 4 * time.Second}
+	fx := newFixtureWithServers(t, nil, route, addresses...)
+	statuses, highest := fx.postTogether(t, endlessCalls)
+	require.NotContains(t, statuses, 0)
+	require.Less(t, highest, uint64(maxHeap))
+}
+
+// startHTTP starts a server, and returns its address.
+func startHTTP(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 // TestSmallChunksAreCutOff guards against reading a body to its limit of size by chunks of one byte.
 func TestSmallChunksAreCutOff(t *testing.T) {
 	answer := endlessAnswers["chunks"]
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -81,7 +81,7 @@
 	firstAt, lastAt time.Time
 	maxPause        time.Duration
 	// failedResponse is a failure that a server answered. It is forwarded if no later
-	// attempt succeeds.
+	// attempt succeeds, and freed when the call ends.
 	failedResponse *bufferedResponse
 	// outcome is what the log line of the call reports.
 	outcome outcome
@@ -147,7 +147,10 @@
 	f.metrics.calls.Inc(1)
 	c := &call{front: f, writer: w, request: r}
 	c.schedCall.Arrived = time.Now()
-	defer func() { f.deps.Guard.Release(budget.Waiting, int64(cap(c.body))) }()
+	defer func() {
+		f.deps.Guard.Release(budget.Waiting, int64(cap(c.body)))
+		c.failedResponse.free()
+	}()
 	// The body may arrive much later than the head.
 	if !c.refuseLeaving() && c.prepare() && !c.refuseLeaving() {
 		c.serve()
