steer, platform: Wait for the handlers of links

Cause: grpc.Server.Stop closes the connections, and does not wait for the handlers. serveLinks returned, the tomb of the controller ended, and a handler that had just received the first report of a daemon started its goroutine in it. A daemon that a link reaches while it ends could exit by this panic too; this was not seen.

The server waits for its handlers now, which end with their connections, and it is stopped too when it can't accept connections any more.

--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -139,10 +139,10 @@
 	handleReserve(a sched.ReservationRequest) (sched.Reservation, error)
 }
 
-// serveLinks accepts links at l until ctx ends.
+// serveLinks accepts links at l until ctx ends. It returns when the handlers of all links have returned.
 func serveLinks(ctx context.Context, l net.Listener, s linkServer) error {
 	server := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxHeaderListSize(maxHeadBytes), grpc.KeepaliveParams(linkKeepalive), grpc.MaxConcurrentStreams(maxStreams),
-		grpc.Creds(newLinkCredentials()), grpc.InTapHandle(admitCalls(s)))
+		grpc.Creds(newLinkCredentials()), grpc.InTapHandle(admitCalls(s)), grpc.WaitForHandlers(true))
 	description := grpc.ServiceDesc{
 		ServiceName: linkService,
 		HandlerType: (*linkServer)(nil),
@@ -165,6 +165,7 @@
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
 	err := server.Serve(l)
+	server.Stop()
 	if ctx.Err() != nil || errors.Is(err, grpc.ErrServerStopped) {
 		return nil
 	}
--- a/limpetd/steer/link_timeout_test.go
+++ b/limpetd/steer/link_timeout_test.go
@@ -72,3 +72,45 @@
 	require.NoError(t, <-served)
 	_ = conn.Close()
 }
+
+// slowLinks is a lease holder whose handler of a link goes on after the link has ended, until serveLinks has returned
+// or for a second.
+type slowLinks struct {
+	openLinks
+	entered, returned chan struct{}
+	late              chan bool
+}
+
+func (h slowLinks) handleLink(s grpc.ServerStream) error {
+	close(h.entered)
+	<-s.Context().Done()
+	select {
+	case <-h.returned:
+		h.late <- true
+	case <-time.After(time.Second):
+		h.late <- false
+	}
+	return s.Context().Err()
+}
+
+// TestLinksAreWaitedFor guards against handlers of links that go on after the controller has ended: they start
+// goroutines, which panics then.
+func TestLinksAreWaitedFor(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	h := slowLinks{entered: make(chan struct{}), returned: make(chan struct{}), late: make(chan bool, 1)}
+	go func() {
+		defer close(h.returned)
+		_ = serveLinks(ctx, l, h)
+	}()
+	stream, conn, err := dialLink(t.Context(), Member{Address: l.Addr().String()}, Member{})
+	require.NoError(t, err)
+	require.NoError(t, stream.SendMsg(daemonReport{}))
+	<-h.entered
+	cancel()
+	require.False(t, <-h.late, "the handler was still running when serveLinks returned")
+	<-h.returned
+	_ = conn.Close()
+}
