front: Test that incomplete responses stay within memory

The tests of endless responses had one server, whose slots bounded the calls that it got together. They have 16 now, so that 100 calls are read at the same time. TestFailedResponsesStayWithinMemory also checks the account: at most 6 MiB are kept when a call is sent on, and nothing stays charged. TestIncompleteResponsesStayWithinMemory reads 3 of 4 MiB of 100 responses; without the limit of all buffered responses it fails.

--- a/limpetd/front/buffer.go
+++ b/limpetd/front/buffer.go
@@ -26,8 +26,8 @@
 	errSmallChunks = errors.New("the chunks of the response are too small")
 )
 
-// largeParts holds parts of maxPartBytes, so that those of bodies that were too large don't wait for the
-// garbage collector.
+// largeParts holds unused parts of maxPartBytes. Without it, the parts of many rejected bodies would be garbage at
+// the same time.
 var largeParts = sync.Pool{New: func() any { return new([maxPartBytes]byte) }}
 
 // bufferedResponse is a response whose body is read to its end before it is forwarded. Its memory is counted
@@ -38,7 +38,7 @@
 	header http.Header
 	// parts is the body. All parts but the last are full.
 	parts [][]byte
-	// size is the size of the body, held that of its parts.
+	// size is the number of bytes of the body, held the capacity of all parts, which is charged.
 	size, held int64
 }
 
--- a/limpetd/front/endless_test.go
+++ b/limpetd/front/endless_test.go
@@ -14,18 +14,25 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetlb/limpetlb/limpetd/broken"
+	"github.com/limpetlb/limpetlb/limpetd/budget"
+	"github.com/limpetlb/limpetlb/limpetd/front"
+	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 )
 
-// startEndless starts a server that answers without end.
-func startEndless(t *testing.T, prefix, text string) (*broken.Endless, string) {
+// startEndless starts servers that answer without end, as many as get endlessCalls calls at the same time.
+func startEndless(t *testing.T, prefix, text string) (*broken.Endless, []string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, l.Close()) })
 	e := &broken.Endless{Prefix: prefix, Text: text}
-	go e.Serve(l)
-	return e, l.Addr().String()
+	var addresses []string
+	for range endlessServers {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { require.NoError(t, l.Close()) })
+		go e.Serve(l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return e, addresses
 }
 
 const (
@@ -56,8 +63,9 @@
 
 // maxHeap is how much memory the buffers of endlessCalls calls may take.
 const (
-	maxHeap      = 96 << 20
-	endlessCalls = 100
+	maxHeap        = 96 << 20
+	endlessCalls   = 100
+	endlessServers = 16
 )
 
 // TestEndlessAnswersAreCutOff guards against reading an answer without end until the memory is full or the
@@ -65,9 +73,9 @@
 func TestEndlessAnswersAreCutOff(t *testing.T) {
 	for name, answer := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
-			e, address := startEndless(t, answer.prefix, answer.text)
+			e, addresses := startEndless(t, answer.prefix, answer.text)
 			route := layout.Route{Kind: layout.Stream, MaxAttempts: 1, Expectation: time.Second, Timeout: 30 * time.Second}
-			fx := newFixtureWithServers(t, nil, route, address)
+			fx := newFixtureWithServers(t, nil, route, addresses...)
 			statuses, highest := fx.postTogether(t, endlessCalls)
 			for _, status := range statuses {
 				require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, status)
@@ -116,61 +124,91 @@
 // TestFailedResponsesStayWithinMemory guards against failures that are kept, for the case that no later attempt
 // succeeds, beyond the limit of all buffered responses. Each call gets a large failure, and waits for a silent server then.
 func TestFailedResponsesStayWithinMemory(t *testing.T) {
-	const bodyBytes = 2 << 20
-	var requests atomic.Int64
+	// maxKept is the limit of all buffered bodies up to which failures are kept.
+	const bodyBytes, maxKept = 2 << 20, 6 << 20
+	memory := guard.Unlimited()
+	var requests, highestKept atomic.Int64
 	var sending sync.Mutex
 	arrived, retried := make(chan struct{}), make(chan struct{}, 2*endlessCalls)
 	failure := make([]byte, bodyBytes)
-	var addresses []string
-	for range 16 {
-		addresses = append(addresses, startHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
-			switch n := requests.Add(1); {
-			case n > endlessCalls:
-				retried <- struct{}{}
-				<-t.Context().Done()
-				return
-			case n == endlessCalls:
-				close(arrived)
-			}
-			select {
-			case <-arrived:
-			case <-t.Context().Done():
-				return
-			}
-			// Wait for the retry of each call, so that few responses are read together.
-			sending.Lock()
-			defer sending.Unlock()
-			w.Header().Set("Stamp", "1")
-			w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
-			w.WriteHeader(http.StatusInternalServerError)
-			// An error means that the daemon has closed the connection.
-			_, _ = w.Write(failure)
-			select {
-			case <-retried:
-			case <-t.Context().Done():
-			}
-		}))
-	}
+	addresses := startHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		switch n := requests.Add(1); {
+		case n > endlessCalls:
+			highestKept.Store(max(highestKept.Load(), memory.Used(budget.Responses)))
+			retried <- struct{}{}
+			<-t.Context().Done()
+			return
+		case n == endlessCalls:
+			close(arrived)
+		}
+		select {
+		case <-arrived:
+		case <-t.Context().Done():
+			return
+		}
+		// Wait for the retry of each call, so that few responses are read together.
+		sending.Lock()
+		defer sending.Unlock()
+		w.Header().Set("Stamp", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
+		w.WriteHeader(http.StatusInternalServerError)
+		// An error means that the daemon has closed the connection.
+		_, _ = w.Write(failure)
+		select {
+		case <-retried:
+		case <-t.Context().Done():
+		}
+	})
 	route := layout.Route{Kind: layout.Idempotent, MaxAttempts: 2, Timeout: 4 * time.Second}
-	fx := newFixtureWithServers(t, nil, route, addresses...)
+	fx := newFixtureWithDeps(t, func(d *front.Deps) { d.Guard = memory }, route, addresses...)
+	statuses, highest := fx.postTogether(t, endlessCalls)
+	require.LessOrEqual(t, highestKept.Load(), int64(maxKept), "room remains for other responses")
+	require.Eventually(t, func() bool { return memory.Used(budget.Responses) == 0 }, 5*time.Second, 10*time.Millisecond, "memory stays charged")
+	for _, status := range statuses {
+		// A failure that is not kept is replaced by the daemon's own, which doesn't say that the call has not run.
+		require.Contains(t, []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout}, status)
+	}
+	require.Less(t, highest, uint64(maxHeap))
+}
+
+// TestIncompleteResponsesStayWithinMemory guards against buffering more than the limit of all responses together. Each
+// call gets most of a large response.
+func TestIncompleteResponsesStayWithinMemory(t *testing.T) {
+	const bodyBytes = 4 << 20
+	part := make([]byte, bodyBytes*3/4)
+	addresses := startHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Stamp", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
+		// An error means that the daemon has closed the connection.
+		_, _ = w.Write(part)
+		<-t.Context().Done()
+	})
+	fx := newFixtureWithServers(t, nil, layout.Route{Kind: layout.Idempotent, MaxAttempts: 1, Timeout: 2 * time.Second}, addresses...)
 	statuses, highest := fx.postTogether(t, endlessCalls)
-	require.NotContains(t, statuses, 0)
+	for _, status := range statuses {
+		require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout}, status)
+	}
 	require.Less(t, highest, uint64(maxHeap))
 }
 
-// startHTTP starts a server, and returns its address.
-func startHTTP(t *testing.T, handler http.HandlerFunc) string {
+// startHTTP starts servers with one handler, as many as get endlessCalls calls at the same time. It returns their
+// addresses.
+func startHTTP(t *testing.T, handler http.HandlerFunc) []string {
 	t.Helper()
-	s := httptest.NewServer(handler)
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
+	var addresses []string
+	for range endlessServers {
+		s := httptest.NewServer(handler)
+		t.Cleanup(s.Close)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	return addresses
 }
 
 // TestSmallChunksAreCutOff guards against reading a body to its limit of size by chunks of one byte.
 func TestSmallChunksAreCutOff(t *testing.T) {
 	answer := endlessAnswers["chunks"]
-	_, address := startEndless(t, answer.prefix, answer.text)
-	fx := newFixtureWithServers(t, nil, layout.Route{Kind: layout.Idempotent, MaxAttempts: 1}, address)
+	_, addresses := startEndless(t, answer.prefix, answer.text)
+	fx := newFixtureWithServers(t, nil, layout.Route{Kind: layout.Idempotent, MaxAttempts: 1}, addresses...)
 	head, _, err := fx.post(t, "/r/1", nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, head.StatusCode)
