--- a/limpetd/guard/conn.go
+++ b/limpetd/guard/conn.go
@@ -34,7 +34,7 @@
 	// call ends, after its body was dropped.
 	charged, pendingFree int64
 
-	// The fields below are used by one goroutine at a time: the one that reads, or the server's between two requests.
+	// The fields below have no lock: the server reads a connection and changes its state from one goroutine at a time.
 	// scan follows the header that is being received. remaining is the number of bytes of an announced body that were
 	// not received; a read ends there, so that the next header begins with a new read. ahead is an upper bound of the
 	// memory for the part of the next header that the server has buffered.
--- a/limpetd/guard/guard_test.go
+++ b/limpetd/guard/guard_test.go
@@ -302,3 +302,24 @@
 	require.Error(t, err)
 	require.NoError(t, admitted.Close())
 }
+
+// TestResponseIsReadBeforeConnectionCloses guards against responses that are lost to a reset, because the client is still
+// sending the body that the server doesn't read.
+func TestResponseIsReadBeforeConnectionCloses(t *testing.T) {
+	g := guard.New(t.Context(), guard.Config{}, guard.Deps{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	door := g.Door(l, guard.DoorConfig{})
+	t.Cleanup(func() { _ = door.Close() })
+	c := dial(t, l.Addr().String(), request)
+	accepted, err := door.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	require.NoError(t, accepted.(interface{ CloseWrite() error }).CloseWrite())
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	received := make([]byte, len(request))
+	_, err = io.ReadFull(accepted, received)
+	require.NoError(t, err)
+	require.Equal(t, request, string(received))
+}
--- a/limpetd/steer/admission_test.go
+++ b/limpetd/steer/admission_test.go
@@ -128,7 +128,7 @@
 	return conn.Invoke(ctx, reservePath, &sched.ReservationRequest{}, &r)
 }
 
-// membersOnly is a server for links that admits like a Controller, and tells so by a header.
+// membersOnly is a server for links that admits like a Controller, and sends a header on each link.
 type membersOnly struct{ *Controller }
 
 func (membersOnly) handleLink(s grpc.ServerStream) error {
--- a/limpetlab/crowd/client.go
+++ b/limpetlab/crowd/client.go
@@ -19,8 +19,8 @@
 // Entry is the entry of a process.
 type Entry struct {
 	Address string
-	// Head is the request line and the headers of a valid request, without those of its body. "{id}" in it is replaced by
-	// an id of the client.
+	// Head is the request line and the headers of a valid request, without the headers of its body, such as
+	// Content-Length. "{id}" is replaced by an ID of the client.
 	Head string
 }
 
