steer: Admit links at the lease holder only

A daemon that has not read the list of daemons yet, such as one that starts while the store is away, admitted every connection for links, up to their limit, and no account held them.

Only the lease holder serves links: the others ended them by FAILED_PRECONDITION after they had admitted their connection. Daemons that opened a link to a daemon that is not the lease holder see no difference.

TestOnlyLeaseHolderAdmits fails without the check of the lease (a mutant, killed). Package steer passes with the race detector.

--- a/limpetd/steer/admission.go
+++ b/limpetd/steer/admission.go
@@ -29,6 +29,18 @@
 	return metadata.AppendToOutgoingContext(ctx, proofKey, holder.Instance, proofKey, self.Instance)
 }
 
+// admit returns an error unless a connection with a proof from an IP address may open a link. Only the lease holder has
+// links.
+func (s *Controller) admit(proof []string, ip string) error {
+	switch {
+	case !s.IsLeaseHolder():
+		return errNotHolder
+	case !s.admits(proof, ip):
+		return errNotMember
+	}
+	return nil
+}
+
 // admits reports whether a connection with a proof from an IP address may open a link. The proof must contain a known
 // instance ID. A daemon whose build has no proofs is identified by the IP address in its row.
 func (s *Controller) admits(proof []string, ip string) bool {
@@ -97,9 +109,12 @@
 			return ctx, nil
 		}
 		ip, _, err := net.SplitHostPort(p.Addr.String())
-		if err != nil || call.FullMethodName != linkPath || !s.admits(call.Header.Get(proofKey), ip) {
+		if err != nil || call.FullMethodName != linkPath {
 			return ctx, errNotMember
 		}
+		if err := s.admit(call.Header.Get(proofKey), ip); err != nil {
+			return ctx, err
+		}
 		c.admitted.Store(true)
 		guard.Admit(c.conn)
 		return ctx, nil
--- a/limpetd/steer/admission_test.go
+++ b/limpetd/steer/admission_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/guard"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
 )
 
@@ -49,7 +50,12 @@
 // guardedLinks is a server for links that admits those that name an instance.
 type guardedLinks struct{ openLinks }
 
-func (guardedLinks) admits(proof []string, _ string) bool { return len(proof) > 0 && proof[0] == "a-1" }
+func (guardedLinks) admit(proof []string, _ string) error {
+	if len(proof) > 0 && proof[0] == "a-1" {
+		return nil
+	}
+	return errNotMember
+}
 
 // TestCallsWithoutLinkAreRefused guards against calls of clients that have not opened a link.
 func TestCallsWithoutLinkAreRefused(t *testing.T) {
@@ -128,9 +134,16 @@
 	return conn.Invoke(ctx, reservePath, &sched.ReservationRequest{}, &r)
 }
 
-// membersOnly is a server for links that admits like a Controller, and sends a header on each link.
+// membersOnly is a server for links that admits like the lease holder, and sends a header on each link.
 type membersOnly struct{ *Controller }
 
+func (m membersOnly) admit(proof []string, ip string) error {
+	if m.admits(proof, ip) {
+		return nil
+	}
+	return errNotMember
+}
+
 func (membersOnly) handleLink(s grpc.ServerStream) error {
 	if err := s.SendHeader(nil); err != nil {
 		return err
@@ -141,3 +154,26 @@
 func (membersOnly) handleReserve(sched.ReservationRequest) (sched.Reservation, error) {
 	return sched.Reservation{}, nil
 }
+
+// noLease is a store without a lease.
+type noLease struct{ LeaseStore }
+
+func (noLease) Era() int64 { return 0 }
+
+// TestOnlyLeaseHolderAdmits guards against clients that open links to a daemon that has not read the list of daemons, such
+// as one that starts while the store is away: it can't check their proofs.
+func TestOnlyLeaseHolderAdmits(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := guard.New(t.Context(), guard.Config{MemoryMB: 144}, guard.Deps{})
+	door := g.Door(l, guard.DoorConfig{MaxUnadmitted: 2, UnadmittedBytes: budget.LinkBytes})
+	self := Member{VM: "a", Instance: "a-1", Address: l.Addr().String()}
+	s := &Controller{settings: Config{Self: self}, deps: Deps{Leases: noLease{}, Clock: time.Now}, lease: lease.NewCandidate(lease.Config{VM: "a"}), broadcaster: newBroadcaster(nil)}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- serveLinks(ctx, door, s) }()
+	require.Equal(t, codes.FailedPrecondition, status.Code(openLink(ctx, t, self)))
+	require.Equal(t, int64(budget.LinkBytes), g.Used(budget.Connections), "the connection is not admitted")
+	cancel()
+	require.NoError(t, <-served)
+}
--- a/limpetd/steer/link.go
+++ b/limpetd/steer/link.go
@@ -134,7 +134,7 @@
 
 // linkServer handles the links and reservation requests of other daemons.
 type linkServer interface {
-	admits(proof []string, ip string) bool
+	admit(proof []string, ip string) error
 	handleLink(stream grpc.ServerStream) error
 	handleReserve(a sched.ReservationRequest) (sched.Reservation, error)
 }
--- a/limpetd/steer/link_timeout_test.go
+++ b/limpetd/steer/link_timeout_test.go
@@ -36,7 +36,7 @@
 	return s.Context().Err()
 }
 
-func (openLinks) admits([]string, string) bool { return true }
+func (openLinks) admit([]string, string) error { return nil }
 
 func (openLinks) handleReserve(sched.ReservationRequest) (sched.Reservation, error) {
 	return sched.Reservation{}, nil
