steer: Encode the full state once for daemons that lack the same changes

Cause: 194 daemons open their links to the next lease holder together. Those whose tables are recent got a full state of their own each, all encoded in one update, which takes longer than the 500 ms that an update may be queued on a weak VM. The lease holder then closed all links ("does not receive updates fast enough"), the daemons opened them again and followed the store meanwhile, and it lost its lease to that work three times.

Daemons at the same positions of the tables get the same message, like those that need whole tables. An update encodes full states for up to 100 ms, and the rest with the next updates, so that it does not grow too old however many positions there are. All daemons that have their full state get their update first.

TestFullStatesAreEncodedOnce fails without either rule (mutants, killed).

--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
@@ -21,6 +22,8 @@
 	// maxQueueDelay is how long an update may be queued, because a daemon treats each
 	// update that it receives as current.
 	maxQueueDelay = 500 * time.Millisecond
+	// maxFullStates is how long an update encodes full states. Daemons without one get it with the next update.
+	maxFullStates = 100 * time.Millisecond
 )
 
 // broadcaster sends state updates to the daemons with a link. An update for all daemons is
@@ -190,25 +193,45 @@
 	}
 	b.crashes, b.origins = crashes, origins
 	b.sent, b.adapters, b.unloading = next, maps.Clone(adapters), maps.Clone(unloading)
-	// Daemons that lack more than recent changes, hundreds of them after an outage, get the same message.
-	var whole encodedMessage
 	for s := range b.subscribers {
 		if !s.needsFull {
 			s.enqueue(raw, now)
+		}
+	}
+	return b.sendFull(adapters, unloading, crashesSince, originsSince, encode, now)
+}
+
+// sendFull sends the full state to daemons with a new link. Daemons that lack the same changes, hundreds of them after an
+// outage or a change of the lease holder, get the same message. It encodes further messages for up to maxFullStates:
+// queued updates would become too old otherwise, and all links be closed. The caller must hold mu.
+func (b *broadcaster) sendFull(adapters, unloading map[string][]string, crashesSince crashSource, originsSince originSource, encode func(stateUpdate) (encodedMessage, error), now time.Time) error {
+	start := time.Now()
+	var whole encodedMessage
+	encoded := map[string]encodedMessage{}
+	for s := range b.subscribers {
+		if !s.needsFull {
 			continue
 		}
-		tables, recent := b.tablesSince(s.positions, now)
-		first := whole
-		if recent || whole == nil {
-			full := stateUpdate{Full: true, Adapters: adapters, Unloading: unloading, Tables: tables}
-			full.Crashes, _ = crashesSince(0)
-			full.Origins, _ = originsSince(0)
-			if first, err = encode(full); err != nil {
-				return err
+		key := b.positionsKey(s.positions)
+		first := encoded[key]
+		if first == nil {
+			if len(encoded) > 0 && time.Since(start) > maxFullStates {
+				continue
 			}
-		}
-		if !recent {
-			whole = first
+			tables, recent := b.tablesSince(s.positions, now)
+			if first = whole; recent || whole == nil {
+				full := stateUpdate{Full: true, Adapters: adapters, Unloading: unloading, Tables: tables}
+				full.Crashes, _ = crashesSince(0)
+				full.Origins, _ = originsSince(0)
+				var err error
+				if first, err = encode(full); err != nil {
+					return err
+				}
+			}
+			if !recent {
+				whole = first
+			}
+			encoded[key] = first
 		}
 		s.needsFull = false
 		s.enqueue(first, now)
@@ -216,6 +239,16 @@
 	return nil
 }
 
+// positionsKey returns a key of the positions of the tables.
+func (b *broadcaster) positionsKey(positions map[string]mirror.Position) string {
+	var key []byte
+	for _, f := range b.tables {
+		at := positions[f.Name()]
+		key = binary.AppendVarint(binary.AppendVarint(key, at.Era), at.Version)
+	}
+	return string(key)
+}
+
 // tablesSince returns the changes of all tables since the positions, or all tables as a whole if changes
 // are missing, and which of the two.
 func (b *broadcaster) tablesSince(positions map[string]mirror.Position, now time.Time) (tables []mirror.Update, recent bool) {
--- a/limpetd/steer/broadcast_test.go
+++ b/limpetd/steer/broadcast_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -65,9 +67,9 @@
 	return nil, after, nil
 }
 
-// TestNewDaemonsGetWholeTables guards against daemons that start and have to read the tables from the store, and
-// against encoding the tables for each of them.
-func TestNewDaemonsGetWholeTables(t *testing.T) {
+// followOneRow returns a follower of a table with one row, which it has read.
+func followOneRow(t *testing.T) *mirror.Follower {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	f := mirror.NewFollower("t", oneRow{}, func(map[string]mirror.Row) {}, mirror.WithRelay(func() bool { return true }))
 	ended := make(chan struct{})
@@ -75,12 +77,18 @@
 		defer close(ended)
 		f.Run(ctx)
 	}()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-ended
-	}()
+	})
 	require.Eventually(t, func() bool { return !f.PolledAt().IsZero() }, time.Second, time.Millisecond)
-	b := newBroadcaster([]*mirror.Follower{f})
+	return f
+}
+
+// TestNewDaemonsGetWholeTables guards against daemons that start and have to read the tables from the store, and
+// against encoding the tables for each of them.
+func TestNewDaemonsGetWholeTables(t *testing.T) {
+	b := newBroadcaster([]*mirror.Follower{followOneRow(t)})
 	for range 3 {
 		b.add(map[string]mirror.Position{"t": {}})
 	}
@@ -102,3 +110,34 @@
 	}
 	require.Equal(t, 1, rows)
 }
+
+// TestFullStatesAreEncodedOnce guards against a lease holder that encodes the full state for each of 360 daemons which open
+// links together, and closes all links because their updates become too old meanwhile.
+func TestFullStatesAreEncodedOnce(t *testing.T) {
+	const daemons, positions = 360, 9
+	synctest.Test(t, func(t *testing.T) {
+		b := newBroadcaster([]*mirror.Follower{followOneRow(t)})
+		var all []*subscriber
+		for i := range daemons {
+			all = append(all, b.add(map[string]mirror.Position{"t": {Version: 9 + int64(i%positions)}}))
+		}
+		full := 0
+		encodeSlowly := func(u stateUpdate) (encodedMessage, error) {
+			if u.Full {
+				full++
+				time.Sleep(maxFullStates)
+			}
+			return encode(u)
+		}
+		for updates := 1; slices.ContainsFunc(all, func(s *subscriber) bool { return s.needsFull }); updates++ {
+			start := time.Now()
+			require.NoError(t, b.broadcast(nil, nil, noCrashes, noOrigins, encodeSlowly, start))
+			require.LessOrEqual(t, time.Since(start), 2*maxFullStates, "the others wait for the next update")
+			require.LessOrEqual(t, updates, positions)
+		}
+		require.Equal(t, positions, full, "daemons that lack the same changes get the same message")
+		for _, s := range all {
+			require.NotEmpty(t, s.queue)
+		}
+	})
+}
