socket, front: Log the first error of a socket and the call that met it

Logs could not tell a server that closed its connection from one whose reset was met by a write or a peek: both had read_error=EOF and no other error.

Package socket makes one system call on a connection at a time and records its first error and the call that met it. Package conns opens connections to servers with it, and tunnels do. request_ended and response_broken have the fields socket_error and met_by.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -32,6 +32,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 const (
@@ -137,12 +138,12 @@
 
 // NewDialer returns a dialer whose connections detect an unresponsive peer: they use
 // keep-alive probes and TCP_USER_TIMEOUT.
-func NewDialer(opts ...DialerOption) net.Dialer {
+func NewDialer(opts ...DialerOption) socket.Dialer {
 	var o dialerOptions
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return net.Dialer{
+	return socket.NewDialer(net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: KeepAlive(),
 		Control: func(_, _ string, c syscall.RawConn) error {
@@ -155,7 +156,7 @@
 			})
 			return errors.Join(err, timeoutErr, lingerErr)
 		},
-	}
+	})
 }
 
 // KeepAlive returns the configuration of the TCP keep-alive probes.
@@ -193,7 +194,7 @@
 	}
 	p.open[t]++
 	p.mu.Unlock()
-	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
+	conn, err := p.dial(ctx, t)
 	if err != nil {
 		p.uncount(t)
 		return nil, err
@@ -202,6 +203,15 @@
 	return &Conn{pool: p, target: t, conn: conn, openedAt: time.Now(), input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
 }
 
+// dial opens a connection to t.
+func (p *Pool) dial(ctx context.Context, t Target) (net.Conn, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
+	if err != nil {
+		return nil, err
+	}
+	return socket.Wrap(conn)
+}
+
 // pop removes the most recently used idle connection to t and returns it; nil if there is
 // none.
 func (p *Pool) pop(t Target) *Conn {
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -139,10 +139,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	if idle, ok := c.conn.(idleConn); ok {
-		return idle.NoInput()
-	}
-	return NoInput(c.conn)
+	idle, ok := c.conn.(idleConn)
+	return !ok || idle.NoInput()
 }
 
 // Write writes the request. Its error is an *Error and means that nothing was written. If
--- a/limpetd/conns/paths.go
+++ b/limpetd/conns/paths.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
+
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
-// idleConn is a connection that buffers input itself.
+// idleConn is a connection that can be asked for its input.
 type idleConn interface {
 	// NoInput reports whether neither data nor the end of the connection has arrived.
 	NoInput() bool
@@ -25,25 +26,19 @@
 	Hangs(address string) bool
 }
 
-// NoInput reports whether neither data nor the end of the connection has arrived on a connection that
-// nobody reads. It returns true for a connection that is none of the kernel's.
-func NoInput(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
+// failedConn is a connection that knows the first error of its socket.
+type failedConn interface {
+	// FirstError returns the first error, nil for none, and the system call that met it.
+	FirstError() (socket.Call, error)
+}
+
+// FirstError returns the first error of the connection's socket and the system call that met it. The error is nil if
+// there was none, or if the socket is that of another daemon.
+func (c *Conn) FirstError() (socket.Call, error) {
+	if f, ok := c.conn.(failedConn); ok {
+		return f.FirstError()
 	}
-	noInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noInput = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noInput
+	return "", nil
 }
 
 // Tunnel returns the VM of the daemon through which the connection was opened and the id of the tunnel;
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -113,7 +113,7 @@
 	c.recordSend()
 	unbind := conn.Bind(ctx)
 	retry := a.exchange(ctx)
-	c.outcome.received.readError = conn.ReadError()
+	c.outcome.received.recordErrors(conn)
 	if !unbind() {
 		conn.Close()
 	}
@@ -309,11 +309,12 @@
 
 // recordBroken logs and counts a response that the server broke off.
 func (a *attempt) recordBroken(err error) {
-	f, got := a.call.front, a.call.outcome.received
+	f, got := a.call.front, &a.call.outcome.received
+	got.recordErrors(a.conn)
 	f.metrics.broken.Inc(1)
 	f.deps.Log.Info("response_broken", append([]zap.Field{
 		zap.String("request", a.call.info.ID), zap.String("server", a.server.ID), zap.String("reason", err.Error()),
-	}, got.fields(a.conn.ReadError())...)...)
+	}, got.fields()...)...)
 }
 
 // forwardBuffered reads a response that is not an event stream to its end and forwards it,
--- a/limpetd/front/handle.go
+++ b/limpetd/front/handle.go
@@ -8,12 +8,9 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/limpetlb/limpetlb/limpetd/abort"
 	"github.com/limpetlb/limpetlb/limpetd/budget"
 	"github.com/limpetlb/limpetlb/limpetd/code"
-	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/guard"
 	"github.com/limpetlb/limpetlb/limpetd/layout"
 	"github.com/limpetlb/limpetlb/limpetd/sched"
@@ -115,29 +112,6 @@
 	received received
 }
 
-// received describes what an attempt received from its server.
-type received struct {
-	// framing is empty if there was no response.
-	framing conns.Framing
-	// bytes is the size of the part of the body that was read. events counts the complete
-	// events of a stream.
-	bytes, events int
-	// readError is the first read error of the connection; nil if there was none.
-	readError error
-}
-
-// fields returns the log fields of what was received and of the read error of the connection.
-func (r received) fields(readError error) []zap.Field {
-	var fields []zap.Field
-	if r.framing != "" {
-		fields = append(fields, zap.String("framing", string(r.framing)), zap.Int("bytes", r.bytes), zap.Int("events", r.events))
-	}
-	if readError != nil {
-		fields = append(fields, zap.String("read_error", readError.Error()))
-	}
-	return fields
-}
-
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
--- a/limpetd/front/outcome.go
+++ b/limpetd/front/outcome.go
@@ -52,7 +52,7 @@
 	if o.via != "" {
 		fields = append(fields, zap.String("via", o.via), zap.String("tunnel", o.tunnel))
 	}
-	fields = append(fields, o.received.fields(o.received.readError)...)
+	fields = append(fields, o.received.fields()...)
 	if o.reason != "" {
 		fields = append(fields, zap.String("reason", o.reason))
 	}
--- a/limpetd/tunnel/conn.go
+++ b/limpetd/tunnel/conn.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"sync/atomic"
-
-	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
 // Conn is a connection to a server through another daemon. Like other connections, it has one
@@ -36,7 +34,13 @@
 // NoInput reports whether the connection is idle: no bytes and no end have arrived, and the
 // other daemon is not leaving.
 func (c *Conn) NoInput() bool {
-	return c.remaining == 0 && !c.ended && !c.leaving.Load() && c.reader.Buffered() == 0 && conns.NoInput(c.Conn)
+	return c.remaining == 0 && !c.ended && !c.leaving.Load() && c.reader.Buffered() == 0 && c.noInput()
+}
+
+// noInput reports whether neither data nor the end of the connection to the other daemon has arrived.
+func (c *Conn) noInput() bool {
+	idle, ok := c.Conn.(interface{ NoInput() bool })
+	return !ok || idle.NoInput()
 }
 
 // Read implements net.Conn. It returns io.EOF if the server closed its connection, and
--- a/limpetd/tunnel/server.go
+++ b/limpetd/tunnel/server.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/limpetlb/limpetlb/limpetd/life"
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 const (
@@ -161,6 +162,9 @@
 		return nil, noPath, nil
 	}
 	server, err := d.deps.Direct.DialContext(ctx, "tcp4", r.Address)
+	if err == nil {
+		server, err = socket.Wrap(server)
+	}
 	if err != nil {
 		return nil, s.failedStatus(err), nil
 	}
--- a/limpetd/tunnel/through.go
+++ b/limpetd/tunnel/through.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 // errNoPeers means that there are no other daemons.
@@ -64,6 +66,9 @@
 	dialCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	c, err := d.deps.Peers.DialContext(dialCtx, "tcp4", p.Address)
+	if err == nil {
+		c, err = socket.Wrap(c)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
--- a/limpetd/tunnel/tunnel.go
+++ b/limpetd/tunnel/tunnel.go
@@ -135,8 +135,8 @@
 
 // resetOnClose makes closing a TCP connection reset it.
 func resetOnClose(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		// The error can be ignored: the connection is closed next.
-		_ = t.SetLinger(0)
+		_ = l.SetLinger(0)
 	}
 }
