socket: Return the first error of a socket from each read after it

A server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; callers got the part as a complete answer. The same happened to streams without length and chunks when the server reset its connection while the daemon stood still.

Cause: the kernel reports the error of a socket once. The write beside the read, or the peek of WaitReadable after its deadline, took it, and the next read returned the end of the data. trackingReader keeps the errors of reads only.

Read now returns the first error that any call has met, once all data that arrived before is read.

--- a/limpetd/socket/socket.go
+++ b/limpetd/socket/socket.go
@@ -133,6 +133,9 @@
 	case n > 0:
 		return n, nil
 	}
+	if _, first := c.FirstError(); first != nil {
+		return 0, c.wrap(Read, first)
+	}
 	if err != nil {
 		return 0, c.wrap(Read, err)
 	}
