conns: Check at the end of an unframed response that its server has not ended

A stream without length and chunks was forwarded as complete when its server was killed between two events, and so was a part of a call's response.

Cause: the kernel closes the connections of a process that is killed properly if the process had read everything. By the bytes, the end can't be told from that of a complete response; docs/design/answers.md said that nobody can.

The server's listener shows it: the kernel closes descriptors in order, so that a process that is killed refuses connections before the end of its response arrives. The body of a response that only the end of its connection ends now opens a connection to the server at its end, and fails with ErrServerEnded if the server refuses it. The connection is kept for the next request, which would open one anyway. A server that does not answer is not known to have ended: its response is complete. The check is in the body that ReadHead returns, so that all readers have it.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -199,8 +199,12 @@
 		p.uncount(t)
 		return nil, err
 	}
+	return newConn(p, t, conn), nil
+}
+
+func newConn(p *Pool, t Target, conn net.Conn) *Conn {
 	input := &trackingReader{source: conn}
-	return &Conn{pool: p, target: t, conn: conn, openedAt: time.Now(), input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
+	return &Conn{pool: p, target: t, conn: conn, openedAt: time.Now(), input: input, reader: bufio.NewReaderSize(input, readBufferSize)}
 }
 
 // dial opens a connection to t.
--- /dev/null
+++ b/limpetd/conns/end.go
@@ -0,0 +1,81 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+)
+
+// endCheckTimeout limits the time to find out whether a server has ended.
+const endCheckTimeout = dialTimeout
+
+// ErrServerEnded means that the server refused connections when it had closed the connection whose end ends a response.
+// The kernel closes the connections of a process that is killed properly, so that the response may be incomplete.
+var ErrServerEnded = errors.New("the server ended when it ended its response")
+
+// unframedBody is the body of a response that only the end of its connection ends.
+type unframedBody struct {
+	io.ReadCloser
+	conn *Conn
+	// end is the error at the end of the body; nil before.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if b.conn.serverEnded() {
+			err = ErrServerEnded
+		}
+		b.end = err
+	}
+	return n, err
+}
+
+// serverEnded reports whether the server refuses connections.
+func (c *Conn) serverEnded() bool {
+	ctx := c.bound
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	reach := c.pool.reopen(ctx, c.target)
+	c.afterEnd = reach.String()
+	return reach == Refuses
+}
+
+// AfterEnd returns what the server did with a new connection after the end of the connection had ended a response:
+// accepts, refuses or silent. It is empty if no response has ended so.
+func (c *Conn) AfterEnd() string { return c.afterEnd }
+
+// reopen opens a connection to t, which is kept for the next request. It replaces one that ends with its response.
+func (p *Pool) reopen(ctx context.Context, t Target) Reach {
+	conn, err := p.dial(ctx, t)
+	if err != nil {
+		return reachOf(err)
+	}
+	c := newConn(p, t, conn)
+	p.mu.Lock()
+	p.open[t]++
+	full := p.limit[t] > 0 && p.open[t] > p.limit[t]
+	p.mu.Unlock()
+	if full {
+		c.Close()
+		return Accepts
+	}
+	c.keep(defaultIdleTimeout)
+	return Accepts
+}
+
+// keep makes a connection idle that its server closes after a time.
+func (c *Conn) keep(idle time.Duration) {
+	c.idleSince = time.Now()
+	c.expires = c.idleSince.Add(time.Duration(reusableIdleShare * float64(idle)))
+	c.pool.push(c)
+}
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -100,6 +100,10 @@
 	// written is closed when the request has been written; nil if the request was written
 	// before Write returned.
 	written chan struct{}
+	// bound ends the check of the response's end; nil if Bind was not called.
+	bound context.Context
+	// afterEnd is what the server did with a new connection after the end of the connection had ended a response.
+	afterEnd string
 }
 
 // OpenedAt returns when the connection was established.
@@ -117,6 +121,7 @@
 // Bind closes the connection when ctx ends, unless the returned function is called before.
 // The function returns false if Bind has closed the connection.
 func (c *Conn) Bind(ctx context.Context) func() bool {
+	c.bound = ctx
 	return context.AfterFunc(ctx, c.Close)
 }
 
@@ -180,12 +185,16 @@
 }
 
 // ReadHead reads the status line and header of the response to a request that was written. It
-// skips responses that belong to earlier requests. Its error is an *Error.
+// skips responses that belong to earlier requests. Its error is an *Error. Reads of the body return io.EOF only if the
+// response is complete.
 func (c *Conn) ReadHead(r Request) (*http.Response, error) {
 	response, err := c.readHead(r)
 	if err != nil {
 		return nil, &Error{Sent: MaybeSent, Err: err}
 	}
+	if FramingOf(response) == UntilClose {
+		response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
+	}
 	return response, nil
 }
 
@@ -252,9 +261,8 @@
 		c.Close()
 		return
 	}
-	c.idleSince, c.reused = time.Now(), true
-	c.expires = c.idleSince.Add(time.Duration(reusableIdleShare * float64(idle)))
-	c.pool.push(c)
+	c.reused = true
+	c.keep(idle)
 }
 
 // idleTimeout returns how long a server that sends the given Keep-Alive header keeps an idle
--- a/limpetd/conns/paths.go
+++ b/limpetd/conns/paths.go
@@ -104,16 +104,32 @@
 	Silent
 )
 
+// String returns the name of r, for logs.
+func (r Reach) String() string {
+	switch r {
+	case Accepts:
+		return "accepts"
+	case Refuses:
+		return "refuses"
+	}
+	return "silent"
+}
+
+// reachOf returns what the error of a dial shows.
+func reachOf(err error) Reach {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Refuses
+	}
+	return Silent
+}
+
 // Probe opens a connection to t and closes it.
 func (p *Pool) Probe(ctx context.Context, t Target) Reach {
 	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
-	switch {
-	case err == nil:
-		// The error can be ignored because nothing was sent on the connection.
-		_ = conn.Close()
-		return Accepts
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refuses
+	if err != nil {
+		return reachOf(err)
 	}
-	return Silent
+	// The error can be ignored because nothing was sent on the connection.
+	_ = conn.Close()
+	return Accepts
 }
--- a/limpetd/front/attempt.go
+++ b/limpetd/front/attempt.go
@@ -312,6 +312,9 @@
 	f, got := a.call.front, &a.call.outcome.received
 	got.recordErrors(a.conn)
 	f.metrics.broken.Inc(1)
+	if errors.Is(err, conns.ErrServerEnded) {
+		f.metrics.endedWithServer.Inc(1)
+	}
 	f.deps.Log.Info("response_broken", append([]zap.Field{
 		zap.String("request", a.call.info.ID), zap.String("server", a.server.ID), zap.String("reason", err.Error()),
 	}, got.fields()...)...)
--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -21,8 +21,9 @@
 	// unanswered counts the attempts that ended before their server had answered, so that it may still read the call.
 	unanswered tally.Counter
 	resumed    tally.Counter
-	// broken counts the responses that servers broke off.
-	broken tally.Counter
+	// broken counts the responses that servers broke off, endedWithServer those of them that ended properly, by servers
+	// that had ended.
+	broken, endedWithServer tally.Counter
 	// enginesEnded counts the engines that ended while calls of this daemon ran on them.
 	enginesEnded tally.Counter
 	// partsBlocked counts the blocks of prompt parts, promptsRefused the calls that were not sent
@@ -81,6 +82,7 @@
 		unanswered:      s.Counter("unanswered"),
 		resumed:         s.Counter("resumed"),
 		broken:          s.Counter("broken"),
+		endedWithServer: s.Counter("ended_with_server"),
 		enginesEnded:    s.Counter("engines_ended"),
 		partsBlocked:    s.Counter("parts_blocked"),
 		promptsRefused:  s.Counter("prompts_refused"),
--- a/limpetd/front/received.go
+++ b/limpetd/front/received.go
@@ -18,11 +18,13 @@
 	// socket, which metBy met.
 	readError, socketError error
 	metBy                  socket.Call
+	// afterEnd is what the server did with a new connection after the end of its connection had ended the response.
+	afterEnd string
 }
 
 // recordErrors records the errors of the connection.
 func (r *received) recordErrors(c *conns.Conn) {
-	r.readError = c.ReadError()
+	r.readError, r.afterEnd = c.ReadError(), c.AfterEnd()
 	r.metBy, r.socketError = c.FirstError()
 }
 
@@ -38,5 +40,8 @@
 	if r.socketError != nil {
 		fields = append(fields, zap.String("socket_error", r.socketError.Error()), zap.String("met_by", string(r.metBy)))
 	}
+	if r.afterEnd != "" {
+		fields = append(fields, zap.String("after_end", r.afterEnd))
+	}
 	return fields
 }
