front: Don't end a stream that broke off after a continuation without events

A resumable stream that had broken off was complete to its caller when the server that was to continue it answered 200 without an event and ended its response properly, in chunks or with length 0.

Cause: copyEvents took a proper end for the end of the stream, whoever sent it. Only the caller can judge, by taking the stream up again: the answer to its own call is the whole answer of a server.

A continuation without events is now an answered attempt that does not end the stream: another server is asked if the route allows it, and the response is cut off otherwise. front_not_continued counts these.

--- a/limpetd/front/metrics.go
+++ b/limpetd/front/metrics.go
@@ -22,8 +22,8 @@
 	unanswered tally.Counter
 	resumed    tally.Counter
 	// broken counts the responses that servers broke off, endedWithServer those of them that ended properly, by servers
-	// that had ended.
-	broken, endedWithServer tally.Counter
+	// that had ended. notContinued counts the responses without events that were to continue a stream.
+	broken, endedWithServer, notContinued tally.Counter
 	// enginesEnded counts the engines that ended while calls of this daemon ran on them.
 	enginesEnded tally.Counter
 	// partsBlocked counts the blocks of prompt parts, promptsRefused the calls that were not sent
@@ -83,6 +83,7 @@
 		resumed:         s.Counter("resumed"),
 		broken:          s.Counter("broken"),
 		endedWithServer: s.Counter("ended_with_server"),
+		notContinued:    s.Counter("not_continued"),
 		enginesEnded:    s.Counter("engines_ended"),
 		partsBlocked:    s.Counter("parts_blocked"),
 		promptsRefused:  s.Counter("prompts_refused"),
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -39,6 +39,10 @@
 // events of the stream so far have one.
 var errNoContinuation = errors.New("an event without an id does not continue the stream")
 
+// errNotContinued means that a server that was to continue a stream sent no event. Whether the stream had come to its
+// end can't be told from that: its caller can take it up again.
+var errNotContinued = errors.New("a response without events does not continue the stream")
+
 // forwardStream forwards the complete events of a response as they arrive. A stream that
 // breaks is resumed on another engine if its route allows resuming.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response, r ResponseHeaders) bool {
@@ -67,6 +71,12 @@
 		}
 		return false
 	}
+	if errors.Is(err, errNotContinued) {
+		a.conn.Release(resp)
+		a.finish(sched.Answered)
+		c.front.metrics.notContinued.Inc(1)
+		return c.retryOrEnd(ctx, code.StreamBroken, err.Error())
+	}
 	a.conn.Close()
 	if errors.Is(err, errCallerGone) {
 		a.finish(sched.Cancelled)
@@ -118,6 +128,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && scanner.Complete(framing == conns.UntilClose):
+			if a.continues && scanner.Events() == 0 {
+				return errNotContinued
+			}
 			if !c.responseBegun {
 				a.beginResponse(resp, r)
 			}
