steer: Replace old updates by the full state instead of closing the link

A lease holder whose processor was busy for more than 500 ms closed the links of all daemons ("does not receive updates fast enough"), which then opened them again and took more of it.

Cause: an update that was queued for longer than maxQueueDelay ended its link, because a daemon treats each update as current. Such an update is now dropped with those behind it, and the next one holds the full state. A full queue still ends the link.

TestOldUpdatesAreReplaced fails without either rule (two mutants, killed by hand). Package steer passes with the race detector.

--- a/limpetd/steer/broadcast.go
+++ b/limpetd/steer/broadcast.go
@@ -20,7 +20,9 @@
 	// receives the full state.
 	subscriberQueueSize = 8
 	// maxQueueDelay is how long an update may be queued, because a daemon treats each
-	// update that it receives as current.
+	// update that it receives as current. One that is older is dropped, and the next one holds the full state: if the
+	// processor of the lease holder is busy, the updates of all links become old, and links that are opened again
+	// would take more of it.
 	maxQueueDelay = 500 * time.Millisecond
 	// maxFullStates is how long an update encodes full states. Daemons without one get it with the next update.
 	maxFullStates = 100 * time.Millisecond
@@ -73,6 +75,16 @@
 	return s
 }
 
+// requestFull drops the queued updates of a daemon. The next one holds the full state.
+func (b *broadcaster) requestFull(s *subscriber) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(s.queue) > 0 {
+		<-s.queue
+	}
+	s.needsFull = true
+}
+
 // count returns the number of daemons with a link.
 func (b *broadcaster) count() int {
 	b.mu.Lock()
--- a/limpetd/steer/broadcast_test.go
+++ b/limpetd/steer/broadcast_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 
 	"github.com/limpetlb/limpetlb/limpetd/crash"
+	"github.com/limpetlb/limpetlb/limpetd/lease"
 	"github.com/limpetlb/limpetlb/limpetd/life"
 	"github.com/limpetlb/limpetlb/limpetd/mirror"
 	"github.com/limpetlb/limpetlb/limpetd/origin"
@@ -141,3 +144,46 @@
 		}
 	})
 }
+
+// sentUpdates is the link of a daemon that records what it receives.
+type sentUpdates struct {
+	grpc.ServerStream
+	ctx  context.Context
+	sent chan any
+}
+
+func (s sentUpdates) Context() context.Context { return s.ctx }
+
+func (s sentUpdates) SendMsg(m any) error {
+	s.sent <- m
+	return nil
+}
+
+// TestOldUpdatesAreReplaced guards against a lease holder that closes all links when its processor was busy for a moment,
+// and against sending updates that are old, or later ones without them.
+func TestOldUpdatesAreReplaced(t *testing.T) {
+	self := Member{VM: "a", Instance: "a-1"}
+	s := &Controller{settings: Config{Self: self}, deps: Deps{Leases: noLease{}, Clock: time.Now}, broadcaster: newBroadcaster(nil)}
+	s.lease = lease.NewCandidate(lease.Config{VM: self.VM, Instance: self.Instance, Term: time.Minute})
+	s.lease.RecordWrite(lease.Row{VM: self.VM, Instance: self.Instance, Fence: 1}, 1, time.Now(), time.Now())
+	require.True(t, s.IsLeaseHolder())
+	b, encodeUpdate := s.broadcaster, func(u stateUpdate) (encodedMessage, error) { return encode(u) }
+	sub := b.add(nil)
+	require.NoError(t, b.broadcast(nil, nil, noCrashes, noOrigins, encodeUpdate, time.Now().Add(-2*maxQueueDelay)))
+	require.NoError(t, b.broadcast(nil, nil, noCrashes, noOrigins, encodeUpdate, time.Now().Add(time.Minute)))
+	require.Len(t, sub.queue, 2)
+	link := sentUpdates{ctx: t.Context(), sent: make(chan any)}
+	failed, ended := make(chan error), make(chan error)
+	go func() { ended <- s.sendUpdates(link, sub, failed) }()
+	require.Eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return sub.needsFull
+	}, time.Second, time.Millisecond)
+	require.NoError(t, b.broadcast(nil, nil, noCrashes, noOrigins, encodeUpdate, time.Now()))
+	var u stateUpdate
+	require.NoError(t, codec{}.Unmarshal((<-link.sent).(encodedMessage), &u))
+	require.True(t, u.Full)
+	failed <- io.EOF
+	require.ErrorIs(t, <-ended, io.EOF)
+}
--- a/limpetd/steer/controller.go
+++ b/limpetd/steer/controller.go
@@ -356,6 +356,11 @@
 			s.receiveReport(sub, r)
 		}
 	})
+	return s.sendUpdates(stream, sub, failed)
+}
+
+// sendUpdates sends the updates that are queued for a daemon until its link fails.
+func (s *Controller) sendUpdates(stream grpc.ServerStream, sub *subscriber, failed <-chan error) error {
 	for {
 		select {
 		case <-stream.Context().Done():
@@ -366,9 +371,13 @@
 			if !s.IsLeaseHolder() {
 				return errNotHolder
 			}
-			if s.broadcaster.overflowed(sub) || time.Since(m.queuedAt) > maxQueueDelay {
+			if s.broadcaster.overflowed(sub) {
 				return errSlowDaemon
 			}
+			if time.Since(m.queuedAt) > maxQueueDelay {
+				s.broadcaster.requestFull(sub)
+				continue
+			}
 			if err := stream.SendMsg(m.message); err != nil {
 				return err
 			}
