conns: Close idle connections when their pool ends

The pool now closes its idle connections at its end and keeps none from then on. The check of an end no longer counts a connection that it closes because of the limit.

TestEndCheckKeepsLimit passed before too: the limit was kept. Package conns passes with -race.

--- a/limpetd/conns/conns.go
+++ b/limpetd/conns/conns.go
@@ -100,9 +100,11 @@
 	open map[Target]int
 	// limit is the maximum number of open connections to a target; 0 means no limit.
 	limit map[Target]int
+	// ended is whether the pool keeps no idle connections any more.
+	ended bool
 }
 
-// New returns an empty pool. The pool closes expired idle connections until ctx ends.
+// New returns an empty pool. The pool closes expired idle connections until ctx ends, and keeps none from then on.
 func New(ctx context.Context, opts ...Option) *Pool {
 	t, ctx := life.WithContext(ctx)
 	p := &Pool{
@@ -119,6 +121,7 @@
 		for life.Sleep(ctx, sweepPeriod) {
 			p.sweep(time.Now())
 		}
+		p.end()
 		return nil
 	})
 	return p
@@ -230,11 +233,31 @@
 	return c
 }
 
-// push adds c to the idle connections.
+// push adds c to the idle connections, or closes it if the pool keeps none.
 func (p *Pool) push(c *Conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[c.target] = append(p.idle[c.target], c)
+	ended := p.ended
+	if !ended {
+		p.idle[c.target] = append(p.idle[c.target], c)
+	}
+	p.mu.Unlock()
+	if ended {
+		c.Close()
+	}
+}
+
+// end closes the idle connections. Others are closed when they would become idle.
+func (p *Pool) end() {
+	p.mu.Lock()
+	p.ended = true
+	idle := p.idle
+	p.idle = map[Target][]*Conn{}
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
 }
 
 // uncount subtracts a closed connection from the open connections to t.
--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -60,16 +60,18 @@
 	if err != nil {
 		return reachOf(err)
 	}
-	c := newConn(p, t, conn)
 	p.mu.Lock()
-	p.open[t]++
-	full := p.limit[t] > 0 && p.open[t] > p.limit[t]
+	full := p.limit[t] > 0 && p.open[t] >= p.limit[t]
+	if !full {
+		p.open[t]++
+	}
 	p.mu.Unlock()
 	if full {
-		c.Close()
+		// Nothing was sent on the connection.
+		_ = conn.Close()
 		return Accepts
 	}
-	c.keep(defaultIdleTimeout)
+	newConn(p, t, conn).keep(defaultIdleTimeout)
 	return Accepts
 }
 
