conns: Don't end a response whose check was not finished

A response without length and chunks was complete when its call ended, by its deadline or because its daemon left, while the server was being checked: the failed check counted as a server that does not answer.

Such a body now fails with the reason for which the call ended.

TestResponseWithoutEndCheckIsNotComplete failed before, 3 of 3. Package conns passes with -race. The cancel function in TestEndedPoolKeepsNoConnections runs on all paths, as the linter asks; the checks of the test are as they were.

--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 )
@@ -29,25 +30,29 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if b.conn.serverEnded() {
-			err = ErrServerEnded
-		}
+		err = b.conn.checkEnd()
 		b.end = err
 	}
 	return n, err
 }
 
-// serverEnded reports whether the server refuses connections.
-func (c *Conn) serverEnded() bool {
-	ctx := c.bound
-	if ctx == nil {
-		ctx = context.Background()
+// checkEnd returns io.EOF unless the server refuses connections, or the call ended before the server answered.
+func (c *Conn) checkEnd() error {
+	bound := c.bound
+	if bound == nil {
+		bound = context.Background()
 	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	ctx, cancel := context.WithTimeout(bound, endCheckTimeout)
 	defer cancel()
 	reach := c.pool.reopen(ctx, c.target)
 	c.afterEnd = reach.String()
-	return reach == Refuses
+	switch {
+	case reach == Refuses:
+		return ErrServerEnded
+	case reach == Silent && bound.Err() != nil:
+		return fmt.Errorf("the call ended when the server was being checked: %w", context.Cause(bound))
+	}
+	return io.EOF
 }
 
 // AfterEnd returns what the server did with a new connection after the end of the connection had ended a response:
--- a/limpetd/conns/pool_test.go
+++ b/limpetd/conns/pool_test.go
@@ -39,6 +39,7 @@
 	for _, unframed := range []bool{false, true} {
 		target, open := startCounted(t, unframed)
 		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
 		p := conns.New(ctx)
 		for i := range 2 {
 			body, err := exchange(t, p, target, "a")
@@ -65,3 +66,37 @@
 		require.Eventually(t, func() bool { return open.Load() <= 1 }, 5*time.Second, time.Millisecond)
 	}
 }
+
+// endingDialer ends a call when a second connection is opened.
+type endingDialer struct {
+	conns.Dialer
+	dials atomic.Int64
+	end   context.CancelFunc
+}
+
+func (d *endingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.dials.Add(1) > 1 {
+		d.end()
+		<-ctx.Done()
+	}
+	return d.Dialer.DialContext(ctx, network, address)
+}
+
+// TestResponseWithoutEndCheckIsNotComplete guards against a part of a response that counts as complete because its call
+// ended while the server was being checked.
+func TestResponseWithoutEndCheckIsNotComplete(t *testing.T) {
+	target, _ := startCounted(t, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	p := conns.New(t.Context(), conns.WithDialer(&endingDialer{Dialer: conns.ServerDialer(), end: cancel}))
+	c, err := p.Get(ctx, target, time.Second)
+	require.NoError(t, err)
+	defer c.Close()
+	defer c.Bind(ctx)()
+	r := newRequest("a")
+	require.NoError(t, c.Write(r))
+	response, err := c.ReadHead(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	require.ErrorIs(t, err, context.Canceled)
+}
