tunnel: Test that a reset behind a tunnel is no end

A server answered uploads of 3 MB through a tunnel without a length and reset its connections after 0 to 40 ms. The granting daemon's write met the reset, its read returned the end of the data, and the daemon sent an end frame: callers got a part as a complete answer.

--- /dev/null
+++ b/limpetd/tunnel/ending_test.go
@@ -0,0 +1,76 @@
+package tunnel_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/tunnel"
+)
+
+const unframedPart = "HTTP/1.1 200 OK\r\nStamp: 1\r\n\r\npart"
+
+// startPair starts a daemon that reaches a server only through another one, and returns its pool.
+func startPair(t *testing.T, server string) (a *daemon, p *conns.Pool) {
+	t.Helper()
+	a, b := startDaemon(t, "a", server), startDaemon(t, "b", server)
+	a.dialer.SetPeers([]tunnel.Peer{b.peer})
+	a.direct.refuses.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	return a, conns.New(ctx, conns.WithDialer(a.dialer))
+}
+
+// upload sends a request with a body of the given size, and returns the body of its response.
+func upload(ctx context.Context, p *conns.Pool, server string, size int) (body string, err error) {
+	r := conns.Request{Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, size)}
+	c, err := p.Get(ctx, conns.Target{Address: server}, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	if err := c.Write(r); err != nil {
+		return "", err
+	}
+	response, err := c.ReadHead(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	got, err := io.ReadAll(response.Body)
+	return string(got), err
+}
+
+// TestResetBehindATunnelIsNoEnd guards against a part of a response that looks complete because the write of the upload
+// met the server's reset in the daemon that grants the tunnel.
+func TestResetBehindATunnelIsNoEnd(t *testing.T) {
+	var n, complete atomic.Int64
+	server := startServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 512))
+		_, _ = io.WriteString(c, unframedPart)
+		time.Sleep(time.Duration(n.Add(1)%41) * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	_, p := startPair(t, server)
+	var workers sync.WaitGroup
+	for range 8 {
+		workers.Go(func() {
+			for range 25 {
+				if _, err := upload(t.Context(), p, server, 3<<20); err == nil {
+					complete.Add(1)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	require.Zero(t, complete.Load(), "of 200")
+}
