tunnel: Report the refusal of a server whose path is lost

A part of a response without length and chunks looked complete when its server, reached through a tunnel, was killed: the check of the response's end got no answer.

Cause: if the other daemons are refused, DialContext tries the lost direct path again, and returned its error. If packets on that path are dropped, that is a timeout, which says nothing about the server. DialContext now returns the refusal of the other daemons, as its comment says. A daemon that has lost paths itself doesn't report refusals.

Packages tunnel (with -race) and front pass.

--- a/limpetd/tunnel/dialer.go
+++ b/limpetd/tunnel/dialer.go
@@ -130,12 +130,20 @@
 	d.mu.Lock()
 	lost := d.paths.isLost(address)
 	d.mu.Unlock()
-	if lost {
-		if c, err := d.dialThrough(ctx, address); err == nil || ctx.Err() != nil {
-			return c, err
-		}
+	if !lost {
+		return d.dialEither(ctx, network, address)
+	}
+	through, throughErr := d.dialThrough(ctx, address)
+	if throughErr == nil || ctx.Err() != nil {
+		return through, throughErr
+	}
+	// The path may be restored.
+	c, err := d.dialEither(ctx, network, address)
+	if err != nil && errors.Is(throughErr, syscall.ECONNREFUSED) {
+		// The failure of a lost path says less about the server than a refusal of others.
+		return nil, throughErr
 	}
-	return d.dialEither(ctx, network, address)
+	return c, err
 }
 
 // dialed is the result of a direct connect.
--- a/limpetd/tunnel/ending_test.go
+++ b/limpetd/tunnel/ending_test.go
@@ -74,3 +74,37 @@
 	workers.Wait()
 	require.Zero(t, complete.Load(), "of 200")
 }
+
+// TestServerKilledBehindATunnelIsNoEnd guards against a part of a response that looks complete because the daemon's own
+// path to the server, which it has lost, hides that the server has ended.
+func TestServerKilledBehindATunnelIsNoEnd(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		end := make(chan struct{})
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 512))
+			_, _ = io.WriteString(c, unframedPart)
+			<-end
+			_ = l.Close()
+			_ = c.Close()
+		}()
+		server := l.Addr().String()
+		a, p := startPair(t, server)
+		a.direct.refuses.Store(!hangs)
+		a.direct.hangs.Store(hangs)
+		go func() {
+			for !a.dialer.CutOff() && t.Context().Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			close(end)
+		}()
+		got, err := upload(t.Context(), p, server, 0)
+		require.Equal(t, "part", got)
+		require.ErrorIs(t, err, conns.ErrServerEnded, "hangs: %v", hangs)
+	}
+}
