tunnel: Let the end of a tunnel be read before it is closed

An answer that a server sent before it had read the upload, such as a 413 with a length, was cut off behind a tunnel, and the call failed although the answer was whole.

Cause: the granting daemon closed the tunnel right after the end frame. It had not read the rest of the upload, so that the kernel reset the connection and dropped what was not sent.

The granting daemon now ends the sending direction, and discards the rest of the upload until the other daemon closes the tunnel, for 2 s at most. Only answers that were larger than the buffers of the connection were affected.

Package tunnel passes with -race.

--- a/limpetd/tunnel/ending_test.go
+++ b/limpetd/tunnel/ending_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -108,3 +109,23 @@
 		require.ErrorIs(t, err, conns.ErrServerEnded, "hangs: %v", hangs)
 	}
 }
+
+// TestEarlyAnswerThroughATunnelIsWhole guards against an answer of which a part is lost because the granting daemon
+// closes the tunnel before it has read the upload.
+func TestEarlyAnswerThroughATunnelIsWhole(t *testing.T) {
+	const answer = 1 << 20
+	whole := strings.Repeat("x", answer)
+	server := startServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 512))
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Content Too Large\r\nStamp: 1\r\nContent-Length: 1048576\r\n\r\n"+whole)
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(50 * time.Millisecond)
+		_ = c.Close()
+	})
+	_, p := startPair(t, server)
+	for i := range 20 {
+		body, err := upload(t.Context(), p, server, 3<<20)
+		require.NoError(t, err, "call %d, %d bytes", i, len(body))
+		require.Len(t, body, answer)
+	}
+}
--- a/limpetd/tunnel/server.go
+++ b/limpetd/tunnel/server.go
@@ -24,6 +24,8 @@
 	copyBuffer = 4 << 10
 	// acceptPause is the time after an error of the listener until it is used again.
 	acceptPause = 50 * time.Millisecond
+	// drainTimeout bounds the time in which the daemon that uses a tunnel reads its end.
+	drainTimeout = 2 * time.Second
 )
 
 // Server grants tunnels to other daemons. It is safe for concurrent use.
@@ -211,6 +213,8 @@
 	}()
 	reason := g.passResponses()
 	<-done
+	// The end of the tunnel was sent.
+	_ = g.client.Close()
 	return reason
 }
 
@@ -222,7 +226,9 @@
 		n, err := g.client.Read(buffer)
 		if n > 0 {
 			if _, writeErr := g.server.Write(buffer[:n]); writeErr != nil {
-				// The response may have arrived before the server closed the connection.
+				// The response may have arrived before the server closed the connection. Closing a connection with
+				// unread data would reset it, and the rest of the response would be lost.
+				_, _ = io.Copy(io.Discard, g.client)
 				return
 			}
 			g.sent.Add(int64(n))
@@ -251,10 +257,11 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if err := g.writeFrame(appendHeader(nil, endFrame)); err != nil {
+			if err := g.sendEnd(); err != nil {
 				resetOnClose(g.client)
+				_ = g.client.Close()
 			}
-			_ = errors.Join(g.server.Close(), g.client.Close())
+			_ = g.server.Close()
 			return "server closed"
 		case err != nil:
 			resetOnClose(g.client)
@@ -264,6 +271,19 @@
 	}
 }
 
+// sendEnd sends the last frame, and lets the other daemon read it before passRequests ends.
+func (g *grant) sendEnd() error {
+	if err := g.writeFrame(appendHeader(nil, endFrame)); err != nil {
+		return err
+	}
+	if c, ok := g.client.(interface{ CloseWrite() error }); ok {
+		if err := c.CloseWrite(); err != nil {
+			return err
+		}
+	}
+	return g.client.SetReadDeadline(time.Now().Add(drainTimeout))
+}
+
 // writeFrame writes a frame to the other daemon.
 func (g *grant) writeFrame(b []byte) error {
 	g.mu.Lock()
