relay: Check at the end of an unframed answer that its service has not ended

A part of an answer without length and chunks, and a stream between two events, was forwarded as complete when the process of the plain service was killed, to callers of HTTP/1.1 and 1.0. The outcome of a keyed call that was cut off so was kept, and answered repeats of the call as a whole one.

Cause: the kernel closes the connections of a process that is killed properly if the process had read everything.

The check is conns.CheckEnd now, which takes a response and a way to find out whether the server still accepts connections. ReadHead passes its pool, relay its dial, which opens one connection at the end of each answer that only its connection ends. The error that ended a keyed call's answer is in the message to the caller.

--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -14,10 +15,19 @@
 // The kernel closes the connections of a process that is killed properly, so that the response may be incomplete.
 var ErrServerEnded = errors.New("the server ended when it ended its response")
 
+// CheckEnd makes reads of the body of r return ErrServerEnded instead of io.EOF if only the end of the connection ends the
+// body and the server refuses connections then. reach opens a connection to the server. The check ends with ctx.
+func CheckEnd(ctx context.Context, r *http.Response, reach func(ctx context.Context) Reach) {
+	if FramingOf(r) == UntilClose {
+		r.Body = &unframedBody{ReadCloser: r.Body, ctx: ctx, reach: reach}
+	}
+}
+
 // unframedBody is the body of a response that only the end of its connection ends.
 type unframedBody struct {
 	io.ReadCloser
-	conn *Conn
+	ctx   context.Context
+	reach func(ctx context.Context) Reach
 	// end is the error at the end of the body; nil before.
 	end error
 }
@@ -29,7 +39,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if b.conn.serverEnded() {
+		if b.serverEnded() {
 			err = ErrServerEnded
 		}
 		b.end = err
@@ -38,16 +48,23 @@
 }
 
 // serverEnded reports whether the server refuses connections.
-func (c *Conn) serverEnded() bool {
+func (b *unframedBody) serverEnded() bool {
+	ctx, cancel := context.WithTimeout(b.ctx, endCheckTimeout)
+	defer cancel()
+	return b.reach(ctx) == Refuses
+}
+
+// checkEnd is CheckEnd for a response on the connection. The check ends with the context of Bind.
+func (c *Conn) checkEnd(r *http.Response) {
 	ctx := c.bound
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-	defer cancel()
-	reach := c.pool.reopen(ctx, c.target)
-	c.afterEnd = reach.String()
-	return reach == Refuses
+	CheckEnd(ctx, r, func(ctx context.Context) Reach {
+		reach := c.pool.reopen(ctx, c.target)
+		c.afterEnd = reach.String()
+		return reach
+	})
 }
 
 // AfterEnd returns what the server did with a new connection after the end of the connection had ended a response:
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -192,9 +192,7 @@
 	if err != nil {
 		return nil, &Error{Sent: MaybeSent, Err: err}
 	}
-	if FramingOf(response) == UntilClose {
-		response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
-	}
+	c.checkEnd(response)
 	return response, nil
 }
 
--- a/limpetd/gate/broken_test.go
+++ b/limpetd/gate/broken_test.go
@@ -29,23 +29,23 @@
 	return l.Addr().String()
 }
 
-// openRaw sends a call in the given version of HTTP and reads the head of the response.
-func (g *testGate) openRaw(t *testing.T, protocol, call string) (*http.Response, error) {
+// openRaw sends a call with a body of the given size in the given version of HTTP and reads the head of the response.
+func (g *testGate) openRaw(t *testing.T, protocol, call string, size int) (*http.Response, error) {
 	t.Helper()
 	c, err := net.Dial("tcp4", strings.TrimPrefix(g.url, "http://"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
-	_, err = fmt.Fprintf(c, "%s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n", call, protocol, appKey)
+	_, err = fmt.Fprintf(c, "%s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s", call, protocol, appKey, size, strings.Repeat("x", size))
 	require.NoError(t, err)
 	return http.ReadResponse(bufio.NewReader(c), nil)
 }
 
-// receivesComplete sends a call in the given version of HTTP and reports whether the response
+// receivesComplete sends a call as openRaw does and reports whether the response
 // has status 200 and is complete by its framing.
-func (g *testGate) receivesComplete(t *testing.T, protocol, call string) bool {
+func (g *testGate) receivesComplete(t *testing.T, protocol, call string, size int) bool {
 	t.Helper()
-	response, err := g.openRaw(t, protocol, call)
+	response, err := g.openRaw(t, protocol, call, size)
 	if err != nil {
 		return false
 	}
@@ -71,7 +71,7 @@
 							c.serviceTimeout = 200 * time.Millisecond
 						}
 						complete := b.LooksComplete(contentType != "text/plain")
-						require.Equal(t, complete, startGate(t, c).receivesComplete(t, protocol, call))
+						require.Equal(t, complete, startGate(t, c).receivesComplete(t, protocol, call, 0))
 					})
 				}
 			}
@@ -85,7 +85,7 @@
 	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		s := broken.Response{Framing: conns.UntilClose, Body: "body", Sent: 2, Ending: broken.Silent}
 		g := startGate(t, testConfig{doc: testDocument(), services: []string{startBroken(t, s, "text/plain")}})
-		response, err := g.openRaw(t, protocol, "GET /services/app/schedule/x")
+		response, err := g.openRaw(t, protocol, "GET /services/app/schedule/x", 0)
 		require.NoError(t, err)
 		_, err = io.ReadFull(response.Body, make([]byte, s.Sent))
 		require.NoError(t, err)
--- a/limpetd/gate/service.go
+++ b/limpetd/gate/service.go
@@ -143,7 +143,7 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
 		hold.Close(ctx, claim.Outcome{Status: response.Status, TooLong: true})
-		return code.WithRun(code.Errorf(code.BackendLost, "the response of backend server %s is incomplete", response.VM), code.RunYes)
+		return code.WithRun(code.Errorf(code.BackendLost, "the response of backend server %s is incomplete: %w", response.VM, err), code.RunYes)
 	}
 	header := responseHeader(response.Header)
 	hold.Close(ctx, claim.Outcome{Status: response.Status, Header: header, Body: body})
--- a/limpetd/gate/status_test.go
+++ b/limpetd/gate/status_test.go
@@ -45,7 +45,7 @@
 				g := startGate(t, testConfig{doc: testDocument(), services: []string{server}})
 				tries := map[string]int{"repeatable": 1, "keyed": 2}[name]
 				for range tries { // The second call with the key gets what was kept.
-					response, err := g.openRaw(t, "HTTP/1.1", call)
+					response, err := g.openRaw(t, "HTTP/1.1", call, 0)
 					require.NoError(t, err)
 					// A repeatable call that no other server can take is answered as after any broken response.
 					require.Contains(t, []int{http.StatusBadGateway, http.StatusConflict, http.StatusServiceUnavailable}, response.StatusCode)
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -73,18 +73,24 @@
 // serviceClient sends requests to plain services and never repeats a request.
 type serviceClient struct {
 	transport *http.Transport
+	dial      DialFunc
 }
 
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// DialContext implements conns.Dialer.
+func (f DialFunc) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return f(ctx, network, address)
+}
+
 // dialTCP is the default DialFunc.
 var dialTCP = (&net.Dialer{Timeout: serviceDialTimeout}).DialContext
 
 func newServiceClient(dial DialFunc) *serviceClient {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
-	return &serviceClient{transport: &http.Transport{
+	return &serviceClient{dial: dial, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dial(ctx, network, address)
 			if err != nil {
@@ -124,7 +130,7 @@
 func (nonReplayableBody) Close() error { return nil }
 
 // send sends the call to address once. sent reports whether a byte of the call may
-// have arrived.
+// have arrived. Reads of the answer's body return io.EOF only if the answer is complete.
 func (s *serviceClient) send(ctx context.Context, address string, c ServiceCall) (response *http.Response, sent bool, err error) {
 	var conn *writeCountingConn
 	var writesBefore int64
@@ -148,6 +154,9 @@
 	response, err = s.transport.RoundTrip(q.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	// The transport may still write after the context is cancelled.
 	sent = conn != nil && (conn.writes.Load() > writesBefore || ctx.Err() != nil)
+	if err == nil {
+		conns.CheckEnd(ctx, response, func(ctx context.Context) conns.Reach { return conns.Probe(ctx, s.dial, address) })
+	}
 	return response, sent, err
 }
 
