relay, engine, store: Open connections by package socket

A plain service answered an upload of 3 MB at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the caller got the part as a complete answer.

Their write loop and the reader of the body are two calls on one socket, and the write may take the error of the reset before the read returns the end of the data.

The store's transport no longer offers HTTP/2 to an https URL without WithTLS, which nothing uses; with WithTLS it never did.

--- a/limpetd/engine/client.go
+++ b/limpetd/engine/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 // Limits of the client.
@@ -66,7 +67,7 @@
 
 // NewClient returns a client of model engines.
 func NewClient(opts ...Option) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := socket.NewDialer(net.Dialer{Timeout: dialTimeout})
 	c := &Client{
 		scheme: "http://",
 		transport: &http.Transport{
--- a/limpetd/gate/ending_test.go
+++ b/limpetd/gate/ending_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,3 +70,30 @@
 		}
 	})
 }
+
+// TestResetBesideUploadLooksBroken guards against a response that looks complete because the call was still being written
+// when the service reset the connection.
+func TestResetBesideUploadLooksBroken(t *testing.T) {
+	const runs = 10
+	for _, size := range []int{900 << 10, 3 << 20} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			forEachEnding(t, func(t *testing.T, part, protocol, call string) {
+				t.Parallel()
+				var answered atomic.Int64
+				address := startEnding(t, part, func(_ net.Listener, c *net.TCPConn, _ *http.Request) {
+					time.Sleep(time.Duration(answered.Add(1)%runs) * 4 * time.Millisecond)
+					_ = c.SetLinger(0)
+				})
+				complete := 0
+				for range runs {
+					g := startGate(t, testConfig{doc: testDocument(), services: []string{address}, config: Config{MaxBodyBytes: int64(size)}})
+					if g.receivesComplete(t, protocol, call, size) {
+						complete++
+					}
+				}
+				require.Zero(t, complete, "of %d", runs)
+				require.GreaterOrEqual(t, answered.Load(), int64(runs))
+			})
+		})
+	}
+}
--- a/limpetd/relay/relay.go
+++ b/limpetd/relay/relay.go
@@ -98,7 +98,8 @@
 	return func(r *Relay) { r.serviceTimeout = d }
 }
 
-// WithDial sets the function that opens connections to plain services.
+// WithDial sets the function that opens connections to plain services. A *net.TCPConn that it returns may not be used
+// otherwise.
 func WithDial(dial DialFunc) Option {
 	return func(r *Relay) { r.services = newServiceClient(dial) }
 }
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -19,6 +19,7 @@
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
 	"github.com/limpetlb/limpetlb/limpetd/event"
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 // RunHeader is the header of answers that states whether the call ran. A backend
@@ -84,8 +85,11 @@
 	return f(ctx, network, address)
 }
 
+// serviceDialer opens connections to plain services.
+var serviceDialer = socket.NewDialer(net.Dialer{Timeout: serviceDialTimeout})
+
 // dialTCP is the default DialFunc.
-var dialTCP = (&net.Dialer{Timeout: serviceDialTimeout}).DialContext
+var dialTCP = serviceDialer.DialContext
 
 func newServiceClient(dial DialFunc) *serviceClient {
 	protocols := &http.Protocols{}
@@ -96,6 +100,9 @@
 			if err != nil {
 				return nil, err
 			}
+			if c, err = socket.Wrap(c); err != nil {
+				return nil, err
+			}
 			return &writeCountingConn{Conn: c}, nil
 		},
 		DisableCompression:     true,
--- a/limpetd/store/client.go
+++ b/limpetd/store/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetlb/limpetlb/limpetd/code"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 // Limits of the client.
@@ -53,10 +54,12 @@
 
 // NewClient returns a client of the platform at baseURL.
 func NewClient(baseURL string, opts ...Option) *Client {
+	var dialer socket.Dialer
 	c := &Client{
 		base:    baseURL,
 		timeout: CallTimeout,
 		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
