conns: Let Probe take the network

An answer of a plain service with an IPv6 address ends without the check whether the service has ended if the check opens its connection by tcp4.

--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -162,7 +162,7 @@
 	// The transport may still write after the context is cancelled.
 	sent = conn != nil && (conn.writes.Load() > writesBefore || ctx.Err() != nil)
 	if err == nil {
-		conns.CheckEnd(ctx, response, func(ctx context.Context) conns.Reach { return conns.Probe(ctx, s.dial, address) })
+		conns.CheckEnd(ctx, response, func(ctx context.Context) conns.Reach { return conns.Probe(ctx, s.dial, "tcp", address) })
 	}
 	return response, sent, err
 }
