store: Don't take an object for whole when its store was killed

A part of an object, in a response without length and chunks, counted as the object when the process of the store was killed: over HTTP because the kernel closes the connections of the process properly, and over TLS too. The part of a batch's input doesn't decode, which counts as a corrupt object, and a batch with one fails for good.

Cause over TLS: crypto/tls returns io.EOF for a connection that ends between two records without close_notify (readRecordOrCCS: "popular web sites seem to do this so we accept it"). A server that is killed sends none.

socket.UnderTLS makes the end of the connection below a TLS session an error, which crypto/tls passes on unless close_notify has arrived. The client of the store uses it by WithTLS, and conns.CheckEnd without TLS.

--- a/limpetd/conns/paths.go
+++ b/limpetd/conns/paths.go
@@ -124,7 +124,9 @@
 }
 
 // Probe opens a connection to t and closes it.
-func (p *Pool) Probe(ctx context.Context, t Target) Reach { return Probe(ctx, p.dialer, "tcp4", t.Address) }
+func (p *Pool) Probe(ctx context.Context, t Target) Reach {
+	return Probe(ctx, p.dialer, "tcp4", t.Address)
+}
 
 // Probe opens a connection to an address by d and closes it.
 func Probe(ctx context.Context, d Dialer, network, address string) Reach {
--- a/limpetd/store/client.go
+++ b/limpetd/store/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -30,7 +31,16 @@
 
 // WithTLS sets the TLS configuration for an https base URL.
 func WithTLS(c *tls.Config) Option {
-	return func(cl *Client) { cl.transport.TLSClientConfig = c }
+	return func(cl *Client) {
+		cl.transport.TLSClientConfig = c
+		cl.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := cl.dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return socket.UnderTLS(conn), nil
+		}
+	}
 }
 
 // WithTimeout sets the timeout of each call. The default is CallTimeout.
@@ -42,6 +52,7 @@
 type Client struct {
 	base      string
 	timeout   time.Duration
+	dialer    *socket.Dialer
 	transport *http.Transport
 	http      *http.Client
 }
@@ -54,9 +65,10 @@
 
 // NewClient returns a client of the platform at baseURL.
 func NewClient(baseURL string, opts ...Option) *Client {
-	var dialer socket.Dialer
+	dialer := &socket.Dialer{}
 	c := &Client{
 		base:    baseURL,
+		dialer:  dialer,
 		timeout: CallTimeout,
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
@@ -208,7 +220,11 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var address atomic.Value
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connected.Store(true)
+		address.Store(i.Conn.RemoteAddr().String())
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -219,6 +235,11 @@
 		return nil, transportError(connected.Load(), err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.TLS == nil {
+		conns.CheckEnd(ctx, response, func(ctx context.Context) conns.Reach {
+			return conns.Probe(ctx, c.dialer, "tcp", address.Load().(string))
+		})
+	}
 	reply, err := conns.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, transportError(true, err)
