--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -15,10 +16,19 @@
 // The kernel closes the connections of a process that is killed properly, so that the response may be incomplete.
 var ErrServerEnded = errors.New("the server ended when it ended its response")
 
+// CheckEnd makes reads of the body of r return ErrServerEnded instead of io.EOF if only the end of the connection ends the
+// body and the server refuses connections then. reach opens a connection to the server. The check ends with ctx.
+func CheckEnd(ctx context.Context, r *http.Response, reach func(ctx context.Context) Reach) {
+	if FramingOf(r) == UntilClose {
+		r.Body = &unframedBody{ReadCloser: r.Body, ctx: ctx, reach: reach}
+	}
+}
+
 // unframedBody is the body of a response that only the end of its connection ends.
 type unframedBody struct {
 	io.ReadCloser
-	conn *Conn
+	ctx   context.Context
+	reach func(ctx context.Context) Reach
 	// end is the error at the end of the body; nil before.
 	end error
 }
@@ -30,31 +40,38 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		err = b.conn.checkEnd()
+		err = b.checkEnd()
 		b.end = err
 	}
 	return n, err
 }
 
 // checkEnd returns io.EOF unless the server refuses connections, or the call ended before the server answered.
-func (c *Conn) checkEnd() error {
-	bound := c.bound
-	if bound == nil {
-		bound = context.Background()
-	}
-	ctx, cancel := context.WithTimeout(bound, endCheckTimeout)
+func (b *unframedBody) checkEnd() error {
+	ctx, cancel := context.WithTimeout(b.ctx, endCheckTimeout)
 	defer cancel()
-	reach := c.pool.reopen(ctx, c.target)
-	c.afterEnd = reach.String()
-	switch {
+	switch reach := b.reach(ctx); {
 	case reach == Refuses:
 		return ErrServerEnded
-	case reach == Silent && bound.Err() != nil:
-		return fmt.Errorf("the call ended when the server was being checked: %w", context.Cause(bound))
+	case reach == Silent && b.ctx.Err() != nil:
+		return fmt.Errorf("the call ended when the server was being checked: %w", context.Cause(b.ctx))
 	}
 	return io.EOF
 }
 
+// checkEnd is CheckEnd for a response on the connection. The check ends with the context of Bind.
+func (c *Conn) checkEnd(r *http.Response) {
+	ctx := c.bound
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	CheckEnd(ctx, r, func(ctx context.Context) Reach {
+		reach := c.pool.reopen(ctx, c.target)
+		c.afterEnd = reach.String()
+		return reach
+	})
+}
+
 // AfterEnd returns what the server did with a new connection after the end of the connection had ended a response:
 // accepts, refuses or silent. It is empty if no response has ended so.
 func (c *Conn) AfterEnd() string { return c.afterEnd }
--- a/limpetd/conns/paths.go
+++ b/limpetd/conns/paths.go
@@ -125,7 +125,12 @@
 
 // Probe opens a connection to t and closes it.
 func (p *Pool) Probe(ctx context.Context, t Target) Reach {
-	conn, err := p.dialer.DialContext(ctx, "tcp4", t.Address)
+	return Probe(ctx, p.dialer, "tcp4", t.Address)
+}
+
+// Probe opens a connection to an address by d and closes it.
+func Probe(ctx context.Context, d Dialer, network, address string) Reach {
+	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return reachOf(err)
 	}
