--- a/limpetd/front/continue_test.go
+++ b/limpetd/front/continue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -21,6 +22,12 @@
 			_, _ = io.WriteString(w, body)
 		}
 	}
+	compressed := func(events string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Encoding", "gzip")
+			answer(http.StatusOK, "text/event-stream", gzipped(t, events))(w, r)
+		}
+	}
 	raw := func(text string) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) {
 			c, _, err := w.(http.Hijacker).Hijack()
@@ -40,6 +47,9 @@
 		"200 with a text as a stream":   answer(http.StatusOK, "text/event-stream", failure),
 		"200 with a line as a stream":   answer(http.StatusOK, "text/event-stream", failure+"\n"),
 		"head in the body":              answer(http.StatusOK, "text/event-stream", "HTTP/1.1 500 Internal Server Error\r\n\r\n"+failure+"\n\n"),
+		"event before the last":         answer(http.StatusOK, "text/event-stream", "id: 5\ndata: "+failure+"\n\n"),
+		"nothing of another type":       answer(http.StatusOK, "application/json", ""),
+		"compressed events":             compressed("id: 6\ndata: " + failure + "\n\n"),
 		"another event":                 answer(http.StatusOK, "text/event-stream", "id: 9\ndata: "+failure+"\n\n"),
 		"error without a head":          raw(failure + "\r\n\r\n"),
 		"error of HTTP/1.0 to its end":  raw("HTTP/1.0 500 Internal Server Error\r\nId: x1\r\nStamp: 1\r\n\r\n" + failure),
@@ -62,3 +72,21 @@
 		})
 	}
 }
+
+// TestCommentsDoNotContinueStream guards against a broken stream that looks complete because the next server sends
+// only comments.
+func TestCommentsDoNotContinueStream(t *testing.T) {
+	const comments = ": a\n\n: b\n\n"
+	for _, framing := range framings {
+		fx := newFixture(t, streamRoute, streamEvents(0, 5, true), func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last") == "" {
+				streamEvents(0, 5, true)(w, r)
+				return
+			}
+			hijack(func(c net.Conn) { _ = writeStream(c, framing, comments, "") })(w, r)
+		})
+		_, body, err := fx.post(t, "/r/1", map[string]string{"Model": "m"})
+		require.Error(t, err, "the response looks complete: %s", body)
+		require.Contains(t, []string{eventText(0, 5), eventText(0, 5) + comments}, body)
+	}
+}
