front: Don't continue streams with ids that can't be continued

Callers saw a resumed stream that ended as complete with an event that doesn't belong to it, such as an error with an empty id or a text as its id: such ids counted as ids, and only numbers were checked. A stream whose events have empty ids, or a text after a number, was sent to a second server after its break, from its beginning or after an id that no server counts up from.

An id that is empty, or no number after one that is, no longer counts. A response with such an event doesn't continue a stream, and a stream with such an event is not resumed. Streams that don't break are forwarded as before, also those whose ids are all texts.

--- a/limpetd/front/broken_test.go
+++ b/limpetd/front/broken_test.go
@@ -206,7 +206,7 @@
 // caller has received events without an id.
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
 	route := layout.Route{Kind: layout.Stream, Resumable: true, MaxAttempts: 2, ToEngines: true, Expectation: time.Second}
-	for _, stream := range []string{"data: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\ndata: c\n\n"} {
+	for _, stream := range []string{"data: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\ndata: c\n\n", "id:\ndata: a\n\nid:\ndata: b\n\ndata: c\n\n", "id: 1\ndata: a\n\nid: x\ndata: b\n\ndata: c\n\n"} {
 		sent := len(stream) - len("data: c\n\n")
 		b := broken.Response{Framing: conns.Chunked, Body: stream, Sent: sent, Ending: broken.Reset}
 		requests := &atomic.Int64{}
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -212,7 +212,8 @@
 var idField = []byte("id:")
 
 // checkEventIDs checks that the ids of events increase by one, starting after last. It returns
-// the last id and the number of ids. Ids that are not numbers are not checked.
+// the last id and the number of ids. Ids that are not numbers are not checked. An id that is empty,
+// or no number after one that is, does not count: no stream can go on after it.
 func checkEventIDs(events []byte, last string) (string, int, error) {
 	numbered := 0
 	for len(events) > 0 {
@@ -222,13 +223,18 @@
 			continue
 		}
 		id := string(bytes.TrimSpace(line[len(idField):]))
+		if id == "" {
+			continue
+		}
 		previous, errPrevious := strconv.ParseInt(last, 10, 64)
 		current, errCurrent := strconv.ParseInt(id, 10, 64)
 		if errPrevious == nil && errCurrent == nil && current != previous+1 {
 			return last, numbered, errEventOrder
 		}
 		last = id
-		numbered++
+		if errPrevious != nil || errCurrent == nil {
+			numbered++
+		}
 	}
 	return last, numbered, nil
 }
