front: Take the last id of an event for its id

An event with two ids made up for a later one without, and the ids of an event counted up from each other, so that 7 followed 5 if the event had a line with 6, too.

The ids are now checked at the end of each event, and its last id counts, as for any reader of server-sent events.

Before, TestErrorOfTheNextServerIsNoPartOfTheStream failed in both new cases: the response was complete and had the text of the error.

--- a/limpetd/front/continue_test.go
+++ b/limpetd/front/continue_test.go
@@ -52,6 +52,8 @@
 		"compressed events":             compressed("id: 6\ndata: " + failure + "\n\n"),
 		"event with a text as its id":   answer(http.StatusOK, "text/event-stream", "id: a\ndata: "+failure+"\n\n"),
 		"event with an empty id":        answer(http.StatusOK, "text/event-stream", "id\nid:\ndata: "+failure+"\n\n"),
+		"event with the ids of two":     answer(http.StatusOK, "text/event-stream", "id: 6\nid: 7\ndata: \n\ndata: "+failure+"\n\n"),
+		"event that skips one":          answer(http.StatusOK, "text/event-stream", "id: 6\nid: 7\ndata: "+failure+"\n\n"),
 		"another event":                 answer(http.StatusOK, "text/event-stream", "id: 9\ndata: "+failure+"\n\n"),
 		"error without a head":          raw(failure + "\r\n\r\n"),
 		"error of HTTP/1.0 to its end":  raw("HTTP/1.0 500 Internal Server Error\r\nId: x1\r\nStamp: 1\r\n\r\n" + failure),
--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -212,18 +212,20 @@
 var idField = []byte("id:")
 
 // checkEventIDs checks that the ids of events increase by one, starting after last. It returns
-// the last id and the number of ids. Ids that are not numbers are not checked. An id that is empty,
-// or no number after one that is, does not count: no stream can go on after it.
+// the last id and the number of events with an id. The last id of an event is its id. Ids that are
+// not numbers are not checked. An id that is empty, or no number after one that is, does not count:
+// no stream can go on after it.
 func checkEventIDs(events []byte, last string) (string, int, error) {
 	numbered := 0
+	id := ""
 	for len(events) > 0 {
 		line, rest, _ := bytes.Cut(events, []byte("\n"))
 		events = rest
-		if !bytes.HasPrefix(line, idField) {
+		if bytes.HasPrefix(line, idField) {
+			id = string(bytes.TrimSpace(line[len(idField):]))
 			continue
 		}
-		id := string(bytes.TrimSpace(line[len(idField):]))
-		if id == "" {
+		if blank := len(line) == 0 || string(line) == "\r"; id == "" || !blank {
 			continue
 		}
 		previous, errPrevious := strconv.ParseInt(last, 10, 64)
@@ -231,10 +233,10 @@
 		if errPrevious == nil && errCurrent == nil && current != previous+1 {
 			return last, numbered, errEventOrder
 		}
-		last = id
 		if errPrevious != nil || errCurrent == nil {
 			numbered++
 		}
+		last, id = id, ""
 	}
 	return last, numbered, nil
 }
