front: Find the ids of events whose lines end with carriage returns

Callers saw a resumable stream whose lines end with carriage returns break off instead of going on at another server: the events were found by any line end, their ids by line feeds only.

--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -219,13 +219,13 @@
 	numbered := 0
 	id := ""
 	for len(events) > 0 {
-		line, rest, _ := bytes.Cut(events, []byte("\n"))
-		events = rest
+		var line []byte
+		line, events = cutLine(events)
 		if bytes.HasPrefix(line, idField) {
 			id = string(bytes.TrimSpace(line[len(idField):]))
 			continue
 		}
-		if blank := len(line) == 0 || string(line) == "\r"; id == "" || !blank {
+		if id == "" || len(line) > 0 {
 			continue
 		}
 		previous, errPrevious := strconv.ParseInt(last, 10, 64)
@@ -240,3 +240,16 @@
 	}
 	return last, numbered, nil
 }
+
+// cutLine returns the first line of b and what follows it. A line feed, a carriage return or both end a line.
+func cutLine(b []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(b, []byte("\n"))
+	i := bytes.IndexByte(line, '\r')
+	switch {
+	case i < 0:
+		return line, rest
+	case i == len(line)-1:
+		return line[:i], rest
+	}
+	return line[:i], b[i+1:]
+}
