--- a/limpetd/front/stream.go
+++ b/limpetd/front/stream.go
@@ -212,23 +212,44 @@
 var idField = []byte("id:")
 
 // checkEventIDs checks that the ids of events increase by one, starting after last. It returns
-// the last id and the number of ids. Ids that are not numbers are not checked.
+// the last id and the number of events with an id. The last id of an event is its id. Ids that are
+// not numbers are not checked. An id that is empty, or no number after one that is, does not count:
+// no stream can go on after it.
 func checkEventIDs(events []byte, last string) (string, int, error) {
 	numbered := 0
+	id := ""
 	for len(events) > 0 {
-		line, rest, _ := bytes.Cut(events, []byte("\n"))
-		events = rest
-		if !bytes.HasPrefix(line, idField) {
+		var line []byte
+		line, events = cutLine(events)
+		if bytes.HasPrefix(line, idField) {
+			id = string(bytes.TrimSpace(line[len(idField):]))
+			continue
+		}
+		if id == "" || len(line) > 0 {
 			continue
 		}
-		id := string(bytes.TrimSpace(line[len(idField):]))
 		previous, errPrevious := strconv.ParseInt(last, 10, 64)
 		current, errCurrent := strconv.ParseInt(id, 10, 64)
 		if errPrevious == nil && errCurrent == nil && current != previous+1 {
 			return last, numbered, errEventOrder
 		}
-		last = id
-		numbered++
+		if errPrevious != nil || errCurrent == nil {
+			numbered++
+		}
+		last, id = id, ""
 	}
 	return last, numbered, nil
 }
+
+// cutLine returns the first line of b and what follows it. A line feed, a carriage return or both end a line.
+func cutLine(b []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(b, []byte("\n"))
+	i := bytes.IndexByte(line, '\r')
+	switch {
+	case i < 0:
+		return line, rest
+	case i == len(line)-1:
+		return line[:i], rest
+	}
+	return line[:i], b[i+1:]
+}
