link: Record a reset that a write meets

A link copies both directions of a connection at the same time. The kernel reports a reset once: when the write to a server took it, the read from the server returned the end of the data, and the link could close the connection of the daemon properly. Then a response without length and chunks looks complete without any fault of the daemon.

The link now uses package socket for both connections, and an EPIPE resets the pair too, since bytes from the other side may not have been forwarded. TestResetIsPassedOn and the other tests of the package pass.

--- a/limpetlab/link/link.go
+++ b/limpetlab/link/link.go
@@ -20,6 +20,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/socket"
 )
 
 // dialTimeout bounds the dial to the target.
@@ -106,7 +108,7 @@
 
 // closeByReset makes a reset the end of a connection that is closed.
 func closeByReset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(*socket.Conn); ok {
 		// The error can be ignored: the connection is closed already.
 		_ = t.SetLinger(0)
 	}
@@ -162,11 +164,19 @@
 		_ = clientConn.Close()
 		return
 	}
-	if !l.register(listener, clientConn, targetConn) {
+	// A reset that a write meets is the end of both directions.
+	client, clientErr := socket.Wrap(clientConn)
+	target, targetErr := socket.Wrap(targetConn)
+	if clientErr != nil || targetErr != nil {
+		_ = clientConn.Close()
+		_ = targetConn.Close()
+		return
+	}
+	if !l.register(listener, client, target) {
 		return
 	}
-	go l.copy(targetConn, clientConn, true)
-	l.copy(clientConn, targetConn, false)
+	go l.copy(target, client, true)
+	l.copy(client, target, false)
 }
 
 // register adds a pair of connections to conns. If the link was cut since the
@@ -185,9 +195,10 @@
 }
 
 // copy copies bytes in one direction. When the direction ends, copy closes both
-// connections; if one of them was reset, it resets the other one.
+// connections; if one of them was reset, or closed beside a write, it resets both.
 func (l *Link) copy(to, from net.Conn, toTarget bool) {
-	if _, err := io.Copy(&faultWriter{link: l, to: to, toTarget: toTarget}, from); errors.Is(err, syscall.ECONNRESET) {
+	_, err := io.Copy(&faultWriter{link: l, to: to, toTarget: toTarget}, from)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
 		closeByReset(to)
 		closeByReset(from)
 	}
