soak: Break off responses beside killed, stopped and reset processes

The soak checked streams of a fifth of a second in chunks, and reset no connection while a daemon stood still, so that it did not show the streams that ended as complete before their last event.

RunEnds kills, resets and stops the processes of servers while it stops and kills daemons.

--- a/limpetlab/soak/process.go
+++ b/limpetlab/soak/process.go
@@ -21,6 +21,9 @@
 type linkProcess struct {
 	program, target string
 
+	// restartMu is held while the process is down.
+	restartMu sync.Mutex
+
 	mu      sync.Mutex
 	process *os.Process
 	address string
@@ -71,11 +74,28 @@
 	return err
 }
 
-// signal sends a signal to the process.
+// restart calls onKill, kills the process and starts it again after a time. It does nothing if the process is down.
+func (p *linkProcess) restart(downtime time.Duration, onKill func()) error {
+	if !p.restartMu.TryLock() {
+		return nil
+	}
+	defer p.restartMu.Unlock()
+	onKill()
+	if err := p.end(); err != nil {
+		return err
+	}
+	time.Sleep(downtime)
+	return p.start()
+}
+
+// signal sends a signal to the process, unless it has ended.
 func (p *linkProcess) signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.process.Signal(s)
+	if err := p.process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return nil
 }
 
 // startStoppableLink starts a link to a server in a process of its own, and returns the address of the link.
--- a/limpetlab/soak_command.go
+++ b/limpetlab/soak_command.go
@@ -18,6 +18,7 @@
 	Seeds    int           `help:"Number of runs, with consecutive seeds." default:"1"`
 	Duration time.Duration `help:"How long faults are injected in each run." default:"20s"`
 	Daemons  int           `help:"Number of daemons." default:"4"`
+	Ends     bool          `help:"Break off responses of all framings at servers that are killed, reset and stopped beside daemons that are stopped and killed, instead of the other faults; with --old, all daemons are of that commit."`
 	Steady   bool          `help:"Restart no daemons, so that they use their retry budget."`
 	Rate     int           `help:"Calls per second." default:"60"`
 	Keep     string        `help:"Directory for the settings and logs of the daemons; if empty, a temporary directory that is deleted at the end."`
@@ -49,6 +50,9 @@
 			return err
 		}
 	}
+	if c.Ends {
+		return c.runEnds(ctx, soak.Config{Program: program, OldProgram: oldProgram, Directory: directory, Duration: c.Duration, Daemons: c.Daemons})
+	}
 	violations := 0
 	for i := range c.Seeds {
 		report, err := soak.Run(ctx, soak.Config{
--- a/limpetlab/soak_link_command.go
+++ b/limpetlab/soak_link_command.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/limpetlb/limpetlb/limpetlab/link"
 )
@@ -13,8 +16,11 @@
 	Target  string `help:"Address of the server." required:""`
 }
 
-// Run prints the address of the link and runs the link until ctx ends.
+// Run prints the address of the link and runs the link until ctx ends. SIGUSR1 resets the connections of the link.
 func (c *soakLinkCommand) Run(ctx context.Context) error {
+	resets := make(chan os.Signal, 1)
+	signal.Notify(resets, syscall.SIGUSR1)
+	defer signal.Stop(resets)
 	l, err := link.StartAt(c.Address, c.Target)
 	if err != nil {
 		return err
@@ -22,6 +28,12 @@
 	if _, err := fmt.Println(l.Address()); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-resets:
+			l.Reset()
+		}
+	}
 }
