conns: Find out that a server was killed whose listener still accepts

Cause: assumed that the kernel closes the listener of a process before its connections. It closes descriptors in no certain order, here mostly the newest ones first, and a listener that is being closed accepts connections, or resets them, for up to 24 ms at 200 streams. The connection was also kept for the next request, which held up servers that serve one connection at a time for 4 s.

The check now opens a connection twice, 100 ms apart, and again after a reset, and closes each at once.

--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -7,17 +7,28 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/limpetlb/limpetlb/limpetd/life"
 )
 
-// endCheckTimeout limits the time to find out whether a server has ended.
-const endCheckTimeout = dialTimeout
+const (
+	// endCheckPause is the time between two connections to a server that may have ended. The kernel closes the
+	// descriptors of a process in no certain order, which takes some ten milliseconds for a thousand of them, so that a
+	// listener may accept connections after the responses of its process have ended.
+	endCheckPause = 100 * time.Millisecond
+	// resetPause is the time after which a connection is opened again that was reset.
+	resetPause = 20 * time.Millisecond
+	// endCheckTimeout limits the time to find out whether a server has ended.
+	endCheckTimeout = endCheckPause + dialTimeout
+)
 
-// ErrServerEnded means that the server refused connections when it had closed the connection whose end ends a response.
+// ErrServerEnded means that the server refused connections after it had closed the connection whose end ends a response.
 // The kernel closes the connections of a process that is killed properly, so that the response may be incomplete.
 var ErrServerEnded = errors.New("the server ended when it ended its response")
 
 // CheckEnd makes reads of the body of r return ErrServerEnded instead of io.EOF if only the end of the connection ends the
-// body and the server refuses connections then. reach opens a connection to the server. The check ends with ctx.
+// body and the server refuses connections within endCheckPause. reach opens a connection to the server on the path of the
+// response, and closes it. The check ends with ctx.
 func CheckEnd(ctx context.Context, r *http.Response, reach func(ctx context.Context) Reach) {
 	if FramingOf(r) == UntilClose {
 		r.Body = &unframedBody{ReadCloser: r.Body, ctx: ctx, reach: reach}
@@ -46,14 +57,21 @@
 	return n, err
 }
 
-// checkEnd returns io.EOF unless the server refuses connections, or the call ended before the server answered.
+// checkEnd returns io.EOF unless the server refuses connections, or the call ended before that was known.
 func (b *unframedBody) checkEnd() error {
 	ctx, cancel := context.WithTimeout(b.ctx, endCheckTimeout)
 	defer cancel()
-	switch reach := b.reach(ctx); {
+	reach := b.reach(ctx)
+	if reach == Accepts && life.Sleep(ctx, endCheckPause) {
+		reach = b.reach(ctx)
+	}
+	for reach == Resets && life.Sleep(ctx, resetPause) {
+		reach = b.reach(ctx)
+	}
+	switch {
 	case reach == Refuses:
 		return ErrServerEnded
-	case reach == Silent && b.ctx.Err() != nil:
+	case b.ctx.Err() != nil:
 		return fmt.Errorf("the call ended when the server was being checked: %w", context.Cause(b.ctx))
 	}
 	return io.EOF
@@ -61,41 +79,20 @@
 
 // checkEnd is CheckEnd for a response on the connection. The check ends with the context of Bind.
 func (c *Conn) checkEnd(r *http.Response) {
-	ctx := c.bound
+	ctx := c.bindCtx
 	if ctx == nil {
 		ctx = context.Background()
 	}
 	CheckEnd(ctx, r, func(ctx context.Context) Reach {
-		reach := c.pool.reopen(ctx, c.target)
-		c.afterEnd = reach.String()
+		reach := c.probePath(ctx)
+		c.reachAfterEnd = reach.String()
 		return reach
 	})
 }
 
 // AfterEnd returns what the server did with a new connection after the end of the connection had ended a response:
-// accepts, refuses or silent. It is empty if no response has ended so.
-func (c *Conn) AfterEnd() string { return c.afterEnd }
-
-// reopen opens a connection to t, which is kept for the next request. It replaces one that ends with its response.
-func (p *Pool) reopen(ctx context.Context, t Target) Reach {
-	conn, err := p.dial(ctx, t)
-	if err != nil {
-		return reachOf(err)
-	}
-	p.mu.Lock()
-	full := p.limit[t] > 0 && p.open[t] >= p.limit[t]
-	if !full {
-		p.open[t]++
-	}
-	p.mu.Unlock()
-	if full {
-		// Nothing was sent on the connection.
-		_ = conn.Close()
-		return Accepts
-	}
-	newConn(p, t, conn).keep(defaultIdleTimeout)
-	return Accepts
-}
+// accepts, refuses, resets or silent. It is empty if no response has ended so.
+func (c *Conn) AfterEnd() string { return c.reachAfterEnd }
 
 // keep makes a connection idle that its server closes after a time.
 func (c *Conn) keep(idle time.Duration) {
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -100,10 +100,10 @@
 	// written is closed when the request has been written; nil if the request was written
 	// before Write returned.
 	written chan struct{}
-	// bound ends the check of the response's end; nil if Bind was not called.
-	bound context.Context
-	// afterEnd is what the server did with a new connection after the end of the connection had ended a response.
-	afterEnd string
+	// bindCtx ends the check of the response's end; nil if Bind was not called.
+	bindCtx context.Context
+	// reachAfterEnd is what the server did with a new connection after the end of the connection had ended a response.
+	reachAfterEnd string
 }
 
 // OpenedAt returns when the connection was established.
@@ -121,7 +121,7 @@
 // Bind closes the connection when ctx ends, unless the returned function is called before.
 // The function returns false if Bind has closed the connection.
 func (c *Conn) Bind(ctx context.Context) func() bool {
-	c.bound = ctx
+	c.bindCtx = ctx
 	return context.AfterFunc(ctx, c.Close)
 }
 
@@ -186,7 +186,7 @@
 
 // ReadHead reads the status line and header of the response to a request that was written. It
 // skips responses that belong to earlier requests. Its error is an *Error. Reads of the body return io.EOF only if the
-// response is complete.
+// response has ended as its framing says, and, if only the end of the connection ends it, its server has not ended.
 func (c *Conn) ReadHead(r Request) (*http.Response, error) {
 	response, err := c.readHead(r)
 	if err != nil {
--- a/limpetd/conns/paths.go
+++ b/limpetd/conns/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 
 	"github.com/limpetlb/limpetlb/limpetd/socket"
@@ -20,6 +21,12 @@
 	Tunnel() (vm, id string)
 }
 
+// samePathDialer is a dialer that can open another connection on the path of an open one.
+type samePathDialer interface {
+	// DialPath connects to an address through the daemon of a VM, or directly if vm is empty.
+	DialPath(ctx context.Context, vm, address string) (net.Conn, error)
+}
+
 // pathDialer is a dialer that can lose its direct path to a server.
 type pathDialer interface {
 	// Hangs reports whether open direct connections to an address get no answer.
@@ -102,6 +109,9 @@
 	Refuses
 	// Silent means that nothing is known: the server does not answer, or can't be reached.
 	Silent
+	// Resets means that a connection was reset when it was opened: the listener is being closed, or the server has too
+	// many connections.
+	Resets
 )
 
 // String returns the name of r, for logs.
@@ -111,18 +121,40 @@
 		return "accepts"
 	case Refuses:
 		return "refuses"
+	case Resets:
+		return "resets"
 	}
 	return "silent"
 }
 
 // reachOf returns what the error of a dial shows.
 func reachOf(err error) Reach {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refuses
+	case errors.Is(err, syscall.ECONNRESET):
+		return Resets
 	}
 	return Silent
 }
 
+// probePath opens a connection to the server of c on the path of c, and closes it. What other daemons see of the server
+// does not matter, because its end has just arrived on this path.
+func (c *Conn) probePath(ctx context.Context) Reach {
+	d, ok := c.pool.dialer.(samePathDialer)
+	if !ok {
+		return c.pool.Probe(ctx, c.target)
+	}
+	vm, _ := c.Tunnel()
+	conn, err := d.DialPath(ctx, vm, c.target.Address)
+	if err != nil {
+		return reachOf(err)
+	}
+	// The error can be ignored because nothing was sent on the connection.
+	_ = conn.Close()
+	return Accepts
+}
+
 // Probe opens a connection to t and closes it.
 func (p *Pool) Probe(ctx context.Context, t Target) Reach {
 	return Probe(ctx, p.dialer, "tcp4", t.Address)
