tunnel: Check on the path of a response whether its server has ended

Beside daemons that were stopped, leaving or killed, a response without a length was complete although its server had ended: the dialer of daemons reports a refusal only if others are refused too, and none of them answered.

Whether the end of a server was that of its process is a matter of the path on which the end has arrived. DialPath opens a connection directly, or through the daemon of the tunnel, asks no others, and records nothing about the path, so that an ended server with many streams does not make its daemons ask for tunnels.

TestEndOfServerIsFoundBesideStoppedDaemons failed before.

--- a/limpetd/tunnel/ending_test.go
+++ b/limpetd/tunnel/ending_test.go
@@ -129,3 +129,28 @@
 		require.Len(t, body, answer)
 	}
 }
+
+// TestEndOfServerIsFoundBesideStoppedDaemons guards against a response without a length that looks complete after its
+// server has ended, because other daemons, which are stopped, don't say whether it refuses their connections too.
+func TestEndOfServerIsFoundBesideStoppedDaemons(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 512))
+		_, _ = io.WriteString(c, unframedPart)
+		_ = l.Close()
+		_ = c.Close()
+	}()
+	stopped, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = stopped.Close() })
+	d := startDaemon(t, "a", l.Addr().String())
+	d.dialer.SetPeers([]tunnel.Peer{{VM: "b", Address: stopped.Addr().String()}})
+	_, err = upload(t.Context(), conns.New(t.Context(), conns.WithDialer(d.dialer)), l.Addr().String(), 0)
+	require.ErrorIs(t, err, conns.ErrServerEnded)
+}
--- a/limpetd/tunnel/peers.go
+++ b/limpetd/tunnel/peers.go
@@ -58,6 +58,16 @@
 	return out
 }
 
+// find returns the daemon of a VM.
+func (t *peerTable) find(vm string) (Peer, bool) {
+	for _, s := range t.peers {
+		if s.VM == vm {
+			return s.Peer, true
+		}
+	}
+	return Peer{}, false
+}
+
 // rank orders daemons; the lowest is asked first.
 func (p *peerState) rank(now time.Time) int {
 	switch {
--- a/limpetd/tunnel/through.go
+++ b/limpetd/tunnel/through.go
@@ -60,6 +60,28 @@
 	return nil, err
 }
 
+// DialPath connects to an address through the daemon of a VM, or directly if vm is empty. It records nothing about the
+// path. Its error is syscall.ECONNREFUSED if the server refuses the connection on this path.
+func (d *Dialer) DialPath(ctx context.Context, vm, address string) (net.Conn, error) {
+	if vm == "" {
+		return d.deps.Direct.DialContext(ctx, "tcp4", address)
+	}
+	d.mu.Lock()
+	p, ok := d.peers.find(vm)
+	d.mu.Unlock()
+	if !ok {
+		return nil, errNoPeers
+	}
+	c, answer, err := d.open(ctx, p, address)
+	switch {
+	case c != nil:
+		return c, nil
+	case answer == refused:
+		return nil, syscall.ECONNREFUSED
+	}
+	return nil, errors.Join(errNoTunnel, err)
+}
+
 // open requests a tunnel from another daemon.
 func (d *Dialer) open(ctx context.Context, p Peer, address string) (net.Conn, status, error) {
 	deadline := time.Now().Add(openTimeout)
