tunnel: Wait for idle connections to be dropped in the test of lost paths

TestLostPathIsReplacedAndUsedAgain failed once in a run of the package at load 16, and not in 30 runs before and after.

The test waited until the path counted as lost, and then expected that idle connections had been dropped. recordLost does this afterwards, without the lock. The test now waits for it, and requires for refused paths that none are dropped, as before.

--- a/limpetd/tunnel/tunnel_test.go
+++ b/limpetd/tunnel/tunnel_test.go
@@ -133,7 +133,12 @@
 		require.Equal(t, 1, b.server.Open())
 		require.Eventually(t, a.dialer.CutOff, waitTimeout, time.Millisecond)
 		require.Equal(t, hangs, a.dialer.Hangs(server))
-		require.Equal(t, hangs, dropped.Load() > 0, "idle connections are dropped if they hang")
+		if hangs {
+			// The path counts as lost before the connections are dropped.
+			require.Eventually(t, func() bool { return dropped.Load() > 0 }, waitTimeout, time.Millisecond, "idle connections are dropped")
+		} else {
+			require.Zero(t, dropped.Load(), "idle connections live on")
+		}
 		start := time.Now()
 		roundTrip(t, dial(t, a, server), "at once")
 		require.Less(t, time.Since(start), 100*time.Millisecond, "a lost path is not tried first")
