soak: Attribute an incomplete response to the fault after its last bytes

The last fault before the end of a call counted as its cause: three responses of servers that were killed and had started again counted as broken by a later reset, because their daemon took long to end them. The time of the last bytes now selects the fault.

--- a/limpetlab/soak/ends.go
+++ b/limpetlab/soak/ends.go
@@ -210,22 +210,30 @@
 	}
 }
 
-// maxFaultDelay is how long after its signal a fault may act on a server that is stopped.
-const maxFaultDelay = 1600 * time.Millisecond
+// maxFaultDelay is how long after its signal a fault may act on a server that is stopped, markDelay how late the bytes
+// before a fault may arrive at a caller.
+const (
+	maxFaultDelay = 1600 * time.Millisecond
+	markDelay     = 20 * time.Millisecond
+)
 
-// causeOf returns the last fault before the end of a call of a server that ran it, or of its daemon.
+// causeOf returns the first fault of a server that ran a call, or of its daemon, after the last bytes of the response.
+// If there is none, the daemon was stopped when the fault occurred, and the last one before them counts.
 func (r *endsRun) causeOf(c *endsCall, servers map[int]bool) string {
-	cause, at := noFault, time.Time{}
+	cause := noFault
 	for _, m := range r.marks {
 		ofDaemon := m.kind == killedDaemon && m.target == c.daemon
 		ofServer := servers[m.target] && (m.kind == killedServer || m.kind == resetServer && !r.lasts(killedServer, m.target, m.at))
-		if !ofServer && !ofDaemon || m.at.Before(c.begin.Add(-maxFaultDelay)) || m.at.After(c.end) || m.at.Before(at) {
+		if !ofServer && !ofDaemon || m.at.Before(c.begin.Add(-maxFaultDelay)) || m.at.After(c.end) {
 			continue
 		}
-		cause, at = m.kind, m.at
+		cause = m.kind
 		if ofServer && r.lasts(stoppedDaemon, c.daemon, m.at) {
 			cause += atStoppedDaemon
 		}
+		if m.at.After(c.last.Add(-markDelay)) {
+			break
+		}
 	}
 	if c.early == earlyBroken && !strings.HasPrefix(cause, killedServer) {
 		return besideUpload
--- a/limpetlab/soak/ends_calls.go
+++ b/limpetlab/soak/ends_calls.go
@@ -58,7 +58,8 @@
 	caller caller
 	daemon int
 
-	begin, end time.Time
+	// last is when the last bytes of the response arrived.
+	begin, last, end time.Time
 	// whole is whether the response is whole. fault describes a response that its caller took for complete although it
 	// is not.
 	whole bool
@@ -170,7 +171,7 @@
 	if err != nil {
 		return
 	}
-	received, err := io.ReadAll(response.Body)
+	received, err := io.ReadAll(&stampedReader{source: response.Body, at: &c.last})
 	// The body is read, or has failed.
 	_ = response.Body.Close()
 	// The responses of daemons have no stamp of a server.
@@ -181,6 +182,21 @@
 	c.whole = c.fault == ""
 }
 
+// stampedReader records when it last read bytes.
+type stampedReader struct {
+	source io.Reader
+	at     *time.Time
+}
+
+// Read implements io.Reader.
+func (s *stampedReader) Read(p []byte) (int, error) {
+	n, err := s.source.Read(p)
+	if n > 0 {
+		*s.at = time.Now()
+	}
+	return n, err
+}
+
 // check describes what a response lacks; it returns an empty string if the response is whole.
 func (c *endsCall) check(received string) string {
 	want := fmt.Sprintf("%s:%d", c.id, c.size)
