--- a/limpetd/batch/sweep_test.go
+++ b/limpetd/batch/sweep_test.go
@@ -252,3 +252,23 @@
 		require.Equal(t, []string{shared}, e.objects.Keys())
 	})
 }
+
+// TestPartOfResultIsAnError guards against a part of an object that is taken for all lines of a result, or for all items.
+func TestPartOfResultIsAnError(t *testing.T) {
+	runInTestEnv(t, &fakes.Table{}, func(t *testing.T, e *testEnv) {
+		d, stop := e.startDaemon(t, e.table)
+		defer stop()
+		j := e.runBatch(t, d)
+		for _, key := range []string{j.InputKey, j.ResultKey} {
+			body, err := e.objects.Get(t.Context(), key)
+			require.NoError(t, err)
+			for n := range body {
+				require.NoError(t, e.objects.Put(t.Context(), key, body[:n]))
+				_, err := d.readLines(t.Context(), key)
+				require.Equal(t, code.StoreCorrupt, code.Of(err), n)
+				err = d.loadInput(t.Context(), &jobRun{initial: Job{InputKey: key}})
+				require.Equal(t, code.StoreCorrupt, code.Of(err), n)
+			}
+		}
+	})
+}
--- a/limpetd/engine/broken_test.go
+++ b/limpetd/engine/broken_test.go
@@ -65,3 +65,26 @@
 		require.Equal(t, n, f.Offset)
 	}
 }
+
+// TestPartOfReportIsAnError breaks off a report at each byte.
+func TestPartOfReportIsAnError(t *testing.T) {
+	const report = `{"vm":"e","models":[{"model":"m"}]}`
+	var sent []int
+	for n := range len(report) + 1 {
+		sent = append(sent, n)
+	}
+	for _, b := range broken.Responses(report, sent...) {
+		if b.Ending == broken.Silent {
+			continue // The callers limit the time.
+		}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		s := broken.Server{Requests: &atomic.Int64{}, Response: b}
+		go s.Serve(l)
+		c := engine.NewClient()
+		_, err = c.Report(t.Context(), l.Addr().String())
+		require.Equal(t, b.LooksComplete(false) && b.Sent == len(report), err == nil, "%s: %v", b, err)
+		c.Close()
+		require.NoError(t, l.Close())
+	}
+}
