tunnel: Test a granting daemon that stands still or is killed

TestStoppedGrantingDaemonSendsNoEnd stops the process of a daemon that grants eight tunnels beside uploads of 3 MB, resets the connections of the server, and lets the daemon go on or kills it.

--- a/limpetd/tunnel/ending_test.go
+++ b/limpetd/tunnel/ending_test.go
@@ -1,13 +1,18 @@
 package tunnel_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,3 +134,78 @@
 		require.Len(t, body, answer)
 	}
 }
+
+// grantingServer is the environment variable with the address of the server of a granting daemon in a process of its own.
+const grantingServer = "LIMPETLB_TEST_TUNNEL_SERVER"
+
+// TestGrantingProcess is the process of TestStoppedGrantingDaemonSendsNoEnd, and has nothing to test otherwise.
+func TestGrantingProcess(t *testing.T) {
+	address := os.Getenv(grantingServer)
+	if address == "" {
+		return
+	}
+	_, _ = fmt.Println(startDaemon(t, "b", address).peer.Address)
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// startGranting starts a daemon that grants tunnels, in a process of its own.
+func startGranting(t *testing.T, server string) (*os.Process, tunnel.Peer) {
+	t.Helper()
+	c := exec.Command(os.Args[0], "-test.run=^TestGrantingProcess$", "-test.timeout=60s")
+	c.Env = append(os.Environ(), grantingServer+"="+server)
+	_, err := c.StdinPipe()
+	require.NoError(t, err)
+	output, err := c.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, c.Start())
+	t.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	})
+	line, err := bufio.NewReader(output).ReadString('\n')
+	require.NoError(t, err)
+	return c.Process, tunnel.Peer{VM: "b", Address: strings.TrimSpace(line)}
+}
+
+// TestStoppedGrantingDaemonSendsNoEnd guards against a part of a response that looks complete because the granting daemon
+// stood still while it passed on an upload and the server reset the connection, or because it was killed.
+func TestStoppedGrantingDaemonSendsNoEnd(t *testing.T) {
+	const uploads = 8
+	for _, killed := range []bool{false, true} {
+		answered, reset := make(chan net.Conn, uploads), make(chan struct{})
+		server := startServer(t, func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 512))
+			_, _ = io.WriteString(c, unframedPart)
+			answered <- c
+			<-reset
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		})
+		process, b := startGranting(t, server)
+		a := startDaemon(t, "a", server)
+		a.dialer.SetPeers([]tunnel.Peer{b})
+		a.direct.refuses.Store(true)
+		p := conns.New(t.Context(), conns.WithDialer(a.dialer))
+		ended := make(chan error, uploads)
+		for range uploads {
+			go func() {
+				_, err := upload(t.Context(), p, server, 3<<20)
+				ended <- err
+			}()
+		}
+		for range uploads {
+			<-answered
+		}
+		require.NoError(t, process.Signal(syscall.SIGSTOP))
+		close(reset)
+		time.Sleep(300 * time.Millisecond)
+		if killed {
+			require.NoError(t, process.Kill())
+		} else {
+			require.NoError(t, process.Signal(syscall.SIGCONT))
+		}
+		for range uploads {
+			require.Error(t, <-ended, "killed: %v", killed)
+		}
+	}
+}
