--- a/limpetd/conns/pool_test.go
+++ b/limpetd/conns/pool_test.go
@@ -97,6 +97,8 @@
 	response, err := c.ReadHead(r)
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.ReadAll(response.Body)
-	require.ErrorIs(t, err, context.Canceled)
+	for range 2 {
+		_, err = io.ReadAll(response.Body)
+		require.ErrorIs(t, err, context.Canceled)
+	}
 }
--- a/limpetd/socket/socket_test.go
+++ b/limpetd/socket/socket_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -86,3 +87,39 @@
 	require.NoError(t, err)
 	require.Equal(t, "answer", string(got))
 }
+
+// TestCallsBesideEachOtherMeetTheError guards against a read that returns the end of the data while other reads, writes
+// and peeks meet the reset, or while the connection is closed.
+func TestCallsBesideEachOtherMeetTheError(t *testing.T) {
+	for i := range 60 {
+		c, peer := connect(t)
+		_, err := peer.Write(make([]byte, 1000))
+		require.NoError(t, err)
+		ended := make(chan error, 2)
+		var calls sync.WaitGroup
+		for range cap(ended) {
+			calls.Go(func() {
+				_, err := io.Copy(io.Discard, c)
+				ended <- err
+			})
+			calls.Go(func() {
+				for err := error(nil); err == nil; {
+					c.NoInput()
+					_, err = c.Write(make([]byte, 1<<20))
+				}
+			})
+		}
+		time.Sleep(time.Duration(i%5) * time.Millisecond)
+		want := error(syscall.ECONNRESET)
+		if i%2 == 0 {
+			reset(t, c, peer)
+		} else {
+			want = net.ErrClosed
+			require.NoError(t, c.Close())
+		}
+		for range cap(ended) {
+			require.ErrorIs(t, <-ended, want)
+		}
+		calls.Wait()
+	}
+}
