conns: Keep a checked connection as long as its server says

The check of a response's end keeps the connection that it opened for the next request. It kept it for 2.4 s whatever the server's Keep-Alive header said, so that a request could be written just when a server with a timeout of 1 s closed the connection, and be lost.

The connection is now kept for the same share of the stated timeout as others, and closed if the server keeps none.

--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -19,6 +19,8 @@
 type unframedBody struct {
 	io.ReadCloser
 	conn *Conn
+	// idle is how long the server keeps an idle connection.
+	idle time.Duration
 	// end is the error at the end of the body; nil before.
 	end error
 }
@@ -30,21 +32,21 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		err = b.conn.checkEnd()
+		err = b.conn.checkEnd(b.idle)
 		b.end = err
 	}
 	return n, err
 }
 
 // checkEnd returns io.EOF unless the server refuses connections, or the call ended before the server answered.
-func (c *Conn) checkEnd() error {
+func (c *Conn) checkEnd(idle time.Duration) error {
 	bound := c.bound
 	if bound == nil {
 		bound = context.Background()
 	}
 	ctx, cancel := context.WithTimeout(bound, endCheckTimeout)
 	defer cancel()
-	reach := c.pool.reopen(ctx, c.target)
+	reach := c.pool.reopen(ctx, c.target, idle)
 	c.afterEnd = reach.String()
 	switch {
 	case reach == Refuses:
@@ -59,24 +61,25 @@
 // accepts, refuses or silent. It is empty if no response has ended so.
 func (c *Conn) AfterEnd() string { return c.afterEnd }
 
-// reopen opens a connection to t, which is kept for the next request. It replaces one that ends with its response.
-func (p *Pool) reopen(ctx context.Context, t Target) Reach {
+// reopen opens a connection to t, which is kept for the next request if the server keeps idle ones. It replaces one that
+// ends with its response.
+func (p *Pool) reopen(ctx context.Context, t Target, idle time.Duration) Reach {
 	conn, err := p.dial(ctx, t)
 	if err != nil {
 		return reachOf(err)
 	}
 	p.mu.Lock()
-	full := p.limit[t] > 0 && p.open[t] >= p.limit[t]
-	if !full {
+	kept := idle > 0 && (p.limit[t] <= 0 || p.open[t] < p.limit[t])
+	if kept {
 		p.open[t]++
 	}
 	p.mu.Unlock()
-	if full {
+	if !kept {
 		// Nothing was sent on the connection.
 		_ = conn.Close()
 		return Accepts
 	}
-	newConn(p, t, conn).keep(defaultIdleTimeout)
+	newConn(p, t, conn).keep(idle)
 	return Accepts
 }
 
--- a/limpetd/conns/exchange.go
+++ b/limpetd/conns/exchange.go
@@ -193,7 +193,7 @@
 		return nil, &Error{Sent: MaybeSent, Err: err}
 	}
 	if FramingOf(response) == UntilClose {
-		response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
+		response.Body = &unframedBody{ReadCloser: response.Body, conn: c, idle: idleTimeout(response.Header.Get("Keep-Alive"))}
 	}
 	return response, nil
 }
--- a/limpetd/conns/pool_test.go
+++ b/limpetd/conns/pool_test.go
@@ -18,19 +18,26 @@
 // connections.
 func startCounted(t *testing.T, unframed bool) (conns.Target, *atomic.Int64) {
 	t.Helper()
-	open := &atomic.Int64{}
-	target, _ := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+	target, open, _ := startUnframedWith(t, unframed, "")
+	return target, open
+}
+
+// startUnframedWith is startCounted with header lines, and also counts the accepted connections.
+func startUnframedWith(t *testing.T, unframed bool, lines string) (target conns.Target, open, accepted *atomic.Int64) {
+	t.Helper()
+	open = &atomic.Int64{}
+	target, accepted = startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		open.Add(1)
 		defer open.Add(-1)
 		for id := readRequest(r); id != ""; id = readRequest(r) {
 			if unframed {
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n\r\nok")
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\n"+lines+"\r\nok")
 				return
 			}
 			_, _ = io.WriteString(c, encodeResponse(id, "ok"))
 		}
 	})
-	return target, open
+	return target, open, accepted
 }
 
 // TestEndedPoolKeepsNoConnections guards against connections that stay open because the pool that would have closed
@@ -67,6 +74,25 @@
 	}
 }
 
+// TestCheckedConnectionIsNotUsedTooLate guards against a request on a connection that the check of a response's end opened,
+// and that the server closes at this moment because it keeps idle connections for a short time.
+func TestCheckedConnectionIsNotUsedTooLate(t *testing.T) {
+	for _, c := range []struct {
+		lines    string
+		pause    time.Duration
+		accepted int64
+	}{{"", 0, 3}, {"Keep-Alive: timeout=9\r\n", 0, 3}, {"Keep-Alive: timeout=1\r\n", 700 * time.Millisecond, 4}, {"Keep-Alive: timeout=0\r\n", 0, 4}} {
+		target, _, accepted := startUnframedWith(t, true, c.lines)
+		p := conns.New(t.Context())
+		for range 2 {
+			_, err := exchange(t, p, target, "a")
+			require.NoError(t, err)
+			time.Sleep(c.pause)
+		}
+		require.Eventually(t, func() bool { return accepted.Load() == c.accepted }, time.Second, time.Millisecond, "%+v: %d", c, accepted.Load())
+	}
+}
+
 // endingDialer ends a call when a second connection is opened.
 type endingDialer struct {
 	conns.Dialer
