--- a/limpetd/front/continue_test.go
+++ b/limpetd/front/continue_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetlb/limpetlb/limpetd/conns"
 )
 
 // TestErrorOfTheNextServerIsNoPartOfTheStream guards against the text of an error in the middle of a stream, or at
@@ -117,3 +119,16 @@
 		require.Equal(t, text(0, 9), body)
 	}
 }
+
+// TestStreamThatEndsWithoutEventsIsForwarded guards against taking a whole answer for a broken one: the server of a new
+// stream has nothing to send, and says so by a length or a last chunk.
+func TestStreamThatEndsWithoutEventsIsForwarded(t *testing.T) {
+	for _, framing := range []conns.Framing{conns.Length, conns.Chunked} {
+		for _, text := range []string{"", ": a\n", ": a\n\n"} {
+			for _, caller := range callers {
+				fx := newFixture(t, streamRoute, hijack(func(c net.Conn) { _ = writeStream(c, framing, text, "") }))
+				require.Equal(t, received{http.StatusOK, text, true}, fx.callRaw(t, caller.protocol, http.MethodGet, caller.header), "%s %s %q", framing, caller.name, text)
+			}
+		}
+	}
+}
--- a/limpetd/front/own_end_test.go
+++ b/limpetd/front/own_end_test.go
@@ -32,7 +32,9 @@
 		head += "Content-Length: " + strconv.Itoa(len(part)+len(rest)) + "\r\n"
 	case conns.Chunked:
 		head += "Transfer-Encoding: chunked\r\n"
-		part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		if part != "" {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
 		if rest == "" {
 			part += "0\r\n\r\n"
 		}
