node: Close connections below TLS when the server is closed during responses

A caller that uses HTTP/1.0 over TLS got a part of a response without a length as complete when the daemon ended before the response did: http.Server.Close closes the connection of TLS, which sends the alert of a proper end before the reset that abort.Begin prepared. Callers of HTTP/1.1 notice the missing last chunk.

The connections of running requests are now closed below TLS first, so that the reset comes without the alert.

--- a/limpetd/guard/door.go
+++ b/limpetd/guard/door.go
@@ -189,6 +189,22 @@
 	return expired
 }
 
+// CloseActive closes the connections with a running request, without the proper end of TLS.
+func (d *Door) CloseActive() {
+	var active []*conn
+	d.guard.mu.Lock()
+	for c := range d.conns {
+		if c.state.Phase == budget.Active {
+			active = append(active, c)
+		}
+	}
+	d.guard.mu.Unlock()
+	for _, c := range active {
+		// The error can be ignored: the connection is closed already.
+		_ = c.Close()
+	}
+}
+
 // Close implements net.Listener.
 func (d *Door) Close() error {
 	d.closeOnce.Do(func() { close(d.done) })
--- a/limpetd/node/serve.go
+++ b/limpetd/node/serve.go
@@ -123,6 +123,7 @@
 // startServer serves on l until s is shut down or ctx ends.
 func (n *Node) startServer(ctx context.Context, s *http.Server, l net.Listener) {
 	n.servers = append(n.servers, s)
+	raw := l
 	if s.TLSConfig != nil {
 		l = tls.NewListener(l, s.TLSConfig)
 	}
@@ -135,6 +136,15 @@
 	})
 	n.tomb.Go(func() error {
 		<-ctx.Done()
-		return s.Close()
+		return closeServer(s, raw)
 	})
 }
+
+// closeServer closes a server that serves on a listener, with or without TLS. The connections below TLS of running
+// requests are closed first: the alert that announces a proper end would make their responses look complete.
+func closeServer(s *http.Server, l net.Listener) error {
+	if d, ok := l.(*guard.Door); ok {
+		d.CloseActive()
+	}
+	return s.Close()
+}
