soak: Time the reset of a stopped server by its end

The process of a stopped server handles the signal for a reset when it goes on, and not at all when it is killed before. Each incomplete response is now listed with the faults of its servers and its daemon.

--- a/limpetlab/soak/ends.go
+++ b/limpetlab/soak/ends.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -61,16 +60,11 @@
 	Kind   string `json:"kind"`
 	Caller string `json:"caller"`
 	Cause  string `json:"cause"`
-	// Found describes what arrived, Log has the log lines of the call.
-	Found string   `json:"found"`
-	Log   []string `json:"log"`
-}
-
-// mark is a fault of a server at a time, or of a daemon for a time.
-type mark struct {
-	kind   string
-	target int
-	at, to time.Time
+	// Found describes what arrived, Faults are those of its servers and its daemon, with times since the begin of the call
+	// and the time of the last bytes, Log has the log lines of the call.
+	Found  string   `json:"found"`
+	Faults []string `json:"faults"`
+	Log    []string `json:"log"`
 }
 
 // endsRun is a run of RunEnds in progress.
@@ -210,44 +204,6 @@
 	}
 }
 
-// maxFaultDelay is how long after its signal a fault may act on a server that is stopped, markDelay how late the bytes
-// before a fault may arrive at a caller.
-const (
-	maxFaultDelay = 1600 * time.Millisecond
-	markDelay     = 20 * time.Millisecond
-)
-
-// causeOf returns the first fault of a server that ran a call, or of its daemon, after the last bytes of the response.
-// If there is none, the daemon was stopped when the fault occurred, and the last one before them counts.
-func (r *endsRun) causeOf(c *endsCall, servers map[int]bool) string {
-	cause := noFault
-	for _, m := range r.marks {
-		ofDaemon := m.kind == killedDaemon && m.target == c.daemon
-		ofServer := servers[m.target] && (m.kind == killedServer || m.kind == resetServer && !r.lasts(killedServer, m.target, m.at))
-		if !ofServer && !ofDaemon || m.at.Before(c.begin.Add(-maxFaultDelay)) || m.at.After(c.end) {
-			continue
-		}
-		cause = m.kind
-		if ofServer && r.lasts(stoppedDaemon, c.daemon, m.at) {
-			cause += atStoppedDaemon
-		}
-		if m.at.After(c.last.Add(-markDelay)) {
-			break
-		}
-	}
-	if c.early == earlyBroken && !strings.HasPrefix(cause, killedServer) {
-		return besideUpload
-	}
-	return cause
-}
-
-// lasts reports whether a fault of a target lasts at a time.
-func (r *endsRun) lasts(kind string, target int, at time.Time) bool {
-	return slices.ContainsFunc(r.marks, func(m mark) bool {
-		return m.kind == kind && m.target == target && !at.Before(m.at) && !at.After(m.to)
-	})
-}
-
 // reportEnds counts the calls by their outcomes.
 func (r *endsRun) reportEnds() (EndsReport, error) {
 	report := EndsReport{
@@ -263,6 +219,7 @@
 			servers[run.ID][i] = true
 		}
 	}
+	r.delayResets()
 	for _, c := range r.calls {
 		report.Calls[c.kind]++
 		switch {
@@ -277,7 +234,7 @@
 			if err != nil {
 				return report, err
 			}
-			report.Incomplete = append(report.Incomplete, IncompleteCall{ID: c.id, Kind: c.kind, Caller: c.caller.name, Cause: cause, Found: c.fault, Log: lines})
+			report.Incomplete = append(report.Incomplete, IncompleteCall{ID: c.id, Kind: c.kind, Caller: c.caller.name, Cause: cause, Found: c.fault, Faults: r.faultsOf(c, servers[c.id]), Log: lines})
 		}
 	}
 	return report, nil
