soak: Take bytes after a stop of a daemon as received before it

Their servers had been killed while the daemon was stopped, which forwarded the bytes from before when it went on, after the server had started again and was reset. TestCauseIsTheFaultAfterTheLastBytes has such a case.

--- a/limpetlab/soak/ends_cause.go
+++ b/limpetlab/soak/ends_cause.go
@@ -21,11 +21,19 @@
 const (
 	maxFaultDelay = 1600 * time.Millisecond
 	markDelay     = 20 * time.Millisecond
+	// resumeDelay is how long after a stop a daemon may still forward what arrived before.
+	resumeDelay = 400 * time.Millisecond
 )
 
-// causeOf returns the first fault of a server that ran a call, or of its daemon, after the last bytes of the response.
-// If there is none, the daemon was stopped when the fault occurred, and the last one before them counts.
+// causeOf returns the first fault of a server that ran a call, or of its daemon, after the last bytes of the response, or
+// the last one if there is none. Bytes that a daemon forwarded after a stop count as received before the stop.
 func (r *endsRun) causeOf(c *endsCall, servers map[int]bool) string {
+	last := c.last
+	for _, m := range slices.Backward(r.marks) {
+		if m.kind == stoppedDaemon && m.target == c.daemon && !last.Before(m.at) && last.Before(m.to.Add(resumeDelay)) {
+			last = m.at
+		}
+	}
 	cause := noFault
 	for _, m := range r.marks {
 		ofDaemon := m.kind == killedDaemon && m.target == c.daemon
@@ -37,7 +45,7 @@
 		if ofServer && r.lasts(stoppedDaemon, c.daemon, m.at) {
 			cause += atStoppedDaemon
 		}
-		if m.at.After(c.last.Add(-markDelay)) {
+		if m.at.After(last.Add(-markDelay)) {
 			break
 		}
 	}
