gate: Test that a generated stream of a closed server is not complete

The stream has no [DONE] and is broken off by its framing, for callers of HTTP/1.0 and 1.1 with and without kept connections.

--- a/limpetd/gate/own_end_test.go
+++ b/limpetd/gate/own_end_test.go
@@ -13,8 +13,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetlb/limpetlb/limpetd/batch"
 	"github.com/limpetlb/limpetlb/limpetd/broken"
 	"github.com/limpetlb/limpetlb/limpetd/conns"
+	"github.com/limpetlb/limpetlb/limpetd/engine"
+	"github.com/limpetlb/limpetlb/limpetd/fakes"
 )
 
 // callers are the versions of HTTP, with header lines, by which responses end differently.
@@ -68,3 +71,28 @@
 		}
 	}
 }
+
+// TestGeneratedStreamOfClosedServerIsNotComplete guards against a generated stream that looks complete because the
+// daemon closed its server.
+func TestGeneratedStreamOfClosedServerIsNotComplete(t *testing.T) {
+	for _, caller := range callers {
+		engines := &fakes.Generator{Tokens: 3, Block: true, Script: func(_ int, _ string, frames []engine.Frame) []engine.Frame { return frames[:1] }}
+		g := startGate(t, testConfig{doc: testDocument(), engines: engines})
+		c, err := net.Dial("tcp4", strings.TrimPrefix(g.url, "http://"))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+		_, err = fmt.Fprintf(c, "POST %s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", batch.PathChat, caller, appKey, len(streamBody), streamBody)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_, err = io.ReadFull(response.Body, make([]byte, len("data: ")))
+		require.NoError(t, err)
+		require.NoError(t, g.server.Config.Close())
+		rest, err := io.ReadAll(response.Body)
+		require.Error(t, err, caller)
+		require.NotContains(t, string(rest), "[DONE]")
+		_ = response.Body.Close()
+	}
+}
