conns: Test that a check leaves no connection at a server that keeps none

A mutant that keeps the connection regardless survived; it is killed now. That the limit of the pool also closes the connection of a check is conservative: the connection replaces one that the server has ended, so that no test can see the difference.

--- a/limpetd/conns/pool_test.go
+++ b/limpetd/conns/pool_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -82,7 +83,7 @@
 		pause    time.Duration
 		accepted int64
 	}{{"", 0, 3}, {"Keep-Alive: timeout=9\r\n", 0, 3}, {"Keep-Alive: timeout=1\r\n", 700 * time.Millisecond, 4}, {"Keep-Alive: timeout=0\r\n", 0, 4}} {
-		target, _, accepted := startUnframedWith(t, true, c.lines)
+		target, open, accepted := startUnframedWith(t, true, c.lines)
 		p := conns.New(t.Context())
 		for range 2 {
 			_, err := exchange(t, p, target, "a")
@@ -90,6 +91,9 @@
 			time.Sleep(c.pause)
 		}
 		require.Eventually(t, func() bool { return accepted.Load() == c.accepted }, time.Second, time.Millisecond, "%+v: %d", c, accepted.Load())
+		if strings.Contains(c.lines, "=0") {
+			require.Eventually(t, func() bool { return open.Load() == 0 }, time.Second, time.Millisecond)
+		}
 	}
 }
 
