--- a/limpetd/conns/pool_test.go
+++ b/limpetd/conns/pool_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
