front, tunnel: Don't let tests of own ends and early answers depend on load

TestEarlyAnswerThroughATunnelIsWhole closed its server after 50 ms, when its kernel had not sent the whole answer yet; the server now keeps its connection, and still fails without the drain of the tunnel.

--- a/limpetd/conns/pool_test.go
+++ b/limpetd/conns/pool_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
--- a/limpetd/front/own_end_test.go
+++ b/limpetd/front/own_end_test.go
@@ -193,6 +193,11 @@
 					if err != nil {
 						return // The reset came before the head.
 					}
+					if response.StatusCode != http.StatusOK {
+						require.Equal(t, http.StatusGatewayTimeout, response.StatusCode, "the server's response had not begun at the deadline")
+						require.Equal(t, "deadline", way)
+						return
+					}
 					got, err := io.ReadAll(response.Body)
 					require.Error(t, err, "the response looks complete")
 					require.Less(t, len(got), len(whole))
--- a/limpetd/tunnel/ending_test.go
+++ b/limpetd/tunnel/ending_test.go
@@ -124,7 +124,8 @@
 		_, _ = c.Read(make([]byte, 512))
 		_, _ = io.WriteString(c, "HTTP/1.1 413 Content Too Large\r\nStamp: 1\r\nContent-Length: 1048576\r\n\r\n"+whole)
 		_ = c.(*net.TCPConn).CloseWrite()
-		time.Sleep(50 * time.Millisecond)
+		// Closing the connection would drop what the kernel of the server has not sent yet.
+		<-t.Context().Done()
 		_ = c.Close()
 	})
 	_, p := startPair(t, server)
