relay: Forward an answer that arrived before a write of the upload failed

A plain service answered an upload of 3 MB at once with a 200 or 413 with a length, and reset or closed the connection without reading the rest. Callers got a 502, as if the service had not answered, and a keyed call stayed unknown.

Cause: when a write fails before the transport of net/http has taken the head of the answer from the socket, the transport closes the connection and drops the answer.

writeCountingConn reports no failure of a write that the next read reports as well: a socket.Conn returns its first error from each read, and a peer that has closed the connection ends them. The transport then reads what arrived, and the answer's framing decides.

--- a/limpetd/gate/ending_test.go
+++ b/limpetd/gate/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -97,3 +98,37 @@
 		})
 	}
 }
+
+// TestEarlyAnswerToUploadIsWhole guards against a whole answer that becomes a 502 because the service reset or closed the
+// connection before it had read the call.
+func TestEarlyAnswerToUploadIsWhole(t *testing.T) {
+	const size = 3 << 20
+	for _, status := range []int{http.StatusOK, http.StatusRequestEntityTooLarge} {
+		for _, resets := range []bool{true, false} {
+			for _, pause := range []time.Duration{0, 4 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d/%v/%s", status, resets, pause), func(t *testing.T) {
+					t.Parallel()
+					part := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 4\r\n\r\nbody", status)
+					address := startEnding(t, part, func(_ net.Listener, c *net.TCPConn, _ *http.Request) {
+						time.Sleep(pause)
+						if resets {
+							_ = c.SetLinger(0)
+						}
+					})
+					whole := 0
+					for range 20 {
+						g := startGate(t, testConfig{doc: testDocument(), services: []string{address}, config: Config{MaxBodyBytes: size}})
+						response, err := g.openRaw(t, "HTTP/1.1", "POST /services/app/bookings", size)
+						require.NoError(t, err)
+						body, err := io.ReadAll(response.Body)
+						if err == nil && response.StatusCode == status && string(body) == "body" {
+							whole++
+						}
+						_ = response.Body.Close()
+					}
+					require.Equal(t, 20, whole)
+				})
+			}
+		}
+	}
+}
--- a/limpetd/relay/service.go
+++ b/limpetd/relay/service.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -113,17 +114,45 @@
 	}}
 }
 
-// writeCountingConn counts the writes started on a connection.
+// writeCountingConn counts the writes started on a connection. It reports no failure of a write that the next read
+// reports as well: http.Transport would drop an answer that arrived before the server closed or reset the connection.
 type writeCountingConn struct {
 	net.Conn
 	writes atomic.Int64
+	// failed is whether a write has failed, ended whether it was one of an earlier call.
+	failed atomic.Bool
+	ended  atomic.Bool
 }
 
+// begin begins a call on the connection.
+func (c *writeCountingConn) begin() { c.ended.Store(c.failed.Load()) }
+
 // Write counts the write before it starts, since bytes of any started write may have
 // arrived.
 func (c *writeCountingConn) Write(b []byte) (int, error) {
+	if c.ended.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writes.Add(1)
-	return c.Conn.Write(b)
+	if c.failed.Load() {
+		return len(b), nil
+	}
+	n, err := c.Conn.Write(b)
+	if err != nil && c.readFails(err) {
+		c.failed.Store(true)
+		return len(b), nil
+	}
+	return n, err
+}
+
+// readFails reports whether reads after the error of a write return an error without waiting, once all data is read.
+func (c *writeCountingConn) readFails(err error) bool {
+	s, ok := c.Conn.(*socket.Conn)
+	if !ok {
+		return false
+	}
+	_, first := s.FirstError()
+	return first != nil || errors.Is(err, syscall.EPIPE)
 }
 
 // nonReplayableBody is a request body that cannot be rewound and is not nil even if
@@ -144,6 +173,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		conn, _ = i.Conn.(*writeCountingConn)
 		if conn != nil {
+			conn.begin()
 			writesBefore = conn.writes.Load()
 		}
 	}}
