conns: Repeat the check of an end that the process slept through

Cause: the time limit of the check passes while the process stands still, in a dial or in the pause before the second one, which then is not made. Nothing is known about the server then, and the response counted as complete.

The check is made a second time if the first one found nothing. A server that really does not answer delays the end of an unframed response by 0.8 s instead of 0.4 s.

TestEndCheckOfStoppedProcessIsRepeated failed before.

--- a/limpetd/conns/end.go
+++ b/limpetd/conns/end.go
@@ -18,8 +18,10 @@
 	endCheckPause = 100 * time.Millisecond
 	// resetPause is the time after which a connection is opened again that was reset.
 	resetPause = 20 * time.Millisecond
-	// endCheckTimeout limits the time to find out whether a server has ended.
+	// endCheckTimeout limits the time to find out whether a server has ended. There are endChecks of them if it does not
+	// answer, because the process may have stood still until the time was over.
 	endCheckTimeout = endCheckPause + dialTimeout
+	endChecks       = 2
 )
 
 // ErrServerEnded means that the server refused connections after it had closed the connection whose end ends a response.
@@ -59,14 +61,9 @@
 
 // checkEnd returns io.EOF unless the server refuses connections, or the call ended before that was known.
 func (b *unframedBody) checkEnd() error {
-	ctx, cancel := context.WithTimeout(b.ctx, endCheckTimeout)
-	defer cancel()
-	reach := b.reach(ctx)
-	if reach == Accepts && life.Sleep(ctx, endCheckPause) {
-		reach = b.reach(ctx)
-	}
-	for reach == Resets && life.Sleep(ctx, resetPause) {
-		reach = b.reach(ctx)
+	reach := Silent
+	for i := 0; i < endChecks && reach == Silent; i++ {
+		reach = b.checkServer()
 	}
 	switch {
 	case reach == Refuses:
@@ -77,6 +74,23 @@
 	return io.EOF
 }
 
+// checkServer returns what the server does with connections until endCheckPause after the end.
+func (b *unframedBody) checkServer() Reach {
+	ctx, cancel := context.WithTimeout(b.ctx, endCheckTimeout)
+	defer cancel()
+	reach := b.reach(ctx)
+	if reach == Accepts {
+		if !life.Sleep(ctx, endCheckPause) {
+			return Silent
+		}
+		reach = b.reach(ctx)
+	}
+	for reach == Resets && life.Sleep(ctx, resetPause) {
+		reach = b.reach(ctx)
+	}
+	return reach
+}
+
 // checkEnd is CheckEnd for a response on the connection. The check ends with the context of Bind.
 func (c *Conn) checkEnd(r *http.Response) {
 	ctx := c.bindCtx
--- a/limpetd/conns/ending_test.go
+++ b/limpetd/conns/ending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +72,21 @@
 	_, err := io.ReadAll(body)
 	require.Error(t, err)
 }
+
+// TestEndCheckOfStoppedProcessIsRepeated guards against a response that looks complete because the process stood still
+// until the check of its end had timed out.
+func TestEndCheckOfStoppedProcessIsRepeated(t *testing.T) {
+	for name, answers := range map[string][]conns.Reach{"dial": {conns.Silent, conns.Refuses}, "pause": {conns.Accepts, conns.Silent, conns.Refuses}} {
+		r := &http.Response{Body: io.NopCloser(strings.NewReader("part")), ContentLength: -1}
+		n := 0
+		conns.CheckEnd(t.Context(), r, func(ctx context.Context) conns.Reach {
+			n++
+			if answers[n-1] == conns.Silent {
+				<-ctx.Done()
+			}
+			return answers[n-1]
+		})
+		_, err := io.ReadAll(r.Body)
+		require.ErrorIs(t, err, conns.ErrServerEnded, name)
+	}
+}
