known-red, soak: List servers that start again while the daemon is stopped, and what remains

The check by cause in TestBrokenResponsesAreNotTakenForComplete has a subtest for faults that met a stopped daemon, of which the one for killed servers is listed.

--- a/limpetlab/soak/ends_test.go
+++ b/limpetlab/soak/ends_test.go
@@ -24,12 +24,14 @@
 	require.Positive(t, complete)
 	for _, cause := range []string{killedServer, resetServer, killedDaemon, besideUpload, noFault} {
 		require.True(t, cause == besideUpload || cause == noFault || report.Faults[cause] > 0, cause)
-		t.Run(cause, func(t *testing.T) {
-			for _, c := range report.Incomplete {
-				if c.Cause == cause || c.Cause == cause+atStoppedDaemon {
-					t.Errorf("%+v", c)
+		for _, met := range []string{cause, cause + atStoppedDaemon} {
+			t.Run(met, func(t *testing.T) {
+				for _, c := range report.Incomplete {
+					if c.Cause == met {
+						t.Errorf("%+v", c)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
