--- a/limpetlab/soak/ends_calls.go
+++ b/limpetlab/soak/ends_calls.go
@@ -174,8 +174,7 @@
 	received, err := io.ReadAll(&stampedReader{source: response.Body, at: &c.last})
 	// The body is read, or has failed.
 	_ = response.Body.Close()
-	// The responses of daemons have no stamp of a server.
-	if err != nil || response.Header.Get("Server-Stamp") == "" {
+	if err != nil || !stand.FromServer(response) {
 		return
 	}
 	c.fault = c.check(string(received))
